Settle records, fold signature, traits and wire forms

Cause: five parts are to be built side by side; they meet in the record types, the fold's signature, the traits for log and engines, and the outside wire forms. Ruled out: strings and maps in the seams; a separate store for shares (parts of 2^32 make rate changes free of records).

--- /dev/null
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Aggregates and decisions of quetzalpick, without I/O, clock or runtime.
+//!
+//! Time and randomness are arguments, so that every decision can be replayed and tested against an oracle.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod errors;
+pub mod id;
+pub mod record;
+pub mod state;
+pub mod table;
+pub mod verdict;
--- /dev/null
+++ b/crates/quetzalpick-core/src/record/mod.rs
@@ -0,0 +1,18 @@
+//! Records of the control stream: everything that the VMs agree on.
+
+mod claim;
+mod config;
+mod entry;
+mod placement;
+mod roster;
+mod share;
+
+pub use claim::{Claim, ClaimKey, Finish, Result as ClaimResult};
+pub use config::{
+    Adapter, Change, Digest, EndpointKind, EndpointSpec, Key, Model, Place, Route, ServiceSpec,
+    WorkspaceSpec,
+};
+pub use entry::{Author, Entry, Record};
+pub use placement::{Intent, Operation, Report, Settled, Settlement};
+pub use roster::{Join, Retire, Role, Seat};
+pub use share::{Declare, Holding, PARTS_TOTAL};
--- /dev/null
+++ b/crates/quetzalpick-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `quetzalpick-ctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `quetzalpick-gate`.
+
+fn main() {}
--- /dev/null
+++ b/crates/quetzalpick-keeper/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `quetzalpick-keeper`.
+
+fn main() {}
--- /dev/null
+++ b/crates/quetzalpick-language/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' query and command language.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
--- /dev/null
+++ b/crates/quetzalpick-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `quetzalpick-load`.
+
+fn main() {}
--- /dev/null
+++ b/crates/quetzalpick-node/src/lib.rs
@@ -0,0 +1,4 @@
+//! What the processes of an entry VM share: log follower, peer exchange, lease, settings, telemetry and lifecycle.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
--- /dev/null
+++ b/crates/quetzalpick-platform/src/errors.rs
@@ -0,0 +1,80 @@
+//! Errors of calls to outside systems.
+
+use std::time::Duration;
+
+use quetzalpick_core::verdict::Verdict;
+use snafu::Snafu;
+
+/// `Result` is the result of calls to outside systems.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// `Error` says why a call to an outside system failed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
+#[non_exhaustive]
+pub enum Error {
+    /// The call was not answered; the verdict says whether it may have taken effect.
+    #[snafu(display("{target} did not answer ({verdict}): {reason}"))]
+    Unanswered {
+        /// Address called.
+        target: String,
+        /// Whether the call may have taken effect.
+        verdict: Verdict,
+        /// What happened.
+        reason: String,
+    },
+    /// The system is up but asks to come back later; nothing was done.
+    #[snafu(display("{target} is busy, come back in {} ms", retry_after.as_millis()))]
+    Busy {
+        /// Address called.
+        target: String,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The records asked for are no longer kept.
+    #[snafu(display("records before {oldest} are no longer kept"))]
+    Trimmed {
+        /// Oldest offset kept.
+        oldest: u64,
+    },
+    /// The order's fencing number is older than one that the engine has seen; nothing was done.
+    #[snafu(display("fencing number {number} is older than {seen}"))]
+    Fenced {
+        /// Number of the order.
+        number: u64,
+        /// Number that the engine has seen.
+        seen: u64,
+    },
+    /// The system refused for good; nothing was done.
+    #[snafu(display("{target} refused with status {status}: {message}"))]
+    Refused {
+        /// Address called.
+        target: String,
+        /// HTTP status.
+        status: u16,
+        /// The system's own message.
+        message: String,
+    },
+    /// The answer could not be understood; the call may have taken effect.
+    #[snafu(display("cannot understand the answer of {target}: {reason}"))]
+    Garbled {
+        /// Address called.
+        target: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl Error {
+    /// Tells whether the call may have taken effect.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::Unanswered { verdict, .. } => *verdict,
+            Self::Garbled { .. } => Verdict::MayHaveRun,
+            Self::Busy { .. }
+            | Self::Trimmed { .. }
+            | Self::Fenced { .. }
+            | Self::Refused { .. } => Verdict::NotRun,
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-platform/src/lib.rs
@@ -0,0 +1,10 @@
+//! Traits and clients for the systems that quetzalpick meets: log service, VM list, engines and services.
+//!
+//! Each outside system has one module here, so that another wire format changes nothing elsewhere.
+
+#![forbid(unsafe_code)]
+#![warn(rust_2018_idioms)]
+
+pub mod errors;
+pub mod traits;
+pub mod wire;
--- /dev/null
+++ b/crates/quetzalpick-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `quetzalpick-standin`.
+
+fn main() {}
