--- a/crates/quetzalpick-platform/src/errors.rs
+++ b/crates/quetzalpick-platform/src/errors.rs
@@ -78,3 +78,37 @@
         }
     }
 }
+
+/// Builds the error of a call that was not answered.
+pub fn unanswered(target: impl ToString, verdict: Verdict, reason: impl ToString) -> Error {
+    Error::Unanswered {
+        target: target.to_string(),
+        verdict,
+        reason: reason.to_string(),
+    }
+}
+
+/// Builds the error of an answer that could not be understood.
+pub fn garbled(target: impl ToString, reason: impl ToString) -> Error {
+    Error::Garbled {
+        target: target.to_string(),
+        reason: reason.to_string(),
+    }
+}
+
+/// Builds the error of a system that asks to come back later.
+pub fn busy(target: impl ToString, retry_after: Duration) -> Error {
+    Error::Busy {
+        target: target.to_string(),
+        retry_after,
+    }
+}
+
+/// Builds the error of a system that refused for good.
+pub fn refused(target: impl ToString, status: u16, message: impl ToString) -> Error {
+    Error::Refused {
+        target: target.to_string(),
+        status,
+        message: message.to_string(),
+    }
+}
--- a/crates/quetzalpick-platform/src/lib.rs
+++ b/crates/quetzalpick-platform/src/lib.rs
@@ -6,5 +6,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod errors;
+pub mod http;
+pub mod memory;
 pub mod traits;
 pub mod wire;
