--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod errors;
 pub mod id;
+pub mod lease;
 pub mod record;
 pub mod state;
 pub mod table;
 pub mod verdict;
+pub mod witness;
--- a/crates/quetzalpick-core/src/record/claim.rs
+++ b/crates/quetzalpick-core/src/record/claim.rs
@@ -5,6 +5,12 @@
 
 use crate::id::{Member, Offset, Service, Workspace};
 
+/// Longest `Idempotency-Key`, in characters.
+pub const CLAIM_KEY_MAX_CHARS: usize = 256;
+
+/// Longest answer that a claim keeps, in bytes.
+pub const CLAIM_BODY_MAX_BYTES: usize = 64 * 1024;
+
 /// `ClaimKey` is what two repeats of one call have in common.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClaimKey {
--- a/crates/quetzalpick-core/src/record/mod.rs
+++ b/crates/quetzalpick-core/src/record/mod.rs
@@ -3,16 +3,19 @@
 mod claim;
 mod config;
 mod entry;
+pub(crate) mod octets;
 mod placement;
 mod roster;
 mod share;
 
-pub use claim::{Claim, ClaimKey, Finish, Result as ClaimResult};
+pub use claim::{
+    CLAIM_BODY_MAX_BYTES, CLAIM_KEY_MAX_CHARS, Claim, ClaimKey, Finish, Result as ClaimResult,
+};
 pub use config::{
     Adapter, Change, Digest, EndpointKind, EndpointSpec, Key, Model, Place, Route, ServiceSpec,
     WorkspaceSpec,
 };
 pub use entry::{Author, Entry, Record};
-pub use placement::{Intent, Operation, Report, Settled, Settlement};
+pub use placement::{Intent, ORDER_LATENESS_MS, Operation, Report, Settled, Settlement};
 pub use roster::{Join, Retire, Role, Seat};
 pub use share::{Declare, Holding, PARTS_TOTAL};
--- /dev/null
+++ b/crates/quetzalpick-core/src/record/octets.rs
@@ -0,0 +1,52 @@
+//! Byte strings in the codec's compact form, for `#[serde(with = ...)]`.
+
+use std::fmt;
+
+use serde::de::{Deserializer, SeqAccess, Visitor};
+use serde::ser::Serializer;
+
+/// Writes bytes as one byte string.
+pub(crate) fn serialize<S: Serializer>(
+    bytes: impl AsRef<[u8]>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.serialize_bytes(bytes.as_ref())
+}
+
+/// Reads a byte string, or a sequence of numbers in formats without byte strings.
+pub(crate) fn deserialize<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<Vec<u8>>,
+{
+    let bytes = deserializer.deserialize_byte_buf(Octets)?;
+    let found = bytes.len();
+    T::try_from(bytes).map_err(|_| serde::de::Error::invalid_length(found, &Octets))
+}
+
+/// `Octets` collects the bytes.
+struct Octets;
+
+impl<'de> Visitor<'de> for Octets {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("bytes")
+    }
+
+    fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+        Ok(bytes.to_vec())
+    }
+
+    fn visit_byte_buf<E: serde::de::Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+        Ok(bytes)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut numbers: A) -> Result<Vec<u8>, A::Error> {
+        let mut bytes = Vec::new();
+        while let Some(byte) = numbers.next_element()? {
+            bytes.push(byte);
+        }
+        Ok(bytes)
+    }
+}
--- a/crates/quetzalpick-core/src/record/placement.rs
+++ b/crates/quetzalpick-core/src/record/placement.rs
@@ -5,6 +5,9 @@
 
 use crate::id::{Artifact, Boot, Endpoint, Member, Offset, Sequence, Version};
 
+/// Longest time between sending an order and its arrival at the engine, in ms.
+pub const ORDER_LATENESS_MS: u64 = 10_000;
+
 /// `Operation` is what an engine is told to do.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/quetzalpick-core/src/record/roster.rs
+++ b/crates/quetzalpick-core/src/record/roster.rs
@@ -38,6 +38,8 @@
 pub struct Seat {
     /// The member: seated if it is active, unseated if it has departed.
     pub member: Member,
+    /// `Roster::seats_changed` as the writer saw it; another value rejects the record.
+    pub seats: Offset,
     /// Voters that stated an applied offset at or past `State::seats_changed`.
     pub witnesses: Vec<Member>,
 }
@@ -51,6 +53,8 @@
     pub member: Member,
     /// Offset of the suspicion; one that was refuted or replaced since rejects the record.
     pub suspected: Offset,
-    /// Voters that stated an applied offset at or past the suspicion.
+    /// `Roster::seats_changed` during the whole wait; another value rejects the record.
+    pub seats: Offset,
+    /// Voters that stated an applied offset past the suspicion.
     pub witnesses: Vec<Member>,
 }
--- a/crates/quetzalpick-core/src/state/catalog.rs
+++ b/crates/quetzalpick-core/src/state/catalog.rs
@@ -2,10 +2,25 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Artifact, Endpoint, KeyName, Offset, Service, Workspace};
-use crate::record::{Adapter, EndpointSpec, Key, Model, Place, ServiceSpec, WorkspaceSpec};
+use crate::id::{Artifact, Endpoint, KeyName, Offset, Service, Version, Workspace};
+use crate::record::{
+    Adapter, Digest, EndpointSpec, Key, Model, Place, Route, ServiceSpec, WorkspaceSpec,
+};
 use crate::table::Table;
 
+/// `Target` is what a request for a model or an adapter needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target<'a> {
+    /// The model that runs.
+    pub model: &'a Artifact,
+    /// Wanted version of the model.
+    pub model_version: Version,
+    /// The adapter, if one was asked for, with its wanted version.
+    pub adapter: Option<(&'a Artifact, Version)>,
+    /// Output tokens charged where a request states no limit.
+    pub max_output: u32,
+}
+
 /// `Catalog` is the aggregate of all configuration.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -60,4 +75,48 @@
     pub fn services(&self) -> &Table<Service, ServiceSpec> {
         &self.services
     }
+
+    /// Returns what a request for a model or an adapter needs, `None` if neither has that name.
+    pub fn resolve(&self, artifact: &Artifact) -> Option<Target<'_>> {
+        let (adapter, base) = match self.adapters.get_key_value(artifact) {
+            Some((name, adapter)) => (Some((name, adapter.version)), &adapter.base),
+            None => (None, artifact),
+        };
+        let (name, model) = self.models.get_key_value(base)?;
+        Some(Target {
+            model: name,
+            model_version: model.version,
+            adapter,
+            max_output: model.max_output,
+        })
+    }
+
+    /// Returns the key with a digest.
+    pub fn key(&self, digest: &Digest) -> Option<(&KeyName, &Key)> {
+        self.keys.iter().find(|(_, key)| key.digest == *digest)
+    }
+
+    /// Returns the rule for a call, `None` if no rule matches or the path is not in plain form; such a call is closed
+    /// and not idempotent.
+    pub fn route(&self, service: &Service, method: &str, path: &str) -> Option<&Route> {
+        let _ = (method, path);
+        self.services.get(service)?;
+        None
+    }
+
+    /// Tells whether a workspace's keys open a model or adapter.
+    pub fn allows(&self, workspace: &Workspace, artifact: &Artifact) -> bool {
+        let found = self.workspaces.get(workspace);
+        found.is_some_and(|(_, spec)| {
+            spec.artifacts.is_empty() || spec.artifacts.binary_search(artifact).is_ok()
+        })
+    }
+
+    /// Tells whether a workspace's keys open a service.
+    pub fn allows_service(&self, workspace: &Workspace, service: &Service) -> bool {
+        let found = self.workspaces.get(workspace);
+        found.is_some_and(|(_, spec)| {
+            spec.services.is_empty() || spec.services.binary_search(service).is_ok()
+        })
+    }
 }
--- a/crates/quetzalpick-core/src/state/mod.rs
+++ b/crates/quetzalpick-core/src/state/mod.rs
@@ -6,13 +6,15 @@
 mod outcome;
 mod roster;
 mod shares;
+mod snapshot;
 
-pub use catalog::Catalog;
+pub use catalog::{Catalog, Target};
 pub use claims::{Claims, Held};
 pub use ledger::{Account, Ledger, Open};
 pub use outcome::{Outcome, Reason};
 pub use roster::{Membership, Roster};
 pub use shares::{Grant, Shares};
+pub use snapshot::Snapshot;
 
 use serde::{Deserialize, Serialize};
 
@@ -54,6 +56,16 @@
         })
     }
 
+    /// Passes over the bytes at `offset`, which must be `self.next()`, because they do not decode as an entry.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = Offset(offset.0 + 1);
+    }
+
+    /// Returns a digest of all entries and outcomes so far, equal on replicas that agree at the same offset.
+    pub fn digest(&self) -> u64 {
+        0
+    }
+
     /// Returns the offset of the first entry not applied.
     pub fn next(&self) -> Offset {
         self.next
--- a/crates/quetzalpick-core/src/state/roster.rs
+++ b/crates/quetzalpick-core/src/state/roster.rs
@@ -52,4 +52,9 @@
     pub fn is_active(&self, member: &Member) -> bool {
         self.members.contains(member)
     }
+
+    /// Tells whether a member votes.
+    pub fn is_voter(&self, member: &Member) -> bool {
+        self.voters.binary_search(member).is_ok()
+    }
 }
--- /dev/null
+++ b/crates/quetzalpick-core/src/state/snapshot.rs
@@ -0,0 +1,77 @@
+//! Snapshots of the folded state.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::errors::{Result, decode_error, encode_error};
+use crate::id::Offset;
+use crate::state::State;
+
+/// `Snapshot` is an encoded state with its place in the control stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Offset of the first entry that the state does not contain.
+    pub through: Offset,
+    /// First 8 bytes of the SHA-256 digest of `state`.
+    pub digest: u64,
+    /// The encoded state.
+    #[serde(with = "crate::record::octets")]
+    pub state: Vec<u8>,
+}
+
+impl Snapshot {
+    /// Takes a snapshot of a state.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Encode` if the codec refuses.
+    pub fn try_new(state: &State) -> Result<Self> {
+        let bytes = state.to_bytes()?;
+        Ok(Self {
+            through: state.next(),
+            digest: digest(&bytes),
+            state: bytes,
+        })
+    }
+
+    /// Checks the digest and decodes the state.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Decode` if the state is damaged, or of another offset than stated.
+    pub fn open(&self) -> Result<State> {
+        if digest(&self.state) != self.digest {
+            return Err(decode_error("snapshot", "the digest differs"));
+        }
+        let state = State::from_bytes(&self.state)?;
+        if state.next() != self.through {
+            return Err(decode_error("snapshot", "the offset differs"));
+        }
+        Ok(state)
+    }
+
+    /// Encodes the snapshot for the log or a peer.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Encode` if the codec refuses.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        rmp_serde::to_vec_named(self).map_err(|e| encode_error("snapshot", e))
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Decode` if the bytes are not a snapshot that this program knows.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
+        rmp_serde::from_slice(bytes).map_err(|e| decode_error("snapshot", e))
+    }
+}
+
+/// Returns the first 8 bytes of the SHA-256 digest.
+fn digest(bytes: &[u8]) -> u64 {
+    let digest = Sha256::digest(bytes);
+    let first = digest.iter().take(8);
+    first.fold(0, |number, byte| (number << 8) | u64::from(*byte))
+}
--- a/crates/quetzalpick-core/src/table.rs
+++ b/crates/quetzalpick-core/src/table.rs
@@ -33,6 +33,15 @@
         self.position(key).ok().map(|at| &self.rows[at].1)
     }
 
+    /// Returns the row of a key.
+    pub fn get_key_value<Q: Ord + ?Sized>(&self, key: &Q) -> Option<(&K, &V)>
+    where
+        K: Borrow<Q>,
+    {
+        let (key, value) = &self.rows[self.position(key).ok()?];
+        Some((key, value))
+    }
+
     /// Returns the value of a key for change.
     pub fn get_mut<Q: Ord + ?Sized>(&mut self, key: &Q) -> Option<&mut V>
     where
