--- /dev/null
+++ b/crates/quetzalpick-core/src/admit/lane.rs
@@ -0,0 +1,1 @@
+//! The waiting requests of one workspace.
--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -5,9 +5,14 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod admit;
 pub mod errors;
 pub mod id;
+pub mod plan;
+pub mod quota;
 pub mod record;
+pub mod retry;
+pub mod route;
 pub mod state;
 pub mod table;
 pub mod verdict;
--- /dev/null
+++ b/crates/quetzalpick-core/src/quota/demand.rs
@@ -0,0 +1,1 @@
+//! Recent demand that halves at a fixed interval.
--- /dev/null
+++ b/crates/quetzalpick-core/src/quota/mod.rs
@@ -0,0 +1,14 @@
+//! One gate's shares of the workspaces' rates and bursts, and how gates transfer them to each other.
+
+mod charge;
+mod demand;
+mod gate;
+mod message;
+mod receiver;
+
+pub use charge::{Charge, Receipt};
+pub use gate::{Options, Quota};
+pub use message::{Ack, Answer, Ask, Hint, Peer, Transfer};
+
+/// Micro-tokens in one token.
+pub const MICRO: u64 = 1_000_000;
--- /dev/null
+++ b/crates/quetzalpick-core/src/quota/receiver.rs
@@ -0,0 +1,1 @@
+//! The receiver's memory of transfers.
--- /dev/null
+++ b/crates/quetzalpick-core/src/route/mod.rs
@@ -0,0 +1,11 @@
+//! Routing: which endpoint gets a request.
+
+mod candidate;
+mod choose;
+mod health;
+mod prefix;
+
+pub use candidate::{Candidate, Load};
+pub use choose::{Choice, Options, Policy, Reason, choose};
+pub use health::{Health, HealthOptions};
+pub use prefix::Prefixes;
