--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod errors;
 pub mod id;
 pub mod lease;
+pub mod payload;
 pub mod plan;
 pub mod quota;
 pub mod record;
--- a/crates/quetzalpick-keeper/src/lib.rs
+++ b/crates/quetzalpick-keeper/src/lib.rs
@@ -1,4 +1,18 @@
-//! The keeper: operator API, placement, membership and snapshots.
+//! The keeper: operator API and placement.
+//!
+//! Membership and snapshots are the replica's work, in `quetzalpick-node`.
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
+
+mod errors;
+mod operator;
+mod place;
+mod run;
+mod settings;
+
+pub use errors::{Error, Result};
+pub use operator::{Api, Desk};
+pub use place::{Leader, Options as PlaceOptions};
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -0,0 +1,243 @@
+//! The leader: takes the lead when nobody has it, and runs placement round by round while it has a lease.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+
+use quetzalpick_core::id::{Endpoint, Offset, Sequence};
+use quetzalpick_core::plan::{Demand, Planner, Step};
+use quetzalpick_core::record::{Intent, Operation, Record};
+use quetzalpick_core::state::{Leadership, State};
+use quetzalpick_core::table::Table;
+use quetzalpick_node::peer::Transport;
+use quetzalpick_node::replica::{Answer, Replica};
+use quetzalpick_platform::errors::Error;
+use quetzalpick_platform::traits::{Engine, Log, Vms};
+use quetzalpick_platform::wire::vms::Status;
+
+use crate::place::engines::{self, Reported};
+use crate::place::options::Options;
+use crate::place::orders::Orders;
+use crate::place::round::{self, Due, Limits};
+
+/// `Leader` runs placement on one keeper.
+#[derive(Debug)]
+pub struct Leader<L: Log, T: Transport, E: Engine, V: Vms> {
+    replica: Replica<L, T>,
+    engines: E,
+    vms: V,
+    options: Options,
+    started: Instant,
+    planner: Planner,
+    demand: Demand,
+    term: Option<Offset>,
+    orders: Orders,
+    reports: Table<Endpoint, Reported>,
+    leaving: Vec<Endpoint>,
+}
+
+impl<L: Log, T: Transport, E: Engine, V: Vms> Leader<L, T, E, V> {
+    /// Makes a leader that does not lead yet.
+    pub fn new(replica: Replica<L, T>, engines: E, vms: V, options: Options) -> Self {
+        Self {
+            planner: Planner::new(options.planner.clone()),
+            demand: Demand::new(),
+            replica,
+            engines,
+            vms,
+            options,
+            started: Instant::now(),
+            term: None,
+            orders: Orders::default(),
+            reports: Table::default(),
+            leaving: Vec::new(),
+        }
+    }
+
+    /// Runs rounds for ever.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(self.options.interval).await;
+            self.round().await;
+        }
+    }
+
+    /// Does one round: nothing without a lease, and only an attempt to take the lead while nobody has it.
+    pub async fn round(&mut self) {
+        if !self.replica.is_leased() {
+            return;
+        }
+        let own = self.replica.member();
+        match self.replica.read(|state| state.leadership().cloned()) {
+            None => self.take_lead().await,
+            Some(leadership) if leadership.member == own => self.lead(&leadership).await,
+            Some(_) => self.term = None,
+        }
+    }
+
+    /// Tries to become leader; the fold picks one of several that try.
+    async fn take_lead(&mut self) {
+        let member = self.replica.member();
+        let answer = self.replica.submit(Record::Lead(member), None).await;
+        if let Answer::Accepted { offset, .. } = answer {
+            log::info!("place: leads since offset {offset}");
+        }
+    }
+
+    /// Does one round as the leader.
+    async fn lead(&mut self, leadership: &Leadership) {
+        if self.term != Some(leadership.term) {
+            self.term = Some(leadership.term);
+            self.orders = Orders::begin(self.now_ms());
+            self.reports = Table::default();
+        }
+        self.look().await;
+        self.settle().await;
+        self.send_due().await;
+        self.plan(leadership).await;
+        self.send_due().await;
+    }
+
+    /// Asks engines and the VM list how things are.
+    async fn look(&mut self) {
+        let (engines, asked_at) = self.replica.read(|state| (engines::configured(state), state.next()));
+        let started = self.started;
+        let now_ms = move || elapsed_ms(started);
+        let asking = engines::ask(&self.engines, &engines, asked_at, self.options.report, now_ms);
+        let listing = tokio::time::timeout(self.options.report, self.vms.list());
+        let (arrived, list) = tokio::join!(asking, listing);
+        engines::renew(&mut self.reports, arrived);
+        // The list lags and may be out; what it last said stands until it answers again.
+        if let Ok(Ok(list)) = list {
+            let rows = list.vms.into_iter().filter(|vm| vm.status == Status::Leaving);
+            self.leaving = rows.filter_map(|vm| Endpoint::try_new(vm.name).ok()).collect();
+            self.leaving.sort();
+        }
+    }
+
+    /// Records what the reports show: first what corrects the ledger, then what became of open orders.
+    async fn settle(&mut self) {
+        let reports = &self.reports;
+        let corrections = self.replica.read(|state| {
+            let rows = reports.iter().filter_map(|(endpoint, reported)| {
+                let account = state.ledger().accounts().get(endpoint).cloned().unwrap_or_default();
+                engines::correction(endpoint, &account, reported)
+            });
+            rows.collect::<Vec<_>>()
+        });
+        for correction in &corrections {
+            let (endpoint, count) = (&correction.endpoint, correction.loaded.len());
+            log::info!("place: {endpoint} reports boot {} with {count} copies", correction.boot);
+        }
+        join_all(corrections.into_iter().map(|report| self.replica.submit(Record::Report(report), None))).await;
+        let settlements = self.replica.read(|state| {
+            let rows = reports.iter().filter_map(|(endpoint, reported)| {
+                let account = state.ledger().accounts().get(endpoint)?;
+                Some(engines::settlements(endpoint, account, reported))
+            });
+            rows.flatten().collect::<Vec<_>>()
+        });
+        for settled in &settlements {
+            log::info!("place: {} order {} is {}", settled.endpoint, settled.sequence, settled.settlement);
+            self.orders.settled(&settled.endpoint, settled.sequence);
+        }
+        join_all(settlements.into_iter().map(|settled| self.replica.submit(Record::Settled(settled), None))).await;
+    }
+
+    /// Plans, and announces each wanted order; the fold has the last word.
+    async fn plan(&mut self, leadership: &Leadership) {
+        let interval_ms = millis(self.options.interval);
+        self.demand.observe(interval_ms, &round::demand(&self.replica.peers(), interval_ms));
+        let now_ms = self.now_ms();
+        let limits =
+            Limits { silence_ms: millis(self.options.silence), lateness_ms: millis(self.options.order_lateness) };
+        let (replica, planner) = (&self.replica, &mut self.planner);
+        let (reports, orders, demand, leaving) = (&self.reports, &self.orders, &self.demand, &self.leaving);
+        let (steps, intents) = replica.read(|state| {
+            let statuses = round::statuses(state, reports, orders, limits, leaving, now_ms);
+            let steps = planner.plan(now_ms, state, demand, &statuses);
+            let intents = intents(state, leadership, &steps);
+            (steps, intents)
+        });
+        let answers = join_all(intents.into_iter().map(|intent| replica.submit(Record::Intent(intent), None))).await;
+        for (step, answer) in steps.iter().zip(answers) {
+            note(step, &answer);
+        }
+    }
+
+    /// Sends the orders that are due, if the lease still holds.
+    async fn send_due(&mut self) {
+        if !self.replica.is_leased() {
+            return;
+        }
+        let (now_ms, repeat_ms) = (self.now_ms(), millis(self.options.repeat));
+        let due = self.replica.read(|state| round::due(state, &self.orders, repeat_ms, now_ms));
+        for Due { endpoint, open, .. } in &due {
+            let is_load = matches!(open.operation, Operation::Load(..));
+            self.orders.sent(endpoint, open.sequence, is_load, now_ms);
+        }
+        let engines = &self.engines;
+        let send = |due: Due| async move {
+            match engines.order(&due.address, &due.order).await {
+                Ok(()) => {}
+                Err(Error::Fenced { number, seen }) => {
+                    log::warn!("place: {} knows fencing number {seen}, {number} is older", due.endpoint);
+                }
+                Err(error) => log::warn!("place: order {} to {}: {error}", due.open.sequence, due.endpoint),
+            }
+        };
+        join_all(due.into_iter().map(send)).await;
+    }
+
+    /// Returns the time since this leader was made, in ms.
+    fn now_ms(&self) -> u64 {
+        elapsed_ms(self.started)
+    }
+}
+
+/// Builds the intents of steps; several for one engine get adjoining sequences.
+fn intents(state: &State, leadership: &Leadership, steps: &[Step]) -> Vec<Intent> {
+    let mut last: Table<Endpoint, Sequence> = Table::default();
+    let mut intents = Vec::new();
+    for step in steps {
+        let known = || state.ledger().accounts().get(&step.endpoint).map(|account| account.last).unwrap_or_default();
+        let sequence = last.get_or_insert_with(step.endpoint.clone(), known);
+        *sequence = Sequence(sequence.0 + 1);
+        intents.push(Intent {
+            leader: leadership.member.clone(),
+            term: leadership.term,
+            endpoint: step.endpoint.clone(),
+            sequence: *sequence,
+            operation: step.operation.clone(),
+        });
+    }
+    intents
+}
+
+/// Logs what became of a planned step.
+fn note(step: &Step, answer: &Answer) {
+    let verb: &str = (&step.operation).into();
+    let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) = &step.operation;
+    let (endpoint, reason) = (&step.endpoint, step.reason);
+    match answer {
+        Answer::Accepted { offset, .. } => {
+            log::info!("place: {verb} {artifact} v{version} at {endpoint}, {reason}, intent {offset}");
+        }
+        Answer::Rejected { reason: why, .. } => {
+            log::warn!("place: {verb} {artifact} v{version} at {endpoint} rejected, {why}");
+        }
+        Answer::NotSent { .. } | Answer::Unknown { .. } => {
+            log::warn!("place: {verb} {artifact} v{version} at {endpoint} without an answer of the log");
+        }
+    }
+}
+
+/// Returns a duration in ms.
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time since a moment, in ms.
+fn elapsed_ms(since: Instant) -> u64 {
+    millis(since.elapsed())
+}
--- /dev/null
+++ b/crates/quetzalpick-keeper/src/place/mod.rs
@@ -0,0 +1,10 @@
+//! Placement: one keeper leads, plans, and sees its orders through.
+
+mod engines;
+mod leader;
+mod options;
+mod orders;
+mod round;
+
+pub use leader::Leader;
+pub use options::Options;
--- /dev/null
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -0,0 +1,97 @@
+//! One keeper from start to the end of a planned stop.
+
+use snafu::ResultExt;
+use tokio_util::sync::CancellationToken;
+
+use quetzalpick_core::record::{Record, Role};
+use quetzalpick_node::http::admin::{Admin, Readiness};
+use quetzalpick_node::http::server::{Options, Server};
+use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
+use quetzalpick_node::peer::Idle;
+use quetzalpick_node::replica::Replica;
+use quetzalpick_node::telemetry::metrics::Metrics;
+use quetzalpick_platform::{engine, http, log as log_service, vms};
+
+use crate::errors::{Result, SignalSnafu};
+use crate::operator::{Api, Desk};
+use crate::place::Leader;
+use crate::settings::Settings;
+
+/// `Ready` tells whether the keeper takes requests.
+#[derive(Debug, Clone)]
+struct Ready {
+    replica: Replica<log_service::Client>,
+    lifecycle: Lifecycle,
+}
+
+impl Readiness for Ready {
+    fn lacks(&self) -> Option<String> {
+        if self.lifecycle.phase() > Phase::Serving {
+            return Some("stopping".to_owned());
+        }
+        if !self.replica.is_loaded() {
+            return Some("no state loaded".to_owned());
+        }
+        (!self.replica.is_leased()).then(|| "no lease".to_owned())
+    }
+}
+
+/// Runs a keeper until it is asked to stop, and stops it without cutting a request.
+///
+/// # Errors
+///
+/// `Error::Node` if a listener or the replica cannot be started, `Error::Signal` if signals cannot be awaited.
+pub async fn run(settings: Settings) -> Result<()> {
+    let pool = http::Pool::new(http::Options::default());
+    let log = log_service::Client::new(pool.clone(), settings.platform.log.clone());
+    let options = settings.peers.options(&settings.vm, &settings.platform, Role::Keeper);
+    let replica = Replica::try_start(log, options, Idle).await?;
+    let lifecycle = Lifecycle::default();
+    let metrics = Metrics::try_new()?;
+
+    // The admin listener is first to start and last to stop, so that probes are always answered.
+    let admin = Server::try_bind(&settings.metrics.listen, Options::default()).await?;
+    let ready = Ready { replica: replica.clone(), lifecycle: lifecycle.clone() };
+    let admin_stop = CancellationToken::new();
+    let admin_task = tokio::spawn(admin.run(Admin::new(ready, metrics), admin_stop.clone()));
+
+    let operator = Server::try_bind(&settings.operator.listen, Options::default()).await?;
+    log::info!("keeper: operator API on {}", operator.address());
+    let api = Api::new(Desk::new(replica.clone()), &settings.operator.tokens);
+    let operator_stop = CancellationToken::new();
+    let operator_task = tokio::spawn(operator.run(api, operator_stop.clone()));
+
+    let engines = engine::Client::new(pool.clone());
+    let vms = vms::Client::new(pool, settings.platform.vms.clone());
+    let leader = Leader::new(replica.clone(), engines, vms, settings.place.options.clone());
+    let leader_task = tokio::spawn(leader.run());
+    lifecycle.advance(Phase::Serving);
+
+    let signal = stop_signal().await.context(SignalSnafu)?;
+    log::info!("keeper: stops on {signal}");
+    lifecycle.advance(Phase::Unready);
+    tokio::time::sleep(settings.operator.grace).await;
+    lifecycle.advance(Phase::Draining);
+    operator_stop.cancel();
+    let _ = operator_task.await;
+    lifecycle.advance(Phase::HandingOver);
+    leader_task.abort();
+    resign(&replica).await;
+    lifecycle.advance(Phase::Leaving);
+    let answer = replica.leave().await;
+    log::info!("keeper: departure {answer:?}");
+    lifecycle.advance(Phase::Stopped);
+    admin_stop.cancel();
+    let _ = admin_task.await;
+    Ok(())
+}
+
+/// Gives up the lead, if this keeper has it.
+async fn resign(replica: &Replica<log_service::Client>) {
+    let own = replica.member();
+    let leads = replica.read(|state| state.leadership().is_some_and(|leadership| leadership.member == own));
+    if leads {
+        let answer = replica.submit(Record::Resign(own), None).await;
+        log::info!("place: gives up the lead, {answer:?}");
+    }
+}
