Fold every record into the state

One file an aggregate, each with its rules; the fold checks the author, remembers commands and their outcomes until Expire, and extends a digest by each entry and its outcome, so that replicas compare without encoding the whole state. An engine takes no intent before its first report: what it holds is not known until then. A copy of unknown size fills its engine. LastCopy protects the version that serves, which is the wanted one as soon as it has a copy; the stricter rule that only copies of the wanted version count would never free room for it on full engines. A member that left, or that an operator vouches is dead, is unseated at once: otherwise two voters could never become one.

--- a/crates/quetzalpick-core/src/record/entry.rs
+++ b/crates/quetzalpick-core/src/record/entry.rs
@@ -85,3 +85,27 @@
     /// Claims and remembered commands up to an offset are old enough to be dropped.
     Expire(Offset),
 }
+
+impl Record {
+    /// Returns the member that the record speaks for, `None` if any active member may write it.
+    pub fn subject(&self) -> Option<&Member> {
+        match self {
+            Self::Join(join) => Some(&join.member),
+            Self::Refute(member)
+            | Self::Leave(member)
+            | Self::Lead(member)
+            | Self::Resign(member) => Some(member),
+            Self::Intent(intent) => Some(&intent.leader),
+            Self::Declare(declare) => Some(&declare.member),
+            Self::Claim(claim) => Some(&claim.member),
+            Self::Change(_)
+            | Self::Seat(_)
+            | Self::Suspect(_)
+            | Self::Retire(_)
+            | Self::Settled(_)
+            | Self::Report(_)
+            | Self::Finish(_)
+            | Self::Expire(_) => None,
+        }
+    }
+}
--- a/crates/quetzalpick-core/src/state/catalog.rs
+++ b/crates/quetzalpick-core/src/state/catalog/config.rs
@@ -1,4 +1,4 @@
-//! The catalog: the configuration in force.
+//! The configuration in force and what is looked up in it.
 
 use serde::{Deserialize, Serialize};
 
@@ -6,6 +6,8 @@
 use crate::record::{
     Adapter, Digest, EndpointSpec, Key, Model, Place, Route, ServiceSpec, WorkspaceSpec,
 };
+use crate::state::catalog::key::Keys;
+use crate::state::catalog::path;
 use crate::table::Table;
 
 /// `Target` is what a request for a model or an adapter needs.
@@ -27,7 +29,7 @@
     /// Workspaces with the offset of their creation.
     pub(crate) workspaces: Table<Workspace, (Offset, WorkspaceSpec)>,
     /// Keys by name.
-    pub(crate) keys: Table<KeyName, Key>,
+    pub(crate) keys: Keys,
     /// Models by name.
     pub(crate) models: Table<Artifact, Model>,
     /// Adapters by name.
@@ -48,7 +50,7 @@
 
     /// Returns the keys by name.
     pub fn keys(&self) -> &Table<KeyName, Key> {
-        &self.keys
+        self.keys.by_name()
     }
 
     /// Returns the models by name.
@@ -93,15 +95,21 @@
 
     /// Returns the key with a digest.
     pub fn key(&self, digest: &Digest) -> Option<(&KeyName, &Key)> {
-        self.keys.iter().find(|(_, key)| key.digest == *digest)
+        self.keys.find(digest)
     }
 
     /// Returns the rule for a call, `None` if no rule matches or the path is not in plain form; such a call is closed
     /// and not idempotent.
     pub fn route(&self, service: &Service, method: &str, path: &str) -> Option<&Route> {
-        let _ = (method, path);
-        self.services.get(service)?;
-        None
+        path::find(&self.services.get(service)?.routes, method, path)
+    }
+
+    /// Returns wanted version and memory in MB of a model or adapter.
+    pub fn wanted(&self, artifact: &Artifact) -> Option<(Version, u64)> {
+        let model = self.models.get(artifact);
+        let model = model.map(|model| (model.version, model.memory_mb));
+        let adapter = self.adapters.get(artifact);
+        model.or(adapter.map(|adapter| (adapter.version, adapter.memory_mb)))
     }
 
     /// Tells whether a workspace's keys open a model or adapter.
--- /dev/null
+++ b/crates/quetzalpick-core/src/state/ledger/book.rs
@@ -0,0 +1,166 @@
+//! The accounts of all engines and the rules of placement.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Artifact, Endpoint, Offset, Version};
+use crate::record::{EndpointKind, Intent, Operation, Report, Settled};
+use crate::state::catalog::Catalog;
+use crate::state::ledger::{Account, Open};
+use crate::state::outcome::{Reason, conflict, unknown};
+use crate::table::Table;
+
+/// `Ledger` is the aggregate of accelerator memory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Accounts by engine.
+    pub(super) accounts: Table<Endpoint, Account>,
+}
+
+/// Returns memory for copies in MB and whether the engine is draining.
+fn engine(catalog: &Catalog, endpoint: &Endpoint) -> Result<(u64, bool), Reason> {
+    let spec = catalog.endpoints().get(endpoint);
+    let spec = spec.ok_or_else(|| unknown("endpoint", endpoint))?;
+    match spec.kind {
+        EndpointKind::Engine { memory_mb, .. } => Ok((memory_mb, spec.draining)),
+        EndpointKind::Service { .. } => {
+            Err(conflict(format!("endpoint {endpoint} is not an engine")))
+        }
+    }
+}
+
+impl Ledger {
+    /// Returns the accounts by engine.
+    pub fn accounts(&self) -> &Table<Endpoint, Account> {
+        &self.accounts
+    }
+
+    /// Returns the memory that is loaded or promised at an engine, in MB.
+    pub fn used_mb(&self, endpoint: &Endpoint) -> u64 {
+        self.accounts.get(endpoint).map_or(0, Account::used_mb)
+    }
+
+    /// Returns the memory that copies of a version take wherever one is loaded or promised, in MB.
+    pub(crate) fn memory_of(&self, artifact: &Artifact, version: Version) -> Option<u64> {
+        let mut accounts = self.accounts.values();
+        accounts.find_map(|account| account.memory_of(artifact, version))
+    }
+
+    /// Announces an order if it can neither overcommit memory nor take a last copy.
+    pub(crate) fn intend(
+        &mut self,
+        offset: Offset,
+        intent: &Intent,
+        catalog: &Catalog,
+    ) -> Result<(), Reason> {
+        let endpoint = &intent.endpoint;
+        engine(catalog, endpoint)?;
+        let account = self.accounts.get(endpoint);
+        let account =
+            account.ok_or_else(|| conflict(format!("endpoint {endpoint} was not reported yet")))?;
+        let next = account.last.0 + 1;
+        if intent.sequence.0 != next {
+            return Err(conflict(format!("the next order of {endpoint} is {next}")));
+        }
+        let memory_mb = match &intent.operation {
+            Operation::Load(name, version) => {
+                self.check_load(account, endpoint, name, *version, catalog)?
+            }
+            Operation::Unload(name, version) => {
+                self.check_unload(account, endpoint, name, *version, catalog)?
+            }
+        };
+        let open = Open {
+            sequence: intent.sequence,
+            fencing: offset,
+            operation: intent.operation.clone(),
+            memory_mb,
+        };
+        let account = self
+            .accounts
+            .get_or_insert_with(endpoint.clone(), Account::default);
+        account.last = intent.sequence;
+        account.open.push(open);
+        Ok(())
+    }
+
+    /// Checks a load and returns its memory in MB.
+    fn check_load(
+        &self,
+        account: &Account,
+        endpoint: &Endpoint,
+        name: &Artifact,
+        version: Version,
+        catalog: &Catalog,
+    ) -> Result<u64, Reason> {
+        let wanted = catalog.wanted(name);
+        let (wanted, needed_mb) = wanted.ok_or_else(|| unknown("model or adapter", name))?;
+        if version != wanted {
+            return Err(conflict(format!("{name} is wanted in version {wanted}")));
+        }
+        account.check_idle(name, version)?;
+        if account.serves(name, version) {
+            return Err(conflict(format!("{endpoint} holds {name} already")));
+        }
+        let (memory_mb, draining) = engine(catalog, endpoint)?;
+        if draining {
+            return Err(conflict(format!("endpoint {endpoint} is draining")));
+        }
+        let base = catalog.adapters().get(name).map(|adapter| &adapter.base);
+        if let Some(base) = base.filter(|base| !account.serves_any(base)) {
+            return Err(conflict(format!("{endpoint} has no copy of {base}")));
+        }
+        let free_mb = memory_mb.saturating_sub(account.used_mb());
+        if needed_mb > free_mb {
+            return Err(Reason::Memory { needed_mb, free_mb });
+        }
+        Ok(needed_mb)
+    }
+
+    /// Checks an unload and returns the memory of the copy in MB.
+    fn check_unload(
+        &self,
+        account: &Account,
+        endpoint: &Endpoint,
+        name: &Artifact,
+        version: Version,
+        catalog: &Catalog,
+    ) -> Result<u64, Reason> {
+        let memory_mb = account.loaded.get(&(name.clone(), version));
+        let memory_mb = memory_mb.ok_or_else(|| unknown("copy of", name))?;
+        account.check_idle(name, version)?;
+        self.check_last_copy(catalog, endpoint, name, version)?;
+        Ok(*memory_mb)
+    }
+
+    /// Closes an intent.
+    pub(crate) fn settle(&mut self, settled: &Settled) -> Result<(), Reason> {
+        let account = self.accounts.get_mut(&settled.endpoint);
+        let account = account.ok_or_else(|| unknown("endpoint", &settled.endpoint))?;
+        account.settle(settled)
+    }
+
+    /// Replaces what an engine is known to hold; open intents stay.
+    pub(crate) fn report(&mut self, report: &Report, catalog: &Catalog) -> Result<(), Reason> {
+        let endpoint = &report.endpoint;
+        let (memory_mb, _) = engine(catalog, endpoint)?;
+        let row = |(name, version): &(Artifact, Version)| {
+            let wanted = catalog.wanted(name).filter(|(wanted, _)| wanted == version);
+            let known = self.memory_of(name, *version);
+            let known = known.or(wanted.map(|(_, memory_mb)| memory_mb));
+            // A copy of unknown size fills the engine until it is unloaded.
+            ((name.clone(), *version), known.unwrap_or(memory_mb))
+        };
+        let loaded = report.loaded.iter().map(row).collect();
+        let account = self
+            .accounts
+            .get_or_insert_with(endpoint.clone(), Account::default);
+        account.boot = report.boot;
+        account.loaded = loaded;
+        Ok(())
+    }
+
+    /// Closes the account of an engine that was removed.
+    pub(crate) fn close(&mut self, endpoint: &Endpoint) {
+        self.accounts.remove(endpoint);
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-core/src/state/ledger/mod.rs
@@ -0,0 +1,8 @@
+//! The ledger: what each engine holds and has been promised.
+
+mod account;
+mod book;
+mod copies;
+
+pub use account::{Account, Open};
+pub use book::Ledger;
--- a/crates/quetzalpick-core/src/state/outcome.rs
+++ b/crates/quetzalpick-core/src/state/outcome.rs
@@ -1,5 +1,7 @@
 //! What became of an entry.
 
+use std::fmt::{self, Display, Formatter};
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -27,6 +29,16 @@
     }
 }
 
+impl Display for Outcome {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted(revision) => write!(f, "accepted at revision {revision}"),
+            Self::Rejected(reason) => write!(f, "rejected: {reason}"),
+            Self::Repeated(offset, first) => write!(f, "repeated, at {offset} {first}"),
+        }
+    }
+}
+
 /// `Reason` says why the fold rejected an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Snafu)]
 #[snafu(visibility(pub))]
@@ -100,3 +112,20 @@
         same: bool,
     },
 }
+
+/// Says that something named does not exist.
+pub(crate) fn unknown(kind: &str, name: impl Display) -> Reason {
+    Reason::Unknown {
+        what: format!("{kind} {name}"),
+    }
+}
+
+/// Says what stands against an entry.
+pub(crate) fn conflict(what: impl Into<String>) -> Reason {
+    Reason::Conflict { what: what.into() }
+}
+
+/// Says which value is out of range.
+pub(crate) fn invalid(what: impl Into<String>) -> Reason {
+    Reason::Invalid { what: what.into() }
+}
--- a/crates/quetzalpick-core/src/state/roster.rs
+++ b/crates/quetzalpick-core/src/state/roster.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Domain, Member, Offset};
-use crate::record::Role;
+use crate::record::{Join, Retire, Role, Seat};
+use crate::state::catalog::check_address;
+use crate::state::outcome::{Reason, conflict, invalid};
 use crate::table::Table;
 
 /// `Membership` is what the roster knows of one active member.
@@ -26,7 +28,7 @@
 pub struct Roster {
     /// Active members.
     pub(crate) members: Table<Member, Membership>,
-    /// Voters, sorted; a departed member votes until it is unseated.
+    /// Voters, sorted; a retired member is one until it is unseated.
     pub(crate) voters: Vec<Member>,
     /// Offset after the last change of the voters.
     pub(crate) seats_changed: Offset,
@@ -57,4 +59,146 @@
     pub fn is_voter(&self, member: &Member) -> bool {
         self.voters.binary_search(member).is_ok()
     }
+
+    /// Iterates over the active gates in order.
+    pub fn gates(&self) -> impl Iterator<Item = &Member> {
+        let gates = self.members.iter().filter(|(_, m)| m.role == Role::Gate);
+        gates.map(|(member, _)| member)
+    }
+
+    /// Checks that a member is active.
+    pub(crate) fn check_active(&self, member: &Member) -> Result<&Membership, Reason> {
+        self.members.get(member).ok_or_else(|| Reason::NotActive {
+            member: member.clone(),
+        })
+    }
+
+    /// Adds a member; the first one votes at once.
+    pub(crate) fn join(&mut self, offset: Offset, join: &Join) -> Result<(), Reason> {
+        check_address(&join.peer_address)?;
+        if self.members.contains(&join.member) {
+            return Err(conflict(format!("{} is active already", join.member)));
+        }
+        let membership = Membership {
+            role: join.role,
+            domain: join.domain.clone(),
+            peer_address: join.peer_address.clone(),
+            joined: offset,
+            suspected: None,
+        };
+        self.members.insert(join.member.clone(), membership);
+        self.seat_first(offset);
+        Ok(())
+    }
+
+    /// Seats the member that joined first if nobody votes.
+    fn seat_first(&mut self, offset: Offset) {
+        if !self.voters.is_empty() {
+            return;
+        }
+        let first = self.members.iter().min_by_key(|(_, m)| m.joined);
+        if let Some((first, _)) = first {
+            self.voters.push(first.clone());
+            self.seats_changed = Offset(offset.0 + 1);
+        }
+    }
+
+    /// Seats an active member or unseats a retired one.
+    pub(crate) fn seat(&mut self, offset: Offset, seat: &Seat) -> Result<(), Reason> {
+        self.check_witnesses(seat.seats, &seat.witnesses)?;
+        let member = &seat.member;
+        match (self.is_active(member), self.voters.binary_search(member)) {
+            (true, Err(at)) => self.voters.insert(at, member.clone()),
+            (false, Ok(at)) => drop(self.voters.remove(at)),
+            (true, Ok(_)) => return Err(conflict(format!("{member} votes already"))),
+            (false, Err(_)) => {
+                return Err(Reason::NotActive {
+                    member: member.clone(),
+                });
+            }
+        }
+        self.seats_changed = Offset(offset.0 + 1);
+        Ok(())
+    }
+
+    /// Checks that witnesses were gathered under the present voters and are a majority of them.
+    fn check_witnesses(&self, seats: Offset, witnesses: &[Member]) -> Result<(), Reason> {
+        if seats != self.seats_changed {
+            let found = self.seats_changed;
+            return Err(conflict(format!("voters changed before {found}")));
+        }
+        let mut witnesses: Vec<&Member> = witnesses.iter().filter(|w| self.is_voter(w)).collect();
+        witnesses.sort_unstable();
+        witnesses.dedup();
+        let (found, voters) = (witnesses.len(), self.voters.len());
+        if found * 2 > voters {
+            return Ok(());
+        }
+        Err(Reason::NoMajority { found, voters })
+    }
+
+    /// Records that a member was not heard of.
+    pub(crate) fn suspect(
+        &mut self,
+        offset: Offset,
+        author: &Member,
+        member: &Member,
+    ) -> Result<(), Reason> {
+        if author == member {
+            return Err(invalid("a member cannot suspect itself"));
+        }
+        let former = self.check_active(member)?.suspected;
+        if let Some(former) = former {
+            return Err(conflict(format!("{member} is suspected at {former}")));
+        }
+        self.set_suspected(member, Some(offset));
+        Ok(())
+    }
+
+    /// Clears the suspicion of a member.
+    pub(crate) fn refute(&mut self, member: &Member) -> Result<(), Reason> {
+        let former = self.check_active(member)?.suspected;
+        former.ok_or_else(|| conflict(format!("{member} is not suspected")))?;
+        self.set_suspected(member, None);
+        Ok(())
+    }
+
+    /// Sets or clears the suspicion of a member.
+    fn set_suspected(&mut self, member: &Member, suspected: Option<Offset>) {
+        if let Some(membership) = self.members.get_mut(member) {
+            membership.suspected = suspected;
+        }
+    }
+
+    /// Checks that a suspicion stands and is witnessed.
+    pub(crate) fn check_retire(&self, retire: &Retire) -> Result<(), Reason> {
+        let member = &retire.member;
+        let membership = self.check_active(member)?;
+        if membership.suspected != Some(retire.suspected) {
+            let suspected = retire.suspected;
+            return Err(conflict(format!(
+                "the suspicion of {member} at {suspected} does not stand"
+            )));
+        }
+        self.check_witnesses(retire.seats, &retire.witnesses)
+    }
+
+    /// Removes a member's rights.
+    pub(crate) fn depart(&mut self, member: &Member) {
+        self.members.remove(member);
+    }
+
+    /// Unseats members that state nothing any more: they left, or are vouched to be dead.
+    ///
+    /// No witnesses are needed: whatever majority of the former voters can still be gathered has a member in common
+    /// with every majority of the remaining ones.
+    pub(crate) fn unseat(&mut self, offset: Offset, departed: &[Member]) {
+        let voters = self.voters.len();
+        self.voters.retain(|voter| !departed.contains(voter));
+        if self.voters.len() == voters {
+            return;
+        }
+        self.seats_changed = Offset(offset.0 + 1);
+        self.seat_first(offset);
+    }
 }
--- a/crates/quetzalpick-core/src/state/shares.rs
+++ b/crates/quetzalpick-core/src/state/shares.rs
@@ -3,9 +3,24 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Member, Offset, Workspace};
-use crate::record::Holding;
+use crate::record::{Declare, Holding, PARTS_TOTAL, WorkspaceSpec};
+use crate::state::outcome::{Reason, conflict, invalid};
 use crate::table::Table;
 
+/// `Workspaces` are the workspaces in force with the offsets of their creation.
+type Workspaces = Table<Workspace, (Offset, WorkspaceSpec)>;
+
+/// Divides parts over members as equally as whole parts allow.
+fn divide<'a>(
+    parts: u64,
+    members: &'a [Member],
+) -> impl Iterator<Item = (&'a Member, u64)> + use<'a> {
+    let count = (members.len() as u64).max(1);
+    let (each, rest) = (parts / count, parts % count);
+    let rows = members.iter().zip(0..);
+    rows.map(move |(member, at)| (member, each + u64::from(at < rest)))
+}
+
 /// `Grant` adds up what the fold ever gave one member of one workspace.
 ///
 /// A member adds the difference to what it took before, so a grant counts once.
@@ -49,4 +64,130 @@
     pub fn grants(&self, member: &Member) -> Option<&Table<Workspace, Grant>> {
         self.grants.get(member)
     }
+
+    /// Gives out the parts of a new workspace with full buckets.
+    pub(crate) fn create(&mut self, workspace: &Workspace, created: Offset, gates: &[Member]) {
+        let grant = |parts| Grant {
+            created,
+            parts,
+            full: parts,
+        };
+        if gates.is_empty() {
+            self.unclaimed.insert(workspace.clone(), grant(PARTS_TOTAL));
+        }
+        for (gate, parts) in divide(PARTS_TOTAL, gates) {
+            let grants = self.grants.get_or_insert_with(gate.clone(), Table::default);
+            grants.insert(workspace.clone(), grant(parts));
+        }
+    }
+
+    /// Removes the parts of a workspace.
+    pub(crate) fn remove(&mut self, workspace: &Workspace) {
+        self.unclaimed.remove(workspace);
+        for (_, grants) in self.grants.iter_mut() {
+            grants.remove(workspace);
+        }
+    }
+
+    /// Gives a new gate what nobody holds.
+    pub(crate) fn join(&mut self, gate: &Member) {
+        let unclaimed = std::mem::take(&mut self.unclaimed);
+        self.grants.insert(gate.clone(), unclaimed);
+    }
+
+    /// Opens an epoch after the departure of gates; `gates` are those that stay.
+    pub(crate) fn depart(
+        &mut self,
+        offset: Offset,
+        departed: &[Member],
+        gates: Vec<Member>,
+        workspaces: &Workspaces,
+    ) {
+        for member in departed {
+            self.grants.remove(member);
+        }
+        self.epoch = offset;
+        self.declared = Table::default();
+        self.awaiting = gates;
+        self.settle(workspaces);
+    }
+
+    /// Takes the declaration of a gate, and settles the epoch with the last one.
+    pub(crate) fn declare(
+        &mut self,
+        declare: &Declare,
+        workspaces: &Workspaces,
+    ) -> Result<(), Reason> {
+        if declare.epoch != self.epoch {
+            return Err(conflict(format!("the share epoch is {}", self.epoch)));
+        }
+        let awaited = self.awaiting.binary_search(&declare.member);
+        let awaited = awaited
+            .map_err(|_| conflict(format!("no declaration of {} is awaited", declare.member)))?;
+        self.check_holdings(&declare.holdings)?;
+        let member = self.awaiting.remove(awaited);
+        self.declared.insert(member, declare.holdings.clone());
+        self.settle(workspaces);
+        Ok(())
+    }
+
+    /// Checks that holdings are in order and add up with those declared to no more than all parts.
+    fn check_holdings(&self, holdings: &[Holding]) -> Result<(), Reason> {
+        let ordered = holdings.is_sorted_by(|a, b| a.workspace < b.workspace);
+        if !ordered {
+            return Err(invalid("holdings are not sorted by workspace"));
+        }
+        for holding in holdings {
+            let declared = self.declared_parts(&holding.workspace, holding.created);
+            if holding.parts > PARTS_TOTAL.saturating_sub(declared) {
+                let workspace = &holding.workspace;
+                return Err(invalid(format!("more than all parts of {workspace}")));
+            }
+        }
+        Ok(())
+    }
+
+    /// Adds up the declared parts of a workspace.
+    fn declared_parts(&self, workspace: &Workspace, created: Offset) -> u64 {
+        let holdings = self.declared.values().filter_map(|holdings| {
+            let at = holdings.binary_search_by(|h| h.workspace.cmp(workspace));
+            at.ok().map(|at| &holdings[at])
+        });
+        let parts = holdings.filter(|h| h.created == created).map(|h| h.parts);
+        parts.sum()
+    }
+
+    /// Once no declaration is awaited, gives out with empty buckets what nobody declared.
+    fn settle(&mut self, workspaces: &Workspaces) {
+        if !self.awaiting.is_empty() {
+            return;
+        }
+        let declarers: Vec<Member> = self.declared.keys().cloned().collect();
+        for (workspace, (created, _)) in workspaces.iter() {
+            // A departed gate never held parts of a workspace that was created after its departure.
+            if *created > self.epoch {
+                continue;
+            }
+            let missing = PARTS_TOTAL - self.declared_parts(workspace, *created);
+            self.give(workspace, *created, missing, &declarers);
+        }
+        self.declared = Table::default();
+    }
+
+    /// Gives out parts of a workspace with empty buckets.
+    fn give(&mut self, workspace: &Workspace, created: Offset, parts: u64, gates: &[Member]) {
+        let empty = || Grant {
+            created,
+            ..Grant::default()
+        };
+        if gates.is_empty() {
+            let grant = Grant { parts, ..empty() };
+            self.unclaimed.insert(workspace.clone(), grant);
+        }
+        for (gate, parts) in divide(parts, gates) {
+            let grants = self.grants.get_or_insert_with(gate.clone(), Table::default);
+            let grant = grants.get_or_insert_with(workspace.clone(), empty);
+            grant.parts += parts;
+        }
+    }
 }
--- a/crates/quetzalpick-core/src/state/snapshot.rs
+++ b/crates/quetzalpick-core/src/state/snapshot.rs
@@ -70,7 +70,7 @@
 }
 
 /// Returns the first 8 bytes of the SHA-256 digest.
-fn digest(bytes: &[u8]) -> u64 {
+pub(crate) fn digest(bytes: &[u8]) -> u64 {
     let digest = Sha256::digest(bytes);
     let first = digest.iter().take(8);
     first.fold(0, |number, byte| (number << 8) | u64::from(*byte))
