Add shares, fair queue and routing decisions

Transfers are numbered per receiver within an epoch, so the receiver's memory is one word per donor.

--- a/crates/quetzalpick-core/src/admit/mod.rs
+++ b/crates/quetzalpick-core/src/admit/mod.rs
@@ -2,6 +2,7 @@
 
 mod lane;
 mod queue;
+mod speed;
 mod ticket;
 
 pub use queue::{Options, Queue};
--- a/crates/quetzalpick-core/src/quota/message.rs
+++ b/crates/quetzalpick-core/src/quota/message.rs
@@ -33,6 +33,8 @@
     pub epoch: Offset,
     /// Counts the donor's transfers to this receiver within the epoch, from 0.
     pub number: u64,
+    /// Oldest number of these that was not answered when the transfer was made.
+    pub oldest: u64,
     /// The workspace.
     pub workspace: Workspace,
     /// Offset at which the workspace was created.
--- a/crates/quetzalpick-core/src/quota/mod.rs
+++ b/crates/quetzalpick-core/src/quota/mod.rs
@@ -1,9 +1,14 @@
 //! One gate's shares of the workspaces' rates and bursts, and how gates transfer them to each other.
 
+mod bucket;
 mod charge;
 mod demand;
 mod gate;
+mod headroom;
 mod message;
+mod outbox;
+mod purse;
+mod rebalance;
 mod receiver;
 
 pub use charge::{Charge, Receipt};
--- a/crates/quetzalpick-core/src/route/choose.rs
+++ b/crates/quetzalpick-core/src/route/choose.rs
@@ -3,8 +3,12 @@
 use strum::{Display, EnumString};
 
 use crate::id::Domain;
+use crate::route::health::WEIGHT_FULL;
 use crate::route::{Candidate, HealthOptions};
 
+/// Thousandths of a request in one request.
+const PERMILLE: u64 = 1_000;
+
 /// `Policy` is the way of choosing.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -81,10 +85,157 @@
     options: &Options,
     random: u64,
 ) -> Option<Choice> {
-    let _ = (now_ms, here, options, random);
-    let index = candidates.iter().position(|c| !c.leaving)?;
-    Some(Choice {
-        index,
-        reason: Reason::Only,
-    })
+    let usable = usable(now_ms, candidates, options);
+    let chooser = Chooser {
+        now_ms,
+        here,
+        candidates,
+        options,
+    };
+    match usable.as_slice() {
+        [] => chooser.first_to_return(),
+        [index] => Some(pick(*index, Reason::Only)),
+        _ => Some(chooser.by_policy(&usable, random)),
+    }
+}
+
+/// Returns the indices of the candidates that take new work, without those tried before if others are left.
+fn usable(now_ms: u64, candidates: &[Candidate<'_>], options: &Options) -> Vec<usize> {
+    let takes_work = |c: &Candidate<'_>| !c.leaving && c.health.weight(now_ms, &options.health) > 0;
+    let all = candidates.iter().enumerate();
+    let usable: Vec<usize> = all.filter(|(_, c)| takes_work(c)).map(|(i, _)| i).collect();
+    let untried = usable.iter().copied().filter(|i| !candidates[*i].tried);
+    let untried: Vec<usize> = untried.collect();
+    if untried.is_empty() { usable } else { untried }
+}
+
+fn pick(index: usize, reason: Reason) -> Choice {
+    Choice { index, reason }
+}
+
+/// `Chooser` bundles what the ways of choosing look at.
+struct Chooser<'a> {
+    now_ms: u64,
+    here: &'a Domain,
+    candidates: &'a [Candidate<'a>],
+    options: &'a Options,
+}
+
+impl Chooser<'_> {
+    fn by_policy(&self, usable: &[usize], random: u64) -> Choice {
+        match self.options.policy {
+            Policy::Random => pick(draw(usable, random), Reason::Random),
+            Policy::LeastRequests => pick(self.fewest(usable, random), Reason::Fewest),
+            Policy::Affinity => self.by_affinity(usable, random),
+        }
+    }
+
+    /// Returns the ejected candidate that returns first, as an answer that may fail beats none.
+    fn first_to_return(&self) -> Option<Choice> {
+        let all = self.candidates.iter().enumerate();
+        let staying = all.filter(|(_, c)| !c.leaving);
+        let first = staying.min_by_key(|(_, c)| (c.tried, c.health.returns_ms()))?;
+        Some(pick(first.0, Reason::Ejected))
+    }
+
+    /// Returns the one with the fewest own requests under way; ties are drawn.
+    fn fewest(&self, usable: &[usize], random: u64) -> usize {
+        let in_flight = |i: &usize| self.candidates[*i].load.in_flight;
+        let least = usable.iter().map(in_flight).min();
+        let ties = usable
+            .iter()
+            .copied()
+            .filter(|i| Some(in_flight(i)) == least);
+        draw(&ties.collect::<Vec<_>>(), random)
+    }
+
+    fn by_affinity(&self, usable: &[usize], random: u64) -> Choice {
+        let bound = self.bound(usable);
+        let fits = |i: &usize| self.cost(*i) <= bound;
+        // The longest cached prefix goes first, as long as its holder is not much busier than the others.
+        let holders = usable
+            .iter()
+            .copied()
+            .filter(|i| self.candidates[*i].cached_blocks > 0 && fits(i));
+        let blocks = |i: &usize| self.candidates[*i].cached_blocks;
+        let key = |i: &usize| {
+            (
+                blocks(i),
+                self.is_near(*i),
+                std::cmp::Reverse(self.cost(*i)),
+            )
+        };
+        if let Some(index) = holders.max_by_key(key) {
+            return pick(index, Reason::Prefix);
+        }
+        // The caller's own failure domain is left only when all its endpoints are much busier than the mean.
+        let near: Vec<usize> = usable
+            .iter()
+            .copied()
+            .filter(|i| self.is_near(*i) && fits(i))
+            .collect();
+        if near.is_empty() {
+            pick(self.less_loaded_of_two(usable, random), Reason::Far)
+        } else {
+            pick(self.less_loaded_of_two(&near, random), Reason::Near)
+        }
+    }
+
+    fn is_near(&self, index: usize) -> bool {
+        self.candidates[index].domain == self.here
+    }
+
+    /// Returns the load up to which a candidate may be preferred, in thousandths of a request.
+    fn bound(&self, usable: &[usize]) -> u64 {
+        let total: u64 = usable.iter().map(|i| self.cost(*i)).sum();
+        let mean = total / usable.len() as u64;
+        mean + mean * self.options.slack_permille / PERMILLE + PERMILLE
+    }
+
+    /// Returns the estimated load in thousandths of a request, raised during a slow start.
+    ///
+    /// The report lags and counts all gates' requests; own dispatches since it are added. An old report counts half, as
+    /// most of what it speaks of has ended. The load is never below the own requests under way.
+    fn cost(&self, index: usize) -> u64 {
+        let candidate = &self.candidates[index];
+        let load = candidate.load;
+        let age_ms = self.now_ms.saturating_sub(load.reported_ms);
+        let reported = if age_ms > self.options.report_age_ms {
+            load.reported / 2
+        } else {
+            load.reported
+        };
+        let estimate = reported.saturating_add(load.dispatched_since);
+        let requests = u64::from(estimate.max(load.in_flight));
+        let weight = candidate.health.weight(self.now_ms, &self.options.health);
+        // One more request is counted, so that an idle endpoint in slow start costs more than an idle healthy one.
+        (requests + 1) * PERMILLE * WEIGHT_FULL / weight.max(1)
+    }
+
+    fn less_loaded_of_two(&self, among: &[usize], random: u64) -> usize {
+        let (first, second) = draw_two(among, random);
+        if self.cost(second) < self.cost(first) {
+            second
+        } else {
+            first
+        }
+    }
+}
+
+/// Draws one of a non-empty list.
+fn draw(among: &[usize], random: u64) -> usize {
+    let at = random % among.len() as u64;
+    // The remainder is below a length, so it fits.
+    among[usize::try_from(at).unwrap_or(0)]
+}
+
+/// Draws two different ones of a non-empty list, or the only one twice.
+fn draw_two(among: &[usize], random: u64) -> (usize, usize) {
+    let first = draw(among, random);
+    let rest: Vec<usize> = among.iter().copied().filter(|i| *i != first).collect();
+    if rest.is_empty() {
+        return (first, first);
+    }
+    // The upper half of the bits is independent of the lower one, which drew the first.
+    (first, draw(&rest, random >> 32))
 }
--- a/crates/quetzalpick-core/src/route/health.rs
+++ b/crates/quetzalpick-core/src/route/health.rs
@@ -71,6 +71,11 @@
         now_ms < self.until_ms
     }
 
+    /// Returns the end of the present or last ejection, in ms.
+    pub(crate) fn returns_ms(&self) -> u64 {
+        self.until_ms
+    }
+
     /// Returns the weight in thousandths: 0 while ejected, then growing over the slow start.
     pub fn weight(&self, now_ms: u64, options: &HealthOptions) -> u64 {
         if self.is_ejected(now_ms) {
--- a/crates/quetzalpick-core/src/route/prefix.rs
+++ b/crates/quetzalpick-core/src/route/prefix.rs
@@ -1,18 +1,28 @@
 //! Hints about which endpoints hold which prompt prefixes in their caches.
 
 use crate::id::{Artifact, Endpoint};
+use crate::table::Table;
 
-/// `Prefixes` remembers cache events, which come late and with gaps, and own dispatches; entries age out.
-#[derive(Debug, Clone, Default)]
+/// `Prefixes` remembers cache events, which come late and with gaps, and own dispatches.
+///
+/// A hint only makes an endpoint more attractive, so a wrong one costs time and nothing else. Hints age out, because the
+/// event that a prefix left the cache may be among those that are missing.
+#[derive(Debug, Clone)]
 pub struct Prefixes {
-    rows: Vec<Endpoint>,
+    capacity: usize,
+    max_age_ms: u64,
+    /// Time of the newest hint by endpoint, artifact and prefix hash.
+    hints: Table<(Endpoint, Artifact, u64), u64>,
 }
 
 impl Prefixes {
     /// Returns an empty memory of at most `capacity` hints, each trusted for `max_age_ms`.
     pub fn new(capacity: usize, max_age_ms: u64) -> Self {
-        let _ = (capacity, max_age_ms);
-        Self::default()
+        Self {
+            capacity,
+            max_age_ms,
+            hints: Table::default(),
+        }
     }
 
     /// Notes that a prefix entered or left the cache of an endpoint.
@@ -24,7 +34,15 @@
         prefix: u64,
         cached: bool,
     ) {
-        let _ = (now_ms, endpoint, artifact, prefix, cached);
+        let key = (endpoint.clone(), artifact.clone(), prefix);
+        if !cached {
+            self.hints.remove(&key);
+            return;
+        }
+        if self.hints.len() >= self.capacity && !self.hints.contains(&key) {
+            self.evict(now_ms);
+        }
+        self.hints.insert(key, now_ms);
     }
 
     /// Returns how many leading blocks of a prompt an endpoint is thought to hold; `prefixes[n]` is the hash of the
@@ -36,12 +54,48 @@
         artifact: &Artifact,
         prefixes: &[u64],
     ) -> u32 {
-        let _ = (now_ms, endpoint, artifact, prefixes);
-        0
+        // A longer prefix includes the shorter ones, whose events may be missing; so the longest known one counts.
+        let known = |prefix: &u64| {
+            let key = (endpoint.clone(), artifact.clone(), *prefix);
+            self.hints
+                .get(&key)
+                .is_some_and(|noted_ms| self.is_fresh(now_ms, *noted_ms))
+        };
+        let longest = prefixes.iter().rposition(known);
+        longest.map_or(0, |at| u32::try_from(at + 1).unwrap_or(u32::MAX))
     }
 
     /// Forgets all hints about an endpoint, as after its restart.
     pub fn forget(&mut self, endpoint: &Endpoint) {
-        self.rows.retain(|row| row != endpoint);
+        self.hints.retain(|(holder, _, _), _| holder != endpoint);
+    }
+
+    /// Returns the number of hints.
+    pub fn len(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Tells whether there are no hints.
+    pub fn is_empty(&self) -> bool {
+        self.hints.is_empty()
+    }
+
+    fn is_fresh(&self, now_ms: u64, noted_ms: u64) -> bool {
+        now_ms.saturating_sub(noted_ms) < self.max_age_ms
+    }
+
+    /// Makes room: drops what has aged out, and the older half if that is not enough.
+    fn evict(&mut self, now_ms: u64) {
+        let max_age_ms = self.max_age_ms;
+        self.hints
+            .retain(|_, noted_ms| now_ms.saturating_sub(*noted_ms) < max_age_ms);
+        if self.hints.len() < self.capacity {
+            return;
+        }
+        let mut times: Vec<u64> = self.hints.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.hints.retain(|_, noted_ms| *noted_ms > median);
     }
 }
