Add the planner

Steps are computed on a projected fleet, so that one round never promises memory twice; memory that is being freed is reserved for what it is freed for.

--- /dev/null
+++ b/crates/quetzalpick-core/src/plan/draft.rs
@@ -0,0 +1,55 @@
+//! The steps of one round, and their effect on the fleet as later steps see it.
+
+use crate::plan::fleet::{Copy, Fleet, Phase, signed};
+use crate::plan::limits::Limits;
+use crate::plan::{Reason, Step};
+use crate::record::Operation;
+
+/// `Draft` collects steps and applies them to the projected fleet.
+#[derive(Debug)]
+pub(crate) struct Draft<'a, 'l> {
+    pub(crate) fleet: Fleet<'a>,
+    pub(crate) limits: Limits<'l>,
+    pub(crate) steps: Vec<Step>,
+}
+
+impl<'a> Draft<'a, '_> {
+    /// Loads an item's wanted version, or only reserves the memory while the limits allow no load.
+    pub(crate) fn load(&mut self, site: usize, item: usize, reason: Reason) {
+        let wanted = &self.fleet.items[item];
+        let (artifact, version, memory_mb) = (wanted.artifact, wanted.version, wanted.memory_mb);
+        let is_adapter = wanted.base.is_some();
+        let target = &mut self.fleet.sites[site];
+        target.soon_mb -= signed(memory_mb);
+        if !self.limits.take(is_adapter) {
+            return;
+        }
+        target.free_mb -= signed(memory_mb);
+        target.copies.push(Copy {
+            artifact,
+            version,
+            memory_mb,
+            phase: Phase::Loading,
+            item: Some(item),
+            wanted: true,
+        });
+        self.steps.push(Step {
+            endpoint: target.endpoint.clone(),
+            operation: Operation::Load(artifact.clone(), version),
+            reason,
+        });
+    }
+
+    /// Unloads a serving copy, by its index at the site.
+    pub(crate) fn unload(&mut self, site: usize, copy: usize, reason: Reason) {
+        let target = &mut self.fleet.sites[site];
+        let leaving = &mut target.copies[copy];
+        leaving.phase = Phase::Unloading;
+        target.soon_mb += signed(leaving.memory_mb);
+        self.steps.push(Step {
+            endpoint: target.endpoint.clone(),
+            operation: Operation::Unload(leaving.artifact.clone(), leaving.version),
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-core/src/plan/fleet.rs
@@ -0,0 +1,245 @@
+//! The engines as the planner sees them: copies, memory now, and memory once open operations are settled.
+
+use crate::id::{Artifact, Domain, Endpoint, Version};
+use crate::plan::Status;
+use crate::plan::item::Item;
+use crate::record::{EndpointKind, EndpointSpec, Operation};
+use crate::state::{Account, State};
+use crate::table::Table;
+
+/// `Phase` is the state of a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// An open intent loads it.
+    Loading,
+    /// It is confirmed and nothing unloads it.
+    Serving,
+    /// An open intent unloads it.
+    Unloading,
+}
+
+/// `Copy` is a copy in an engine's memory, or one promised memory.
+#[derive(Debug, Clone)]
+pub(crate) struct Copy<'a> {
+    pub(crate) artifact: &'a Artifact,
+    pub(crate) version: Version,
+    pub(crate) memory_mb: u64,
+    pub(crate) phase: Phase,
+    /// Index of the configured item; `None` if it is not configured any more.
+    pub(crate) item: Option<usize>,
+    /// Whether the version is the one that is to serve.
+    pub(crate) wanted: bool,
+}
+
+/// `Site` is one engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Site<'a> {
+    pub(crate) endpoint: &'a Endpoint,
+    pub(crate) domain: &'a Domain,
+    pub(crate) status: Status,
+    /// Whether it is draining or leaving.
+    pub(crate) draining: bool,
+    pub(crate) accelerators: u32,
+    pub(crate) copies: Vec<Copy<'a>>,
+    /// Memory neither loaded nor promised, in MB; negative after the memory was configured smaller.
+    pub(crate) free_mb: i64,
+    /// The same once open unloads are settled and without what is reserved for wanted loads.
+    pub(crate) soon_mb: i64,
+}
+
+/// Converts memory for signed sums.
+pub(crate) fn signed(memory_mb: u64) -> i64 {
+    i64::try_from(memory_mb).unwrap_or(i64::MAX)
+}
+
+impl<'a> Site<'a> {
+    /// Tells whether the engine takes new copies and its copies count.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.status.alive && !self.draining
+    }
+
+    /// Returns the memory that a load may be given now, in MB.
+    pub(crate) fn available_mb(&self) -> i64 {
+        self.free_mb.min(self.soon_mb)
+    }
+
+    /// Returns the copy of an item's wanted version.
+    pub(crate) fn copy(&self, item: usize) -> Option<&Copy<'a>> {
+        let mut copies = self.copies.iter();
+        copies.find(|copy| copy.item == Some(item) && copy.wanted)
+    }
+
+    /// Tells whether the wanted version of an item is in a phase here.
+    pub(crate) fn has(&self, item: usize, phase: Phase) -> bool {
+        self.copy(item).is_some_and(|copy| copy.phase == phase)
+    }
+
+    /// Tells whether the copies of an adapter can be used here: its base model serves.
+    fn has_base(&self, item: &Item<'_>) -> bool {
+        item.base.is_none_or(|base| self.has(base, Phase::Serving))
+    }
+}
+
+/// `Fleet` is all engines with the configured items.
+#[derive(Debug, Clone)]
+pub(crate) struct Fleet<'a> {
+    pub(crate) items: Vec<Item<'a>>,
+    pub(crate) sites: Vec<Site<'a>>,
+}
+
+impl<'a> Fleet<'a> {
+    /// Returns the fleet as of a state.
+    pub(crate) fn new(
+        state: &'a State,
+        items: Vec<Item<'a>>,
+        engines: &Table<Endpoint, Status>,
+    ) -> Self {
+        let endpoints = state.catalog().endpoints().iter();
+        let site = |(endpoint, spec)| {
+            let status = engines.get(endpoint).copied().unwrap_or_default();
+            let account = state.ledger().accounts().get(endpoint);
+            site(endpoint, spec, status, account, &items)
+        };
+        let sites = endpoints.filter_map(site).collect();
+        Self { items, sites }
+    }
+
+    /// Tells whether a copy of an item serves here and counts.
+    pub(crate) fn is_good(&self, site: &Site<'_>, item: usize) -> bool {
+        let usable = site.is_usable() && site.has(item, Phase::Serving);
+        usable && site.has_base(&self.items[item])
+    }
+
+    /// Tells whether a copy of an item serves here or is being loaded here.
+    pub(crate) fn is_expected(&self, site: &Site<'_>, item: usize) -> bool {
+        let loading = site.is_usable() && site.has(item, Phase::Loading);
+        loading || self.is_good(site, item)
+    }
+
+    /// Returns the number of copies that serve and count.
+    pub(crate) fn good(&self, item: usize) -> usize {
+        let sites = self.sites.iter();
+        sites.filter(|site| self.is_good(site, item)).count()
+    }
+
+    /// Returns the number of copies that serve or are being loaded.
+    pub(crate) fn expected(&self, item: usize) -> usize {
+        let sites = self.sites.iter();
+        sites.filter(|site| self.is_expected(site, item)).count()
+    }
+
+    /// Returns the number of serving copies that are to be replaced: of other versions, on engines that drain, or of an
+    /// adapter whose base model is not the wanted one.
+    pub(crate) fn outgoing(&self, item: usize) -> usize {
+        let sites = self.sites.iter().filter(|site| site.status.alive);
+        let outgoing = |site: &&Site<'_>| {
+            let serves = |copy: &Copy<'_>| copy.item == Some(item) && copy.phase == Phase::Serving;
+            site.copies.iter().any(serves) && !self.is_good(site, item)
+        };
+        sites.filter(outgoing).count()
+    }
+
+    /// Returns the load of an engine in tokens per second, if demand spreads evenly over the expected copies.
+    pub(crate) fn load(&self, site: &Site<'_>) -> u64 {
+        let items = 0..self.items.len();
+        let here = items.filter(|item| self.is_expected(site, *item));
+        here.map(|item| self.items[item].demand / self.expected(item) as u64)
+            .sum()
+    }
+
+    /// Returns the number of expected copies of an item in a failure domain.
+    pub(crate) fn in_domain(&self, item: usize, domain: &Domain) -> usize {
+        let sites = self.sites.iter().filter(|site| site.domain == domain);
+        sites.filter(|site| self.is_expected(site, item)).count()
+    }
+
+    /// Returns the loads under way, of models and of adapters.
+    pub(crate) fn loading(&self) -> (u32, u32) {
+        let copies = self.sites.iter().flat_map(|site| &site.copies);
+        let loading = copies.filter(|copy| copy.phase == Phase::Loading);
+        loading.fold((0, 0), |(models, adapters), copy| {
+            let is_adapter = copy.item.is_some_and(|i| self.items[i].base.is_some());
+            let one = u32::from(is_adapter);
+            (models + 1 - one, adapters + one)
+        })
+    }
+}
+
+/// Returns an engine's site; `None` for an instance of a plain service.
+fn site<'a>(
+    endpoint: &'a Endpoint,
+    spec: &'a EndpointSpec,
+    status: Status,
+    account: Option<&'a Account>,
+    items: &[Item<'a>],
+) -> Option<Site<'a>> {
+    let EndpointKind::Engine {
+        accelerators,
+        memory_mb,
+        ..
+    } = &spec.kind
+    else {
+        return None;
+    };
+    let copies = account.map_or(Vec::new(), |account| copies(account, items));
+    let loaded: u64 = account.map_or(0, |account| account.loaded.values().sum());
+    let promised = |account: &Account| -> u64 {
+        let loads = account.open.iter();
+        let loads = loads.filter(|open| matches!(open.operation, Operation::Load(..)));
+        loads.map(|open| open.memory_mb).sum()
+    };
+    let promised = account.map_or(0, promised);
+    let free_mb = signed(*memory_mb) - signed(loaded) - signed(promised);
+    let leaving = copies.iter().filter(|copy| copy.phase == Phase::Unloading);
+    let leaving_mb: u64 = leaving.map(|copy| copy.memory_mb).sum();
+    Some(Site {
+        endpoint,
+        domain: &spec.domain,
+        status,
+        draining: spec.draining || status.leaving,
+        accelerators: (*accelerators).max(1),
+        soon_mb: free_mb + signed(leaving_mb),
+        copies,
+        free_mb,
+    })
+}
+
+/// Returns the copies of an account: what is loaded, and what open intents load.
+fn copies<'a>(account: &'a Account, items: &[Item<'a>]) -> Vec<Copy<'a>> {
+    let build = |artifact: &'a Artifact, version: Version, memory_mb, phase| {
+        let item = items.iter().position(|item| item.artifact == artifact);
+        Copy {
+            artifact,
+            version,
+            memory_mb,
+            phase,
+            item,
+            wanted: item.is_some_and(|item| items[item].version == version),
+        }
+    };
+    let unloads = |artifact: &Artifact, version: Version| {
+        let mut open = account.open.iter();
+        open.any(|open| open.operation == Operation::Unload(artifact.clone(), version))
+    };
+    let loaded = account
+        .loaded
+        .iter()
+        .map(|((artifact, version), memory_mb)| {
+            let phase = if unloads(artifact, *version) {
+                Phase::Unloading
+            } else {
+                Phase::Serving
+            };
+            build(artifact, *version, *memory_mb, phase)
+        });
+    let mut copies: Vec<Copy<'a>> = loaded.collect();
+    for open in &account.open {
+        if let Operation::Load(artifact, version) = &open.operation {
+            let same = |copy: &Copy<'_>| copy.artifact == artifact && copy.version == *version;
+            if !copies.iter().any(same) {
+                copies.push(build(artifact, *version, open.memory_mb, Phase::Loading));
+            }
+        }
+    }
+    copies
+}
--- /dev/null
+++ b/crates/quetzalpick-core/src/plan/gain.rs
@@ -0,0 +1,120 @@
+//! Copies that demand makes worth their move.
+
+use crate::plan::Reason;
+use crate::plan::draft::Draft;
+use crate::plan::fleet::{Fleet, signed};
+use crate::plan::room::{Keep, Victims};
+
+/// `Offer` is one further copy with what it gains.
+#[derive(Debug, Clone)]
+pub(crate) struct Offer {
+    pub(crate) item: usize,
+    pub(crate) site: usize,
+    /// What has to go for it.
+    pub(crate) victims: Option<Victims>,
+    /// Tokens per second that can be served in addition.
+    pub(crate) gain: i64,
+}
+
+impl Fleet<'_> {
+    /// Returns the demand beyond the engines' speed, in tokens per second.
+    fn overload(&self, engine_rate: u64) -> u64 {
+        let sites = self.sites.iter();
+        sites.map(|site| self.overload_at(site, engine_rate)).sum()
+    }
+
+    pub(crate) fn overload_at(&self, site: &crate::plan::fleet::Site<'_>, engine_rate: u64) -> u64 {
+        let speed = engine_rate.saturating_mul(u64::from(site.accelerators));
+        self.load(site).saturating_sub(speed)
+    }
+
+    /// Returns the best further copy, by tokens per second gained; `may_change` tells whose copies may change now.
+    pub(crate) fn best_offer(
+        &self,
+        engine_rate: u64,
+        may_change: impl Fn(usize) -> bool,
+    ) -> Option<Offer> {
+        let before = self.overload(engine_rate);
+        let is_strained = |item: usize| {
+            let sites = self.sites.iter();
+            let mut holders = sites.filter(|site| self.is_expected(site, item));
+            holders.any(|site| self.overload_at(site, engine_rate) > 0)
+        };
+        let items = 0..self.items.len();
+        let strained = items.filter(|item| {
+            let wanted = &self.items[*item];
+            let grows = wanted.demand > 0 && self.expected(*item) < wanted.max;
+            grows && may_change(*item) && is_strained(*item)
+        });
+        let pairs = strained.flat_map(|item| {
+            let sites = self.sites_for(item);
+            sites.into_iter().map(move |site| (item, site))
+        });
+        let offers = pairs
+            .filter_map(|(item, site)| self.offer(engine_rate, before, item, site, &may_change));
+        offers.max_by_key(|offer| (offer.gain, std::cmp::Reverse((offer.item, offer.site))))
+    }
+
+    fn offer(
+        &self,
+        engine_rate: u64,
+        before: u64,
+        item: usize,
+        site: usize,
+        may_change: &impl Fn(usize) -> bool,
+    ) -> Option<Offer> {
+        let memory_mb = self.items[item].memory_mb;
+        let fits = self.sites[site].soon_mb >= signed(memory_mb);
+        let cost = |copy: usize| {
+            let owner = self.sites[site].copies[copy].item;
+            let free = owner.is_none_or(may_change);
+            free.then(|| self.carried(site, copy))
+        };
+        let victims = if fits {
+            None
+        } else {
+            Some(self.victims_at(site, memory_mb, Keep::Bounds, cost)?)
+        };
+        let mut after = self.clone();
+        after.imagine(item, site, victims.as_ref());
+        let gain = signed(before) - signed(after.overload(engine_rate));
+        Some(Offer {
+            item,
+            site,
+            victims,
+            gain,
+        })
+    }
+
+    /// Projects a further copy and what goes for it.
+    fn imagine(&mut self, item: usize, site: usize, victims: Option<&Victims>) {
+        use crate::plan::fleet::{Copy, Phase};
+        let wanted = &self.items[item];
+        let target = &mut self.sites[site];
+        for copy in victims.iter().flat_map(|victims| &victims.copies) {
+            target.copies[*copy].phase = Phase::Unloading;
+        }
+        target.copies.push(Copy {
+            artifact: wanted.artifact,
+            version: wanted.version,
+            memory_mb: wanted.memory_mb,
+            phase: Phase::Loading,
+            item: Some(item),
+            wanted: true,
+        });
+    }
+}
+
+impl Draft<'_, '_> {
+    /// Takes up an offer: evicts and reserves, or loads if there is memory now.
+    pub(crate) fn accept(&mut self, offer: &Offer) {
+        let memory_mb = self.fleet.items[offer.item].memory_mb;
+        if let Some(victims) = &offer.victims {
+            self.evict(victims, memory_mb);
+        } else if self.fleet.sites[offer.site].available_mb() >= signed(memory_mb) {
+            self.load(offer.site, offer.item, Reason::Demand);
+        } else {
+            self.fleet.sites[offer.site].soon_mb -= signed(memory_mb);
+        }
+    }
+}
--- a/crates/quetzalpick-core/src/plan/mod.rs
+++ b/crates/quetzalpick-core/src/plan/mod.rs
@@ -1,7 +1,16 @@
 //! Placement: which engine should load or unload what, in which order.
+//!
+//! The planner is a function of the folded state, the observed demand and what the engines last said. Its steps are
+//! wishes: the fold rejects what could overcommit memory or leave an artifact without a confirmed copy.
 
 mod demand;
+mod draft;
+mod fleet;
+mod gain;
+mod item;
+mod limits;
 mod planner;
+mod room;
 mod step;
 
 pub use demand::Demand;
--- /dev/null
+++ b/crates/quetzalpick-core/src/plan/room.rs
@@ -0,0 +1,267 @@
+//! Which copies may go to make room, and where a copy fits.
+
+use std::cmp::Reverse;
+
+use crate::plan::Reason;
+use crate::plan::draft::Draft;
+use crate::plan::fleet::{Fleet, Phase, Site, signed};
+
+/// `Victims` are copies at one site, by index, whose memory makes room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Victims {
+    pub(crate) site: usize,
+    pub(crate) copies: Vec<usize>,
+}
+
+impl Fleet<'_> {
+    /// Tells whether a serving copy may be unloaded while every item keeps `keep(item)` good copies.
+    ///
+    /// A base model goes only together with its adapters, which are listed by `dependents`.
+    pub(crate) fn may_unload(&self, site: usize, copy: usize, keep: Keep) -> bool {
+        let dependents = self.dependents(site, copy);
+        let mut all = dependents.iter().chain([&copy]);
+        all.all(|copy| self.may_unload_alone(site, *copy, keep))
+    }
+
+    fn may_unload_alone(&self, site: usize, copy: usize, keep: Keep) -> bool {
+        let here = &self.sites[site];
+        let copy = &here.copies[copy];
+        if copy.phase != Phase::Serving || here.status.unsettled || !here.status.alive {
+            return false;
+        }
+        let Some(item) = copy.item else {
+            return true;
+        };
+        let wanted = &self.items[item];
+        let good = self.good(item);
+        if copy.wanted && self.is_good(here, item) {
+            return !wanted.is_pinned_to(here.endpoint) && good > keep.of(wanted.min);
+        }
+        good >= keep.of(wanted.min)
+    }
+
+    /// Returns the adapter copies that cannot be used any more when a copy of their base model goes.
+    pub(crate) fn dependents(&self, site: usize, copy: usize) -> Vec<usize> {
+        let here = &self.sites[site];
+        let base = &here.copies[copy];
+        let other = |c: &crate::plan::fleet::Copy<'_>| {
+            c.artifact == base.artifact && c.version != base.version && c.phase != Phase::Unloading
+        };
+        if here.copies.iter().any(other) {
+            return Vec::new();
+        }
+        let depends = |c: &crate::plan::fleet::Copy<'_>| {
+            let on = c.item.and_then(|item| self.items[item].base);
+            on.is_some() && on == base.item && c.phase != Phase::Unloading
+        };
+        let copies = here.copies.iter().enumerate();
+        copies.filter(|(_, c)| depends(c)).map(|(i, _)| i).collect()
+    }
+
+    /// Returns the sites that can take an item, the best first: fewest copies in the failure domain, least load.
+    pub(crate) fn sites_for(&self, item: usize) -> Vec<usize> {
+        let base = self.items[item].base;
+        let takes = |site: &Site<'_>| {
+            let absent = site.copy(item).is_none();
+            let has_base = base.is_none_or(|base| site.has(base, Phase::Serving));
+            site.is_usable() && absent && has_base
+        };
+        let sites = self.sites.iter().enumerate();
+        let mut sites: Vec<_> = sites
+            .filter(|(_, site)| takes(site))
+            .map(|(at, site)| {
+                let crowd = self.in_domain(item, site.domain);
+                let load = self.load(site) / u64::from(site.accelerators);
+                let key = (crowd, load, site.status.requests, Reverse(site.soon_mb), at);
+                (key, at)
+            })
+            .collect();
+        sites.sort_unstable();
+        sites.into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Returns the cheapest victims at a site that make room for memory; `cost` rates a copy's loss.
+    pub(crate) fn victims_at(
+        &self,
+        site: usize,
+        memory_mb: u64,
+        keep: Keep,
+        mut cost: impl FnMut(usize) -> Option<u64>,
+    ) -> Option<Victims> {
+        let indices = 0..self.sites[site].copies.len();
+        let may_go = indices.filter(|copy| self.may_unload(site, *copy, keep));
+        let mut rated: Vec<(u64, usize)> = may_go.filter_map(|c| Some((cost(c)?, c))).collect();
+        rated.sort_unstable();
+        // Victims are unloaded on a scratch fleet one by one, as each changes what the others may do.
+        let mut scratch = self.clone();
+        let mut copies = Vec::new();
+        for (_, copy) in rated {
+            if scratch.sites[site].soon_mb >= signed(memory_mb) {
+                break;
+            }
+            if !scratch.may_unload(site, copy, keep) {
+                continue;
+            }
+            for gone in scratch.dependents(site, copy).into_iter().chain([copy]) {
+                let target = &mut scratch.sites[site];
+                target.copies[gone].phase = Phase::Unloading;
+                target.soon_mb += signed(target.copies[gone].memory_mb);
+                copies.push(gone);
+            }
+        }
+        let fits = scratch.sites[site].soon_mb >= signed(memory_mb);
+        fits.then_some(Victims { site, copies })
+    }
+
+    /// Returns the demand that a copy carries, in tokens per second.
+    pub(crate) fn carried(&self, site: usize, copy: usize) -> u64 {
+        let here = &self.sites[site];
+        let Some(item) = here.copies[copy].item else {
+            return 0;
+        };
+        if !self.is_good(here, item) {
+            return 0;
+        }
+        self.items[item].demand / self.expected(item).max(1) as u64
+    }
+}
+
+/// `Keep` says how many good copies of other items a load may leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Keep {
+    /// One, as the load makes something reachable.
+    One,
+    /// As many as the bounds ask for.
+    Bounds,
+}
+
+impl Keep {
+    fn of(self, min: usize) -> usize {
+        match self {
+            Self::One => 1,
+            Self::Bounds => min,
+        }
+    }
+}
+
+impl Draft<'_, '_> {
+    /// Loads an item somewhere, makes room for it, or waits for room that is being made; false if nothing helps.
+    pub(crate) fn place(&mut self, item: usize, keep: Keep, reason: Reason) -> bool {
+        let sites = self.fleet.sites_for(item);
+        self.place_at(&sites, item, keep, reason)
+    }
+
+    /// Does the same at one of the given sites.
+    pub(crate) fn place_at(
+        &mut self,
+        sites: &[usize],
+        item: usize,
+        keep: Keep,
+        reason: Reason,
+    ) -> bool {
+        let memory_mb = self.fleet.items[item].memory_mb;
+        let needed = signed(memory_mb);
+        let now = |at: &&usize| self.fleet.sites[**at].available_mb() >= needed;
+        if let Some(site) = sites.iter().find(now) {
+            self.load(*site, item, reason);
+            return true;
+        }
+        // Memory that is being freed is reserved, so that no later wish takes it.
+        let soon = |at: &&usize| self.fleet.sites[**at].soon_mb >= needed;
+        if let Some(site) = sites.iter().find(soon) {
+            self.fleet.sites[*site].soon_mb -= needed;
+            return true;
+        }
+        self.make_room(sites, item, keep) || self.relocate(sites, item, keep)
+    }
+
+    /// Unloads the cheapest victims and reserves their memory.
+    fn make_room(&mut self, sites: &[usize], item: usize, keep: Keep) -> bool {
+        let fleet = &self.fleet;
+        let memory_mb = fleet.items[item].memory_mb;
+        let victims = sites.iter().filter_map(|site| {
+            let cost = |copy| Some(fleet.carried(*site, copy));
+            fleet.victims_at(*site, memory_mb, keep, cost)
+        });
+        let cost = |v: &Victims| -> u64 {
+            let copies = v.copies.iter();
+            copies.map(|copy| fleet.carried(v.site, *copy)).sum()
+        };
+        let Some(victims) = victims.min_by_key(|v| (cost(v), v.copies.len())) else {
+            return false;
+        };
+        self.evict(&victims, memory_mb);
+        true
+    }
+
+    /// Unloads victims and reserves memory at their site.
+    pub(crate) fn evict(&mut self, victims: &Victims, memory_mb: u64) {
+        for copy in &victims.copies {
+            self.unload(victims.site, *copy, Reason::Room);
+        }
+        self.fleet.sites[victims.site].soon_mb -= signed(memory_mb);
+    }
+
+    /// Copies items that have no other copy to other sites, so that they can be unloaded here in a later round.
+    fn relocate(&mut self, sites: &[usize], item: usize, keep: Keep) -> bool {
+        if keep != Keep::One {
+            return false;
+        }
+        sites.iter().any(|site| self.relocate_from(*site, item))
+    }
+
+    fn relocate_from(&mut self, site: usize, item: usize) -> bool {
+        let needed = signed(self.fleet.items[item].memory_mb);
+        let fleet = &self.fleet;
+        let here = &fleet.sites[site];
+        let indices = 0..here.copies.len();
+        let (loose, fixed): (Vec<usize>, Vec<usize>) =
+            indices.partition(|copy| fleet.may_unload(site, *copy, Keep::One));
+        let mut room = here.soon_mb;
+        room += loose
+            .iter()
+            .map(|copy| signed(here.copies[*copy].memory_mb))
+            .sum::<i64>();
+        let mut available: Vec<i64> = fleet.sites.iter().map(Site::available_mb).collect();
+        let mut moves = Vec::new();
+        for copy in fixed {
+            if room >= needed {
+                break;
+            }
+            let Some((single, memory_mb)) = self.movable(site, copy) else {
+                continue;
+            };
+            // A copy that is already on its way elsewhere needs no second move.
+            if fleet.expected(single) > 1 {
+                room += memory_mb;
+                continue;
+            }
+            let targets = fleet.sites_for(single);
+            let fits = |to: &usize| *to != site && available[*to] >= memory_mb;
+            if let Some(to) = targets.into_iter().find(fits) {
+                available[to] -= memory_mb;
+                room += memory_mb;
+                moves.push((to, single));
+            }
+        }
+        if room < needed {
+            return false;
+        }
+        for (to, single) in moves {
+            self.load(to, single, Reason::Room);
+        }
+        true
+    }
+
+    /// Returns the item and memory of a copy that could be served elsewhere instead.
+    fn movable(&self, site: usize, copy: usize) -> Option<(usize, i64)> {
+        let here = &self.fleet.sites[site];
+        let candidate = &here.copies[copy];
+        let item = candidate.item?;
+        let pinned = self.fleet.items[item].is_pinned_to(here.endpoint);
+        let serves = candidate.wanted && candidate.phase == Phase::Serving;
+        let alone = self.fleet.dependents(site, copy).is_empty();
+        let movable = serves && alone && !pinned && !here.status.unsettled;
+        movable.then_some((item, signed(candidate.memory_mb)))
+    }
+}
