Add the clients of the log service, the VM list and the engines

Records travel as MessagePack byte strings instead of arrays of numbers. A 5xx answer to an append proves nothing, so its verdict is that it may have run.

--- /dev/null
+++ b/crates/quetzalpick-platform/src/call.rs
@@ -0,0 +1,114 @@
+//! One whole call to an outside system: request, status and body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use hyper::{Method, StatusCode};
+use quetzalpick_core::verdict::Verdict;
+use serde::de::DeserializeOwned;
+
+use crate::errors::{Result, busy, garbled, refused, unanswered};
+use crate::http::{Pool, Request, Timeouts};
+
+/// Header with the time after which to come back, in ms.
+pub(crate) const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// Time after which to come back if the answer does not say.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
+
+/// Longest part of an error's body that goes into a message, in characters.
+const MESSAGE_MAX_CHARS: usize = 200;
+
+/// `Answer` is a whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// Address that answered.
+    pub(crate) target: String,
+    /// HTTP status.
+    pub(crate) status: StatusCode,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// Builds a request; its parts are known to be valid but for the path.
+pub(crate) fn request(
+    target: &str,
+    method: Method,
+    path: &str,
+    media_type: &'static str,
+    body: Vec<u8>,
+) -> Result<Request> {
+    hyper::Request::builder()
+        .method(method)
+        .uri(path)
+        .header(CONTENT_TYPE, media_type)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| unanswered(target, Verdict::NotRun, e))
+}
+
+/// Sends a request and reads the whole answer, at most `max` bytes.
+pub(crate) async fn send(
+    pool: &Pool,
+    target: &str,
+    request: Request,
+    timeouts: Timeouts,
+    max: usize,
+) -> Result<Answer> {
+    let response = pool.send(target, request, timeouts).await?;
+    let (head, mut body) = response.into_parts();
+    let body = body.collect_up_to(max).await?;
+    Ok(Answer {
+        target: target.to_owned(),
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+impl Answer {
+    /// Returns the answer if its status means success, and what it means otherwise.
+    pub(crate) fn success(self) -> Result<Self> {
+        match self.status {
+            status if status.is_success() => Ok(self),
+            StatusCode::TOO_MANY_REQUESTS => Err(busy(&self.target, self.retry_after())),
+            // A failed system may have done the work before it failed.
+            status if status.is_server_error() => {
+                let reason = format!("status {status}: {}", self.message());
+                Err(unanswered(&self.target, Verdict::MayHaveRun, reason))
+            }
+            status => Err(refused(&self.target, status.as_u16(), self.message())),
+        }
+    }
+
+    /// Decodes the body as JSON.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(|e| garbled(&self.target, e))
+    }
+
+    /// Decodes the body as MessagePack.
+    pub(crate) fn message_pack<T: DeserializeOwned>(&self) -> Result<T> {
+        rmp_serde::from_slice(&self.body).map_err(|e| garbled(&self.target, e))
+    }
+
+    /// Returns the time after which the system wants to be called again.
+    fn retry_after(&self) -> Duration {
+        let number = |name: &str| -> Option<u64> {
+            self.headers.get(name)?.to_str().ok()?.trim().parse().ok()
+        };
+        let seconds = || number(RETRY_AFTER.as_str()).map(Duration::from_secs);
+        number(RETRY_AFTER_MS)
+            .map(Duration::from_millis)
+            .or_else(seconds)
+            .unwrap_or(RETRY_AFTER_DEFAULT)
+    }
+
+    /// Returns the beginning of the body as text.
+    fn message(&self) -> String {
+        let text = String::from_utf8_lossy(&self.body);
+        text.chars().take(MESSAGE_MAX_CHARS).collect()
+    }
+}
--- a/crates/quetzalpick-platform/src/lib.rs
+++ b/crates/quetzalpick-platform/src/lib.rs
@@ -5,8 +5,12 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+mod call;
+pub mod engine;
 pub mod errors;
 pub mod http;
+pub mod log;
 pub mod memory;
 pub mod traits;
+pub mod vms;
 pub mod wire;
--- a/crates/quetzalpick-platform/src/wire/mod.rs
+++ b/crates/quetzalpick-platform/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Bodies of the calls to outside systems, in JSON unless stated otherwise.
 
+pub mod completion;
 pub mod engine;
 pub mod log;
 pub mod vms;
