Settle what gate and keeper use of the node crate

Cause: gate and keeper are written side by side with it, so the signatures of replica, settings, HTTP server, telemetry and lifecycle come first.

--- /dev/null
+++ b/crates/quetzalpick-node/src/http/admin.rs
@@ -0,0 +1,71 @@
+//! The admin listener: `/healthz`, `/readyz` and `/metrics`.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::http::server::Handler;
+use crate::telemetry::metrics::Metrics;
+
+/// `Readiness` tells whether a process takes requests.
+pub trait Readiness: Clone + Send + Sync + 'static {
+    /// Returns what the process still lacks; `None` when it is ready.
+    fn lacks(&self) -> Option<String>;
+}
+
+/// `Admin` answers the admin listener's requests.
+#[derive(Debug, Clone)]
+pub struct Admin<R> {
+    readiness: R,
+    metrics: Metrics,
+}
+
+impl<R: Readiness> Admin<R> {
+    /// Makes the handler.
+    pub fn new(readiness: R, metrics: Metrics) -> Self {
+        Self { readiness, metrics }
+    }
+
+    /// Answers `/readyz`.
+    fn ready(&self) -> Response<Full<Bytes>> {
+        match self.readiness.lacks() {
+            None => text(StatusCode::OK, "ready\n"),
+            Some(lack) => text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("not ready: {lack}\n"),
+            ),
+        }
+    }
+}
+
+/// Builds a text answer.
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    answer.headers_mut().insert(CONTENT_TYPE, plain);
+    answer
+}
+
+impl<R: Readiness> Handler for Admin<R> {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Self::Body> {
+        let known = matches!(request.uri().path(), "/healthz" | "/readyz" | "/metrics");
+        if !known {
+            return text(StatusCode::NOT_FOUND, "unknown path\n");
+        }
+        if request.method() != Method::GET {
+            return text(StatusCode::METHOD_NOT_ALLOWED, "only GET\n");
+        }
+        match request.uri().path() {
+            "/healthz" => text(StatusCode::OK, "alive\n"),
+            "/readyz" => self.ready(),
+            _ => text(StatusCode::OK, self.metrics.text()),
+        }
+    }
+}
--- a/crates/quetzalpick-node/src/lib.rs
+++ b/crates/quetzalpick-node/src/lib.rs
@@ -2,3 +2,11 @@
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
+
+pub mod errors;
+pub mod http;
+pub mod lifecycle;
+pub mod peer;
+pub mod replica;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/quetzalpick-node/src/telemetry/mod.rs
@@ -0,0 +1,4 @@
+//! Logs and metrics.
+
+pub mod logs;
+pub mod metrics;
