--- a/crates/quetzalpick-core/src/plan/planner.rs
+++ b/crates/quetzalpick-core/src/plan/planner.rs
@@ -1,6 +1,6 @@
 //! The planner.
 
-use strum::{Display, EnumString};
+use strum::{Display, EnumString, VariantNames};
 
 use crate::id::{Artifact, Endpoint};
 use crate::plan::draft::Draft;
@@ -17,7 +17,7 @@
 const OFFERS_MAX: usize = 4;
 
 /// `Policy` is the way of placing copies.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Policy {
     /// The fewest copies and pins only; demand moves nothing.
--- a/crates/quetzalpick-keeper/src/operator/api.rs
+++ b/crates/quetzalpick-keeper/src/operator/api.rs
@@ -51,8 +51,14 @@
 impl<L: Log, T: Transport> Api<L, T> {
     /// Makes the handler for operators, given as names with tokens.
     pub fn new(desk: Desk<L, T>, tokens: &[(String, String)]) -> Self {
-        let operator = |(name, token): &(String, String)| Operator { name: name.clone(), digest: digest(token) };
-        Self { desk, operators: tokens.iter().map(operator).collect() }
+        let operator = |(name, token): &(String, String)| Operator {
+            name: name.clone(),
+            digest: digest(token),
+        };
+        Self {
+            desk,
+            operators: tokens.iter().map(operator).collect(),
+        }
     }
 
     /// Returns the name of the operator whose token came with a request.
@@ -78,10 +84,17 @@
         };
         let line: Line = match serde_json::from_slice(&bytes) {
             Ok(line) => line,
-            Err(error) => return fault(StatusCode::BAD_REQUEST, &format!("not a request: {error}")),
+            Err(error) => {
+                return fault(StatusCode::BAD_REQUEST, &format!("not a request: {error}"));
+            }
         };
         let command = match line.command.as_deref().map(Command::parse) {
-            Some(None) => return fault(StatusCode::BAD_REQUEST, "command must be 32 hexadecimal digits"),
+            Some(None) => {
+                return fault(
+                    StatusCode::BAD_REQUEST,
+                    "command must be 32 hexadecimal digits",
+                );
+            }
             Some(given) => given,
             None => None,
         };
@@ -101,7 +114,10 @@
         }
         match self.operator(&request).map(str::to_owned) {
             Some(operator) => self.answer(&operator, request.into_body()).await,
-            None => fault(StatusCode::UNAUTHORIZED, "missing or unknown operator's token"),
+            None => fault(
+                StatusCode::UNAUTHORIZED,
+                "missing or unknown operator's token",
+            ),
         }
     }
 }
@@ -123,7 +139,9 @@
     let mut answer = json(status, reply);
     if let Reply::NotSent { retry_after_ms } = reply {
         let seconds = retry_after_ms.div_ceil(1000);
-        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     answer
 }
@@ -139,6 +157,8 @@
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let mut answer = Response::new(Full::new(Bytes::from(bytes)));
     *answer.status_mut() = status;
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
--- a/crates/quetzalpick-keeper/src/operator/desk.rs
+++ b/crates/quetzalpick-keeper/src/operator/desk.rs
@@ -31,7 +31,11 @@
             Ok(Statement::Command(change)) => {
                 let command = command.unwrap_or_else(|| self.replica.draw_command());
                 let reply = self.change(operator, &change, command).await;
-                log::info!("operator: {operator} sent '{}': {}", redact(text), describe(&reply));
+                log::info!(
+                    "operator: {operator} sent '{}': {}",
+                    redact(text),
+                    describe(&reply)
+                );
                 reply
             }
         }
@@ -41,7 +45,9 @@
     fn ask(&self, command: Command) -> Reply {
         match self.replica.ask(command) {
             Some((offset, outcome)) => settled(command, offset, &outcome),
-            None => Reply::Unknown { command: command.to_string() },
+            None => Reply::Unknown {
+                command: command.to_string(),
+            },
         }
     }
 
@@ -68,7 +74,10 @@
         };
         let author = Author::Operator(operator.to_owned());
         let record = Record::Change(resolution.change);
-        let answer = self.replica.submit_as(author, command, record, resolution.expect).await;
+        let answer = self
+            .replica
+            .submit_as(author, command, record, resolution.expect)
+            .await;
         answered(command, answer)
     }
 }
@@ -79,15 +88,25 @@
         Error::Syntax { column, .. } => *column,
         _ => 0,
     };
-    Reply::Invalid { column, message: error.to_string() }
+    Reply::Invalid {
+        column,
+        message: error.to_string(),
+    }
 }
 
 /// Builds the reply for a command that was folded.
 fn settled(command: Command, offset: Offset, outcome: &Outcome) -> Reply {
     let command = command.to_string();
     match outcome.first() {
-        Outcome::Accepted(revision) => Reply::Accepted { command, revision: *revision, offset },
-        Outcome::Rejected(reason) => Reply::Rejected { command, reason: reason.to_string() },
+        Outcome::Accepted(revision) => Reply::Accepted {
+            command,
+            revision: *revision,
+            offset,
+        },
+        Outcome::Rejected(reason) => Reply::Rejected {
+            command,
+            reason: reason.to_string(),
+        },
         Outcome::Repeated(..) => Reply::Unknown { command },
     }
 }
@@ -96,8 +115,15 @@
 fn answered(command: Command, answer: Answer) -> Reply {
     let command = command.to_string();
     match answer {
-        Answer::Accepted { offset, revision } => Reply::Accepted { command, revision, offset },
-        Answer::Rejected { reason, .. } => Reply::Rejected { command, reason: reason.to_string() },
+        Answer::Accepted { offset, revision } => Reply::Accepted {
+            command,
+            revision,
+            offset,
+        },
+        Answer::Rejected { reason, .. } => Reply::Rejected {
+            command,
+            reason: reason.to_string(),
+        },
         Answer::NotSent { retry_after } => {
             let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
             Reply::NotSent { retry_after_ms }
--- a/crates/quetzalpick-keeper/src/operator/query.rs
+++ b/crates/quetzalpick-keeper/src/operator/query.rs
@@ -34,8 +34,15 @@
     let mut table = Table::new(&["endpoint", "artifact", "version", "memory_mb"]);
     for (name, account) in state.ledger().accounts().iter() {
         for ((copy, version), memory_mb) in account.loaded.iter() {
-            if artifact.is_none_or(|wanted| wanted == copy) && endpoint.is_none_or(|wanted| wanted == name) {
-                table.push(vec![text(name), text(copy), version.0.into(), (*memory_mb).into()]);
+            if artifact.is_none_or(|wanted| wanted == copy)
+                && endpoint.is_none_or(|wanted| wanted == name)
+            {
+                table.push(vec![
+                    text(name),
+                    text(copy),
+                    version.0.into(),
+                    (*memory_mb).into(),
+                ]);
             }
         }
     }
@@ -43,13 +50,28 @@
 }
 
 fn moving(state: &State) -> Table {
-    let mut table = Table::new(&["endpoint", "sequence", "order", "artifact", "version", "memory_mb"]);
+    let mut table = Table::new(&[
+        "endpoint",
+        "sequence",
+        "order",
+        "artifact",
+        "version",
+        "memory_mb",
+    ]);
     for (name, account) in state.ledger().accounts().iter() {
         for open in &account.open {
             let order: &str = (&open.operation).into();
-            let (Operation::Load(copy, version) | Operation::Unload(copy, version)) = &open.operation;
+            let (Operation::Load(copy, version) | Operation::Unload(copy, version)) =
+                &open.operation;
             let (sequence, memory_mb) = (open.sequence.0.into(), open.memory_mb.into());
-            table.push(vec![text(name), sequence, order.into(), text(copy), version.0.into(), memory_mb]);
+            table.push(vec![
+                text(name),
+                sequence,
+                order.into(),
+                text(copy),
+                version.0.into(),
+                memory_mb,
+            ]);
         }
     }
     table
@@ -59,7 +81,11 @@
     let mut table = Table::new(&["vm", "applied_offset", "heard_ms_ago"]);
     table.push(vec![text(own), state.next().0.into(), 0_u64.into()]);
     for peer in peers {
-        table.push(vec![text(&peer.member), peer.applied.0.into(), peer.heard_ms_ago.into()]);
+        table.push(vec![
+            text(&peer.member),
+            peer.applied.0.into(),
+            peer.heard_ms_ago.into(),
+        ]);
     }
     table
 }
@@ -73,7 +99,11 @@
     }
     for (member, membership) in state.roster().members().iter() {
         if let Some(offset) = membership.suspected {
-            table.push(vec!["vm".into(), text(member), format!("suspected at {offset}").into()]);
+            table.push(vec![
+                "vm".into(),
+                text(member),
+                format!("suspected at {offset}").into(),
+            ]);
         }
     }
     table
@@ -83,7 +113,13 @@
     let mut table = Table::new(&["workspace", "rate", "burst", "models", "services"]);
     for (name, (_, spec)) in state.catalog().workspaces().iter() {
         let (artifacts, services) = (names(&spec.artifacts), names(&spec.services));
-        table.push(vec![text(name), spec.rate.into(), spec.burst.into(), artifacts, services]);
+        table.push(vec![
+            text(name),
+            spec.rate.into(),
+            spec.burst.into(),
+            artifacts,
+            services,
+        ]);
     }
     table
 }
@@ -103,7 +139,13 @@
     for (name, model) in state.catalog().models().iter() {
         let copies = state.ledger().copies(name, model.version).count();
         let (memory_mb, max_output) = (model.memory_mb.into(), model.max_output.into());
-        table.push(vec![text(name), model.version.0.into(), memory_mb, max_output, count(copies)]);
+        table.push(vec![
+            text(name),
+            model.version.0.into(),
+            memory_mb,
+            max_output,
+            count(copies),
+        ]);
     }
     table
 }
@@ -113,7 +155,13 @@
     for (name, adapter) in state.catalog().adapters().iter() {
         let copies = state.ledger().copies(name, adapter.version).count();
         let (version, memory_mb) = (adapter.version.0.into(), adapter.memory_mb.into());
-        table.push(vec![text(name), text(&adapter.base), version, memory_mb, count(copies)]);
+        table.push(vec![
+            text(name),
+            text(&adapter.base),
+            version,
+            memory_mb,
+            count(copies),
+        ]);
     }
     table
 }
@@ -121,20 +169,53 @@
 fn places(state: &State) -> Table {
     let mut table = Table::new(&["artifact", "min", "max", "pinned"]);
     for (name, place) in state.catalog().places().iter() {
-        let pinned = place.pinned.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-        table.push(vec![text(name), place.min.into(), place.max.into(), pinned.into()]);
+        let pinned = place
+            .pinned
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join(",");
+        table.push(vec![
+            text(name),
+            place.min.into(),
+            place.max.into(),
+            pinned.into(),
+        ]);
     }
     table
 }
 
 fn endpoints(state: &State) -> Table {
-    let columns = ["endpoint", "kind", "address", "domain", "draining", "memory_mb", "used_mb", "fencing"];
+    let columns = [
+        "endpoint",
+        "kind",
+        "address",
+        "domain",
+        "draining",
+        "memory_mb",
+        "used_mb",
+        "fencing",
+    ];
     let mut table = Table::new(&columns);
     for (name, spec) in state.catalog().endpoints().iter() {
-        let mut row = vec![text(name), kind(spec), spec.address.as_str().into(), text(&spec.domain), spec.draining.into()];
+        let mut row = vec![
+            text(name),
+            kind(spec),
+            spec.address.as_str().into(),
+            text(&spec.domain),
+            spec.draining.into(),
+        ];
         match &spec.kind {
-            EndpointKind::Engine { memory_mb, checks_fencing, .. } => {
-                row.extend([(*memory_mb).into(), used_mb(state, name).into(), (*checks_fencing).into()]);
+            EndpointKind::Engine {
+                memory_mb,
+                checks_fencing,
+                ..
+            } => {
+                row.extend([
+                    (*memory_mb).into(),
+                    used_mb(state, name).into(),
+                    (*checks_fencing).into(),
+                ]);
             }
             EndpointKind::Service { .. } => row.extend(["".into(), "".into(), "".into()]),
         }
@@ -153,14 +234,26 @@
 
 /// Returns the memory that is loaded or promised at an engine, in MB.
 fn used_mb(state: &State, endpoint: &Endpoint) -> u64 {
-    let Some(account) = state.ledger().accounts().get(endpoint) else { return 0 };
+    let Some(account) = state.ledger().accounts().get(endpoint) else {
+        return 0;
+    };
     let loaded: u64 = account.loaded.values().sum();
-    let loads = account.open.iter().filter(|open| matches!(open.operation, Operation::Load(..)));
+    let loads = account
+        .open
+        .iter()
+        .filter(|open| matches!(open.operation, Operation::Load(..)));
     loaded + loads.map(|open| open.memory_mb).sum::<u64>()
 }
 
 fn services(state: &State) -> Table {
-    let mut table = Table::new(&["service", "charge", "method", "prefix", "open", "idempotent"]);
+    let mut table = Table::new(&[
+        "service",
+        "charge",
+        "method",
+        "prefix",
+        "open",
+        "idempotent",
+    ]);
     for (name, spec) in state.catalog().services().iter() {
         for row in routes(spec) {
             let mut cells = vec![text(name), spec.charge.into()];
@@ -188,8 +281,18 @@
     let voters = state.roster().voters();
     for (member, row) in state.roster().members().iter() {
         let votes = voters.binary_search(member).is_ok();
-        let (role, address) = (row.role.to_string().into(), row.peer_address.as_str().into());
-        table.push(vec![text(member), role, text(&row.domain), address, votes.into(), row.suspected.is_some().into()]);
+        let (role, address) = (
+            row.role.to_string().into(),
+            row.peer_address.as_str().into(),
+        );
+        table.push(vec![
+            text(member),
+            role,
+            text(&row.domain),
+            address,
+            votes.into(),
+            row.suspected.is_some().into(),
+        ]);
     }
     table
 }
@@ -210,7 +313,11 @@
 /// Writes names, of which none stands for all.
 fn names(names: &[impl ToString]) -> Cell {
     let list: Vec<String> = names.iter().map(ToString::to_string).collect();
-    if list.is_empty() { "all".into() } else { list.join(",").into() }
+    if list.is_empty() {
+        "all".into()
+    } else {
+        list.join(",").into()
+    }
 }
 
 /// Writes a count.
--- a/crates/quetzalpick-keeper/src/operator/spending.rs
+++ b/crates/quetzalpick-keeper/src/operator/spending.rs
@@ -12,15 +12,29 @@
 
 /// Adds up the hints of all gates for each workspace.
 pub(crate) fn table(state: &State, peers: &[Peer], wanted: Option<&Workspace>) -> Table {
-    let columns = ["workspace", "rate", "burst", "demand_per_s", "available", "gates"];
+    let columns = [
+        "workspace",
+        "rate",
+        "burst",
+        "demand_per_s",
+        "available",
+        "gates",
+    ];
     let mut table = Table::new(&columns);
-    let payloads: Vec<Payload> = peers.iter().filter_map(|peer| Payload::from_bytes(&peer.payload).ok()).collect();
+    let payloads: Vec<Payload> = peers
+        .iter()
+        .filter_map(|peer| Payload::from_bytes(&peer.payload).ok())
+        .collect();
     for (name, (created, spec)) in state.catalog().workspaces().iter() {
         if wanted.is_some_and(|wanted| wanted != name) {
             continue;
         }
         let of_workspace = |hint: &&Hint| hint.workspace == *name && hint.created == *created;
-        let hints: Vec<&Hint> = payloads.iter().flat_map(|payload| &payload.hints).filter(of_workspace).collect();
+        let hints: Vec<&Hint> = payloads
+            .iter()
+            .flat_map(|payload| &payload.hints)
+            .filter(of_workspace)
+            .collect();
         let demand: u64 = hints.iter().map(|hint| hint.demand_micro / MICRO).sum();
         let available: u64 = hints.iter().map(|hint| hint.level_micro / MICRO).sum();
         let gates = hints.len() as u64;
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -100,17 +100,30 @@
 
     /// Asks engines and the VM list how things are.
     async fn look(&mut self) {
-        let (engines, asked_at) = self.replica.read(|state| (engines::configured(state), state.next()));
+        let (engines, asked_at) = self
+            .replica
+            .read(|state| (engines::configured(state), state.next()));
         let started = self.started;
         let now_ms = move || elapsed_ms(started);
-        let asking = engines::ask(&self.engines, &engines, asked_at, self.options.report, now_ms);
+        let asking = engines::ask(
+            &self.engines,
+            &engines,
+            asked_at,
+            self.options.report,
+            now_ms,
+        );
         let listing = tokio::time::timeout(self.options.report, self.vms.list());
         let (arrived, list) = tokio::join!(asking, listing);
         engines::renew(&mut self.reports, arrived);
         // The list lags and may be out; what it last said stands until it answers again.
         if let Ok(Ok(list)) = list {
-            let rows = list.vms.into_iter().filter(|vm| vm.status == Status::Leaving);
-            self.leaving = rows.filter_map(|vm| Endpoint::try_new(vm.name).ok()).collect();
+            let rows = list
+                .vms
+                .into_iter()
+                .filter(|vm| vm.status == Status::Leaving);
+            self.leaving = rows
+                .filter_map(|vm| Endpoint::try_new(vm.name).ok())
+                .collect();
             self.leaving.sort();
         }
     }
@@ -120,16 +133,29 @@
         let reports = &self.reports;
         let corrections = self.replica.read(|state| {
             let rows = reports.iter().filter_map(|(endpoint, reported)| {
-                let account = state.ledger().accounts().get(endpoint).cloned().unwrap_or_default();
+                let account = state
+                    .ledger()
+                    .accounts()
+                    .get(endpoint)
+                    .cloned()
+                    .unwrap_or_default();
                 engines::correction(endpoint, &account, reported)
             });
             rows.collect::<Vec<_>>()
         });
         for correction in &corrections {
             let (endpoint, count) = (&correction.endpoint, correction.loaded.len());
-            log::info!("place: {endpoint} reports boot {} with {count} copies", correction.boot);
+            log::info!(
+                "place: {endpoint} reports boot {} with {count} copies",
+                correction.boot
+            );
         }
-        join_all(corrections.into_iter().map(|report| self.replica.submit(Record::Report(report), None))).await;
+        join_all(
+            corrections
+                .into_iter()
+                .map(|report| self.replica.submit(Record::Report(report), None)),
+        )
+        .await;
         let settlements = self.replica.read(|state| {
             let rows = reports.iter().filter_map(|(endpoint, reported)| {
                 let account = state.ledger().accounts().get(endpoint)?;
@@ -138,28 +164,49 @@
             rows.flatten().collect::<Vec<_>>()
         });
         for settled in &settlements {
-            log::info!("place: {} order {} is {}", settled.endpoint, settled.sequence, settled.settlement);
+            log::info!(
+                "place: {} order {} is {}",
+                settled.endpoint,
+                settled.sequence,
+                settled.settlement
+            );
             self.orders.settled(&settled.endpoint, settled.sequence);
         }
-        join_all(settlements.into_iter().map(|settled| self.replica.submit(Record::Settled(settled), None))).await;
+        join_all(
+            settlements
+                .into_iter()
+                .map(|settled| self.replica.submit(Record::Settled(settled), None)),
+        )
+        .await;
     }
 
     /// Plans, and announces each wanted order; the fold has the last word.
     async fn plan(&mut self, leadership: &Leadership) {
         let interval_ms = millis(self.options.interval);
-        self.demand.observe(interval_ms, &round::demand(&self.replica.peers(), interval_ms));
+        self.demand.observe(
+            interval_ms,
+            &round::demand(&self.replica.peers(), interval_ms),
+        );
         let now_ms = self.now_ms();
-        let limits =
-            Limits { silence_ms: millis(self.options.silence), lateness_ms: millis(self.options.order_lateness) };
+        let limits = Limits {
+            silence_ms: millis(self.options.silence),
+            lateness_ms: millis(self.options.order_lateness),
+        };
         let (replica, planner) = (&self.replica, &mut self.planner);
-        let (reports, orders, demand, leaving) = (&self.reports, &self.orders, &self.demand, &self.leaving);
+        let (reports, orders, demand, leaving) =
+            (&self.reports, &self.orders, &self.demand, &self.leaving);
         let (steps, intents) = replica.read(|state| {
             let statuses = round::statuses(state, reports, orders, limits, leaving, now_ms);
             let steps = planner.plan(now_ms, state, demand, &statuses);
             let intents = intents(state, leadership, &steps);
             (steps, intents)
         });
-        let answers = join_all(intents.into_iter().map(|intent| replica.submit(Record::Intent(intent), None))).await;
+        let answers = join_all(
+            intents
+                .into_iter()
+                .map(|intent| replica.submit(Record::Intent(intent), None)),
+        )
+        .await;
         for (step, answer) in steps.iter().zip(answers) {
             note(step, &answer);
         }
@@ -171,7 +218,9 @@
             return;
         }
         let (now_ms, repeat_ms) = (self.now_ms(), millis(self.options.repeat));
-        let due = self.replica.read(|state| round::due(state, &self.orders, repeat_ms, now_ms));
+        let due = self
+            .replica
+            .read(|state| round::due(state, &self.orders, repeat_ms, now_ms));
         for Due { endpoint, open, .. } in &due {
             let is_load = matches!(open.operation, Operation::Load(..));
             self.orders.sent(endpoint, open.sequence, is_load, now_ms);
@@ -181,9 +230,16 @@
             match engines.order(&due.address, &due.order).await {
                 Ok(()) => {}
                 Err(Error::Fenced { number, seen }) => {
-                    log::warn!("place: {} knows fencing number {seen}, {number} is older", due.endpoint);
+                    log::warn!(
+                        "place: {} knows fencing number {seen}, {number} is older",
+                        due.endpoint
+                    );
                 }
-                Err(error) => log::warn!("place: order {} to {}: {error}", due.open.sequence, due.endpoint),
+                Err(error) => log::warn!(
+                    "place: order {} to {}: {error}",
+                    due.open.sequence,
+                    due.endpoint
+                ),
             }
         };
         join_all(due.into_iter().map(send)).await;
@@ -200,7 +256,14 @@
     let mut last: Table<Endpoint, Sequence> = Table::default();
     let mut intents = Vec::new();
     for step in steps {
-        let known = || state.ledger().accounts().get(&step.endpoint).map(|account| account.last).unwrap_or_default();
+        let known = || {
+            state
+                .ledger()
+                .accounts()
+                .get(&step.endpoint)
+                .map(|account| account.last)
+                .unwrap_or_default()
+        };
         let sequence = last.get_or_insert_with(step.endpoint.clone(), known);
         *sequence = Sequence(sequence.0 + 1);
         intents.push(Intent {
@@ -217,17 +280,22 @@
 /// Logs what became of a planned step.
 fn note(step: &Step, answer: &Answer) {
     let verb: &str = (&step.operation).into();
-    let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) = &step.operation;
+    let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
+        &step.operation;
     let (endpoint, reason) = (&step.endpoint, step.reason);
     match answer {
         Answer::Accepted { offset, .. } => {
-            log::info!("place: {verb} {artifact} v{version} at {endpoint}, {reason}, intent {offset}");
+            log::info!(
+                "place: {verb} {artifact} v{version} at {endpoint}, {reason}, intent {offset}"
+            );
         }
         Answer::Rejected { reason: why, .. } => {
             log::warn!("place: {verb} {artifact} v{version} at {endpoint} rejected, {why}");
         }
         Answer::NotSent { .. } | Answer::Unknown { .. } => {
-            log::warn!("place: {verb} {artifact} v{version} at {endpoint} without an answer of the log");
+            log::warn!(
+                "place: {verb} {artifact} v{version} at {endpoint} without an answer of the log"
+            );
         }
     }
 }
--- a/crates/quetzalpick-keeper/src/place/orders.rs
+++ b/crates/quetzalpick-keeper/src/place/orders.rs
@@ -16,11 +16,20 @@
 impl Orders {
     /// Starts a term.
     pub(crate) fn begin(now_ms: u64) -> Self {
-        Self { began_ms: now_ms, ..Self::default() }
+        Self {
+            began_ms: now_ms,
+            ..Self::default()
+        }
     }
 
     /// Notes that an order is sent now.
-    pub(crate) fn sent(&mut self, endpoint: &Endpoint, sequence: Sequence, is_load: bool, now_ms: u64) {
+    pub(crate) fn sent(
+        &mut self,
+        endpoint: &Endpoint,
+        sequence: Sequence,
+        is_load: bool,
+        now_ms: u64,
+    ) {
         self.sent_ms.insert((endpoint.clone(), sequence), now_ms);
         if is_load {
             self.load_ms.insert(endpoint.clone(), now_ms);
@@ -33,7 +42,13 @@
     }
 
     /// Tells whether an open order should be sent now.
-    pub(crate) fn is_due(&self, endpoint: &Endpoint, sequence: Sequence, repeat_ms: u64, now_ms: u64) -> bool {
+    pub(crate) fn is_due(
+        &self,
+        endpoint: &Endpoint,
+        sequence: Sequence,
+        repeat_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         match self.sent_ms.get(&(endpoint.clone(), sequence)) {
             Some(sent_ms) => now_ms.saturating_sub(*sent_ms) >= repeat_ms,
             None => true,
@@ -42,7 +57,12 @@
 
     /// Tells whether a load may still be on its way to an engine.
     pub(crate) fn may_arrive(&self, endpoint: &Endpoint, lateness_ms: u64, now_ms: u64) -> bool {
-        let last_ms = self.load_ms.get(endpoint).copied().unwrap_or_default().max(self.began_ms);
+        let last_ms = self
+            .load_ms
+            .get(endpoint)
+            .copied()
+            .unwrap_or_default()
+            .max(self.began_ms);
         now_ms.saturating_sub(last_ms) < lateness_ms
     }
 }
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -29,11 +29,18 @@
 pub(crate) fn due(state: &State, orders: &Orders, repeat_ms: u64, now_ms: u64) -> Vec<Due> {
     let mut due = Vec::new();
     for (endpoint, account) in state.ledger().accounts().iter() {
-        let Some(spec) = state.catalog().endpoints().get(endpoint) else { continue };
+        let Some(spec) = state.catalog().endpoints().get(endpoint) else {
+            continue;
+        };
         for open in &account.open {
             if orders.is_due(endpoint, open.sequence, repeat_ms, now_ms) {
                 let address = spec.address.clone();
-                due.push(Due { endpoint: endpoint.clone(), address, open: open.clone(), order: order(state, open) });
+                due.push(Due {
+                    endpoint: endpoint.clone(),
+                    address,
+                    open: open.clone(),
+                    order: order(state, open),
+                });
             }
         }
     }
@@ -46,13 +53,26 @@
         Operation::Load(artifact, version) => (engine::Action::Load, artifact, version),
         Operation::Unload(artifact, version) => (engine::Action::Unload, artifact, version),
     };
-    let base = state.catalog().adapters().get(artifact).map(|adapter| adapter.base.to_string());
-    engine::Order { fencing: open.fencing.0, action, copy: copy(artifact, *version, open.memory_mb), base }
+    let base = state
+        .catalog()
+        .adapters()
+        .get(artifact)
+        .map(|adapter| adapter.base.to_string());
+    engine::Order {
+        fencing: open.fencing.0,
+        action,
+        copy: copy(artifact, *version, open.memory_mb),
+        base,
+    }
 }
 
 /// Builds the engine's form of a copy.
 fn copy(artifact: &Artifact, version: Version, memory_mb: u64) -> engine::Copy {
-    engine::Copy { artifact: artifact.to_string(), version: version.0, memory_mb }
+    engine::Copy {
+        artifact: artifact.to_string(),
+        version: version.0,
+        memory_mb,
+    }
 }
 
 /// Returns what the planner should know of each configured engine.
@@ -66,14 +86,27 @@
 ) -> Table<Endpoint, Status> {
     let mut statuses = Table::default();
     for (endpoint, spec) in state.catalog().endpoints().iter() {
-        let EndpointKind::Engine { checks_fencing, .. } = spec.kind else { continue };
+        let EndpointKind::Engine { checks_fencing, .. } = spec.kind else {
+            continue;
+        };
         let reported = reports.get(endpoint);
-        let alive = reported.is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < limits.silence_ms);
-        let requests = reported.map_or(0, |reported| reported.report.running + reported.report.waiting);
+        let alive = reported
+            .is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < limits.silence_ms);
+        let requests = reported.map_or(0, |reported| {
+            reported.report.running + reported.report.waiting
+        });
         let listed = leaving.binary_search(endpoint).is_ok();
         let leaving = listed || reported.is_some_and(|reported| reported.report.leaving);
         let unsettled = !checks_fencing && orders.may_arrive(endpoint, limits.lateness_ms, now_ms);
-        statuses.insert(endpoint.clone(), Status { alive, leaving, requests, unsettled });
+        statuses.insert(
+            endpoint.clone(),
+            Status {
+                alive,
+                leaving,
+                requests,
+                unsettled,
+            },
+        );
     }
     statuses
 }
@@ -90,7 +123,10 @@
 /// Adds up the demand that the gates told of, as tokens within an interval.
 pub(crate) fn demand(peers: &[Peer], interval_ms: u64) -> Table<Artifact, u64> {
     let mut tokens = Table::default();
-    for payload in peers.iter().filter_map(|peer| Payload::from_bytes(&peer.payload).ok()) {
+    for payload in peers
+        .iter()
+        .filter_map(|peer| Payload::from_bytes(&peer.payload).ok())
+    {
         for demand in payload.demand {
             let asked = demand.tokens_per_s * interval_ms / 1000;
             *tokens.get_or_insert_with(demand.artifact, || 0) += asked;
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -1,22 +1,35 @@
 //! One keeper from start to the end of a planned stop.
 
+use bytes::Bytes;
 use snafu::ResultExt;
 use tokio_util::sync::CancellationToken;
 
+use quetzalpick_core::id::Member;
 use quetzalpick_core::record::{Record, Role};
 use quetzalpick_node::http::admin::{Admin, Readiness};
 use quetzalpick_node::http::server::{Options, Server};
 use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
-use quetzalpick_node::peer::Idle;
+use quetzalpick_node::peer::Application;
 use quetzalpick_node::replica::Replica;
 use quetzalpick_node::telemetry::metrics::Metrics;
-use quetzalpick_platform::{engine, http, log as log_service, vms};
+use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_platform::{engine, log as log_service, vms};
 
 use crate::errors::{Result, SignalSnafu};
 use crate::operator::{Api, Desk};
 use crate::place::Leader;
 use crate::settings::Settings;
 
+/// `Silent` is the application of a process that peers ask nothing.
+#[derive(Debug, Clone, Copy)]
+struct Silent;
+
+impl Application for Silent {
+    async fn call(&self, _: &Member, _: &str, _: Bytes) -> Option<Bytes> {
+        None
+    }
+}
+
 /// `Ready` tells whether the keeper takes requests.
 #[derive(Debug, Clone)]
 struct Ready {
@@ -42,16 +55,25 @@
 ///
 /// `Error::Node` if a listener or the replica cannot be started, `Error::Signal` if signals cannot be awaited.
 pub async fn run(settings: Settings) -> Result<()> {
-    let pool = http::Pool::new(http::Options::default());
-    let log = log_service::Client::new(pool.clone(), settings.platform.log.clone());
-    let options = settings.peers.options(&settings.vm, &settings.platform, Role::Keeper);
-    let replica = Replica::try_start(log, options, Idle).await?;
+    let pool = Pool::default();
+    let log = log_service::Client::new(
+        pool.clone(),
+        settings.platform.log.clone(),
+        log_service::Options::default(),
+    );
+    let options = settings
+        .peers
+        .options(&settings.vm, &settings.platform, Role::Keeper);
+    let replica = Replica::try_start(log, options, Silent).await?;
     let lifecycle = Lifecycle::default();
     let metrics = Metrics::try_new()?;
 
     // The admin listener is first to start and last to stop, so that probes are always answered.
     let admin = Server::try_bind(&settings.metrics.listen, Options::default()).await?;
-    let ready = Ready { replica: replica.clone(), lifecycle: lifecycle.clone() };
+    let ready = Ready {
+        replica: replica.clone(),
+        lifecycle: lifecycle.clone(),
+    };
     let admin_stop = CancellationToken::new();
     let admin_task = tokio::spawn(admin.run(Admin::new(ready, metrics), admin_stop.clone()));
 
@@ -61,9 +83,14 @@
     let operator_stop = CancellationToken::new();
     let operator_task = tokio::spawn(operator.run(api, operator_stop.clone()));
 
-    let engines = engine::Client::new(pool.clone());
-    let vms = vms::Client::new(pool, settings.platform.vms.clone());
-    let leader = Leader::new(replica.clone(), engines, vms, settings.place.options.clone());
+    let engines = engine::Client::new(pool.clone(), Timeouts::default());
+    let vms = vms::Client::new(pool, settings.platform.vms.clone(), Timeouts::default());
+    let leader = Leader::new(
+        replica.clone(),
+        engines,
+        vms,
+        settings.place.options.clone(),
+    );
     let leader_task = tokio::spawn(leader.run());
     lifecycle.advance(Phase::Serving);
 
@@ -89,7 +116,11 @@
 /// Gives up the lead, if this keeper has it.
 async fn resign(replica: &Replica<log_service::Client>) {
     let own = replica.member();
-    let leads = replica.read(|state| state.leadership().is_some_and(|leadership| leadership.member == own));
+    let leads = replica.read(|state| {
+        state
+            .leadership()
+            .is_some_and(|leadership| leadership.member == own)
+    });
     if leads {
         let answer = replica.submit(Record::Resign(own), None).await;
         log::info!("place: gives up the lead, {answer:?}");
--- a/crates/quetzalpick-keeper/src/settings.rs
+++ b/crates/quetzalpick-keeper/src/settings.rs
@@ -46,7 +46,9 @@
 impl fmt::Debug for Operator {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         // Tokens are left out, as settings are logged.
-        f.debug_struct("Operator").field("listen", &self.listen).finish_non_exhaustive()
+        f.debug_struct("Operator")
+            .field("listen", &self.listen)
+            .finish_non_exhaustive()
     }
 }
 
@@ -88,11 +90,32 @@
         let mut options = place::Options::default();
         let planner = &mut options.planner;
         planner.policy = reader.choice("policy", Policy::default());
-        planner.loads_per_s = small(reader, "loads_per_s", planner.loads_per_s, "loads per second");
-        planner.loads_in_flight = small(reader, "loads_in_flight", planner.loads_in_flight, "loads");
-        planner.adapters_in_flight = small(reader, "adapters_in_flight", planner.adapters_in_flight, "adapter loads");
-        planner.copy_rate = reader.number("copy_rate", planner.copy_rate, 1..=10_000_000, "tokens per second");
-        planner.move_price = reader.number("move_price", planner.move_price, 0..=10_000_000, "tokens per second");
+        planner.loads_per_s = small(
+            reader,
+            "loads_per_s",
+            planner.loads_per_s,
+            "loads per second",
+        );
+        planner.loads_in_flight =
+            small(reader, "loads_in_flight", planner.loads_in_flight, "loads");
+        planner.adapters_in_flight = small(
+            reader,
+            "adapters_in_flight",
+            planner.adapters_in_flight,
+            "adapter loads",
+        );
+        planner.engine_rate = reader.number(
+            "engine_rate",
+            planner.engine_rate,
+            1..=10_000_000,
+            "tokens per second",
+        );
+        planner.move_price = reader.number(
+            "move_price",
+            planner.move_price,
+            0..=10_000_000,
+            "tokens per second",
+        );
         planner.hold_ms = reader.number("hold_ms", planner.hold_ms, 0..=3_600_000, "ms");
         options.interval = reader.millis("interval_ms", 500, 50..=60_000);
         options.order_lateness = reader.millis("order_lateness_ms", 10_000, 0..=600_000);
