--- /dev/null
+++ b/crates/quetzalpick-standin/src/command.rs
@@ -0,0 +1,6 @@
+//! The command line.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Free port of the loopback address, on which stand-ins listen unless told otherwise.
+pub(crate) const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
--- /dev/null
+++ b/crates/quetzalpick-standin/src/engine/cache.rs
@@ -0,0 +1,102 @@
+//! The prefix cache and its events.
+
+use std::time::Duration;
+
+use quetzalpick_core::table::Table;
+use quetzalpick_platform::wire::engine::{Event, Events, PREFIX_BLOCK_BYTES, prefix_hash};
+use tokio::time::Instant;
+
+/// Most events kept.
+const EVENTS_MAX: usize = 10_000;
+
+/// `Cache` holds the prompt blocks used last.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    capacity: usize,
+    lag: Duration,
+    gap: u64,
+    uses: u64,
+    blocks: Table<(String, u64), u64>,
+    next_event: u64,
+    events: Vec<(Instant, Event)>,
+}
+
+impl Cache {
+    /// Makes an empty cache of a number of blocks, which publishes its events late and leaves every `gap`-th out.
+    pub(crate) fn new(capacity: usize, lag: Duration, gap: u64) -> Self {
+        Self {
+            capacity,
+            lag,
+            gap,
+            uses: 0,
+            blocks: Table::default(),
+            next_event: 0,
+            events: Vec::new(),
+        }
+    }
+
+    /// Caches a prompt and returns how many bytes of it were cached before.
+    pub(crate) fn admit(&mut self, artifact: &str, prompt: &str) -> usize {
+        let blocks = (prompt.len() / PREFIX_BLOCK_BYTES).min(self.capacity);
+        let mut cached = 0;
+        for count in 1..=blocks {
+            let prefix = prefix_hash(prompt.as_bytes(), count);
+            self.uses += 1;
+            let key = (artifact.to_owned(), prefix);
+            let known = self.blocks.insert(key, self.uses).is_some();
+            if known && cached == count - 1 {
+                cached = count;
+            }
+            if !known {
+                self.publish(artifact, prefix, true);
+            }
+        }
+        self.evict();
+        cached * PREFIX_BLOCK_BYTES
+    }
+
+    /// Returns the events from a number on that are published by now.
+    pub(crate) fn events(&self, boot: u64, from: u64) -> Events {
+        let now = Instant::now();
+        let published = self.events.iter().filter(|(due, _)| *due <= now);
+        let new = published.filter(|(_, event)| event.number >= from);
+        let events: Vec<Event> = new.map(|(_, event)| event.clone()).collect();
+        let next = events.last().map_or(from, |event| event.number + 1);
+        Events { boot, next, events }
+    }
+
+    /// Drops the blocks that were not used for longest.
+    fn evict(&mut self) {
+        while self.blocks.len() > self.capacity {
+            let oldest = self.blocks.iter().min_by_key(|(_, used)| **used);
+            let Some((key, _)) = oldest else {
+                return;
+            };
+            let (artifact, prefix) = key.clone();
+            self.blocks.remove(&(artifact.clone(), prefix));
+            self.publish(&artifact, prefix, false);
+        }
+    }
+
+    /// Notes an event, which shows later or never.
+    fn publish(&mut self, artifact: &str, prefix: u64, cached: bool) {
+        let number = self.next_event;
+        self.next_event += 1;
+        if self.gap > 0 && number % self.gap == self.gap - 1 {
+            return;
+        }
+        let artifact = artifact.to_owned();
+        let due = Instant::now() + self.lag;
+        self.events.push((
+            due,
+            Event {
+                number,
+                artifact,
+                prefix,
+                cached,
+            },
+        ));
+        let surplus = self.events.len().saturating_sub(EVENTS_MAX);
+        self.events.drain(..surplus);
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -0,0 +1,314 @@
+//! The engine as a server.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+
+use hyper::{Method, StatusCode};
+use quetzalpick_platform::http::Pool;
+use quetzalpick_platform::wire::engine::{Order, Report};
+use serde::Deserialize;
+use serde_json::json as value;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::Options;
+use super::batch::Batch;
+use super::cache::Cache;
+use super::completion::{Kind, complete};
+use super::memory::Memory;
+use super::order;
+use super::record::{Record, Tally};
+use super::session::{Session, Sessions};
+use crate::errors::Result;
+use crate::fault::Faults;
+use crate::seen::Recorder;
+use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
+
+/// `Server` is a running engine; dropping it cuts its connections.
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    app: Arc<App>,
+}
+
+/// `App` is what the engine knows.
+#[derive(Debug)]
+pub(crate) struct App {
+    /// How it is set up.
+    pub(crate) options: Options,
+    /// The running batch.
+    pub(crate) batch: Arc<Batch>,
+    /// Faults to show.
+    pub(crate) faults: Faults,
+    /// Connections to the weight store.
+    pub(crate) pool: Pool,
+    recorder: Recorder,
+    leaving: AtomicBool,
+    ids: AtomicU64,
+    state: Mutex<State>,
+}
+
+/// `State` is what changes with requests and orders.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// Copies.
+    pub(crate) memory: Memory,
+    /// Prefix cache.
+    pub(crate) cache: Cache,
+    /// Requests of late.
+    pub(crate) sessions: Sessions,
+    /// What was recorded.
+    pub(crate) tally: Tally,
+    life: CancellationToken,
+    sample: Sample,
+}
+
+/// `Sample` is the load as it was a while ago.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    at: Instant,
+    running: u32,
+    waiting: u32,
+}
+
+impl Server {
+    /// Starts an engine without copies.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Listen` if the address is not free.
+    pub async fn try_start(options: Options) -> Result<Self> {
+        let listen = options.listen;
+        let app = Arc::new(App {
+            batch: Arc::new(Batch::new(options.batch, options.waiting)),
+            faults: Faults::default(),
+            pool: Pool::default(),
+            recorder: Recorder::default(),
+            leaving: AtomicBool::new(false),
+            ids: AtomicU64::new(0),
+            state: Mutex::new(State::new(&options, Tally::default())),
+            options,
+        });
+        let listener = Listener::try_start(listen, Arc::clone(&app)).await?;
+        tokio::spawn(sample(Arc::downgrade(&app)));
+        Ok(Self { listener, app })
+    }
+
+    /// Returns the address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the faults to show.
+    pub fn faults(&self) -> &Faults {
+        &self.app.faults
+    }
+
+    /// Returns what was recorded so far.
+    pub fn record(&self) -> Record {
+        self.app.record()
+    }
+
+    /// Returns the report, with the load as it was a while ago.
+    pub fn report(&self) -> Report {
+        self.app.report()
+    }
+
+    /// Puts a copy into memory at once, as if it had been loaded before the start.
+    pub fn preload(&self, order: &Order) {
+        let mut state = self.app.lock();
+        if state.memory.order(order).is_ok() {
+            state.memory.loaded(&order.copy);
+        }
+    }
+
+    /// Refuses new requests from now on, or takes them again.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.app.leaving.store(leaving, Ordering::SeqCst);
+    }
+
+    /// Restarts the engine: new boot, empty memory, and every running request breaks off.
+    pub fn restart(&self) {
+        self.app.restart();
+    }
+
+    /// Cuts all connections and returns when the port is free.
+    pub async fn stop(self) {
+        self.listener.stop().await;
+    }
+}
+
+impl State {
+    /// Makes the state of an engine that has just started.
+    fn new(options: &Options, tally: Tally) -> Self {
+        let boot = rand::random::<u32>();
+        let (blocks, lag) = (options.cache_blocks, options.event_lag);
+        Self {
+            memory: Memory::new(u64::from(boot), options.memory_mb, options.fencing),
+            cache: Cache::new(blocks, lag, options.event_gap),
+            sessions: Sessions::default(),
+            tally,
+            life: CancellationToken::new(),
+            sample: Sample {
+                at: Instant::now(),
+                running: 0,
+                waiting: 0,
+            },
+        }
+    }
+}
+
+impl App {
+    /// Locks the state, which is whole after each change.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what is cancelled when this boot ends.
+    pub(crate) fn life(&self) -> CancellationToken {
+        self.lock().life.clone()
+    }
+
+    /// Lets a request that ran before be cancelled anew.
+    pub(crate) fn renewed(&self, session: Session) -> Session {
+        let cancel = self.life().child_token();
+        Session { cancel, ..session }
+    }
+
+    /// Tells whether new requests are refused.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Draws an id for a request that has none.
+    pub(crate) fn draw_id(&self) -> String {
+        let number = self.ids.fetch_add(1, Ordering::SeqCst);
+        format!("{}-{number}", self.options.name)
+    }
+
+    /// Returns what was recorded so far.
+    fn record(&self) -> Record {
+        let state = self.lock();
+        Record {
+            boot: state.memory.boot,
+            seen: self.recorder.seen(),
+            ..state.tally.full()
+        }
+    }
+
+    /// Returns the report, with the load as it was a while ago.
+    fn report(&self) -> Report {
+        let state = self.lock();
+        let age = state.sample.at.elapsed().as_millis();
+        Report {
+            running: state.sample.running,
+            waiting: state.sample.waiting,
+            load_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            leaving: self.is_leaving(),
+            ..state.memory.report()
+        }
+    }
+
+    /// Begins a new boot; what was recorded stays.
+    fn restart(&self) {
+        let mut state = self.lock();
+        let tally = std::mem::take(&mut state.tally);
+        let former = std::mem::replace(&mut *state, State::new(&self.options, tally));
+        drop(state);
+        former.life.cancel();
+    }
+
+    /// Cancels a request.
+    fn cancel(&self, id: &str) -> Reply {
+        let mut state = self.lock();
+        let Some(session) = state.sessions.get(id) else {
+            return error(StatusCode::NOT_FOUND, "not_found", "no such request");
+        };
+        session.cancel.cancel();
+        state.tally.record.cancelled += 1;
+        json(StatusCode::OK, &value!({"cancelled": id}))
+    }
+
+    /// Lists what serves.
+    fn models(&self) -> Reply {
+        let report = self.lock().memory.report();
+        let models = report.loaded.iter();
+        let models = models.map(|copy| value!({"id": copy.artifact, "object": "model"}));
+        let models: Vec<_> = models.collect();
+        json(StatusCode::OK, &value!({"object": "list", "data": models}))
+    }
+}
+
+/// Samples the load for as long as the engine is there.
+async fn sample(app: Weak<App>) {
+    while let Some(app) = app.upgrade() {
+        let (running, waiting) = app.batch.load();
+        let at = Instant::now();
+        app.lock().sample = Sample {
+            at,
+            running,
+            waiting,
+        };
+        let lag = app.options.report_lag;
+        drop(app);
+        sleep(lag).await;
+    }
+}
+
+/// `Leaving` is the body of the call that makes an engine leave.
+#[derive(Deserialize)]
+struct Leaving {
+    leaving: bool,
+}
+
+impl Application for App {
+    const OUTLIVES_CALLER: bool = false;
+
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn admin(self: &Arc<Self>, name: &str, call: &Call) -> Option<Reply> {
+        let done = || json(StatusCode::OK, &value!({"done": true}));
+        match (&call.head.method, name) {
+            (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
+            (&Method::POST, "restart") => {
+                self.restart();
+                Some(done())
+            }
+            (&Method::POST, "leaving") => Some(match call.json::<Leaving>() {
+                Ok(body) => {
+                    self.leaving.store(body.leaving, Ordering::SeqCst);
+                    done()
+                }
+                Err(reply) => reply,
+            }),
+            _ => None,
+        }
+    }
+
+    async fn handle(self: &Arc<Self>, call: Call) -> Reply {
+        let path = call.path();
+        match (&call.head.method, path) {
+            (&Method::POST, "/v1/chat/completions") => complete(self, &call, Kind::Chat).await,
+            (&Method::POST, "/v1/completions") => complete(self, &call, Kind::Text).await,
+            (&Method::GET, "/v1/models") => self.models(),
+            (&Method::GET, "/engine/report") => json(StatusCode::OK, &self.report()),
+            (&Method::POST, "/engine/orders") => order::receive(self, &call),
+            (&Method::GET, "/engine/events") => {
+                let from = call.number("from").unwrap_or(0);
+                let state = self.lock();
+                json(StatusCode::OK, &state.cache.events(state.memory.boot, from))
+            }
+            (&Method::DELETE, _) if path.starts_with("/v1/requests/") => {
+                self.cancel(&path["/v1/requests/".len()..])
+            }
+            _ => unknown(&call),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-standin/src/platform/log.rs
@@ -0,0 +1,86 @@
+//! The log service over HTTP.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use quetzalpick_core::id::Offset;
+use quetzalpick_platform::errors::Error;
+use quetzalpick_platform::memory;
+use quetzalpick_platform::traits::{Batch, Log, Stream};
+use quetzalpick_platform::wire::log::{Append, Appended, Gone, Page};
+
+use crate::server::{Call, Reply, error, message_pack};
+
+/// Longest time that a read waits for records.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// Most records in one append.
+const APPEND_MAX_RECORDS: usize = 4_096;
+
+/// Decodes the records of an append, or makes the answer that says why not.
+pub(crate) fn decode(call: &Call) -> Result<Append, Reply> {
+    let refuse = |message: String| error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+    let append: Append = rmp_serde::from_slice(&call.body).map_err(|e| refuse(e.to_string()))?;
+    match append.records.len() {
+        1..=APPEND_MAX_RECORDS => Ok(append),
+        _ => Err(refuse(format!(
+            "an append has 1 to {APPEND_MAX_RECORDS} records"
+        ))),
+    }
+}
+
+/// Appends records.
+pub(crate) async fn append(log: &memory::Log, stream: Stream, append: Append) -> Reply {
+    match log.append(stream, append.records).await {
+        Ok(Offset(first)) => message_pack(StatusCode::OK, &Appended { first }),
+        Err(Error::Busy { retry_after, .. }) => {
+            let reply = error(StatusCode::TOO_MANY_REQUESTS, "busy", "too many appends");
+            let ms = retry_after.as_millis().to_string();
+            let seconds = retry_after.as_secs().max(1).to_string();
+            reply
+                .with_header("retry-after-ms", ms)
+                .with_header("retry-after", seconds)
+        }
+        Err(failure) => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "outage",
+            failure.to_string(),
+        ),
+    }
+}
+
+/// Reads records, waiting for the first as long as the call says.
+pub(crate) async fn read(log: &memory::Log, stream: Stream, call: &Call) -> Reply {
+    let Some(from) = call.number("from") else {
+        let message = "the query needs `from`";
+        return error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+    };
+    let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0)).min(WAIT_MAX);
+    let max = call.number("max").unwrap_or(u64::MAX).max(1);
+    match log.read(stream, Offset(from), wait).await {
+        Ok(batch) => message_pack(StatusCode::OK, &page(batch, max)),
+        Err(Error::Trimmed { oldest }) => {
+            let (first, records) = log.records(stream);
+            let head = first.0 + records.len() as u64;
+            message_pack(StatusCode::GONE, &Gone { oldest, head })
+        }
+        Err(failure) => error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "outage",
+            failure.to_string(),
+        ),
+    }
+}
+
+/// Makes the answer to a read of at most `max` records.
+fn page(mut batch: Batch, max: u64) -> Page {
+    batch
+        .records
+        .truncate(usize::try_from(max).unwrap_or(usize::MAX));
+    Page {
+        first: batch.first.0,
+        records: batch.records,
+        head: batch.head.0,
+        oldest: batch.oldest.0,
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -0,0 +1,154 @@
+//! What a stand-in does with a call.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Duration, sleep};
+
+use super::reply::{Reply, error, json};
+use super::socket::Limit;
+use crate::fault::{Fault, Faults, Switch};
+use crate::seen::Recorder;
+
+/// Beginning of the paths of the administration.
+const ADMIN: &str = "/admin/";
+
+/// `Call` is a request with its whole body.
+#[derive(Debug)]
+pub(crate) struct Call {
+    /// Method, path, query and headers.
+    pub(crate) head: Parts,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// `Application` is one kind of stand-in.
+pub(crate) trait Application: Send + Sync + Sized + 'static {
+    /// Whether a call goes on after its caller has gone away.
+    const OUTLIVES_CALLER: bool;
+
+    /// Returns the faults to show.
+    fn faults(&self) -> &Faults;
+
+    /// Returns where headers and queries are remembered.
+    fn recorder(&self) -> &Recorder;
+
+    /// Handles a call of the administration; `name` is the path after `/admin/`.
+    fn admin(self: &Arc<Self>, name: &str, call: &Call) -> Option<Reply>;
+
+    /// Handles every other call.
+    fn handle(self: &Arc<Self>, call: Call) -> impl Future<Output = Reply> + Send;
+}
+
+impl Call {
+    /// Returns the path.
+    pub(crate) fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    /// Returns a header's value, if it is text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns a number from the query.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        let pairs = self.head.uri.query()?.split('&');
+        let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+        let (_, value) = pairs.find(|(key, _)| *key == name)?;
+        value.parse().ok()
+    }
+
+    /// Decodes the body as JSON, or makes the answer that says why not.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|e| {
+            error(
+                StatusCode::BAD_REQUEST,
+                "invalid_request_error",
+                e.to_string(),
+            )
+        })
+    }
+}
+
+/// Makes the answer to a path or method that nobody knows.
+pub(crate) fn unknown(call: &Call) -> Reply {
+    let message = format!("no {} {} here", call.head.method, call.path());
+    error(StatusCode::NOT_FOUND, "not_found", message)
+}
+
+/// Answers a call, as the faults that are on let it be answered.
+pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
+    let path = call.path().to_owned();
+    if let Some(name) = path.strip_prefix(ADMIN) {
+        return administer(&app, name, &call);
+    }
+    app.recorder().record(&call.head);
+    let faults = app.faults();
+    let slow = faults.take(&path, |fault| match fault {
+        Fault::Slow { ms } => Some(ms),
+        _ => None,
+    });
+    if let Some(ms) = slow {
+        sleep(Duration::from_millis(ms)).await;
+    }
+    if faults.meets(&path, Fault::Outage) {
+        return error(StatusCode::SERVICE_UNAVAILABLE, "outage", "out of service");
+    }
+    if faults.meets(&path, Fault::Refuse) {
+        let reply = error(StatusCode::TOO_MANY_REQUESTS, "overloaded", "come back");
+        return reply
+            .with_header("x-not-run", "overloaded")
+            .with_header("retry-after", "1");
+    }
+    let close_at = faults.take(&path, |fault| match fault {
+        Fault::CloseAt { bytes } => Some(bytes),
+        _ => None,
+    });
+    let lost = faults.meets(&path, Fault::AnswerLost);
+    let reply = run(app, call).await;
+    if lost {
+        return Reply::Close;
+    }
+    if let Some(bytes) = close_at {
+        limit.set(bytes);
+    }
+    reply
+}
+
+/// Handles a call, in a task of its own if it goes on without its caller.
+async fn run<A: Application>(app: Arc<A>, call: Call) -> Reply {
+    if !A::OUTLIVES_CALLER {
+        return app.handle(call).await;
+    }
+    let task = tokio::spawn(async move { app.handle(call).await });
+    task.await.unwrap_or(Reply::Close)
+}
+
+/// `Nothing` is the body of a call that needs none.
+#[derive(Deserialize)]
+struct Nothing {}
+
+/// Handles a call of the administration.
+fn administer<A: Application>(app: &Arc<A>, name: &str, call: &Call) -> Reply {
+    let done = |result: Result<(), Reply>| match result {
+        Ok(()) => json(StatusCode::OK, &serde_json::json!({"done": true})),
+        Err(reply) => reply,
+    };
+    match (&call.head.method, name) {
+        (&Method::POST, "fault") => {
+            let switch = call.json::<Switch>();
+            done(switch.map(|switch| app.faults().add(switch)))
+        }
+        (&Method::POST, "clear") => {
+            let nothing = call.json::<Nothing>();
+            done(nothing.map(|_| app.faults().clear()))
+        }
+        _ => app.admin(name, call).unwrap_or_else(|| unknown(call)),
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-standin/src/server/listener.rs
@@ -0,0 +1,166 @@
+//! The listener, its connections and the bounds on them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::application::{Application, Call, answer};
+use super::reply::{Body, Broken, Reply, error};
+use super::socket::{Limit, Socket};
+use crate::errors::{ListenSnafu, Result};
+
+/// Largest body of a request, in bytes.
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Largest head of a request, in bytes.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// Longest time in which the head of a request must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time in which the body of a request must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Most connections at a time; others wait.
+const CONNECTIONS_MAX: usize = 8_192;
+
+/// `Listener` serves an application until it is dropped; then its connections are cut.
+#[derive(Debug)]
+pub(crate) struct Listener {
+    address: SocketAddr,
+    stop: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Listener {
+    /// Listens on an address and serves the application there.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Listen` if the address is not free.
+    pub(crate) async fn try_start<A: Application>(
+        address: SocketAddr,
+        app: Arc<A>,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let bound = listener.local_addr().context(ListenSnafu { address })?;
+        let stop = CancellationToken::new();
+        let connections = TaskTracker::new();
+        let accepting = accept(listener, app, stop.clone(), connections.clone());
+        connections.spawn(stop.clone().run_until_cancelled_owned(accepting));
+        Ok(Self {
+            address: bound,
+            stop,
+            connections,
+        })
+    }
+
+    /// Returns the address listened on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts all connections and returns when the port is free.
+    pub(crate) async fn stop(self) {
+        self.stop.cancel();
+        self.connections.close();
+        self.connections.wait().await;
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Accepts connections for as long as it is polled.
+async fn accept<A: Application>(
+    listener: TcpListener,
+    app: Arc<A>,
+    stop: CancellationToken,
+    connections: TaskTracker,
+) {
+    let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+            return;
+        };
+        // A connection that was closed before it was accepted is no reason to stop.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        let serving = serve(stream, Arc::clone(&app));
+        let serving = stop.clone().run_until_cancelled_owned(serving);
+        connections.spawn(async move {
+            serving.await;
+            drop(permit);
+        });
+    }
+}
+
+/// Serves one connection.
+async fn serve<A: Application>(stream: TcpStream, app: Arc<A>) {
+    // Without it answers are only slower.
+    let _ = stream.set_nodelay(true);
+    let limit = Limit::default();
+    let socket = Socket::new(stream, limit.clone());
+    let service = service_fn(|request| respond(Arc::clone(&app), request, limit.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_MAX_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
+    // A connection ends with an error whenever a peer goes away or a fault is shown.
+    let _ = connection.await;
+}
+
+/// Answers one request; an error closes the connection.
+async fn respond<A: Application>(
+    app: Arc<A>,
+    request: Request<Incoming>,
+    limit: Limit,
+) -> std::result::Result<Response<Body>, Broken> {
+    let (head, body) = request.into_parts();
+    let reply = match read(body).await {
+        Ok(body) => answer(app, Call { head, body }, limit).await,
+        Err(reply) => reply,
+    };
+    match reply {
+        Reply::Answer(response) => Ok(*response),
+        Reply::Close => Err(Broken),
+    }
+}
+
+/// Reads the body of a request, within bounds on size and time.
+async fn read(body: Incoming) -> std::result::Result<bytes::Bytes, Reply> {
+    let reading = Limited::new(body, BODY_MAX_BYTES).collect();
+    match timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(failure)) if failure.is::<LengthLimitError>() => {
+            let message = format!("a body has at most {BODY_MAX_BYTES} bytes");
+            Err(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message))
+        }
+        Ok(Err(_)) => Err(Reply::Close),
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            Err(error(StatusCode::REQUEST_TIMEOUT, "timeout", message))
+        }
+    }
+}
