Prove the fold: a golden session, racing replicas, claims and paths

The replica fuzz compares every replica with the entries folded at once and the configuration with a simple oracle; writers that repeat an append under a new id are caught by it (seed 7, 100 cases). Add Dispatch, the leader's memory of orders that may still arrive.

--- /dev/null
+++ b/crates/quetzalpick-core/src/dispatch.rs
@@ -0,0 +1,71 @@
+//! When a placement leader may rely on an order being no longer on its way.
+//!
+//! Times are milliseconds on the leader's own monotonic clock.
+
+use crate::id::Endpoint;
+use crate::record::{ORDER_LATENESS_MS, Operation};
+use crate::table::Table;
+
+/// `Dispatch` remembers when the leader last sent each order.
+///
+/// An engine may carry out an order again when it arrives late. So the leader announces the opposite of an order,
+/// settles it as refused, or reports that its copy is gone, only on a report that it asked for after the order can no
+/// longer arrive.
+#[derive(Debug, Clone)]
+pub struct Dispatch {
+    began: u64,
+    sent: Table<Endpoint, Table<Operation, u64>>,
+}
+
+/// Returns the order that undoes another.
+fn opposite(operation: &Operation) -> Operation {
+    match operation {
+        Operation::Load(name, version) => Operation::Unload(name.clone(), *version),
+        Operation::Unload(name, version) => Operation::Load(name.clone(), *version),
+    }
+}
+
+impl Dispatch {
+    /// Creates the memory of a leader whose term began at `now`; former leaders may have sent anything until then.
+    pub fn new(now: u64) -> Self {
+        Self {
+            began: now,
+            sent: Table::default(),
+        }
+    }
+
+    /// Notes that an order is being sent.
+    pub fn sent(&mut self, endpoint: &Endpoint, operation: &Operation, now: u64) {
+        let orders = self
+            .sent
+            .get_or_insert_with(endpoint.clone(), Table::default);
+        orders.insert(operation.clone(), now);
+        // Orders that have arrived or were lost need not be remembered.
+        orders.retain(|_, sent| now.saturating_sub(*sent) <= ORDER_LATENESS_MS);
+    }
+
+    /// Tells whether an order, as sent by anybody, can no longer arrive after `now`.
+    pub fn is_past(&self, endpoint: &Endpoint, operation: &Operation, now: u64) -> bool {
+        let orders = self.sent.get(endpoint);
+        let sent = orders.and_then(|orders| orders.get(operation));
+        self.is_past_since(sent.copied(), now)
+    }
+
+    /// Tells whether an order may be announced, because its opposite can no longer arrive.
+    pub fn may_announce(&self, endpoint: &Endpoint, operation: &Operation, now: u64) -> bool {
+        self.is_past(endpoint, &opposite(operation), now)
+    }
+
+    /// Tells whether no order at all can still arrive at an engine, as a report after its restart needs.
+    pub fn is_quiet(&self, endpoint: &Endpoint, now: u64) -> bool {
+        let orders = self.sent.get(endpoint);
+        let newest = orders.and_then(|orders| orders.values().max());
+        self.is_past_since(newest.copied(), now)
+    }
+
+    /// Tells whether an order sent last at `sent`, or by a former leader, can no longer arrive.
+    fn is_past_since(&self, sent: Option<u64>, now: u64) -> bool {
+        let sent = sent.unwrap_or(0).max(self.began);
+        now.saturating_sub(sent) > ORDER_LATENESS_MS
+    }
+}
--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod dispatch;
 pub mod errors;
 pub mod id;
 pub mod lease;
--- /dev/null
+++ b/crates/quetzalpick-core/tests/state/golden.rs
@@ -0,0 +1,339 @@
+//! A long session of entries with what became of each.
+
+use quetzalpick_core::id::{Boot, Offset, Revision, Sequence, Version};
+use quetzalpick_core::record::{
+    Change, Claim, ClaimKey, ClaimResult, Declare, EndpointKind, Finish, Holding, Intent,
+    Operation, PARTS_TOTAL, Place, Record, Report, Retire, Role, Route, Seat, ServiceSpec, Settled,
+    Settlement,
+};
+use quetzalpick_core::state::State;
+
+use crate::script::{
+    Session, add_key, artifact, by, compact, endpoint, endpoint_spec, join, member, operator,
+    service, set_adapter, set_engine, set_model, set_workspace, vm_name, withdraw_key, workspace,
+};
+
+fn load(name: &str, version: u32) -> Operation {
+    Operation::Load(artifact(name), Version(version))
+}
+
+fn unload(name: &str, version: u32) -> Operation {
+    Operation::Unload(artifact(name), Version(version))
+}
+
+/// `Leader` writes the records of the placement leader.
+struct Leader {
+    member: quetzalpick_core::id::Member,
+    term: Offset,
+}
+
+impl Leader {
+    fn intend(&self, session: &mut Session, at: &str, sequence: u64, operation: Operation) {
+        let intent = Intent {
+            leader: self.member.clone(),
+            term: self.term,
+            endpoint: endpoint(at),
+            sequence: Sequence(sequence),
+            operation,
+        };
+        session.by(&self.member, Record::Intent(intent));
+    }
+
+    fn settle(&self, session: &mut Session, at: &str, sequence: u64, settlement: Settlement) {
+        let settled = Settled {
+            endpoint: endpoint(at),
+            sequence: Sequence(sequence),
+            boot: Boot(1),
+            settlement,
+        };
+        session.by(&self.member, Record::Settled(settled));
+    }
+
+    fn report(&self, session: &mut Session, at: &str, loaded: &[(&str, u32)]) {
+        let row = |(name, version): &(&str, u32)| (artifact(name), Version(*version));
+        let report = Report {
+            endpoint: endpoint(at),
+            boot: Boot(1),
+            loaded: loaded.iter().map(row).collect(),
+        };
+        session.by(&self.member, Record::Report(report));
+    }
+}
+
+fn configuration(session: &mut Session) {
+    session.note("# configuration");
+    session.change(set_workspace("lagos", 0));
+    session.change(set_workspace("lagos", 500));
+    session.change(add_key("kitchen", "abuja", 1));
+    session.change(add_key("kitchen", "lagos", 1));
+    session.change(add_key("kitchen", "lagos", 2));
+    session.change(add_key("other", "lagos", 1));
+    session.change(withdraw_key("kitchen"));
+    session.change(withdraw_key("kitchen"));
+    session.change(add_key("kitchen", "lagos", 3));
+    let stale = operator(900, set_workspace("lagos", 900));
+    let stale = quetzalpick_core::record::Entry {
+        expect: Some(Revision(1)),
+        ..stale
+    };
+    session.apply(&stale);
+    session.apply(&stale);
+    session.change(set_adapter("menu-ng", "menu", 1, 10));
+    session.change(set_model("menu", 1, 400));
+    session.change(set_adapter("menu-ng", "menu", 1, 10));
+    session.change(set_model("menu", 1, 500));
+    session.change(set_model("menu-ng", 1, 500));
+    session.change(Change::RemoveArtifact(artifact("menu")));
+    session.change(set_engine("e1", 9001, 1_000, true));
+    session.change(set_engine("e2", 9001, 1_000, false));
+    session.change(set_engine("e2", 9002, 1_000, false));
+    let kind = EndpointKind::Service {
+        service: service("desk"),
+    };
+    session.change(Change::SetEndpoint(
+        endpoint("d1"),
+        endpoint_spec(9003, kind.clone()),
+    ));
+    let route = |prefix: &str| Route {
+        method: "POST".to_owned(),
+        prefix: prefix.to_owned(),
+        open: false,
+        idempotent: false,
+    };
+    let desk = |prefixes: &[&str]| ServiceSpec {
+        charge: 5,
+        routes: prefixes.iter().map(|prefix| route(prefix)).collect(),
+    };
+    session.change(Change::SetService(service("desk"), desk(&["/a/../b"])));
+    session.change(Change::SetService(service("desk"), desk(&["/a", "/a/"])));
+    session.change(Change::SetService(service("desk"), desk(&["/bookings/"])));
+    session.change(Change::SetEndpoint(
+        endpoint("d1"),
+        endpoint_spec(9003, kind),
+    ));
+    session.change(Change::RemoveService(service("desk")));
+    let place = |min, max, pinned: &str| {
+        let pinned = vec![endpoint(pinned)];
+        Change::SetPlace(artifact("menu"), Place { min, max, pinned })
+    };
+    session.change(place(2, 1, "e1"));
+    session.change(place(1, 2, "d1"));
+    session.change(place(1, 2, "e1"));
+    session.change(Change::RemoveEndpoint(endpoint("e1")));
+    session.change(Change::RetireVm(vm_name("ng-9")));
+}
+
+fn membership(session: &mut Session) {
+    session.note("# membership");
+    let [a, b, c] = [1, 2, 3].map(|n| member(&format!("ng-{n}"), n));
+    session.by(&a, Record::Lead(a.clone()));
+    session.by(&a, join(&b, Role::Keeper));
+    session.by(&a, join(&a, Role::Keeper));
+    session.by(&a, join(&a, Role::Keeper));
+    session.by(&b, join(&b, Role::Keeper));
+    session.by(&c, join(&c, Role::Gate));
+    let seat = |session: &mut Session, member, witnesses: &[_]| {
+        let seat = Seat {
+            member,
+            seats: session.state.roster().seats_changed(),
+            witnesses: witnesses.to_vec(),
+        };
+        session.by(&a, Record::Seat(seat));
+    };
+    seat(session, b.clone(), std::slice::from_ref(&b));
+    seat(session, b.clone(), std::slice::from_ref(&a));
+    seat(session, c.clone(), &[a.clone(), a.clone()]);
+    seat(session, c.clone(), &[a.clone(), b.clone()]);
+    seat(session, c.clone(), &[a.clone(), b.clone()]);
+    session.by(&a, Record::Refute(b.clone()));
+    session.by(&b, Record::Suspect(b.clone()));
+    let suspected = session.accepted(&a, Record::Suspect(b.clone()));
+    session.by(&c, Record::Suspect(b.clone()));
+    session.by(&b, Record::Refute(b.clone()));
+    let retire = |session: &mut Session, suspected, seats| {
+        let retire = Retire {
+            member: b.clone(),
+            suspected,
+            seats,
+            witnesses: vec![a.clone(), c.clone()],
+        };
+        session.by(&a, Record::Retire(retire));
+    };
+    let seats = session.state.roster().seats_changed();
+    retire(session, suspected, seats);
+    let suspected = session.accepted(&c, Record::Suspect(b.clone()));
+    retire(session, suspected, Offset(0));
+    retire(session, suspected, seats);
+    session.by(&b, Record::Refute(b.clone()));
+    session.note(format!("voters {:?}", session.state.roster().voters()));
+    seat(session, b.clone(), &[a.clone(), c.clone()]);
+    session.note(format!("voters {:?}", session.state.roster().voters()));
+    let foreign = by(901, &a, Record::Expire(Offset(5)));
+    let foreign = quetzalpick_core::record::Entry {
+        author: quetzalpick_core::record::Author::Operator("ada".to_owned()),
+        ..foreign
+    };
+    session.apply(&foreign);
+}
+
+fn placement(session: &mut Session) {
+    session.note("# placement");
+    let a = member("ng-1", 1);
+    session.by(&member("ng-3", 3), Record::Lead(member("ng-3", 3)));
+    let term = session.accepted(&a, Record::Lead(a.clone()));
+    let leader = Leader { member: a, term };
+    leader.intend(session, "e1", 1, load("menu", 1));
+    leader.report(session, "e1", &[]);
+    leader.report(session, "e2", &[]);
+    leader.intend(session, "e1", 1, load("menu-ng", 1));
+    leader.intend(session, "e1", 2, load("menu", 1));
+    leader.intend(session, "e1", 1, load("menu", 2));
+    leader.intend(session, "e1", 1, load("menu", 1));
+    leader.intend(session, "e1", 2, unload("menu", 1));
+    leader.intend(session, "e1", 2, load("menu", 1));
+    leader.settle(session, "e1", 1, Settlement::Done);
+    leader.settle(session, "e1", 1, Settlement::Done);
+    leader.intend(session, "e1", 2, load("menu-ng", 1));
+    leader.settle(session, "e1", 2, Settlement::Done);
+    session.note("a new version is made before the old one is broken");
+    session.change(set_model("menu", 2, 700));
+    leader.intend(session, "e1", 3, unload("menu", 1));
+    leader.intend(session, "e1", 3, load("menu", 2));
+    leader.intend(session, "e2", 1, load("menu", 2));
+    session.change(set_engine("e2", 9002, 600, false));
+    leader.settle(session, "e2", 1, Settlement::Done);
+    leader.intend(session, "e1", 3, unload("menu", 1));
+    leader.intend(session, "e2", 2, load("menu-ng", 1));
+    leader.settle(session, "e2", 2, Settlement::Done);
+    leader.intend(session, "e1", 3, unload("menu", 1));
+    leader.settle(session, "e1", 3, Settlement::Done);
+    leader.intend(session, "e1", 4, unload("menu-ng", 1));
+    leader.intend(session, "e2", 3, unload("menu", 2));
+    session.change(Change::RemoveEndpoint(endpoint("e2")));
+    session.change(Change::Drain(endpoint("e1"), true));
+    leader.settle(session, "e1", 4, Settlement::Refused);
+    leader.intend(session, "e1", 5, load("menu", 2));
+    leader.report(session, "e1", &[("ghost", 7)]);
+    session.change(Change::Drain(endpoint("e1"), false));
+    leader.intend(session, "e1", 5, load("menu", 2));
+    leader.intend(session, "e1", 5, unload("ghost", 7));
+    let a = leader.member.clone();
+    session.by(&a, Record::Resign(a.clone()));
+    leader.settle(session, "e1", 5, Settlement::Done);
+    session.note(compact(&session.state.ledger()));
+}
+
+fn shares(session: &mut Session) {
+    session.note("# shares");
+    let [c, d, e] = [(3, 3), (4, 4), (5, 5)].map(|(vm, n)| member(&format!("ng-{vm}"), n));
+    session.by(&d, join(&d, Role::Gate));
+    session.by(&e, join(&e, Role::Gate));
+    session.change(set_workspace("abuja", 100));
+    let created = |session: &Session, name: &str| {
+        let (created, _) = session
+            .state
+            .catalog()
+            .workspaces()
+            .get(&workspace(name))
+            .unwrap();
+        *created
+    };
+    let opened = session.accepted(&c, Record::Leave(c.clone()));
+    session.change(set_workspace("jos", 100));
+    let holding = |session: &Session, name: &str, parts| Holding {
+        workspace: workspace(name),
+        created: created(session, name),
+        parts,
+    };
+    let declare = |session: &mut Session, member: &_, epoch, holdings| {
+        let declare = Declare {
+            member: Clone::clone(member),
+            epoch,
+            holdings,
+        };
+        session.by(member, Record::Declare(declare));
+    };
+    let third = PARTS_TOTAL / 3;
+    let rows = vec![
+        holding(session, "abuja", third),
+        holding(session, "lagos", third),
+    ];
+    declare(session, &d, Offset(0), rows.clone());
+    declare(session, &d, opened, rows.clone());
+    declare(session, &d, opened, rows);
+    let much = vec![holding(session, "abuja", PARTS_TOTAL)];
+    declare(session, &e, opened, much);
+    let rows = vec![holding(session, "abuja", third)];
+    declare(session, &e, opened, rows);
+    for gate in [&d, &e] {
+        let grants = session.state.shares().grants(gate).unwrap();
+        session.note(format!("{gate} {}", compact(grants)));
+    }
+    session.change(Change::RetireVm(vm_name("ng-4")));
+    session.accepted(&e, Record::Leave(e.clone()));
+    let f = member("ng-6", 6);
+    session.by(&f, join(&f, Role::Gate));
+    session.note(compact(session.state.shares()));
+}
+
+fn claims(session: &mut Session) {
+    session.note("# claims");
+    let [f, g] = [6, 7].map(|n| member(&format!("ng-{n}"), n));
+    session.by(&g, join(&g, Role::Gate));
+    let key = |key: &str| ClaimKey {
+        workspace: Some(workspace("lagos")),
+        service: service("desk"),
+        key: key.to_owned(),
+    };
+    let claim = |name: &str, fingerprint, member: &quetzalpick_core::id::Member| {
+        Record::Claim(Claim {
+            key: key(name),
+            fingerprint,
+            member: member.clone(),
+        })
+    };
+    let finish = |name: &str, claim, result| {
+        Record::Finish(Finish {
+            key: key(name),
+            claim,
+            result,
+        })
+    };
+    let ran = ClaimResult::Ran {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body: Some(b"booked".to_vec()),
+    };
+    session.by(&f, claim("", 1, &f));
+    let first = session.accepted(&f, claim("one", 1, &f));
+    session.by(&g, claim("one", 1, &g));
+    session.by(&g, finish("one", first, ran.clone()));
+    session.by(&f, finish("one", first, ran.clone()));
+    session.by(&f, finish("one", first, ClaimResult::NotRun));
+    session.by(&g, claim("one", 2, &g));
+    let second = session.accepted(&f, claim("two", 1, &f));
+    session.by(&f, finish("two", second, ClaimResult::NotRun));
+    session.by(&g, claim("two", 2, &g));
+    session.accepted(&f, claim("three", 1, &f));
+    session.by(&f, Record::Leave(f.clone()));
+    session.by(&g, claim("three", 1, &g));
+    session.by(&f, finish("three", second, ran));
+    session.by(&g, Record::Expire(Offset(10_000)));
+    let next = session.state.next();
+    session.by(&g, Record::Expire(next));
+    session.note(compact(session.state.claims()));
+}
+
+#[test]
+fn a_session_is_decided_as_before() {
+    let mut session = Session::default();
+    configuration(&mut session);
+    membership(&mut session);
+    placement(&mut session);
+    shares(&mut session);
+    claims(&mut session);
+    let bytes = session.state.to_bytes().unwrap();
+    assert_eq!(State::from_bytes(&bytes).unwrap(), session.state);
+    session.note(format!("digest {:016x}", session.state.digest()));
+    insta::assert_snapshot!(session.lines.join("\n"));
+}
--- /dev/null
+++ b/crates/quetzalpick-core/tests/state/ledger.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/quetzalpick-core/tests/state/replicas.rs
@@ -0,0 +1,395 @@
+//! Stateful fuzzing of racing writers, repeated appends and restarts, against a simple oracle of the configuration.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use quetzalpick_core::id::{Command, KeyName, Offset, Revision};
+use quetzalpick_core::record::{
+    Change, Claim, ClaimKey, ClaimResult, Declare, Entry, Finish, Record, Role,
+};
+use quetzalpick_core::state::{Outcome, Snapshot, State};
+
+use crate::script::{
+    add_key, by, join, member, operator, service, set_workspace, setting, withdraw_key, workspace,
+};
+
+const REPLICAS: usize = 3;
+const WORKSPACES: [&str; 3] = ["lagos", "abuja", "jos"];
+
+/// `Act` is what a writer wants.
+#[derive(Debug, Clone)]
+enum Act {
+    SetWorkspace(usize, u64),
+    RemoveWorkspace(usize),
+    AddKey(u8, usize, u8),
+    WithdrawKey(u8),
+    Member(u64, Deed),
+}
+
+/// `Deed` is a record of a member; the oracle does not know what becomes of it.
+#[derive(Debug, Clone)]
+enum Deed {
+    Join(Role),
+    Leave,
+    Suspect(u64),
+    Refute,
+    Lead,
+    Resign,
+    Declare,
+    Claim(u8),
+    Finish(u8, bool),
+    Expire(u64),
+}
+
+/// `Step` is one transition.
+#[derive(Debug, Clone)]
+enum Step {
+    /// A writer appends; `expect` is how far its view of the revision lags, if it states one.
+    Append { act: Act, expect: Option<u64> },
+    /// An entry is appended again, as after a lost answer.
+    Repeat(usize),
+    /// Somebody appends bytes that do not decode.
+    Garbage,
+    /// A replica folds some entries.
+    Fold(usize, usize),
+    /// A replica starts anew from the snapshot of another.
+    Restart(usize, usize),
+}
+
+/// `Oracle` is what operators would expect of the configuration.
+#[derive(Debug, Clone, Default)]
+struct Oracle {
+    log: Vec<Option<(u64, Act, Option<u64>)>>,
+    applied: BTreeMap<u64, (usize, Option<bool>)>,
+    revision: u64,
+    rates: BTreeMap<usize, u64>,
+    keys: BTreeMap<u8, (usize, u8)>,
+}
+
+impl Oracle {
+    fn append(&mut self, command: u64, act: &Act, expect: Option<u64>) {
+        let at = self.log.len();
+        self.log.push(Some((command, act.clone(), expect)));
+        if self.applied.contains_key(&command) {
+            return;
+        }
+        let stale = expect.is_some_and(|expect| expect != self.revision);
+        let accepted = match act {
+            Act::Member(..) => None,
+            act => Some(!stale && self.change(act)),
+        };
+        self.revision += u64::from(accepted == Some(true));
+        self.applied.insert(command, (at, accepted));
+    }
+
+    fn change(&mut self, act: &Act) -> bool {
+        match *act {
+            Act::SetWorkspace(name, rate) => {
+                let usable = rate > 0;
+                if usable {
+                    self.rates.insert(name, rate);
+                }
+                usable
+            }
+            Act::RemoveWorkspace(name) => {
+                self.keys.retain(|_, (workspace, _)| *workspace != name);
+                self.rates.remove(&name).is_some()
+            }
+            Act::AddKey(name, workspace, digest) => {
+                let digests = self.keys.values().map(|(_, digest)| *digest);
+                let clash =
+                    self.keys.contains_key(&name) || digests.into_iter().any(|d| d == digest);
+                let usable = !clash && self.rates.contains_key(&workspace);
+                if usable {
+                    self.keys.insert(name, (workspace, digest));
+                }
+                usable
+            }
+            Act::WithdrawKey(name) => self.keys.remove(&name).is_some(),
+            Act::Member(..) => unreachable!("members' records are not judged"),
+        }
+    }
+}
+
+fn acts() -> impl Strategy<Value = Act> {
+    let deeds = prop_oneof![
+        3 => prop_oneof![Just(Role::Gate), Just(Role::Keeper)].prop_map(Deed::Join),
+        1 => Just(Deed::Leave),
+        1 => (0..4u64).prop_map(Deed::Suspect),
+        1 => Just(Deed::Refute),
+        1 => Just(Deed::Lead),
+        1 => Just(Deed::Resign),
+        2 => Just(Deed::Declare),
+        2 => (0..3u8).prop_map(Deed::Claim),
+        2 => (0..3u8, any::<bool>()).prop_map(|(key, ran)| Deed::Finish(key, ran)),
+        1 => (0..4u64).prop_map(Deed::Expire),
+    ];
+    prop_oneof![
+        3 => (0..3usize, 0..4u64).prop_map(|(name, rate)| Act::SetWorkspace(name, rate)),
+        1 => (0..3usize).prop_map(Act::RemoveWorkspace),
+        3 => (0..4u8, 0..3usize, 0..4u8).prop_map(|(name, of, digest)| Act::AddKey(name, of, digest)),
+        2 => (0..4u8).prop_map(Act::WithdrawKey),
+        4 => (0..4u64, deeds).prop_map(|(member, deed)| Act::Member(member, deed)),
+    ]
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(state: &Self) -> BoxedStrategy<Step> {
+        let entries = state.log.len().max(1);
+        let expect = prop_oneof![2 => Just(None), 1 => (0..3u64).prop_map(Some)];
+        prop_oneof![
+            8 => (acts(), expect).prop_map(|(act, expect)| Step::Append { act, expect }),
+            3 => (0..entries).prop_map(Step::Repeat),
+            1 => Just(Step::Garbage),
+            6 => (0..REPLICAS, 1..8usize).prop_map(|(at, count)| Step::Fold(at, count)),
+            1 => (0..REPLICAS, 0..REPLICAS).prop_map(|(at, from)| Step::Restart(at, from)),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        match step {
+            Step::Append { act, expect } => {
+                let command = state.log.len() as u64;
+                let expect = expect.map(|lag| state.revision.saturating_sub(lag));
+                state.append(command, act, expect);
+            }
+            Step::Repeat(at) => match state.log.get(*at).cloned().flatten() {
+                Some((command, act, expect)) => state.append(command, &act, expect),
+                None => state.log.push(None),
+            },
+            Step::Garbage => state.log.push(None),
+            Step::Fold(..) | Step::Restart(..) => {}
+        }
+        state
+    }
+}
+
+/// `Replicas` are states that fold one log at their own pace.
+///
+/// Without `IDS` writers repeat an append as a new command, which is the naive way.
+struct Replicas<const IDS: bool> {
+    log: Vec<Vec<u8>>,
+    /// The state before each offset, folded at once.
+    truth: Vec<State>,
+    replicas: Vec<State>,
+    fresh: u64,
+}
+
+impl<const IDS: bool> Replicas<IDS> {
+    fn entry(&self, command: u64, act: &Act, expect: Option<u64>) -> Entry {
+        let state = self.truth.last().unwrap();
+        let change = |change| operator(command, change);
+        let entry = match act {
+            Act::SetWorkspace(name, rate) => change(set_workspace(WORKSPACES[*name], *rate)),
+            Act::RemoveWorkspace(name) => {
+                change(Change::RemoveWorkspace(workspace(WORKSPACES[*name])))
+            }
+            Act::AddKey(name, of, digest) => {
+                change(add_key(&format!("k{name}"), WORKSPACES[*of], *digest))
+            }
+            Act::WithdrawKey(name) => change(withdraw_key(&format!("k{name}"))),
+            Act::Member(number, deed) => {
+                let author = member(&format!("ng-{number}"), *number);
+                by(command, &author, record(state, &author, deed))
+            }
+        };
+        Entry {
+            expect: expect.map(Revision),
+            ..entry
+        }
+    }
+
+    /// Appends bytes and folds them into the truth.
+    fn append(&mut self, bytes: Vec<u8>) -> Option<Outcome> {
+        let mut state = self.truth.last().unwrap().clone();
+        let outcome = fold(&mut state, &bytes);
+        self.log.push(bytes);
+        self.truth.push(state);
+        outcome
+    }
+}
+
+fn fold(state: &mut State, bytes: &[u8]) -> Option<Outcome> {
+    let offset = state.next();
+    match Entry::from_bytes(bytes) {
+        Ok(entry) => Some(state.apply(offset, &entry)),
+        Err(_) => {
+            state.skip(offset);
+            None
+        }
+    }
+}
+
+fn record(state: &State, author: &quetzalpick_core::id::Member, deed: &Deed) -> Record {
+    let key = |key: &u8| ClaimKey {
+        workspace: None,
+        service: service("desk"),
+        key: key.to_string(),
+    };
+    match deed {
+        Deed::Join(role) => join(author, *role),
+        Deed::Leave => Record::Leave(author.clone()),
+        Deed::Suspect(number) => Record::Suspect(member(&format!("ng-{number}"), *number)),
+        Deed::Refute => Record::Refute(author.clone()),
+        Deed::Lead => Record::Lead(author.clone()),
+        Deed::Resign => Record::Resign(author.clone()),
+        Deed::Declare => Record::Declare(Declare {
+            member: author.clone(),
+            epoch: state.shares().epoch(),
+            holdings: Vec::new(),
+        }),
+        Deed::Claim(number) => Record::Claim(Claim {
+            key: key(number),
+            fingerprint: 1,
+            member: author.clone(),
+        }),
+        Deed::Finish(number, ran) => Record::Finish(Finish {
+            key: key(number),
+            claim: state
+                .claims()
+                .held()
+                .get(&key(number))
+                .map_or(Offset(0), |held| held.offset),
+            result: if *ran {
+                ClaimResult::MayHaveRun
+            } else {
+                ClaimResult::NotRun
+            },
+        }),
+        Deed::Expire(age) => Record::Expire(Offset(state.next().0.saturating_sub(200 + age))),
+    }
+}
+
+impl<const IDS: bool> StateMachineTest for Replicas<IDS> {
+    type SystemUnderTest = Self;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Self {
+        Self {
+            log: Vec::new(),
+            truth: vec![State::default()],
+            replicas: vec![State::default(); REPLICAS],
+            fresh: 1 << 32,
+        }
+    }
+
+    fn apply(mut sut: Self, oracle: &Oracle, step: Step) -> Self {
+        match step {
+            Step::Append { .. } | Step::Repeat(_) | Step::Garbage => {
+                let appended = oracle.log.last().unwrap();
+                let Some((command, act, expect)) = appended else {
+                    assert_eq!(sut.append(b"garbage".to_vec()), None);
+                    return sut;
+                };
+                let mut entry = sut.entry(*command, act, *expect);
+                if !IDS && matches!(step, Step::Repeat(_)) {
+                    sut.fresh += 1;
+                    entry.command = Command(sut.fresh, 0);
+                }
+                let before = sut.truth.last().unwrap().revision();
+                let outcome = sut.append(entry.to_bytes().unwrap()).unwrap();
+                judge(&sut, oracle, *command, before, &outcome);
+            }
+            Step::Fold(at, count) => {
+                let next = sut.replicas[at].next().0 as usize;
+                for bytes in sut.log.iter().skip(next).take(count) {
+                    fold(&mut sut.replicas[at], bytes);
+                    let offset = sut.replicas[at].next().0 as usize;
+                    assert_eq!(sut.replicas[at], sut.truth[offset]);
+                }
+            }
+            Step::Restart(at, from) => {
+                let snapshot = Snapshot::try_new(&sut.replicas[from]).unwrap();
+                let bytes = snapshot.to_bytes().unwrap();
+                let state = Snapshot::from_bytes(&bytes).unwrap().open().unwrap();
+                assert_eq!(state, sut.replicas[from]);
+                sut.replicas[at] = state;
+            }
+        }
+        sut
+    }
+}
+
+/// Compares an outcome and the configuration with the oracle's.
+fn judge<const IDS: bool>(
+    replicas: &Replicas<IDS>,
+    oracle: &Oracle,
+    command: u64,
+    before: Revision,
+    outcome: &Outcome,
+) {
+    let state = replicas.truth.last().unwrap();
+    let at = oracle.log.len() - 1;
+    let (first_at, accepted) = oracle.applied[&command];
+    let repeated = matches!(outcome, Outcome::Repeated(offset, _) if offset.0 == first_at as u64);
+    assert_eq!(repeated, first_at < at, "command {command}: {outcome}");
+    let took_effect = matches!(outcome.first(), Outcome::Accepted(_));
+    assert!(
+        accepted.is_none_or(|accepted| accepted == took_effect),
+        "{outcome}"
+    );
+    assert!(state.revision() >= before);
+    assert_eq!(state.revision(), Revision(oracle.revision));
+    // What was accepted last is in force: nothing reverts it.
+    let rates: BTreeMap<usize, u64> = (0..WORKSPACES.len())
+        .filter_map(|name| {
+            let found = state
+                .catalog()
+                .workspaces()
+                .get(&workspace(WORKSPACES[name]));
+            Some((name, found?.1.rate))
+        })
+        .collect();
+    assert_eq!(rates, oracle.rates);
+    assert_eq!(state.catalog().keys().len(), oracle.keys.len());
+    for (name, (of, digest)) in &oracle.keys {
+        let digest = quetzalpick_core::record::Digest([*digest; 32]);
+        let (found, key) = state.catalog().key(&digest).unwrap();
+        assert_eq!(found, &KeyName::try_new(format!("k{name}")).unwrap());
+        assert_eq!(key.workspace, workspace(WORKSPACES[*of]));
+    }
+}
+
+/// Runs the fuzz and returns the failure it found.
+fn fuzz<const IDS: bool>(cases: u32) -> Option<String> {
+    let seed = setting("QUETZALPICK_FUZZ_SEED", 7);
+    let cases = setting("QUETZALPICK_FUZZ_CASES", cases);
+    println!("seed {seed}, {cases} cases");
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..Config::default()
+    };
+    let strategy = Oracle::sequential_strategy(1..100);
+    let outcome = TestRunner::new(config.clone()).run(&strategy, |(initial, steps, seen)| {
+        Replicas::<IDS>::test_sequential(config.clone(), initial, steps, seen);
+        Ok(())
+    });
+    match outcome {
+        Ok(()) => None,
+        Err(TestError::Fail(reason, _)) => Some(reason.to_string()),
+        Err(TestError::Abort(reason)) => panic!("aborted: {reason}"),
+    }
+}
+
+#[test]
+fn replicas_agree_and_accepted_changes_stay() {
+    assert_eq!(fuzz::<true>(100), None);
+}
+
+#[test]
+fn repeats_under_new_ids_are_caught() {
+    assert!(fuzz::<false>(100).is_some());
+}
