--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod admit;
+pub mod dispatch;
 pub mod errors;
 pub mod id;
 pub mod lease;
