Follow the control stream, exchange with peers and write in groups

Cause: gate and keeper need one copy of the agreed state, its lease, and writes with a definite answer. Transport between peers is a trait with HTTP as its default. The server loop and the logger have their bodies too. Ruled out: suspecting while hearing no majority of the voters, since nobody could be retired then and a cut process would suspect everyone.

--- a/crates/quetzalpick-core/src/state/fold.rs
+++ b/crates/quetzalpick-core/src/state/fold.rs
@@ -310,6 +310,12 @@
         self.revision
     }
 
+    /// Returns where a command was first applied and what became of it, while that is remembered.
+    pub fn ask(&self, command: Command) -> Option<(Offset, &Outcome)> {
+        let applied = self.recent.get(command)?;
+        Some((applied.offset, &applied.outcome))
+    }
+
     /// Returns the configuration.
     pub fn catalog(&self) -> &Catalog {
         &self.catalog
--- a/crates/quetzalpick-node/src/peer/mod.rs
+++ b/crates/quetzalpick-node/src/peer/mod.rs
@@ -1,9 +1,12 @@
 //! Calls between the system's own processes.
 
 mod blob;
+mod http;
 mod transport;
 mod wire;
 
 pub use blob::Blob;
-pub use transport::{Application, Http, Service, Transport};
+pub use http::Http;
+pub use transport::{Application, Service, Transport};
+pub(crate) use wire::{Call, Fetch, Run, decode, encode, path};
 pub use wire::{Exchange, Statement};
--- a/crates/quetzalpick-node/src/peer/transport.rs
+++ b/crates/quetzalpick-node/src/peer/transport.rs
@@ -28,6 +28,9 @@
 
 /// `Transport` carries calls between peers; tests use one without sockets.
 pub trait Transport: Clone + Send + Sync + 'static {
+    /// `Listener` is an open listener.
+    type Listener: Send + 'static;
+
     /// Calls a path of the peer that listens at an address.
     ///
     /// # Errors
@@ -40,47 +43,18 @@
         body: Bytes,
     ) -> impl Future<Output = CallResult<Bytes>> + Send;
 
-    /// Answers calls until the token is cancelled.
+    /// Opens a listener and returns it with its address.
     ///
     /// # Errors
     ///
     /// `Error::Bind` if the listener cannot be opened.
-    fn serve(
-        &self,
-        address: &str,
-        service: impl Service,
-        stop: CancellationToken,
-    ) -> impl Future<Output = Result<()>> + Send;
-}
+    fn bind(&self, address: &str) -> impl Future<Output = Result<(Self::Listener, String)>> + Send;
 
-/// `Http` carries calls over HTTP, authenticated by a secret that all processes share.
-#[derive(Debug, Clone)]
-pub struct Http {
-    secret: String,
-}
-
-impl Http {
-    /// Makes a transport with the shared secret.
-    pub fn new(secret: impl Into<String>) -> Self {
-        Self {
-            secret: secret.into(),
-        }
-    }
-}
-
-impl Transport for Http {
-    async fn call(&self, address: &str, path: &str, body: Bytes) -> CallResult<Bytes> {
-        let _ = (address, path, body, &self.secret);
-        todo!()
-    }
-
-    async fn serve(
+    /// Answers the calls that reach a listener until the token is cancelled.
+    fn serve(
         &self,
-        address: &str,
+        listener: Self::Listener,
         service: impl Service,
         stop: CancellationToken,
-    ) -> Result<()> {
-        let _ = (address, service, stop);
-        todo!()
-    }
+    ) -> impl Future<Output = ()> + Send;
 }
--- /dev/null
+++ b/crates/quetzalpick-node/src/replica/contacts.rs
@@ -0,0 +1,99 @@
+//! What is known of other processes by direct contact.
+
+use quetzalpick_core::id::{Domain, Member, Offset};
+use quetzalpick_core::record::Role;
+use quetzalpick_core::state::Roster;
+use quetzalpick_core::table::Table;
+
+use crate::peer::{Blob, Exchange};
+use crate::replica::Peer;
+
+/// `Contact` is what a process last told of itself.
+#[derive(Debug, Clone)]
+pub(crate) struct Contact {
+    role: Role,
+    domain: Domain,
+    pub(crate) address: String,
+    pub(crate) applied: Offset,
+    heard_at: u64,
+    payload: Blob,
+}
+
+/// `Contacts` collects what other processes told.
+#[derive(Debug, Default)]
+pub(crate) struct Contacts {
+    known: Table<Member, Contact>,
+    /// Silence counts from here for members that were never heard, in ms.
+    awake_since: u64,
+}
+
+impl Contacts {
+    /// Notes what a process told of itself at `now`.
+    pub(crate) fn hear(&mut self, now: u64, exchange: Exchange) {
+        let before = self.known.get(&exchange.statement.member);
+        // Messages may arrive in another order than they were sent.
+        let applied = before.map_or(Offset(0), |contact| contact.applied);
+        let contact = Contact {
+            role: exchange.role,
+            domain: exchange.domain,
+            address: exchange.address,
+            applied: applied.max(exchange.statement.applied),
+            heard_at: now,
+            payload: exchange.payload,
+        };
+        self.known.insert(exchange.statement.member, contact);
+    }
+
+    /// Starts all silences anew, as after a pause of this process.
+    pub(crate) fn wake(&mut self, now: u64) {
+        self.awake_since = now;
+    }
+
+    /// Returns for how long a member that joined has been silent, in ms.
+    pub(crate) fn silence(&self, now: u64, member: &Member) -> u64 {
+        let heard = self.known.get(member).map_or(0, |contact| contact.heard_at);
+        now.saturating_sub(heard.max(self.awake_since))
+    }
+
+    /// Returns the last known address of a member.
+    pub(crate) fn address(&self, member: &Member) -> Option<&str> {
+        self.known.get(member).map(|c| c.address.as_str())
+    }
+
+    /// Returns the address of the process with the newest state, if it is ahead of `next`.
+    pub(crate) fn ahead(&self, next: Offset) -> Option<String> {
+        let newest = self
+            .known
+            .values()
+            .max_by_key(|c| (c.applied, c.heard_at))?;
+        (newest.applied > next).then(|| newest.address.clone())
+    }
+
+    /// Returns the known addresses.
+    pub(crate) fn addresses(&self) -> Vec<String> {
+        self.known.values().map(|c| c.address.clone()).collect()
+    }
+
+    /// Forgets processes that are not active and have been silent for a time, in ms.
+    pub(crate) fn prune(&mut self, now: u64, roster: &Roster, silence: u64) {
+        let keep = |member: &Member, contact: &Contact| {
+            roster.is_active(member) || now.saturating_sub(contact.heard_at) < silence
+        };
+        self.known.retain(keep);
+    }
+
+    /// Returns the active members that were heard.
+    pub(crate) fn peers(&self, now: u64, roster: &Roster, me: &Member) -> Vec<Peer> {
+        let active = |row: &(&Member, &Contact)| roster.is_active(row.0) && row.0 != me;
+        let peer = |(member, contact): (&Member, &Contact)| Peer {
+            member: member.clone(),
+            role: contact.role,
+            domain: contact.domain.clone(),
+            address: contact.address.clone(),
+            applied: contact.applied,
+            heard_ms_ago: now.saturating_sub(contact.heard_at),
+            payload: contact.payload.0.clone(),
+        };
+        self.known.iter().filter(active).map(peer).collect()
+    }
+}
--- a/crates/quetzalpick-node/src/replica/mod.rs
+++ b/crates/quetzalpick-node/src/replica/mod.rs
@@ -1,8 +1,23 @@
 //! The replica: this process's copy of the agreed state, its lease and its writes.
 
 mod answer;
+mod clock;
+mod contacts;
+mod exchange;
+mod follower;
 mod handle;
 mod options;
+mod presence;
+mod publisher;
+mod ring;
+mod service;
+mod shared;
+mod stagger;
+mod submit;
+mod view;
+mod watch;
+mod writer;
+mod writes;
 
 pub use answer::{Answer, Peer, Unleased};
 pub use handle::Replica;
--- /dev/null
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -0,0 +1,225 @@
+//! What any process does about the others: suspecting and retiring silent members, seating voters, dropping old claims.
+
+use std::collections::VecDeque;
+
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::record::{Record, Retire, Role, Seat};
+use quetzalpick_core::state::State;
+use quetzalpick_platform::traits::Log;
+use tokio::time::sleep;
+
+use crate::peer::Transport;
+use crate::replica::clock::millis;
+use crate::replica::shared::{Shared, lease_options, lock};
+use crate::replica::stagger::{Duty, Stagger};
+
+/// Ticks missed after which this process counts as having been paused.
+const PAUSE_TICKS: u64 = 4;
+
+/// Suspicion times for which a member is not suspected again after its refutation.
+const REFUTED_TIMES: u64 = 3;
+
+/// Samples of the applied offset in one retention of claims.
+const SAMPLES: u64 = 16;
+
+/// `Sample` is an applied offset and when it was seen, in ms.
+type Sample = (u64, Offset);
+
+/// `Watch` is what this process remembers of its duties towards the others.
+#[derive(Debug, Default)]
+struct Watch {
+    stagger: Stagger,
+    ticked_at: u64,
+    /// Members that were suspected, with the time at which that was last seen, in ms.
+    suspected: Vec<(Member, u64)>,
+    samples: VecDeque<Sample>,
+    /// Offset up to which this process last dropped claims.
+    expired: Offset,
+}
+
+impl Watch {
+    /// Notes which members are suspected now and tells whether one was suspected lately.
+    fn note_suspected(&mut self, now: u64, state: &State, hold_ms: u64) {
+        let members = state.roster().members();
+        self.suspected.retain(|(_, at)| now - at < hold_ms);
+        let under = members.iter().filter(|(_, row)| row.suspected.is_some());
+        for (member, _) in under {
+            self.suspected.retain(|(m, _)| m != member);
+            self.suspected.push((member.clone(), now));
+        }
+    }
+
+    /// Tells whether a member was suspected lately.
+    fn was_suspected(&self, member: &Member) -> bool {
+        self.suspected.iter().any(|(m, _)| m == member)
+    }
+
+    /// Notes the applied offset and returns the newest one that is older than the retention.
+    fn outdated(&mut self, now: u64, next: Offset, retention_ms: u64) -> Option<Offset> {
+        let spaced = |(at, _): &Sample| now - at >= retention_ms / SAMPLES;
+        if self.samples.back().is_none_or(spaced) {
+            self.samples.push_back((now, next));
+        }
+        let is_old = |(at, _): &Sample| now - at > retention_ms;
+        while self.samples.get(1).is_some_and(is_old) {
+            self.samples.pop_front();
+        }
+        self.samples
+            .front()
+            .filter(|sample| is_old(sample))
+            .map(|(_, offset)| *offset)
+    }
+}
+
+impl<L: Log, T: Transport> Shared<L, T> {
+    /// Does the duties towards the other members for as long as it is polled.
+    pub(crate) async fn watch_others(&self) {
+        let mut watch = Watch::default();
+        loop {
+            sleep(self.options.exchange_interval).await;
+            let now = self.clock.now();
+            self.note_pause(now, &mut watch);
+            if let Some((duty, record)) = self.next_duty(now, &mut watch) {
+                log::info!("member: recording {record:?}");
+                let expire = match &record {
+                    Record::Expire(before) => Some(*before),
+                    _ => None,
+                };
+                let answer = self.submit(record, None).await;
+                watch.expired = expire.unwrap_or(watch.expired);
+                log::info!("member: {answer:?}");
+                watch.stagger.done(&duty);
+            }
+        }
+    }
+
+    /// Starts all silences anew if this process was paused, as it could hear nobody meanwhile.
+    fn note_pause(&self, now: u64, watch: &mut Watch) {
+        let tick = millis(self.options.exchange_interval);
+        if now - watch.ticked_at > PAUSE_TICKS * tick {
+            lock(&self.contacts).wake(now);
+        }
+        watch.ticked_at = now;
+    }
+
+    /// Returns the first duty whose delay is over, with the record that does it.
+    fn next_duty(&self, now: u64, watch: &mut Watch) -> Option<(Duty, Record)> {
+        let me = self.me();
+        // A process without a lease may be wrong about everything.
+        if !self.holds_lease(&me) {
+            return None;
+        }
+        let hold_ms = millis(self.options.suspicion) * REFUTED_TIMES;
+        let view = self.view();
+        let state = &view.state;
+        watch.note_suspected(now, state, hold_ms);
+        lock(&self.contacts).prune(now, state.roster(), hold_ms);
+        let mut duties = self.suspicions(now, state, &me, watch);
+        duties.extend(self.retirements(now, state, &me));
+        duties.extend(self.seat(now, state));
+        duties.extend(self.expiry(now, state, watch));
+        drop(view);
+        let spread = millis(self.options.exchange_interval);
+        let delay = || self.random_below(spread);
+        let mut due = None;
+        for (duty, record) in duties {
+            if watch.stagger.is_due(now, &duty, delay) && due.is_none() {
+                due = Some((duty, record));
+            }
+        }
+        watch.stagger.prune(now);
+        due
+    }
+
+    /// Returns the suspicions to record.
+    fn suspicions(
+        &self,
+        now: u64,
+        state: &State,
+        me: &Member,
+        watch: &Watch,
+    ) -> Vec<(Duty, Record)> {
+        let contacts = lock(&self.contacts);
+        let limit = millis(self.options.suspicion);
+        let is_silent = |m: &Member| m != me && contacts.silence(now, m) >= limit;
+        // A process that hears no majority is more likely cut off itself, and nobody could be retired then.
+        let voters = state.roster().voters();
+        let silent = voters.iter().filter(|m| is_silent(m)).count();
+        if silent * 2 >= voters.len() {
+            return Vec::new();
+        }
+        let members = state.roster().members().iter();
+        let standing = members.filter(|(_, row)| row.suspected.is_none());
+        let suspects = standing.filter(|(m, _)| is_silent(m) && !watch.was_suspected(m));
+        let duty = |m: &Member| (Duty::Suspect(m.clone()), Record::Suspect(m.clone()));
+        suspects.map(|(m, _)| duty(m)).collect()
+    }
+
+    /// Returns the retirements that are complete but for their record.
+    fn retirements(&self, now: u64, state: &State, me: &Member) -> Vec<(Duty, Record)> {
+        let contacts = lock(&self.contacts);
+        let limit = millis(self.options.suspicion);
+        let is_silent = |m: &Member| m != me && contacts.silence(now, m) >= limit;
+        let members = state.roster().members().iter();
+        let suspected = members.filter_map(|(m, row)| Some((m, row.suspected?)));
+        let silent: Vec<(&Member, Offset)> = suspected.filter(|(m, _)| is_silent(m)).collect();
+        drop(contacts);
+        let witness = lock(&self.witness);
+        let options = lease_options(&self.options);
+        let retire = |(member, suspected): (&Member, Offset)| {
+            let applied = Offset(suspected.0 + 1);
+            let witnesses = witness.complete(now, state, applied, &options)?;
+            let duty = Duty::Retire(member.clone(), suspected);
+            let member = member.clone();
+            let retire = Retire {
+                member,
+                suspected,
+                seats: state.roster().seats_changed(),
+                witnesses,
+            };
+            Some((duty, Record::Retire(retire)))
+        };
+        silent.into_iter().filter_map(retire).collect()
+    }
+
+    /// Returns the next change of the voters: departed ones are unseated first.
+    fn seat(&self, now: u64, state: &State) -> Option<(Duty, Record)> {
+        let roster = state.roster();
+        let departed = roster.voters().iter().find(|m| !roster.is_active(m));
+        let member = departed.or_else(|| self.next_voter(now, state))?;
+        let changed = roster.seats_changed();
+        let witnesses = lock(&self.witness).majority(state, changed)?.members;
+        let duty = Duty::Seat(member.clone(), changed);
+        let seat = Seat {
+            member: member.clone(),
+            seats: changed,
+            witnesses,
+        };
+        Some((duty, Record::Seat(seat)))
+    }
+
+    /// Returns an active member that does not vote yet and is heard.
+    fn next_voter<'a>(&self, now: u64, state: &'a State) -> Option<&'a Member> {
+        let contacts = lock(&self.contacts);
+        let limit = millis(self.options.suspicion);
+        let me = self.me();
+        let is_heard = |m: &Member| *m == me || contacts.silence(now, m) < limit;
+        let roster = state.roster();
+        let mut active = roster
+            .members()
+            .iter()
+            .filter(|(_, row)| row.suspected.is_none());
+        active
+            .find(|(m, _)| !roster.is_voter(m) && is_heard(m))
+            .map(|(m, _)| m)
+    }
+
+    /// Returns the expiry of claims that a keeper has seen for longer than they are remembered.
+    fn expiry(&self, now: u64, state: &State, watch: &mut Watch) -> Option<(Duty, Record)> {
+        let retention = millis(self.options.claim_retention);
+        let outdated = watch.outdated(now, state.next(), retention)?;
+        let keeper = self.options.role == Role::Keeper;
+        let new = outdated > watch.expired;
+        (keeper && new).then_some((Duty::Expire, Record::Expire(outdated)))
+    }
+}
--- a/crates/quetzalpick-node/src/telemetry/logs.rs
+++ b/crates/quetzalpick-node/src/telemetry/logs.rs
@@ -1,14 +1,68 @@
 //! Starts the logger.
 
-use crate::errors::Result;
-use crate::settings::sections;
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+use crate::errors::{Error, Result};
+use crate::settings::sections::{Format, Level, Log, Output};
+
+/// Name of the only appender.
+const APPENDER: &str = "console";
+
+/// Form of a text line: time, level, message.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => Self::Off,
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+            Level::Trace => Self::Trace,
+        }
+    }
+}
 
 /// Starts the logger for the whole process.
 ///
 /// # Errors
 ///
 /// `Error::Logger` if a logger was started before.
-pub fn try_start(settings: &sections::Log) -> Result<()> {
-    let _ = settings;
-    todo!()
+pub fn try_start(settings: &Log) -> Result<()> {
+    let config = config(settings).map_err(failure)?;
+    log4rs::init_config(config).map_err(failure)?;
+    Ok(())
+}
+
+/// Builds the library's configuration.
+fn config(settings: &Log) -> Result<Config, log4rs::config::runtime::ConfigErrors> {
+    let target = match settings.output {
+        Output::Stdout => Target::Stdout,
+        Output::Stderr => Target::Stderr,
+    };
+    let encoder: Box<dyn Encode> = match settings.format {
+        Format::Text => Box::new(PatternEncoder::new(PATTERN)),
+        Format::Json => Box::new(JsonEncoder::new()),
+    };
+    let console = ConsoleAppender::builder().target(target).encoder(encoder);
+    let appender = Appender::builder().build(APPENDER, Box::new(console.build()));
+    let logger = |(part, level): &(String, Level)| Logger::builder().build(part, (*level).into());
+    let root = Root::builder().appender(APPENDER);
+    Config::builder()
+        .appender(appender)
+        .loggers(settings.levels.iter().map(logger))
+        .build(root.build(settings.level.into()))
+}
+
+/// Builds the error of a logger that did not start.
+fn failure(reason: impl ToString) -> Error {
+    Error::Logger {
+        reason: reason.to_string(),
+    }
 }
