--- a/crates/quetzalpick-load/src/run/token.rs
+++ b/crates/quetzalpick-load/src/run/token.rs
@@ -1,7 +1,7 @@
 //! The answer that an engine stand-in gives to a request.
 
 use quetzalpick_platform::wire::completion::Request;
-use quetzalpick_standin::engine::text;
+use quetzalpick_standin::engine::token::text;
 
 /// Bytes of prompt text that an engine stand-in counts as one token.
 const PROMPT_TOKEN_BYTES: usize = 4;
--- a/crates/quetzalpick-node/src/replica/follower.rs
+++ b/crates/quetzalpick-node/src/replica/follower.rs
@@ -116,10 +116,7 @@
 
     /// Returns the newest state in the log that can be followed on, `None` if there is none.
     async fn load_from_log(&self) -> CallResult<Option<State>> {
-        let start = match self.newest_snapshot().await? {
-            Some(state) => state,
-            None => State::default(),
-        };
+        let start = self.newest_snapshot().await?.unwrap_or_default();
         // A state is of use only if the entries after it are still kept.
         match self
             .read(Stream::Control, start.next(), Duration::ZERO)
--- a/crates/quetzalpick-node/src/replica/view.rs
+++ b/crates/quetzalpick-node/src/replica/view.rs
@@ -1,18 +1,12 @@
 //! The folded state with the newest entries.
 
-use std::collections::VecDeque;
-
 use bytes::Bytes;
 use quetzalpick_core::id::{Command, Offset};
 use quetzalpick_core::record::Entry;
 use quetzalpick_core::state::{Outcome, State};
-use quetzalpick_core::table::Table;
 
 use crate::replica::ring::Ring;
 
-/// Most outcomes that are remembered.
-const OUTCOMES_MAX: usize = 16 * 1024;
-
 /// `Applied` is what became of one entry.
 #[derive(Debug)]
 pub(crate) struct Applied {
@@ -33,28 +27,13 @@
     pub(crate) ring: Ring,
     /// Whether a state was loaded.
     pub(crate) loaded: bool,
-    outcomes: Table<Command, (Offset, Outcome)>,
-    remembered: VecDeque<Command>,
 }
 
 impl View {
     /// Returns what became of a command, if it is remembered.
     pub(crate) fn ask(&self, command: Command) -> Option<(Offset, Outcome)> {
-        self.outcomes.get(&command).cloned()
-    }
-
-    /// Remembers what became of a command.
-    fn remember(&mut self, applied: &Applied) {
-        let row = (applied.offset, applied.outcome.clone());
-        if self.outcomes.insert(applied.command, row).is_some() {
-            return;
-        }
-        self.remembered.push_back(applied.command);
-        if self.remembered.len() > OUTCOMES_MAX
-            && let Some(oldest) = self.remembered.pop_front()
-        {
-            self.outcomes.remove(&oldest);
-        }
+        let (offset, outcome) = self.state.ask(command)?;
+        Some((offset, outcome.clone()))
     }
 
     /// Takes over a state, unless the present one is as new.
@@ -85,9 +64,7 @@
             match entry {
                 Some(entry) => {
                     let outcome = self.state.apply(offset, &entry);
-                    let entry = Applied::new(entry.command, offset, outcome);
-                    self.remember(&entry);
-                    applied.push(entry);
+                    applied.push(Applied::new(entry.command, offset, outcome));
                 }
                 None => self.state.skip(offset),
             }
