Add the open-loop load tool with reports per workspace

Cause: choices must rest on figures, and demo and measurements need one judge of whole answers, doubled and lost orders. Ruled out: closed-loop callers, which slow down with the system and hide its queues; trusting the gate's own counts.

--- /dev/null
+++ b/crates/quetzalpick-load/src/command.rs
@@ -0,0 +1,104 @@
+//! The command line of the load tool.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::report::{Meter, Report, plot, read_records, render, summarize, verdict_line};
+use crate::run::{Scenario, drive, schedule};
+
+/// Exit code for wrong usage or a bad scenario.
+const BAD_SCENARIO: u8 = 2;
+
+/// Returns the sub-command that runs a scenario against gates.
+pub fn run_command() -> Command {
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .help(help)
+            .value_parser(value_parser!(PathBuf))
+    };
+    Command::new("run")
+        .about("Sends a scenario's requests to gates and reports per workspace")
+        .arg(path("scenario", "Scenario in TOML").required(true))
+        .arg(path("report", "Writes the report as JSON"))
+        .arg(path("plot", "Writes the distributions as SVG"))
+        .arg(Arg::new("seed").long("seed").help("Seed in place of the scenario's").value_parser(value_parser!(u64)))
+        .arg(Arg::new("quiet").long("quiet").help("Shows no progress").action(ArgAction::SetTrue))
+        .after_help("Exit codes:\n  0  nothing lost, doubled or overcommitted\n  1  otherwise\n  2  bad scenario")
+}
+
+/// Runs a scenario as the arguments say.
+pub async fn run(matches: &ArgMatches) -> ExitCode {
+    let mut scenario = match read_scenario(matches) {
+        Ok(scenario) => scenario,
+        Err(message) => {
+            eprintln!("quetzalpick-load: {message}");
+            return ExitCode::from(BAD_SCENARIO);
+        }
+    };
+    scenario.seed = matches.get_one("seed").copied().unwrap_or(scenario.seed);
+    let report = measure(&scenario, matches.get_flag("quiet")).await;
+    println!("{}", render(&report));
+    if let Err(message) = write_files(matches, &report) {
+        eprintln!("quetzalpick-load: {message}");
+        return ExitCode::FAILURE;
+    }
+    let (line, sound) = verdict_line(&report.name, &report);
+    println!("\n{line}");
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Reads the scenario file.
+fn read_scenario(matches: &ArgMatches) -> Result<Scenario, String> {
+    // The argument is required.
+    let path = matches
+        .get_one::<PathBuf>("scenario")
+        .map(PathBuf::as_path)
+        .unwrap_or(Path::new(""));
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{name}: {error}"))?;
+    Scenario::try_from_toml(&text).map_err(|error| format!("{name}: {error}"))
+}
+
+/// Runs a scenario and makes its report.
+async fn measure(scenario: &Scenario, quiet: bool) -> Report {
+    let arrivals = schedule(scenario);
+    let progress = |sent: usize, ended: usize| {
+        if !quiet {
+            eprintln!(
+                "{}: {sent} of {} sent, {ended} ended",
+                scenario.name,
+                arrivals.len()
+            );
+        }
+    };
+    let meter = Meter::begin(&scenario.processes);
+    let outcomes = drive(scenario, &arrivals, progress).await;
+    let costs = meter.end();
+    let records = read_records(scenario).await;
+    summarize(scenario, &arrivals, &outcomes, records, costs)
+}
+
+/// Writes the report and the plot where that is asked for.
+fn write_files(matches: &ArgMatches, report: &Report) -> Result<(), String> {
+    let write = |path: &PathBuf, text: String| {
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    if let Some(path) = matches.get_one::<PathBuf>("report") {
+        write(
+            path,
+            serde_json::to_string_pretty(report).map_err(|error| error.to_string())?,
+        )?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("plot") {
+        write(path, plot(report)?)?;
+    }
+    Ok(())
+}
--- a/crates/quetzalpick-load/src/lib.rs
+++ b/crates/quetzalpick-load/src/lib.rs
@@ -3,5 +3,6 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod command;
 pub mod report;
 pub mod run;
--- a/crates/quetzalpick-load/src/main.rs
+++ b/crates/quetzalpick-load/src/main.rs
@@ -1,3 +1,19 @@
 //! Starts `quetzalpick-load`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Command;
+use quetzalpick_load::command::{run, run_command};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let command = Command::new("quetzalpick-load")
+        .version(clap::crate_version!())
+        .about("Sends load to gates and compares policies")
+        .subcommand_required(true)
+        .subcommand(run_command());
+    match command.get_matches().subcommand() {
+        Some(("run", matches)) => run(matches).await,
+        _ => ExitCode::FAILURE,
+    }
+}
