Prove the lease on a model of failing VMs

The same oracle catches: any answer extends a lease (seed 12), no wait for leases to end (seed 0), voters changed without a majority that applied the former change (seed 66), a suspected VM that goes on under its reads (seed 10).

--- a/crates/quetzalpick-core/tests/state/lease.rs
+++ b/crates/quetzalpick-core/tests/state/lease.rs
@@ -1,1 +1,575 @@
-//! To be written.
+//! A model of several VMs with a log that fails, cuts between them, delays, freezes, starts, stops and retirements.
+//!
+//! The oracle: no VM holds a lease while it lacks an entry whose taking away of rights was declared complete, and no
+//! retired member holds one.
+
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::lease::{Lease, Options};
+use quetzalpick_core::record::{Change, Entry, Record, Retire, Role, Seat};
+use quetzalpick_core::state::State;
+use quetzalpick_core::witness::Witness;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::script::{by, join, member, operator, seeds, set_workspace, vm_name};
+
+const TICK_MS: u64 = 50;
+const RUN_MS: u64 = 150_000;
+const VMS: usize = 5;
+const SUSPICION_MS: u64 = 3_000;
+
+/// `Policy` is how VMs go about leases and the changes of voters.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Policy {
+    /// As in `Lease` and `Witness`.
+    Sound,
+    /// Naive: the answer of any one voter extends a lease.
+    AnyAnswer,
+    /// Naive: a right counts as taken as soon as a majority has applied the entry.
+    NoWait,
+    /// Naive: voters change without waiting until a majority has applied the former change.
+    SeatAtOnce,
+    /// Naive: a suspected VM goes on under a lease by reading.
+    NotVoid,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A read reaches the log.
+    Read { vm: usize, sent: u64 },
+    /// The answer of a read arrives.
+    Entries { vm: usize, sent: u64, head: u64 },
+    /// A question reaches a peer.
+    Ask { from: usize, to: usize, sent: u64 },
+    /// A peer's statement arrives.
+    Told {
+        vm: usize,
+        peer: Member,
+        applied: Offset,
+        sent: u64,
+    },
+    /// An entry lands in the log.
+    Land(Box<Entry>),
+}
+
+struct Vm {
+    member: Member,
+    state: State,
+    lease: Lease,
+    witness: Witness,
+    /// Clock reading at the start, and its speed in thousandths.
+    clock: (u64, u64),
+    frozen_until: u64,
+    running: bool,
+    side: usize,
+    cut_from_log: bool,
+    wrote: u64,
+    heard: Vec<(Member, u64)>,
+    /// Newest read and answers, for the naive policies.
+    reads: Option<(u64, Offset)>,
+    answers: Vec<(u64, Offset)>,
+}
+
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Counts {
+    complete: usize,
+    retired: usize,
+    seats: usize,
+    leased: usize,
+    leased_in_outage: usize,
+    unleased: usize,
+}
+
+impl Counts {
+    fn add(&mut self, other: &Self) {
+        self.complete += other.complete;
+        self.retired += other.retired;
+        self.seats += other.seats;
+        self.leased += other.leased;
+        self.leased_in_outage += other.leased_in_outage;
+        self.unleased += other.unleased;
+    }
+}
+
+struct World {
+    policy: Policy,
+    random: Pcg64,
+    now: u64,
+    options: Options,
+    log: Vec<Entry>,
+    truth: State,
+    events: Vec<(u64, Event)>,
+    vms: Vec<Vm>,
+    log_out_until: u64,
+    cut_until: u64,
+    commands: u64,
+    /// Changes in the log, and how many of them were declared complete.
+    changes: Vec<(Offset, bool)>,
+    retired: Vec<Member>,
+    counts: Counts,
+}
+
+impl World {
+    fn new(seed: u64, policy: Policy) -> Self {
+        let mut world = Self {
+            policy,
+            random: Pcg64::seed_from_u64(seed),
+            now: 0,
+            options: Options::default(),
+            log: Vec::new(),
+            truth: State::default(),
+            events: Vec::new(),
+            vms: Vec::new(),
+            log_out_until: 0,
+            cut_until: 0,
+            commands: 0,
+            changes: Vec::new(),
+            retired: Vec::new(),
+            counts: Counts::default(),
+        };
+        (0..VMS).for_each(|_| world.start());
+        world
+    }
+
+    fn chance(&mut self, one_in: u64) -> bool {
+        self.random.random_range(0..one_in) == 0
+    }
+
+    fn after(&mut self, most: u64, event: Event) {
+        let at = self.now + self.random.random_range(0..=most);
+        self.events.push((at, event));
+    }
+
+    fn start(&mut self) {
+        let number = self.vms.len() as u64;
+        let member = member(&format!("ng-{number:02}"), number);
+        let clock = (
+            self.random.random_range(1_000_000..2_000_000),
+            self.random.random_range(995..=1_005),
+        );
+        let join = join(&member, Role::Keeper);
+        self.vms.push(Vm {
+            member: member.clone(),
+            state: State::default(),
+            lease: Lease::new(self.options.clone()),
+            witness: Witness::default(),
+            clock,
+            frozen_until: 0,
+            running: true,
+            side: 0,
+            cut_from_log: false,
+            wrote: 0,
+            heard: Vec::new(),
+            reads: None,
+            answers: Vec::new(),
+        });
+        self.write(&member, join);
+    }
+
+    /// Sends an entry to the log; it may land late, twice or never.
+    fn write(&mut self, author: &Member, record: Record) {
+        self.commands += 1;
+        let entry = Box::new(by(self.commands, author, record));
+        let must_land = matches!(entry.record, Record::Join(_));
+        let copies = match self.random.random_range(0..10) {
+            0 if !must_land => 0,
+            1..3 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            self.after(1_500, Event::Land(entry.clone()));
+        }
+    }
+
+    fn run(&mut self) -> Option<String> {
+        while self.now < RUN_MS {
+            self.now += TICK_MS;
+            self.fail();
+            self.deliver();
+            for at in 0..self.vms.len() {
+                if self.is_awake(at) {
+                    self.work(at);
+                }
+            }
+            if let Some(violation) = self.check() {
+                return Some(violation);
+            }
+        }
+        None
+    }
+
+    fn is_awake(&self, at: usize) -> bool {
+        self.vms[at].running && self.vms[at].frozen_until <= self.now
+    }
+
+    fn reaches_log(&self, at: usize) -> bool {
+        self.log_out_until <= self.now && !self.vms[at].cut_from_log
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        self.cut_until <= self.now || self.vms[a].side == self.vms[b].side
+    }
+
+    /// Brings about faults.
+    fn fail(&mut self) {
+        let running: Vec<usize> = (0..self.vms.len())
+            .filter(|at| self.vms[*at].running)
+            .collect();
+        let at = running[self.random.random_range(0..running.len())];
+        if self.chance(600) {
+            self.log_out_until = self.now + self.random.random_range(2_000..20_000);
+        }
+        if self.chance(300) {
+            self.cut_until = self.now + self.random.random_range(2_000..25_000);
+            for vm in running.iter().copied() {
+                self.vms[vm].side = self.random.random_range(0..2);
+                self.vms[vm].cut_from_log = self.vms[vm].side == 1 && self.random.random_bool(0.7);
+            }
+        }
+        if self.cut_until <= self.now && self.chance(200) {
+            let cut = self.random.random_bool(0.3);
+            self.vms[at].cut_from_log = cut;
+        }
+        if self.chance(200) {
+            self.vms[at].frozen_until = self.now + self.random.random_range(500..12_000);
+        }
+        if self.chance(100) {
+            self.commands += 1;
+            let rate = self.commands;
+            let entry = operator(self.commands, set_workspace("lagos", rate));
+            self.after(1_000, Event::Land(Box::new(entry)));
+        }
+        if running.len() < VMS + 1 && self.chance(100) {
+            self.start();
+        }
+        if running.len() >= VMS && self.chance(600) {
+            self.stop(at);
+        }
+    }
+
+    /// Stops a VM: by plan, or by a crash that its operator may vouch for.
+    fn stop(&mut self, at: usize) {
+        // A member that leaves states nothing from then on.
+        self.vms[at].running = false;
+        let member = self.vms[at].member.clone();
+        if self.random.random_bool(0.5) {
+            self.write(&member, Record::Leave(member.clone()));
+        } else if self.random.random_bool(0.3) {
+            self.commands += 1;
+            let change = Change::RetireVm(vm_name(member.vm.as_str()));
+            let entry = operator(self.commands, change);
+            self.after(9_000, Event::Land(Box::new(entry)));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.events = later;
+        let due: Vec<(u64, Event)> = due;
+        for (_, event) in due {
+            self.handle(event);
+        }
+    }
+
+    /// Handles an event, or puts it off while its VM is frozen.
+    fn handle(&mut self, event: Event) {
+        let vm = match &event {
+            Event::Entries { vm, .. } | Event::Told { vm, .. } | Event::Ask { to: vm, .. } => *vm,
+            Event::Read { .. } | Event::Land(_) => usize::MAX,
+        };
+        if vm != usize::MAX && !self.is_awake(vm) {
+            if self.vms[vm].running {
+                self.events.push((self.vms[vm].frozen_until, event));
+            }
+            return;
+        }
+        match event {
+            Event::Read { vm, sent } => {
+                if self.reaches_log(vm) {
+                    let head = self.log.len() as u64;
+                    self.after(900, Event::Entries { vm, sent, head });
+                }
+            }
+            Event::Entries { vm, sent, head } => {
+                self.apply(vm, head);
+                self.vms[vm].lease.read_head(sent, Offset(head));
+                self.vms[vm].reads = Some((sent, Offset(head)));
+            }
+            Event::Ask { from, to, sent } => self.state(from, to, sent),
+            Event::Told {
+                vm,
+                peer,
+                applied,
+                sent,
+            } => self.told(vm, &peer, applied, sent),
+            Event::Land(entry) => self.land(*entry),
+        }
+    }
+
+    /// A peer states what it has applied, unless it knows that it has departed.
+    fn state(&mut self, from: usize, to: usize, sent: u64) {
+        let peer = &self.vms[to];
+        if !self.reaches(from, to) || !peer.state.roster().is_active(&peer.member) {
+            return;
+        }
+        let told = Event::Told {
+            vm: from,
+            peer: peer.member.clone(),
+            applied: peer.state.next(),
+            sent,
+        };
+        if !self.chance(10) {
+            self.after(700, told);
+        }
+    }
+
+    fn told(&mut self, vm: usize, peer: &Member, applied: Offset, sent: u64) {
+        // The peer's entries come with its statement, most of the time.
+        if !self.chance(4) {
+            self.apply(vm, applied.0);
+        }
+        let now = self.clock(vm);
+        let vm = &mut self.vms[vm];
+        vm.lease.statement(peer, sent, applied);
+        vm.witness.statement(peer, applied, now);
+        vm.heard.retain(|(member, _)| member != peer);
+        vm.heard.push((peer.clone(), now));
+        if vm.state.roster().is_voter(peer) {
+            vm.answers.push((sent, applied));
+        }
+    }
+
+    fn land(&mut self, entry: Entry) {
+        let offset = self.truth.next();
+        let seats = self.truth.roster().seats_changed();
+        let outcome = self.truth.apply(offset, &entry);
+        let accepted = matches!(outcome, quetzalpick_core::state::Outcome::Accepted(_));
+        match &entry.record {
+            Record::Change(_) if accepted => self.changes.push((offset, false)),
+            Record::Retire(retire) if accepted => self.retired.push(retire.member.clone()),
+            _ => {}
+        }
+        self.counts.seats += usize::from(seats != self.truth.roster().seats_changed());
+        self.log.push(entry);
+    }
+
+    fn clock(&self, at: usize) -> u64 {
+        let (start, speed) = self.vms[at].clock;
+        start + self.now * speed / 1_000
+    }
+
+    fn apply(&mut self, at: usize, through: u64) {
+        let now = self.clock(at);
+        let vm = &mut self.vms[at];
+        let next = vm.state.next().0;
+        for entry in self.log.iter().take(through as usize).skip(next as usize) {
+            let offset = vm.state.next();
+            vm.state.apply(offset, entry);
+        }
+        vm.witness.observe(now, &vm.state);
+        vm.witness.statement(&vm.member, vm.state.next(), now);
+    }
+
+    /// Lets a VM do what it does all the time.
+    fn work(&mut self, at: usize) {
+        let sent = self.clock(at);
+        if self.chance(10) && self.reaches_log(at) {
+            self.after(900, Event::Read { vm: at, sent });
+        }
+        if self.chance(10) {
+            for to in (0..self.vms.len()).filter(|to| *to != at) {
+                if self.vms[to].running && self.reaches(at, to) {
+                    self.after(700, Event::Ask { from: at, to, sent });
+                }
+            }
+        }
+        self.declare_complete(at);
+        let member = &self.vms[at].member;
+        let was_active = self.vms[at].state.next() > Offset(0) && self.retired.contains(member);
+        if was_active && !self.vms[at].state.roster().is_active(member) {
+            // A retired VM that has learnt of it starts anew.
+            self.vms[at].running = false;
+            self.start();
+            return;
+        }
+        let quiet = sent.saturating_sub(self.vms[at].wrote) > 400;
+        if !quiet || !self.reaches_log(at) || !self.chance(4) {
+            return;
+        }
+        if let Some(record) = self.proposal(at, sent) {
+            self.vms[at].wrote = sent;
+            let member = self.vms[at].member.clone();
+            self.write(&member, record);
+        }
+    }
+
+    /// Notes changes that the VM knows to be in force everywhere.
+    fn declare_complete(&mut self, at: usize) {
+        let now = self.clock(at);
+        let vm = &self.vms[at];
+        for (offset, complete) in self.changes.iter_mut().rev().take(8) {
+            let applied = Offset(offset.0 + 1);
+            if *complete || vm.state.next() < applied {
+                continue;
+            }
+            let witnesses = witnesses(self.policy, now, vm, applied, &self.options);
+            *complete = witnesses.is_some();
+            self.counts.complete += usize::from(*complete);
+        }
+    }
+
+    /// Returns what a VM would write about the roster.
+    fn proposal(&mut self, at: usize, now: u64) -> Option<Record> {
+        let pick = self.random.random_range(0..4_usize);
+        let vm = &self.vms[at];
+        let roster = vm.state.roster();
+        let own = roster.members().get(&vm.member)?;
+        if own.suspected.is_some() {
+            return Some(Record::Refute(vm.member.clone()));
+        }
+        let seats = roster.seats_changed();
+        for (member, membership) in roster.members().iter() {
+            let suspected = membership.suspected;
+            let Some(suspected) = suspected.filter(|_| *member != vm.member) else {
+                continue;
+            };
+            let applied = Offset(suspected.0 + 1);
+            if let Some(witnesses) = witnesses(self.policy, now, vm, applied, &self.options) {
+                let retire = Retire {
+                    member: member.clone(),
+                    suspected,
+                    seats,
+                    witnesses,
+                };
+                return Some(Record::Retire(retire));
+            }
+        }
+        let unseated = roster.members().keys().filter(|m| !roster.is_voter(m));
+        let departed = roster.voters().iter().filter(|m| !roster.is_active(m));
+        let mut candidates = unseated.chain(departed).cloned();
+        let witnesses = match self.policy {
+            Policy::SeatAtOnce => Some(roster.voters().to_vec()),
+            _ => vm.witness.majority(&vm.state, seats).map(|m| m.members),
+        };
+        if let (Some(member), Some(witnesses)) = (candidates.next(), witnesses) {
+            return Some(Record::Seat(Seat {
+                member,
+                seats,
+                witnesses,
+            }));
+        }
+        let silent = |member: &&Member| {
+            let heard = vm.heard.iter().find(|(peer, _)| peer == *member);
+            let heard = heard.map_or(vm.clock.0 + 4_000, |(_, at)| *at);
+            now.saturating_sub(heard) > SUSPICION_MS
+        };
+        let others = roster.members().keys().filter(|m| **m != vm.member);
+        let silent: Vec<&Member> = others.filter(silent).collect();
+        let suspect = silent.get(pick % silent.len().max(1))?;
+        let known = roster.members().get(*suspect)?;
+        known
+            .suspected
+            .is_none()
+            .then(|| Record::Suspect((*suspect).clone()))
+    }
+
+    fn check(&mut self) -> Option<String> {
+        for at in 0..self.vms.len() {
+            if !self.is_awake(at) {
+                continue;
+            }
+            let now = self.clock(at);
+            let vm = &self.vms[at];
+            if !holds(self.policy, now, vm, &self.options) {
+                self.counts.unleased += 1;
+                continue;
+            }
+            self.counts.leased += 1;
+            self.counts.leased_in_outage += usize::from(self.log_out_until > self.now);
+            if self.retired.contains(&vm.member) {
+                return Some(format!("{} ms: {} is retired", self.now, vm.member));
+            }
+            let lacks =
+                |(offset, complete): &&(Offset, bool)| *complete && *offset >= vm.state.next();
+            if let Some((offset, _)) = self.changes.iter().find(lacks) {
+                return Some(format!("{} ms: {} lacks {offset}", self.now, vm.member));
+            }
+        }
+        None
+    }
+}
+
+/// Returns the witnesses of a completed taking away.
+fn witnesses(
+    policy: Policy,
+    now: u64,
+    vm: &Vm,
+    applied: Offset,
+    options: &Options,
+) -> Option<Vec<Member>> {
+    match policy {
+        Policy::NoWait => vm.witness.majority(&vm.state, applied).map(|m| m.members),
+        _ => vm.witness.complete(now, &vm.state, applied, options),
+    }
+}
+
+fn holds(policy: Policy, now: u64, vm: &Vm, options: &Options) -> bool {
+    let fresh = |(sent, applied): &(u64, Offset)| {
+        *applied <= vm.state.next() && now < sent + options.lease_ms
+    };
+    let sound = vm.lease.holds(now, &vm.state, &vm.member);
+    let membership = vm.state.roster().members().get(&vm.member);
+    match policy {
+        Policy::AnyAnswer => {
+            let clear = membership.is_some_and(|m| m.suspected.is_none());
+            sound || clear && vm.answers.iter().rev().take(20).any(fresh)
+        }
+        Policy::NotVoid => sound || membership.is_some() && vm.reads.iter().any(fresh),
+        Policy::Sound | Policy::NoWait | Policy::SeatAtOnce => sound,
+    }
+}
+
+fn run(seed: u64, policy: Policy) -> (Option<String>, Counts) {
+    let mut world = World::new(seed, policy);
+    let violation = world.run();
+    world.counts.retired = world.retired.len();
+    (violation, world.counts)
+}
+
+#[test]
+fn no_lease_outlives_a_right_that_was_taken() {
+    let mut total = Counts::default();
+    for seed in seeds(24) {
+        let (violation, counts) = run(seed, Policy::Sound);
+        assert_eq!(violation, None, "seed {seed}");
+        total.add(&counts);
+    }
+    // Every kind of event has to take place for the run to prove anything.
+    println!("{total:?}");
+    let events = [
+        total.complete,
+        total.retired,
+        total.seats,
+        total.leased_in_outage,
+    ];
+    assert!(events.iter().all(|events| *events > 10), "{total:?}");
+}
+
+#[test]
+fn naive_leases_are_caught() {
+    let naive = [
+        (Policy::AnyAnswer, 12),
+        (Policy::NoWait, 0),
+        (Policy::SeatAtOnce, 66),
+        (Policy::NotVoid, 10),
+    ];
+    for (policy, seed) in naive {
+        let (violation, _) = run(seed, policy);
+        println!("{policy:?}, seed {seed}: {violation:?}");
+        assert!(violation.is_some(), "{policy:?}");
+        assert_eq!(run(seed, Policy::Sound).0, None);
+    }
+}
