--- a/crates/quetzalpick-core/src/route/choose.rs
+++ b/crates/quetzalpick-core/src/route/choose.rs
@@ -31,7 +31,7 @@
     pub health: HealthOptions,
     /// An endpoint may exceed the mean load by this many thousandths and still be preferred.
     pub slack_permille: u64,
-    /// A report counts in full up to this age and half beyond it, in ms.
+    /// Age at which a report counts for nothing, in ms; it counts in full when it is new.
     pub report_age_ms: u64,
 }
 
@@ -41,7 +41,7 @@
             policy: Policy::default(),
             health: HealthOptions::default(),
             slack_permille: 250,
-            report_age_ms: 2_000,
+            report_age_ms: 500,
         }
     }
 }
@@ -194,19 +194,15 @@
 
     /// Returns the estimated load in thousandths of a request, raised during a slow start.
     ///
-    /// The report lags and counts all gates' requests; own dispatches since it are added. An old report counts half, as
-    /// most of what it speaks of has ended. The load is never below the own requests under way.
+    /// Own requests under way are the freshest sign of load. The report counts all gates' requests but lags, so it
+    /// fades with its age; own dispatches since it count once more, as it does not show them.
     fn cost(&self, index: usize) -> u64 {
         let candidate = &self.candidates[index];
         let load = candidate.load;
         let age_ms = self.now_ms.saturating_sub(load.reported_ms);
-        let reported = if age_ms > self.options.report_age_ms {
-            load.reported / 2
-        } else {
-            load.reported
-        };
-        let estimate = reported.saturating_add(load.dispatched_since);
-        let requests = u64::from(estimate.max(load.in_flight));
+        let full_ms = self.options.report_age_ms.max(1);
+        let reported = u64::from(load.reported) * full_ms.saturating_sub(age_ms) / full_ms;
+        let requests = u64::from(load.in_flight) + u64::from(load.dispatched_since) + reported;
         let weight = candidate.health.weight(self.now_ms, &self.options.health);
         // One more request is counted, so that an idle endpoint in slow start costs more than an idle healthy one.
         (requests + 1) * PERMILLE * WEIGHT_FULL / weight.max(1)
--- /dev/null
+++ b/crates/quetzalpick-core/tests/retry.rs
@@ -0,0 +1,93 @@
+//! The retry budget bounds how much retries add to the load when endpoints fail.
+
+use insta::assert_snapshot;
+use quetzalpick_core::retry::{Attempt, Backoff, Budget, Deadline, Options, Step, next};
+use quetzalpick_core::verdict::Verdict;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const REQUESTS: u64 = 20_000;
+const ENDPOINTS: u64 = 9;
+const TRIES_MAX: u32 = 4;
+
+/// Calls per thousand requests, and answered requests per thousand, at one request per ms.
+fn amplification(failing: u64, options: Options) -> (u64, u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    let mut budget = Budget::new(0, options);
+    let (mut calls, mut answered) = (0, 0);
+    for now_ms in 0..REQUESTS {
+        budget.deposit();
+        for retries in 0..TRIES_MAX {
+            calls += 1;
+            if random.random_range(0..ENDPOINTS) >= failing {
+                answered += 1;
+                break;
+            }
+            let attempt = Attempt {
+                verdict: Verdict::NotRun,
+                idempotent: true,
+                retries,
+                deadline: Deadline::after(now_ms, 10_000),
+            };
+            let step = next(
+                now_ms,
+                attempt,
+                &mut budget,
+                &Backoff::default(),
+                random.random(),
+            );
+            if !matches!(step, Step::Retry { .. }) {
+                break;
+            }
+        }
+    }
+    (calls * 1_000 / REQUESTS, answered * 1_000 / REQUESTS)
+}
+
+#[test]
+fn load_amplification_is_bounded() {
+    let unbounded = || Options {
+        ratio_permille: 1_000 * u64::from(TRIES_MAX),
+        ..Options::default()
+    };
+    let mut lines =
+        vec!["failing of 9 | budget: calls, answered | none: calls, answered".to_owned()];
+    for failing in [0, 1, 3, 6, 9] {
+        let (calls, answered) = amplification(failing, Options::default());
+        let (free_calls, free_answered) = amplification(failing, unbounded());
+        // At most the ratio, the floor and what was saved up comes on top.
+        assert!(calls <= 1_000 + 200 + 5 + 50_000 / REQUESTS + 1);
+        lines.push(format!(
+            "{failing} | {calls}, {answered} | {free_calls}, {free_answered}"
+        ));
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn only_what_cannot_have_run_twice_is_retried() {
+    let mut lines = Vec::new();
+    for verdict in [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran] {
+        for idempotent in [false, true] {
+            for (left_ms, saved) in [(5_000, 1), (5_000, 0), (3, 1)] {
+                let options = Options {
+                    burst: saved,
+                    floor_per_s: 0,
+                    ..Options::default()
+                };
+                let mut budget = Budget::new(0, options);
+                let attempt = Attempt {
+                    verdict,
+                    idempotent,
+                    retries: 2,
+                    deadline: Deadline::after(100, left_ms),
+                };
+                let step = next(100, attempt, &mut budget, &Backoff::default(), 25);
+                lines.push(format!(
+                    "{verdict} {idempotent} {left_ms} ms {saved} saved: {step:?}"
+                ));
+            }
+        }
+    }
+    assert_snapshot!(lines.join("\n"));
+}
