Add the command line of the stand-ins

A stream that is told to crash breaks off only after the tokens before it were written out: the body stays pending once between its last part and its end.

--- a/crates/quetzalpick-standin/src/engine/stream.rs
+++ b/crates/quetzalpick-standin/src/engine/stream.rs
@@ -43,8 +43,6 @@
     job.prompt().await;
     for index in job.start..job.session.end {
         if crash == Some(index - job.start) {
-            // What was sent before reaches the reader before the connection breaks.
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
             return Err(Broken);
         }
         job.pace.token().await;
--- a/crates/quetzalpick-standin/src/main.rs
+++ b/crates/quetzalpick-standin/src/main.rs
@@ -1,3 +1,17 @@
 //! Starts `quetzalpick-standin`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use quetzalpick_standin::command;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let matches = command::command().get_matches();
+    match command::run(&matches).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quetzalpick-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/quetzalpick-standin/src/server/reply.rs
+++ b/crates/quetzalpick-standin/src/server/reply.rs
@@ -1,8 +1,12 @@
 //! Answers of a stand-in.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use bytes::Bytes;
 use http_body_util::channel::Channel;
 use http_body_util::{Either, Full};
+use hyper::body::Frame;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
@@ -13,7 +17,37 @@
 pub(crate) struct Broken;
 
 /// `Body` is a whole body or one that is sent in parts.
-pub(crate) type Body = Either<Full<Bytes>, Channel<Bytes, Broken>>;
+pub(crate) type Body = Either<Full<Bytes>, Parts>;
+
+/// `Parts` is a body that is sent in parts and may break off after any of them.
+#[derive(Debug)]
+pub(crate) struct Parts {
+    channel: Channel<Bytes, Broken>,
+    broken: Option<Broken>,
+}
+
+impl hyper::body::Body for Parts {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(broken) = self.broken.take() {
+            return Poll::Ready(Some(Err(broken)));
+        }
+        match Pin::new(&mut self.channel).poll_frame(cx) {
+            // The parts before it are still in the server's buffer, which is written out while a body is pending.
+            Poll::Ready(Some(Err(broken))) => {
+                self.broken = Some(broken);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            other => other,
+        }
+    }
+}
 
 /// `Sender` sends a body in parts.
 pub(crate) type Sender = http_body_util::channel::Sender<Bytes, Broken>;
@@ -48,7 +82,9 @@
 /// Makes an answer whose body is sent in parts, and returns what sends them.
 pub(crate) fn parts(media_type: &'static str, buffer: usize) -> (Sender, Reply) {
     let (sender, channel) = Channel::new(buffer);
-    let reply = Reply::Answer(Box::new(Response::new(Either::Right(channel))));
+    let broken = None;
+    let body = Either::Right(Parts { channel, broken });
+    let reply = Reply::Answer(Box::new(Response::new(body)));
     let reply = reply.with_header(CONTENT_TYPE.as_str(), media_type);
     (sender, reply)
 }
