--- a/crates/quetzalpick-gate/src/lib.rs
+++ b/crates/quetzalpick-gate/src/lib.rs
@@ -2,3 +2,5 @@
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
+
+mod api;
