--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admit;
 pub mod errors;
 pub mod id;
+pub mod lease;
 pub mod plan;
 pub mod quota;
 pub mod record;
@@ -16,3 +17,4 @@
 pub mod state;
 pub mod table;
 pub mod verdict;
+pub mod witness;
