--- a/crates/quetzalpick-gate/src/api/completion.rs
+++ b/crates/quetzalpick-gate/src/api/completion.rs
@@ -91,6 +91,13 @@
         })
     }
 
+    /// Tells whether the caller asked for token counts at the end of the stream.
+    pub(crate) fn wants_usage(&self) -> bool {
+        let options = self.fields.get("stream_options");
+        let include = options.and_then(|options| options.get("include_usage"));
+        include == Some(&Value::Bool(true))
+    }
+
     /// Returns the body for an engine: the output limit that was charged, and text generated elsewhere if any.
     pub(crate) fn to_body(&self, max_output: u32, prefix: &str) -> Bytes {
         let mut fields = self.fields.clone();
--- a/crates/quetzalpick-gate/src/api/header.rs
+++ b/crates/quetzalpick-gate/src/api/header.rs
@@ -63,10 +63,7 @@
 pub(crate) fn presented_keys(headers: &HeaderMap, query: &str) -> Vec<String> {
     let mut keys: Vec<String> = query::presented(query).collect();
     for name in [&AUTHORIZATION, &PROXY_AUTHORIZATION, &COOKIE] {
-        let texts = headers
-            .get_all(name)
-            .iter()
-            .filter_map(|v| v.to_str().ok());
+        let texts = headers.get_all(name).iter().filter_map(|v| v.to_str().ok());
         // A scheme or a cookie's name stands before the key.
         keys.extend(texts.flat_map(|text| text.split([' ', '=', ';', ',']).map(str::to_owned)));
     }
--- a/crates/quetzalpick-gate/src/api/query.rs
+++ b/crates/quetzalpick-gate/src/api/query.rs
@@ -31,7 +31,9 @@
             .and_then(|hex| std::str::from_utf8(hex).ok())
             .and_then(|hex| u8::from_str_radix(hex, 16).ok());
         at += if byte.is_some() { 3 } else { 1 };
-        let plain = bytes.get(at - 1).map(|b| if *b == b'+' { b' ' } else { *b });
+        let plain = bytes
+            .get(at - 1)
+            .map(|b| if *b == b'+' { b' ' } else { *b });
         out.extend(byte.or(plain));
     }
     String::from_utf8_lossy(&out).into_owned()
--- a/crates/quetzalpick-gate/src/api/refusal.rs
+++ b/crates/quetzalpick-gate/src/api/refusal.rs
@@ -25,8 +25,6 @@
     InvalidRequestError,
     /// The key is missing or not known.
     AuthenticationError,
-    /// The key does not open what was asked for.
-    PermissionError,
     /// There is no such path, model or service.
     NotFoundError,
     /// The method does not fit the path.
@@ -57,7 +55,6 @@
         match self {
             Self::InvalidRequestError => StatusCode::BAD_REQUEST,
             Self::AuthenticationError => StatusCode::UNAUTHORIZED,
-            Self::PermissionError => StatusCode::FORBIDDEN,
             Self::NotFoundError => StatusCode::NOT_FOUND,
             Self::MethodError => StatusCode::METHOD_NOT_ALLOWED,
             Self::TimeoutError => StatusCode::REQUEST_TIMEOUT,
--- /dev/null
+++ b/crates/quetzalpick-gate/src/claim/closer.rs
@@ -0,0 +1,146 @@
+//! Closes claims, also those whose record was not confirmed in time.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::future::join_all;
+use quetzalpick_core::id::Command;
+use quetzalpick_core::record::{ClaimKey, ClaimResult, Finish, Record};
+use quetzalpick_core::state::Outcome;
+use quetzalpick_node::replica::{Answer, Replica};
+use quetzalpick_platform::traits::Log;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+
+/// Pause before what could not be closed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Claims that one gate remembers to close; more than it can have open between two retentions.
+const PENDING_MAX: usize = 65_536;
+
+/// `Pending` is a claim that is to be closed.
+#[derive(Debug, Clone)]
+pub(crate) enum Pending {
+    /// A claim whose append was not confirmed and whose call was not sent.
+    Claim {
+        /// The append.
+        command: Command,
+        /// The call.
+        key: ClaimKey,
+    },
+    /// A claim that stands and whose outcome is known.
+    Finish(Finish),
+}
+
+/// `Closer` is the list of claims to close.
+#[derive(Debug, Default)]
+pub(crate) struct Closer {
+    inner: Mutex<Inner>,
+    added: Notify,
+}
+
+/// `Inner` is what the lock protects.
+#[derive(Debug, Default)]
+struct Inner {
+    pending: Vec<Pending>,
+    working: usize,
+}
+
+impl Closer {
+    /// Locks the list; a panic elsewhere leaves it usable, as each change is complete in itself.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a claim to close.
+    pub(crate) fn add(&self, pending: Pending) {
+        let mut inner = self.lock();
+        // A claim that is forgotten stays open, and its repeats are told that it may have run.
+        if inner.pending.len() < PENDING_MAX {
+            inner.pending.push(pending);
+        }
+        drop(inner);
+        self.added.notify_one();
+    }
+
+    /// Tells whether nothing is left to close.
+    pub(crate) fn is_empty(&self) -> bool {
+        let inner = self.lock();
+        inner.pending.is_empty() && inner.working == 0
+    }
+
+    /// Waits until nothing is left to close; tells whether that was so in time.
+    pub(crate) async fn drained(&self, within: Duration) -> bool {
+        let deadline = Instant::now() + within;
+        while !self.is_empty() {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(RETRY_PAUSE / 10).await;
+        }
+        true
+    }
+
+    /// Closes claims for ever.
+    pub(crate) async fn run<L: Log>(&self, replica: Replica<L>) {
+        loop {
+            let batch = self.take();
+            if batch.is_empty() {
+                self.added.notified().await;
+                continue;
+            }
+            let closing = batch.into_iter().map(|pending| close(&replica, pending));
+            let left: Vec<_> = join_all(closing).await.into_iter().flatten().collect();
+            let stuck = !left.is_empty();
+            self.put_back(left);
+            if stuck {
+                // A claim added meanwhile is closed without the pause.
+                let _ = timeout(RETRY_PAUSE, self.added.notified()).await;
+            }
+        }
+    }
+
+    /// Takes everything that is to be closed.
+    fn take(&self) -> Vec<Pending> {
+        let mut inner = self.lock();
+        inner.working = inner.pending.len();
+        std::mem::take(&mut inner.pending)
+    }
+
+    /// Puts back what could not be closed.
+    fn put_back(&self, mut left: Vec<Pending>) {
+        let mut inner = self.lock();
+        inner.working = 0;
+        left.append(&mut inner.pending);
+        inner.pending = left;
+    }
+}
+
+/// Tries to close a claim and returns what is left to do.
+async fn close<L: Log>(replica: &Replica<L>, pending: Pending) -> Option<Pending> {
+    let finish = match pending {
+        Pending::Finish(finish) => finish,
+        Pending::Claim { command, key } => match replica.ask(command) {
+            // The append may still show up.
+            None => return Some(Pending::Claim { command, key }),
+            Some((offset, outcome)) => match outcome.first() {
+                Outcome::Accepted(_) => Finish {
+                    key,
+                    claim: offset,
+                    result: ClaimResult::NotRun,
+                },
+                _ => return None,
+            },
+        },
+    };
+    match replica.submit(Record::Finish(finish.clone()), None).await {
+        Answer::Accepted { .. } => None,
+        Answer::Rejected { reason, .. } => {
+            // After a departure the claim counts as one that may have run.
+            log::warn!("claim: {} not closed: {reason}", finish.claim);
+            None
+        }
+        // The same result may be recorded twice; the fold takes the first.
+        Answer::NotSent { .. } | Answer::Unknown { .. } => Some(Pending::Finish(finish)),
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/claim/mod.rs
@@ -0,0 +1,5 @@
+//! Claims that this gate still has to close.
+
+mod closer;
+
+pub(crate) use closer::{Closer, Pending};
--- /dev/null
+++ b/crates/quetzalpick-gate/src/context.rs
@@ -0,0 +1,87 @@
+//! What the parts of a gate share.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use quetzalpick_core::id::{Member, Workspace};
+use quetzalpick_core::retry;
+use quetzalpick_node::replica::Replica;
+use quetzalpick_platform::http::Pool;
+use quetzalpick_platform::traits::Log;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::api::refusal::{Kind, Refusal};
+use crate::claim::Closer;
+use crate::clock::Clock;
+use crate::demand::Recorder;
+use crate::fleet::Fleet;
+use crate::meters::Meters;
+use crate::options::Options;
+use crate::share::{Charged, Gather, Shares};
+use crate::standing::Standing;
+
+/// `Context` is what the parts of a gate share.
+#[derive(Debug)]
+pub(crate) struct Context<L: Log> {
+    pub(crate) replica: Replica<L>,
+    pub(crate) pool: Pool,
+    pub(crate) clock: Clock,
+    pub(crate) options: Options,
+    pub(crate) shares: Arc<Shares>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) demand: Arc<Recorder>,
+    pub(crate) closer: Arc<Closer>,
+    pub(crate) budget: Mutex<retry::Budget>,
+    pub(crate) standing: watch::Receiver<Standing>,
+    pub(crate) meters: Meters,
+    /// Work that outlives its caller and that a planned stop waits for.
+    pub(crate) tasks: TaskTracker,
+}
+
+impl<L: Log> Context<L> {
+    /// Returns the lease's member, under which this gate may act now.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that did not run if there is no lease.
+    pub(crate) async fn lease(&self) -> Result<Member, Refusal> {
+        self.replica.leased().await.map_err(|unleased| {
+            let message = "this VM is cut off from the others";
+            Refusal::not_run(Kind::UnavailableError, message).after(unleased.retry_after)
+        })?;
+        let member = self.shares.member();
+        if self.replica.is_leased_as(&member) {
+            return Ok(member);
+        }
+        // The process has just joined anew, and its shares are not in step yet.
+        let message = "this VM has just joined";
+        Err(Refusal::not_run(Kind::UnavailableError, message).after(Duration::from_secs(1)))
+    }
+
+    /// Charges tokens to a workspace.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that did not run if the tokens are not to be had.
+    pub(crate) async fn charge(
+        &self,
+        workspace: &Workspace,
+        tokens: u64,
+    ) -> Result<Charged, Refusal> {
+        let gather = Gather {
+            within: self.options.gather_timeout,
+            tries: self.options.gather_tries,
+        };
+        let charging = self.shares.charge(&self.replica, workspace, tokens, gather);
+        charging.await
+    }
+
+    /// Changes the retry budget.
+    pub(crate) fn with_budget<R>(&self, change: impl FnOnce(&mut retry::Budget) -> R) -> R {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut budget)
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The endpoints as this gate sees them: load, health, caches, and the choice among them.
+
+mod guard;
+mod need;
+mod probe;
+mod seen;
+mod table;
+
+pub(crate) use guard::InFlight;
+pub(crate) use need::Need;
+pub(crate) use probe::{probe_engines, probe_vms};
+pub(crate) use table::{Fleet, Target};
--- /dev/null
+++ b/crates/quetzalpick-gate/src/fleet/table.rs
@@ -0,0 +1,243 @@
+//! All endpoints as this gate sees them, and the choice among them.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use quetzalpick_core::id::{Artifact, Domain, Endpoint};
+use quetzalpick_core::record::EndpointSpec;
+use quetzalpick_core::route::{Candidate, Options, Prefixes, Reason, choose};
+use quetzalpick_core::state::State;
+use quetzalpick_core::table::Table;
+use quetzalpick_platform::wire::engine::{Events, Report};
+use quetzalpick_platform::wire::vms::{List, Status};
+
+use crate::clock::Clock;
+use crate::fleet::Need;
+use crate::fleet::seen::Seen;
+
+/// `Target` is the endpoint chosen for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Target {
+    /// The endpoint.
+    pub(crate) endpoint: Endpoint,
+    /// Its IP address and port.
+    pub(crate) address: String,
+    /// Why it was chosen.
+    pub(crate) reason: Reason,
+}
+
+/// `Fleet` is what this gate has seen of all endpoints.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    clock: Clock,
+    domain: Domain,
+    options: Options,
+    inner: Mutex<Inner>,
+}
+
+/// `Inner` is what the lock protects.
+#[derive(Debug)]
+struct Inner {
+    seen: Table<Endpoint, Seen>,
+    prefixes: Prefixes,
+}
+
+impl Inner {
+    /// Returns what was seen of an endpoint, for change.
+    fn seen(&mut self, endpoint: &Endpoint) -> &mut Seen {
+        self.seen
+            .get_or_insert_with(endpoint.clone(), Seen::default)
+    }
+}
+
+impl Fleet {
+    /// Returns a view of a gate in a failure domain before anything was seen.
+    pub(crate) fn new(clock: Clock, domain: Domain, options: Options, prefixes: Prefixes) -> Self {
+        let seen = Table::default();
+        let inner = Mutex::new(Inner { seen, prefixes });
+        Self {
+            clock,
+            domain,
+            options,
+            inner,
+        }
+    }
+
+    /// Locks the view; a panic elsewhere leaves it usable, as each change is complete in itself.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Chooses an endpoint for a request; `None` if none that is not leaving meets the need.
+    pub(crate) fn choose(
+        &self,
+        state: &State,
+        need: &Need,
+        tried: &[Endpoint],
+        random: u64,
+    ) -> Option<Target> {
+        let now_ms = self.clock.now_ms();
+        let endpoints = need.endpoints(state);
+        let mut inner = self.lock();
+        for (name, _) in &endpoints {
+            inner.seen(name);
+        }
+        let inner = &*inner;
+        let endpoints = unless_all(endpoints, |name| inner.contradicts(name, need));
+        let candidates: Vec<Candidate<'_>> = endpoints
+            .iter()
+            .filter_map(|(name, spec)| inner.candidate(now_ms, name, spec, need, tried))
+            .collect();
+        let choice = choose(now_ms, &self.domain, &candidates, &self.options, random)?;
+        let (name, spec) = endpoints[choice.index];
+        Some(Target {
+            endpoint: name.clone(),
+            address: spec.address.clone(),
+            reason: choice.reason,
+        })
+    }
+
+    /// Counts a request as under way.
+    pub(crate) fn dispatch(&self, endpoint: &Endpoint) {
+        let now_ms = self.clock.now_ms();
+        self.lock().seen(endpoint).dispatch(now_ms);
+    }
+
+    /// Counts a request as no longer under way.
+    pub(crate) fn release(&self, endpoint: &Endpoint) {
+        let mut inner = self.lock();
+        let seen = inner.seen(endpoint);
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+    }
+
+    /// Notes that an endpoint answered a request, and that its cache now holds the prompt.
+    pub(crate) fn succeed(&self, endpoint: &Endpoint, need: &Need) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.seen(endpoint).health.succeed(now_ms);
+        if let Need::Copies {
+            artifact, prefixes, ..
+        } = need
+        {
+            for prefix in prefixes {
+                let cache = &mut inner.prefixes;
+                cache.note(now_ms, endpoint, artifact, *prefix, true);
+            }
+        }
+    }
+
+    /// Notes that an endpoint failed a request.
+    pub(crate) fn fail(&self, endpoint: &Endpoint) {
+        let now_ms = self.clock.now_ms();
+        let ejected = self
+            .lock()
+            .seen(endpoint)
+            .health
+            .fail(now_ms, &self.options.health);
+        if ejected {
+            log::warn!("route: endpoint={endpoint} ejected");
+        }
+    }
+
+    /// Notes that an endpoint refused a request because it is leaving.
+    pub(crate) fn refuse_leaving(&self, endpoint: &Endpoint) {
+        self.lock().seen(endpoint).refuse_leaving();
+    }
+
+    /// Takes in an engine's report.
+    pub(crate) fn report(&self, endpoint: &Endpoint, report: &Report) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        let restarted = inner.seen(endpoint).report(now_ms, report);
+        if restarted {
+            log::info!("route: endpoint={endpoint} restarted");
+            inner.prefixes.forget(endpoint);
+        }
+    }
+
+    /// Returns the number to ask an engine's cache events from.
+    pub(crate) fn next_event(&self, endpoint: &Endpoint) -> u64 {
+        self.lock().seen(endpoint).next_event
+    }
+
+    /// Takes in an engine's cache events.
+    pub(crate) fn events(&self, endpoint: &Endpoint, events: &Events) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.seen(endpoint).next_event = events.next;
+        for event in &events.events {
+            if let Ok(artifact) = Artifact::try_new(&event.artifact) {
+                let cache = &mut inner.prefixes;
+                cache.note(now_ms, endpoint, &artifact, event.prefix, event.cached);
+            }
+        }
+    }
+
+    /// Takes in the VM list.
+    pub(crate) fn list(&self, list: &List) {
+        let mut inner = self.lock();
+        for vm in &list.vms {
+            if let Ok(endpoint) = Endpoint::try_new(&vm.name) {
+                inner.seen(&endpoint).list(vm.status == Status::Leaving);
+            }
+        }
+    }
+
+    /// Forgets endpoints that the configuration does not name any more and that have no request under way.
+    pub(crate) fn retain(&self, known: impl Fn(&Endpoint) -> bool) {
+        let mut inner = self.lock();
+        inner
+            .seen
+            .retain(|name, seen| known(name) || seen.in_flight > 0);
+    }
+}
+
+impl Inner {
+    /// Tells whether the endpoint's own report contradicts that it meets a need, as after its restart.
+    fn contradicts(&self, endpoint: &Endpoint, need: &Need) -> bool {
+        let Need::Copies { copies, .. } = need else {
+            return false;
+        };
+        let seen = self.seen.get(endpoint);
+        seen.is_some_and(|seen| copies.iter().any(|(a, _)| seen.lacks(a.as_str())))
+    }
+
+    /// Builds the candidate of an endpoint.
+    fn candidate<'a>(
+        &'a self,
+        now_ms: u64,
+        endpoint: &'a Endpoint,
+        spec: &'a EndpointSpec,
+        need: &Need,
+        tried: &[Endpoint],
+    ) -> Option<Candidate<'a>> {
+        let seen = self.seen.get(endpoint)?;
+        let cached_blocks = match need {
+            Need::Copies {
+                artifact, prefixes, ..
+            } => self.prefixes.longest(now_ms, endpoint, artifact, prefixes),
+            Need::Service(_) => 0,
+        };
+        Some(Candidate {
+            endpoint,
+            domain: &spec.domain,
+            leaving: spec.draining || seen.is_leaving(),
+            load: seen.load(),
+            health: &seen.health,
+            cached_blocks,
+            tried: tried.contains(endpoint),
+        })
+    }
+}
+
+/// Leaves out the endpoints that a predicate names, unless it names all of them.
+fn unless_all<'a>(
+    endpoints: Vec<(&'a Endpoint, &'a EndpointSpec)>,
+    excluded: impl Fn(&Endpoint) -> bool,
+) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
+    let kept: Vec<_> = endpoints
+        .iter()
+        .filter(|(name, _)| !excluded(name))
+        .copied()
+        .collect();
+    if kept.is_empty() { endpoints } else { kept }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -0,0 +1,234 @@
+//! A running gate: its parts, their start, and the planned stop.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use quetzalpick_core::retry::Budget;
+use quetzalpick_core::route::Prefixes;
+use quetzalpick_node::http::admin::{Admin, Readiness};
+use quetzalpick_node::http::server::{self, Server};
+use quetzalpick_node::lifecycle::{Lifecycle, Phase};
+use quetzalpick_node::replica::{self, Replica};
+use quetzalpick_node::telemetry::metrics::Metrics;
+use quetzalpick_platform::http::Pool;
+use quetzalpick_platform::traits::{Engine, Log, Vms};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::claim::Closer;
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::demand::Recorder;
+use crate::errors::Result;
+use crate::fleet::{Fleet, probe_engines, probe_vms};
+use crate::meters::Meters;
+use crate::options::Options;
+use crate::serve::Handler;
+use crate::share::{Answerer, Shares, hand_over, keep};
+use crate::standing::{self, Standing};
+
+/// `Platform` is how a gate reaches the outside systems.
+#[derive(Debug, Clone)]
+pub struct Platform<L, E, V> {
+    /// The log service.
+    pub log: L,
+    /// The administration side of engines.
+    pub engine: E,
+    /// The VM list.
+    pub vms: V,
+}
+
+/// `Listeners` is where a gate listens.
+#[derive(Debug, Clone)]
+pub struct Listeners {
+    /// IP address and port for callers.
+    pub callers: String,
+    /// IP address and port for health, readiness and metrics.
+    pub admin: String,
+    /// Limits of the callers' listener.
+    pub limits: server::Options,
+}
+
+/// `Gate` is a running gate.
+#[derive(Debug)]
+pub struct Gate<L: Log> {
+    context: Arc<Context<L>>,
+    lifecycle: Lifecycle,
+    address: SocketAddr,
+    admin_address: SocketAddr,
+    callers: JoinHandle<bool>,
+    callers_stop: CancellationToken,
+    background: CancellationToken,
+}
+
+/// `Ready` tells whether a gate takes requests.
+#[derive(Debug, Clone)]
+struct Ready<L: Log> {
+    replica: Replica<L>,
+    lifecycle: Lifecycle,
+}
+
+impl<L: Log> Readiness for Ready<L> {
+    fn lacks(&self) -> Option<String> {
+        let phase = self.lifecycle.phase();
+        if phase != Phase::Serving {
+            return Some(format!("the process is {phase}"));
+        }
+        let lease = self.replica.is_leased();
+        (!lease).then(|| "no lease".to_owned())
+    }
+}
+
+impl<L: Log> Gate<L> {
+    /// Starts a gate; it is ready once it has loaded the state and holds a lease.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Node` if a listener cannot be bound or the replica cannot start.
+    pub async fn try_start(
+        platform: Platform<L, impl Engine, impl Vms>,
+        listeners: Listeners,
+        replica: replica::Options,
+        options: Options,
+    ) -> Result<Self> {
+        let metrics = Metrics::try_new()?;
+        let callers = Server::try_bind(&listeners.callers, listeners.limits.clone()).await?;
+        let admin = Server::try_bind(&listeners.admin, server::Options::default()).await?;
+        let (address, admin_address) = (callers.address(), admin.address());
+        let clock = Clock::new();
+        let domain = replica.domain.clone();
+        let shares = Arc::new(Shares::new(
+            clock,
+            replica.member.clone(),
+            options.quota.clone(),
+        ));
+        let answerer = Answerer::new(Arc::clone(&shares));
+        let replica = Replica::try_start(platform.log, replica, answerer.clone()).await?;
+        answerer.connect(replica.clone());
+        let (standing, watched) = watch::channel(Standing::default());
+        let age_ms = options.prefix_age.as_millis() as u64;
+        let prefixes = Prefixes::new(options.prefix_capacity, age_ms);
+        let context = Arc::new(Context {
+            pool: Pool::default(),
+            clock,
+            shares,
+            fleet: Arc::new(Fleet::new(clock, domain, options.route.clone(), prefixes)),
+            admission: Arc::new(Admission::new(clock, options.admit.clone())),
+            demand: Arc::new(Recorder::new(clock)),
+            closer: Arc::new(Closer::default()),
+            budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.clone())),
+            standing: watched,
+            meters: Meters::new(&metrics.meter("quetzalpick-gate")),
+            tasks: TaskTracker::new(),
+            replica,
+            options,
+        });
+        let background = CancellationToken::new();
+        start_background(
+            &context,
+            platform.engine,
+            platform.vms,
+            standing,
+            &background,
+        );
+        let lifecycle = Lifecycle::default();
+        let ready = Ready {
+            replica: context.replica.clone(),
+            lifecycle: lifecycle.clone(),
+        };
+        tokio::spawn(admin.run(Admin::new(ready, metrics), background.clone()));
+        let callers_stop = CancellationToken::new();
+        let handler = Handler::new(Arc::clone(&context));
+        let callers = tokio::spawn(callers.run(handler, callers_stop.clone()));
+        lifecycle.advance(Phase::Serving);
+        log::info!("gate: callers on {address}, admin on {admin_address}");
+        Ok(Self {
+            context,
+            lifecycle,
+            address,
+            admin_address,
+            callers,
+            callers_stop,
+            background,
+        })
+    }
+
+    /// Returns the address of the callers' listener.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the admin listener.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns this gate's copy of the agreed state.
+    pub fn replica(&self) -> &Replica<L> {
+        &self.context.replica
+    }
+
+    /// Stops as planned: finishes every request, hands shares over and leaves; tells whether all of that succeeded.
+    pub async fn stop(self) -> bool {
+        let options = &self.context.options;
+        // The balancer takes notice while requests are still served.
+        self.lifecycle.advance(Phase::Unready);
+        tokio::time::sleep(options.grace).await;
+        self.lifecycle.advance(Phase::Draining);
+        self.callers_stop.cancel();
+        let finished = self.callers.await.unwrap_or(false);
+        self.context.tasks.close();
+        self.context.tasks.wait().await;
+        let within = options.hand_over_timeout;
+        let closed = self.context.closer.drained(within).await;
+        self.lifecycle.advance(Phase::HandingOver);
+        let replica = &self.context.replica;
+        let handed = hand_over(replica, &self.context.shares, within).await;
+        self.lifecycle.advance(Phase::Leaving);
+        let left = replica.leave().await;
+        log::info!("lifecycle: left with {left:?}, claims closed={closed}, shares handed={handed}");
+        self.background.cancel();
+        self.lifecycle.advance(Phase::Stopped);
+        finished && closed
+    }
+}
+
+/// Starts what runs for as long as the gate does.
+fn start_background<L: Log>(
+    context: &Arc<Context<L>>,
+    engine: impl Engine,
+    vms: impl Vms,
+    standing: watch::Sender<Standing>,
+    stop: &CancellationToken,
+) {
+    let options = &context.options;
+    let replica = || context.replica.clone();
+    let lease = options.lease;
+    spawn(stop, standing::keep(replica(), standing, lease));
+    let shares = Arc::clone(&context.shares);
+    let demand = Arc::clone(&context.demand);
+    spawn(
+        stop,
+        keep(replica(), shares, demand, options.share_interval),
+    );
+    let closer = Arc::clone(&context.closer);
+    let closing = replica();
+    spawn(stop, async move { closer.run(closing).await });
+    let (fleet, interval) = (Arc::clone(&context.fleet), options.vms_interval);
+    spawn(stop, async move { probe_vms(&fleet, vms, interval).await });
+    let (fleet, interval) = (Arc::clone(&context.fleet), options.report_interval);
+    let reader = replica();
+    spawn(stop, async move {
+        let engines = || reader.read(|state| fleet.engines(state));
+        probe_engines(&fleet, engine, interval, engines).await;
+    });
+}
+
+/// Runs a task until the token is cancelled.
+fn spawn(stop: &CancellationToken, task: impl Future<Output = ()> + Send + 'static) {
+    let stop = stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled(task).await });
+}
--- a/crates/quetzalpick-gate/src/lib.rs
+++ b/crates/quetzalpick-gate/src/lib.rs
@@ -3,4 +3,22 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+mod admission;
 mod api;
+mod claim;
+mod clock;
+mod context;
+mod demand;
+pub mod errors;
+mod fleet;
+mod gate;
+mod meters;
+mod options;
+pub mod payload;
+mod serve;
+pub mod settings;
+mod share;
+mod standing;
+
+pub use gate::{Gate, Listeners, Platform};
+pub use options::Options;
--- /dev/null
+++ b/crates/quetzalpick-gate/src/serve/chunk.rs
@@ -0,0 +1,69 @@
+//! One event of an engine's stream.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+/// `Chunk` is what the relay looks at in an event; the rest is passed on as it is.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Chunk {
+    /// Id of the request that the event belongs to.
+    #[serde(default)]
+    pub(crate) id: String,
+    /// Number of the token, counted from 0; `None` in events without a token.
+    #[serde(rename = "quetzalpick_index")]
+    pub(crate) index: Option<u64>,
+    /// What was generated.
+    #[serde(default)]
+    choices: Vec<Choice>,
+    /// Token counts, in the last event of a stream whose caller asked for them.
+    usage: Option<Value>,
+    /// An error of the engine.
+    error: Option<Value>,
+}
+
+/// `Choice` is the generated part of an event.
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    delta: Option<Delta>,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+/// `Delta` is the generated part of a chat's event.
+#[derive(Debug, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+impl Chunk {
+    /// Reads an event's data; `None` if it is not an event of a completion.
+    pub(crate) fn from_data(data: &str) -> Option<Self> {
+        let chunk: Self = serde_json::from_str(data).ok()?;
+        chunk.error.is_none().then_some(chunk)
+    }
+
+    /// Returns the generated text.
+    pub(crate) fn text(&self) -> &str {
+        let choice = self.choices.first();
+        let text = choice.and_then(|choice| match &choice.delta {
+            Some(delta) => delta.content.as_deref(),
+            None => choice.text.as_deref(),
+        });
+        text.unwrap_or_default()
+    }
+
+    /// Tells whether this event ends the generation.
+    pub(crate) fn finishes(&self) -> bool {
+        let mut choices = self.choices.iter();
+        choices.any(|choice| choice.finish_reason.is_some())
+    }
+
+    /// Tells whether this event carries token counts.
+    pub(crate) fn has_usage(&self) -> bool {
+        self.usage.as_ref().is_some_and(|usage| !usage.is_null())
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/serve/handler.rs
@@ -0,0 +1,180 @@
+//! The callers' listener: from a request's head to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response};
+use hyper::body::Incoming;
+use quetzalpick_node::http::server;
+use quetzalpick_platform::traits::Log;
+use tokio::time::Instant;
+
+use crate::api::body::{self, Reply};
+use crate::api::completion::{Completion, Form};
+use crate::api::header::{self, REQUEST_ID};
+use crate::api::query;
+use crate::api::refusal::{Kind, Refusal};
+use crate::context::Context;
+use crate::serve::access::Caller;
+use crate::serve::service::{self, Address};
+use crate::serve::{completion, models};
+
+/// `Handler` answers callers; its clones share one gate.
+#[derive(Debug)]
+pub(crate) struct Handler<L: Log> {
+    context: Arc<Context<L>>,
+}
+
+impl<L: Log> Clone for Handler<L> {
+    fn clone(&self) -> Self {
+        let context = Arc::clone(&self.context);
+        Self { context }
+    }
+}
+
+/// Draws the id of a request.
+fn draw_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+impl<L: Log> server::Handler for Handler<L> {
+    type Body = Reply;
+
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Reply> {
+        let started = Instant::now();
+        let id = draw_id();
+        let given = header::text(request.headers(), &REQUEST_ID).map(str::to_owned);
+        let answered = self.answer(request, id.clone()).await;
+        let mut response = answered.unwrap_or_else(|refusal| self.refuse(&id, refusal));
+        // The caller gets its own id back; the endpoints see the drawn one only.
+        let shown = HeaderValue::from_str(&given.unwrap_or(id));
+        if let Ok(shown) = shown {
+            response.headers_mut().insert(REQUEST_ID, shown);
+        }
+        let seconds = started.elapsed().as_secs_f64();
+        let status = response.status().as_u16();
+        self.context.meters.answer(status, seconds);
+        response
+    }
+}
+
+impl<L: Log> Handler<L> {
+    /// Makes a handler.
+    pub(crate) fn new(context: Arc<Context<L>>) -> Self {
+        Self { context }
+    }
+
+    /// Logs and counts a refusal, and builds its answer.
+    fn refuse(&self, id: &str, refusal: Refusal) -> Response<Reply> {
+        log::info!(
+            "gate: request={id} refused type={} verdict={}",
+            refusal.kind,
+            refusal.verdict
+        );
+        let meters = &self.context.meters;
+        meters.refusal(refusal.kind.into(), refusal.verdict.into());
+        refusal.into_response()
+    }
+
+    /// Answers a request by its path.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        id: String,
+    ) -> Result<Response<Reply>, Refusal> {
+        let (head, body) = request.into_parts();
+        match head.uri.path() {
+            "/v1/chat/completions" => self.complete(Form::Chat, head, body, id).await,
+            "/v1/completions" => self.complete(Form::Text, head, body, id).await,
+            "/v1/models" => self.models(&head).await,
+            path => match Address::from_path(path) {
+                Some(address) => self.call(address, head, body, id).await,
+                None => Err(Refusal::not_run(Kind::NotFoundError, "unknown path")),
+            },
+        }
+    }
+
+    /// Looks up the caller, with a lease.
+    async fn caller(&self, head: &Parts) -> Result<Caller, Refusal> {
+        self.context.lease().await?;
+        let replica = &self.context.replica;
+        replica.read(|state| Caller::try_new(&head.headers, state))
+    }
+
+    /// Answers a completion.
+    async fn complete(
+        &self,
+        form: Form,
+        head: Parts,
+        body: Incoming,
+        id: String,
+    ) -> Result<Response<Reply>, Refusal> {
+        only(&head, &Method::POST)?;
+        // A wrong key is refused before its body is read.
+        let caller = self.caller(&head).await?;
+        let body = self.body(&head, body).await?;
+        let completion = Completion::try_new(form, &body)?;
+        // Escapes are resolved by now, so that they hide no key.
+        without_key(&head, &completion.to_body(1, ""))?;
+        completion::serve(&self.context, caller, completion, id).await
+    }
+
+    /// Answers a list of models.
+    async fn models(&self, head: &Parts) -> Result<Response<Reply>, Refusal> {
+        only(head, &Method::GET)?;
+        let caller = self.caller(head).await?;
+        let replica = &self.context.replica;
+        Ok(replica.read(|state| models::list(state, &caller)))
+    }
+
+    /// Answers a call to a service.
+    async fn call(
+        &self,
+        address: Address,
+        head: Parts,
+        body: Incoming,
+        id: String,
+    ) -> Result<Response<Reply>, Refusal> {
+        self.context.lease().await?;
+        let context = &self.context;
+        let caller = service::authorize(context, &address, &head.method, &head.headers)?;
+        let body = self.body(&head, body).await?;
+        let incoming = service::Incoming {
+            address,
+            head,
+            body,
+            id,
+        };
+        service::serve(context, caller, incoming).await
+    }
+
+    /// Reads a request's body, which like the path must not hold a key.
+    async fn body(&self, head: &Parts, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+        let options = &self.context.options;
+        let body = body::read(body, options.body_max_bytes, options.body_timeout).await?;
+        without_key(head, &body)?;
+        Ok(body)
+    }
+}
+
+/// Checks that neither the path nor the body holds a key that the request presents.
+fn without_key(head: &Parts, body: &[u8]) -> Result<(), Refusal> {
+    let query = head.uri.query().unwrap_or_default();
+    let keys = header::presented_keys(&head.headers, query);
+    let in_body = |key: &String| body.windows(key.len()).any(|part| part == key.as_bytes());
+    if query::holds_key(head.uri.path(), &keys) || keys.iter().any(in_body) {
+        let message = "the path or the body holds the key, which no endpoint may see";
+        return Err(Refusal::not_run(Kind::InvalidRequestError, message));
+    }
+    Ok(())
+}
+
+/// Checks the method of a path that takes one only.
+fn only(head: &Parts, method: &Method) -> Result<(), Refusal> {
+    if head.method == method {
+        return Ok(());
+    }
+    let message = format!("this path takes {method} only");
+    Err(Refusal::not_run(Kind::MethodError, message))
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/serve/once.rs
@@ -0,0 +1,240 @@
+//! Calls that run at most once: claimed in the log before they are sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use http::{Response, StatusCode};
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::record::{
+    CLAIM_BODY_MAX_BYTES, Claim, ClaimKey, ClaimResult, Finish, Record,
+};
+use quetzalpick_core::state::Reason;
+use quetzalpick_core::verdict::Verdict;
+use quetzalpick_node::replica::Answer;
+use quetzalpick_platform::traits::Log;
+
+use crate::api::body::Reply;
+use crate::api::refusal::{Kind, Refusal};
+use crate::claim::Pending;
+use crate::context::Context;
+use crate::serve::access::Caller;
+use crate::serve::call::Call;
+use crate::serve::service;
+use crate::serve::tries::Whole;
+use crate::share::Charged;
+
+/// Header of an answer that was recorded when the call ran.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+
+/// Claims tried for one request: a second one after the first caller's call turned out not to have run.
+const CLAIMS_MAX: usize = 2;
+
+/// When to come back after a claim that could not be made.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// `Once` is a call that runs at most once.
+pub(crate) struct Once {
+    /// What its repeats have in common.
+    pub(crate) key: ClaimKey,
+    /// Digest of method, path and body.
+    pub(crate) fingerprint: u64,
+    /// Who calls; `None` on a route open to all.
+    pub(crate) caller: Option<Caller>,
+    /// The call.
+    pub(crate) call: Call,
+    /// Its charge.
+    pub(crate) charged: Option<Charged>,
+}
+
+/// `Known` is what became of an earlier call with the same key.
+enum Known {
+    /// Nobody has made it, or it did not run.
+    Free,
+    /// It was made.
+    Made(Result<Response<Reply>, Refusal>),
+}
+
+/// Serves a call; its work goes on if the caller goes away, so that its claim is closed.
+///
+/// # Errors
+///
+/// A refusal with its verdict.
+pub(crate) async fn serve<L: Log>(
+    context: &Arc<Context<L>>,
+    once: Once,
+) -> Result<Response<Reply>, Refusal> {
+    let shared = Arc::clone(context);
+    let work = context.tasks.spawn(async move { run(&shared, once).await });
+    work.await.unwrap_or_else(|_| {
+        let message = "the call was broken off";
+        Err(Refusal::with_verdict(
+            Kind::UnavailableError,
+            message,
+            Verdict::MayHaveRun,
+        ))
+    })
+}
+
+/// Claims a call and sends it, or tells what became of an earlier one.
+async fn run<L: Log>(context: &Arc<Context<L>>, once: Once) -> Result<Response<Reply>, Refusal> {
+    for _ in 0..CLAIMS_MAX {
+        // What this gate knows already needs no record.
+        if let Known::Made(answer) = known(context, &once).await {
+            return answer;
+        }
+        let member = context.lease().await?;
+        let claim = Claim {
+            key: once.key.clone(),
+            fingerprint: once.fingerprint,
+            member: member.clone(),
+        };
+        match context.replica.submit(Record::Claim(claim), None).await {
+            Answer::Accepted { offset, .. } => return dispatch(context, once, offset).await,
+            Answer::Rejected {
+                reason: Reason::Claimed { .. },
+                ..
+            } => {}
+            Answer::Rejected { reason, .. } => {
+                let message = format!("the call could not be claimed: {reason}");
+                return Err(unclaimed(message, RETRY_AFTER));
+            }
+            Answer::NotSent { retry_after } => {
+                return Err(unclaimed("the log does not take claims now", retry_after));
+            }
+            Answer::Unknown { command } => {
+                // The claim may stand or come to stand; nothing was sent, so it is closed as not run.
+                let key = once.key.clone();
+                context.closer.add(Pending::Claim { command, key });
+                let message = "the log did not confirm the claim in time";
+                return Err(unclaimed(message, RETRY_AFTER));
+            }
+        }
+    }
+    // Whoever holds the claim is still at it.
+    match known(context, &once).await {
+        Known::Made(answer) => answer,
+        Known::Free => Err(unclaimed("the call could not be claimed", RETRY_AFTER)),
+    }
+}
+
+/// Builds the refusal of a call that was not sent because it could not be claimed.
+fn unclaimed(message: impl Into<String>, after: Duration) -> Refusal {
+    Refusal::not_run(Kind::UnavailableError, message).after(after)
+}
+
+/// Sends a claimed call and records what became of it; the caller does not wait for that record.
+async fn dispatch<L: Log>(
+    context: &Arc<Context<L>>,
+    once: Once,
+    claim: Offset,
+) -> Result<Response<Reply>, Refusal> {
+    log::info!("claim: request={} claimed at {claim}", once.call.id);
+    let sent = service::send(context, once.caller.as_ref(), &once.call, once.charged).await;
+    let result = match &sent {
+        Ok(whole) => ran(whole),
+        Err(refusal) if refusal.verdict == Verdict::NotRun => ClaimResult::NotRun,
+        Err(_) => ClaimResult::MayHaveRun,
+    };
+    context.closer.add(Pending::Finish(Finish {
+        key: once.key,
+        claim,
+        result,
+    }));
+    sent.map(service::answer)
+}
+
+/// Builds the record of an answer; one that is too long is left out.
+fn ran(whole: &Whole) -> ClaimResult {
+    let content_type = whole.headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let fits = whole.body.len() <= CLAIM_BODY_MAX_BYTES;
+    ClaimResult::Ran {
+        status: whole.status.as_u16(),
+        content_type: content_type.unwrap_or_default().to_owned(),
+        body: fits.then(|| whole.body.to_vec()),
+    }
+}
+
+/// Tells what became of an earlier call with the same key, waiting a little for one that still runs.
+async fn known<L: Log>(context: &Context<L>, once: &Once) -> Known {
+    let mut changed = context.replica.changed();
+    let deadline = tokio::time::Instant::now() + context.options.repeat_wait;
+    loop {
+        changed.borrow_and_update();
+        let held = context.replica.read(|state| {
+            let held = state.claims().held().get(&once.key);
+            held.map(|held| {
+                (
+                    held.fingerprint,
+                    held.result.clone(),
+                    holder_left(state, &held.member),
+                )
+            })
+        });
+        let (fingerprint, result, left) = match held {
+            None | Some((_, Some(ClaimResult::NotRun), _)) => return Known::Free,
+            Some(held) => held,
+        };
+        if fingerprint != once.fingerprint {
+            return Known::Made(Err(reused()));
+        }
+        if let Some(result) = result {
+            return Known::Made(recorded(result));
+        }
+        let next = tokio::time::timeout_at(deadline, changed.changed());
+        if left || !matches!(next.await, Ok(Ok(()))) {
+            return Known::Made(Err(maybe()));
+        }
+    }
+}
+
+/// Tells whether the holder of a claim has departed, so that nobody will close it.
+fn holder_left(state: &quetzalpick_core::state::State, holder: &Member) -> bool {
+    !state.roster().is_active(holder)
+}
+
+/// Builds the refusal of another call under a used key.
+fn reused() -> Refusal {
+    let message = "the Idempotency-Key was used for another call";
+    Refusal::not_run(Kind::IdempotencyError, message)
+}
+
+/// Builds the refusal of a repeat whose first call may have run.
+fn maybe() -> Refusal {
+    let message = "a call with this Idempotency-Key may have run: ask the service";
+    Refusal::with_verdict(Kind::ConflictError, message, Verdict::MayHaveRun)
+}
+
+/// Answers a repeat with what was recorded of the first call.
+fn recorded(result: ClaimResult) -> Result<Response<Reply>, Refusal> {
+    match result {
+        ClaimResult::Ran {
+            status,
+            content_type,
+            body: Some(body),
+        } => Ok(replay(status, &content_type, body)),
+        ClaimResult::Ran { body: None, .. } => {
+            let message = "the call ran, and its answer was too long to keep: ask the service";
+            Err(Refusal::with_verdict(
+                Kind::ConflictError,
+                message,
+                Verdict::Ran,
+            ))
+        }
+        ClaimResult::MayHaveRun | ClaimResult::NotRun => Err(maybe()),
+    }
+}
+
+/// Builds the answer that was recorded when the call ran.
+fn replay(status: u16, content_type: &str, body: Vec<u8>) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(content_type) {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/settings.rs
@@ -0,0 +1,146 @@
+//! Settings of the gate.
+
+use std::time::Duration;
+
+use quetzalpick_core::retry;
+use quetzalpick_core::route::Policy;
+use quetzalpick_node::http::server;
+use quetzalpick_node::settings::sections::{Log, Metrics, Peers, Platform, Vm, address};
+use quetzalpick_node::settings::{Reader, Section};
+
+use crate::options::Options;
+
+const ADDRESS: &str = "an IP address and port";
+const HOUR_MS: u64 = 3_600_000;
+const MINUTE_MS: u64 = 60_000;
+
+/// `Settings` is the whole settings file of a gate.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The VM.
+    pub vm: Vm,
+    /// The platform's services.
+    pub platform: Platform,
+    /// The other processes.
+    pub peers: Peers,
+    /// Logs.
+    pub log: Log,
+    /// The admin listener.
+    pub metrics: Metrics,
+    /// The callers' listener.
+    pub callers: Callers,
+    /// Queues, routing and retries.
+    pub requests: Requests,
+}
+
+impl Section for Settings {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            vm: reader.section("vm"),
+            platform: reader.section("platform"),
+            peers: reader.section("peers"),
+            log: reader.section("log"),
+            metrics: reader.section("metrics"),
+            callers: reader.section("callers"),
+            requests: reader.section("requests"),
+        }
+    }
+}
+
+/// `Callers` sets the callers' listener.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// Address to listen on.
+    pub listen: String,
+    /// Largest body, in bytes.
+    pub body_max_bytes: usize,
+    /// Longest time to send a body.
+    pub body_timeout: Duration,
+    /// Limits of the listener.
+    pub server: server::Options,
+    /// Time between becoming unready and refusing new connections.
+    pub grace: Duration,
+}
+
+impl Section for Callers {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let listen = |text: &str| address(text).map(|address| address.to_string());
+        Self {
+            listen: reader.required("listen", "127.0.0.1:7301", ADDRESS, listen),
+            body_max_bytes: reader.number("body_max_bytes", 4 << 20, 1_024..=1 << 30, "bytes")
+                as usize,
+            body_timeout: reader.millis("body_timeout_ms", 10_000, 100..=HOUR_MS),
+            server: server::Options {
+                head_bytes: reader.number("head_max_bytes", 32_768, 8_192..=1 << 20, "bytes")
+                    as usize,
+                headers: reader.number("headers_max", 100, 10..=1_000, "headers") as usize,
+                head_timeout: reader.millis("head_timeout_ms", 10_000, 100..=HOUR_MS),
+                connections: reader.number("connections_max", 4_096, 1..=1 << 20, "connections")
+                    as usize,
+                drain: reader.millis("drain_ms", 10 * MINUTE_MS, 100..=24 * HOUR_MS),
+            },
+            grace: reader.millis("grace_ms", 2_000, 0..=10 * MINUTE_MS),
+        }
+    }
+}
+
+/// `Requests` sets queues, routing and retries.
+#[derive(Debug, Clone)]
+pub struct Requests {
+    /// Longest time to an answer, or to the first token of a stream.
+    pub timeout: Duration,
+    /// Longest wait for admission.
+    pub queue_timeout: Duration,
+    /// Longest silence of an endpoint within an answer.
+    pub silence_timeout: Duration,
+    /// Most tries of one request.
+    pub tries_max: u32,
+    /// Requests of this gate under way for each copy of a model.
+    pub in_flight_per_copy: usize,
+    /// Retries for each thousand first tries.
+    pub retry_permille: u64,
+    /// The way of choosing endpoints.
+    pub policy: Policy,
+}
+
+impl Section for Requests {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let policy = |text: &str| text.parse().ok();
+        let policies = "one of random, least-requests, affinity";
+        let policy = reader.parsed("policy", "affinity", policies, policy);
+        Self {
+            timeout: reader.millis("timeout_ms", MINUTE_MS, 100..=HOUR_MS),
+            queue_timeout: reader.millis("queue_timeout_ms", 5_000, 1..=HOUR_MS),
+            silence_timeout: reader.millis("silence_timeout_ms", 10_000, 100..=HOUR_MS),
+            tries_max: reader.number("tries_max", 4, 1..=100, "tries") as u32,
+            in_flight_per_copy: reader.number("in_flight_per_copy", 64, 1..=100_000, "requests")
+                as usize,
+            retry_permille: reader.number("retry_permille", 200, 0..=1_000, "retries"),
+            policy: policy.unwrap_or_default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the options of a gate with these settings.
+    pub fn options(&self) -> Options {
+        let mut options = Options {
+            body_max_bytes: self.callers.body_max_bytes,
+            body_timeout: self.callers.body_timeout,
+            grace: self.callers.grace,
+            request_timeout: self.requests.timeout,
+            queue_timeout: self.requests.queue_timeout,
+            silence_timeout: self.requests.silence_timeout,
+            tries_max: self.requests.tries_max,
+            in_flight_per_copy: self.requests.in_flight_per_copy,
+            lease: self.peers.lease,
+            retry: retry::Options {
+                ratio_permille: self.requests.retry_permille,
+                ..retry::Options::default()
+            },
+            ..Options::default()
+        };
+        options.route.policy = self.requests.policy;
+        options
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/share/charged.rs
@@ -0,0 +1,53 @@
+//! Tokens charged for one request.
+
+use std::sync::Arc;
+
+use quetzalpick_core::quota::Receipt;
+
+use crate::share::Shares;
+
+/// `Charged` holds the tokens charged for one request, and gives back what was not used when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Charged {
+    shares: Arc<Shares>,
+    receipt: Option<Receipt>,
+    tokens: u64,
+    used: u64,
+}
+
+impl Charged {
+    /// Starts with nothing used.
+    pub(crate) fn new(shares: Arc<Shares>, receipt: Receipt) -> Self {
+        let tokens = receipt.tokens();
+        Self {
+            shares,
+            receipt: Some(receipt),
+            tokens,
+            used: 0,
+        }
+    }
+
+    /// Sets the tokens used; a request that may have run without an account of its tokens counts in full.
+    pub(crate) fn set_used(&mut self, tokens: u64) {
+        self.used = tokens.min(self.tokens);
+    }
+
+    /// Counts all tokens as used.
+    pub(crate) fn use_all(&mut self) {
+        self.used = self.tokens;
+    }
+
+    /// Returns the tokens that were not used.
+    pub(crate) fn unused(&self) -> u64 {
+        self.tokens - self.used
+    }
+}
+
+impl Drop for Charged {
+    fn drop(&mut self) {
+        let unused = self.unused();
+        if let Some(receipt) = self.receipt.take() {
+            self.shares.refund(receipt, unused);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -0,0 +1,172 @@
+//! The shares behind a lock, and the charging of requests.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use quetzalpick_core::id::{Member, Workspace};
+use quetzalpick_core::quota::{Ack, Ask, Charge, Options, Peer, Quota, Receipt, Transfer};
+use quetzalpick_core::state::State;
+
+use crate::api::refusal::{Kind, Refusal};
+use crate::clock::Clock;
+use crate::share::{Charged, Peers};
+
+/// `Shares` is what this gate holds, shared by its parts.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    clock: Clock,
+    options: Options,
+    inner: Mutex<Inner>,
+}
+
+/// `Inner` is what the lock protects.
+#[derive(Debug)]
+struct Inner {
+    member: Member,
+    quota: Quota,
+    peers: Arc<Vec<Peer>>,
+}
+
+impl Shares {
+    /// Returns the shares of a member that has just joined: none.
+    pub(crate) fn new(clock: Clock, member: Member, options: Options) -> Self {
+        let quota = Quota::new(member.clone(), options.clone());
+        let peers = Arc::default();
+        let inner = Mutex::new(Inner {
+            member,
+            quota,
+            peers,
+        });
+        Self {
+            clock,
+            options,
+            inner,
+        }
+    }
+
+    /// Locks the shares; a panic elsewhere leaves them usable, as each change is complete in itself.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls a function with the shares and the time in ms.
+    pub(crate) fn with<R>(&self, change: impl FnOnce(&mut Quota, u64) -> R) -> R {
+        let now_ms = self.clock.now_ms();
+        change(&mut self.lock().quota, now_ms)
+    }
+
+    /// Returns the member that the shares belong to.
+    pub(crate) fn member(&self) -> Member {
+        self.lock().member.clone()
+    }
+
+    /// Takes over what the fold decided; a new member starts with nothing.
+    pub(crate) fn sync(&self, member: &Member, state: &State) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        if inner.member != *member {
+            inner.member = member.clone();
+            inner.quota = Quota::new(member.clone(), self.options.clone());
+        }
+        inner.quota.sync(now_ms, state);
+    }
+
+    /// Takes over what peers said of their shares.
+    pub(crate) fn set_peers(&self, peers: Vec<Peer>) {
+        self.lock().peers = Arc::new(peers);
+    }
+
+    /// Returns what peers said of their shares.
+    pub(crate) fn peers(&self) -> Arc<Vec<Peer>> {
+        Arc::clone(&self.lock().peers)
+    }
+
+    /// Charges tokens to a workspace, gathering them from peers if this gate lacks them.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that did not run if the tokens are not to be had now, or never.
+    pub(crate) async fn charge(
+        self: &Arc<Self>,
+        peers: &impl Peers,
+        workspace: &Workspace,
+        tokens: u64,
+        gather: Gather,
+    ) -> Result<Charged, Refusal> {
+        let deadline = tokio::time::Instant::now() + gather.within;
+        let mut asked: Vec<Member> = Vec::new();
+        loop {
+            let charge = self.with(|quota, now_ms| quota.charge(now_ms, workspace, tokens));
+            let (missing, retry_after_ms) = match charge {
+                Charge::Granted(receipt) => return Ok(Charged::new(Arc::clone(self), receipt)),
+                Charge::Never { burst } => return Err(never(workspace, tokens, burst)),
+                Charge::Short {
+                    missing,
+                    retry_after_ms,
+                } => (missing, retry_after_ms),
+            };
+            let donor = self.donor(workspace, missing, &asked);
+            let Some((donor, ask)) = donor.filter(|_| asked.len() < gather.tries) else {
+                return Err(short(workspace, tokens, retry_after_ms));
+            };
+            asked.push(donor.clone());
+            let answer = tokio::time::timeout_at(deadline, peers.ask(&donor, &ask)).await;
+            match answer {
+                Ok(Some(transfer)) => peers.acknowledge(&donor, self.take(&transfer)),
+                Ok(None) => {}
+                // The time for gathering is over.
+                Err(_) => return Err(short(workspace, tokens, retry_after_ms)),
+            }
+        }
+    }
+
+    /// Returns the richest peer that was not asked yet, and what to ask of it.
+    fn donor(
+        &self,
+        workspace: &Workspace,
+        missing: u64,
+        asked: &[Member],
+    ) -> Option<(Member, Ask)> {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        let donors = inner.quota.donors(workspace, &inner.peers);
+        let donor = donors.into_iter().find(|donor| !asked.contains(donor));
+        let donor = donor?.clone();
+        let ask = inner.quota.ask(now_ms, workspace, missing)?;
+        Some((donor, ask))
+    }
+
+    /// Takes a transfer, once however often it arrives.
+    pub(crate) fn take(&self, transfer: &Transfer) -> Ack {
+        self.with(|quota, now_ms| quota.take(now_ms, transfer))
+    }
+
+    /// Gives back tokens that were not used, to the member that was charged only.
+    pub(crate) fn refund(&self, receipt: Receipt, unused: u64) {
+        self.with(|quota, now_ms| quota.refund(now_ms, receipt, unused));
+    }
+}
+
+/// `Gather` bounds the gathering of tokens for one request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Gather {
+    /// Longest time.
+    pub(crate) within: Duration,
+    /// Most peers asked.
+    pub(crate) tries: usize,
+}
+
+/// Builds the refusal of a request that lacks tokens now.
+fn short(workspace: &Workspace, tokens: u64, retry_after_ms: u64) -> Refusal {
+    let message = format!("workspace {workspace} lacks tokens for a request of {tokens}");
+    let after = Duration::from_millis(retry_after_ms);
+    Refusal::not_run(Kind::RateLimitError, message).after(after)
+}
+
+/// Builds the refusal of a request that is larger than the workspace's burst.
+fn never(workspace: &Workspace, tokens: u64, burst: u64) -> Refusal {
+    let message = format!(
+        "the request is counted as {tokens} tokens, workspace {workspace} has a burst of {burst}"
+    );
+    Refusal::not_run(Kind::InvalidRequestError, message)
+}
