--- a/crates/quetzalpick-gate/src/api/completion.rs
+++ b/crates/quetzalpick-gate/src/api/completion.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use quetzalpick_core::id::Artifact;
+use quetzalpick_platform::wire::completion::Request;
 use serde_json::{Map, Value};
 
 use crate::api::refusal::{Kind, Refusal};
@@ -9,9 +10,6 @@
 /// Bytes of prompt text that are counted as one token; every started one counts.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// Tokens counted for the frame of each message or prompt.
-const TOKENS_PER_MESSAGE: u64 = 4;
-
 /// Field that hands text generated elsewhere to an engine.
 const PREFIX_FIELD: &str = "quetzalpick_prefix";
 
@@ -75,17 +73,14 @@
         let stream = flag(&fields, "stream")?;
         let max_output = max_output(&fields)?;
         single_choice(&fields)?;
-        let texts = match form {
-            Form::Chat => chat_texts(&fields)?,
-            Form::Text => vec![text_prompt(&fields)?],
-        };
-        let prompt_tokens = texts.iter().map(|text| count_tokens(text)).sum();
+        let prompt = prompt(form, &fields)?;
+        let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN) as u64;
         Ok(Self {
             form,
             artifact,
             stream,
             max_output,
-            prompt: texts.join("\n"),
+            prompt,
             prompt_tokens,
             fields,
         })
@@ -112,11 +107,6 @@
     }
 }
 
-/// Counts the tokens of a prompt text, a fixed function of its length.
-fn count_tokens(text: &str) -> u64 {
-    text.len().div_ceil(BYTES_PER_TOKEN) as u64 + TOKENS_PER_MESSAGE
-}
-
 /// Reads the name of the model or adapter.
 fn artifact(fields: &Map<String, Value>) -> Result<Artifact, Refusal> {
     let name = fields
@@ -162,39 +152,18 @@
     }
 }
 
-/// Reads the texts of a chat's messages.
-fn chat_texts(fields: &Map<String, Value>) -> Result<Vec<String>, Refusal> {
-    let messages = fields
-        .get("messages")
-        .and_then(Value::as_array)
-        .filter(|messages| !messages.is_empty())
-        .ok_or_else(|| invalid("field 'messages' is missing, empty or not a list"))?;
-    let texts = messages.iter().enumerate().map(|(at, message)| {
-        message_text(message)
-            .ok_or_else(|| invalid(format!("messages[{at}] has no role or no text content")))
-    });
-    texts.collect()
-}
-
-/// Reads the text of a message: a string, or a list of text parts.
-fn message_text(message: &Value) -> Option<String> {
-    message.get("role")?.as_str()?;
-    match message.get("content")? {
-        Value::String(text) => Some(text.clone()),
-        Value::Array(parts) => parts
-            .iter()
-            .map(|part| part.get("text").and_then(Value::as_str))
-            .collect(),
-        Value::Null => Some(String::new()),
-        _ => None,
+/// Reads the prompt as one text, over which engines hash prefixes as well.
+fn prompt(form: Form, fields: &Map<String, Value>) -> Result<String, Refusal> {
+    let field = match form {
+        Form::Chat => "messages",
+        Form::Text => "prompt",
+    };
+    let value = Value::Object(fields.clone());
+    let request: Request = serde_json::from_value(value)
+        .map_err(|e| invalid(format!("the body is not usable: {e}")))?;
+    let prompt = request.prompt_text();
+    if prompt.is_empty() || !fields.contains_key(field) {
+        return Err(invalid(format!("field '{field}' is missing or empty")));
     }
-}
-
-/// Reads the prompt of a text completion.
-fn text_prompt(fields: &Map<String, Value>) -> Result<String, Refusal> {
-    fields
-        .get("prompt")
-        .and_then(Value::as_str)
-        .map(str::to_owned)
-        .ok_or_else(|| invalid("field 'prompt' is missing or not a string"))
+    Ok(prompt)
 }
--- a/crates/quetzalpick-gate/src/demand.rs
+++ b/crates/quetzalpick-gate/src/demand.rs
@@ -3,11 +3,11 @@
 use std::sync::{Mutex, PoisonError};
 
 use quetzalpick_core::id::Artifact;
+use quetzalpick_core::payload::Demand;
 use quetzalpick_core::plan;
 use quetzalpick_core::table::Table;
 
 use crate::clock::Clock;
-use crate::payload::Demand;
 
 /// Shortest interval that a rate is worked out over, in ms.
 const INTERVAL_MS: u64 = 1_000;
--- a/crates/quetzalpick-gate/src/lib.rs
+++ b/crates/quetzalpick-gate/src/lib.rs
@@ -14,7 +14,7 @@
 mod gate;
 mod meters;
 mod options;
-pub mod payload;
+mod run;
 mod serve;
 pub mod settings;
 mod share;
@@ -22,3 +22,5 @@
 
 pub use gate::{Gate, Listeners, Platform};
 pub use options::Options;
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/quetzalpick-gate/src/run.rs
@@ -0,0 +1,44 @@
+//! One gate from start to the end of a planned stop.
+
+use quetzalpick_core::record::Role;
+use quetzalpick_node::lifecycle::stop_signal;
+use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_platform::{engine, log as log_service, vms};
+use snafu::{ResultExt, ensure};
+
+use crate::errors::{Result, SignalSnafu, UnfinishedSnafu};
+use crate::gate::{Gate, Listeners, Platform};
+use crate::settings::Settings;
+
+/// Runs a gate until it is asked to stop, and stops it without cutting a request.
+///
+/// # Errors
+///
+/// `Error::Node` if a listener or the replica cannot be started, `Error::Signal` if signals cannot be awaited,
+/// `Error::Unfinished` if the stop gave up on a request or a claim.
+pub async fn run(settings: Settings) -> Result<()> {
+    let pool = Pool::default();
+    let log = log_service::Client::new(
+        pool.clone(),
+        settings.platform.log.clone(),
+        log_service::Options::default(),
+    );
+    let platform = Platform {
+        log,
+        engine: engine::Client::new(pool.clone(), Timeouts::default()),
+        vms: vms::Client::new(pool, settings.platform.vms.clone(), Timeouts::default()),
+    };
+    let listeners = Listeners {
+        callers: settings.callers.listen.clone(),
+        admin: settings.metrics.listen.clone(),
+        limits: settings.callers.server.clone(),
+    };
+    let replica = settings
+        .peers
+        .options(&settings.vm, &settings.platform, Role::Gate);
+    let gate = Gate::try_start(platform, listeners, replica, settings.options()).await?;
+    let signal = stop_signal().await.context(SignalSnafu)?;
+    log::info!("gate: stops on {signal}");
+    ensure!(gate.stop().await, UnfinishedSnafu);
+    Ok(())
+}
--- a/crates/quetzalpick-gate/src/serve/call.rs
+++ b/crates/quetzalpick-gate/src/serve/call.rs
@@ -62,6 +62,8 @@
     Missing,
     /// The endpoint answered with a server error.
     Error,
+    /// The engine does not know the stream that was to be resumed.
+    Forgotten,
     /// The answer is not that of this request.
     Crossed,
     /// The answer's length is not stated, so that nobody can tell whether it is whole.
@@ -75,6 +77,7 @@
             "leaving" => Self::Leaving,
             "overloaded" => Self::Overloaded,
             "model" => Self::Missing,
+            "resume" => Self::Forgotten,
             _ => Self::Error,
         }
     }
--- a/crates/quetzalpick-gate/src/serve/tries.rs
+++ b/crates/quetzalpick-gate/src/serve/tries.rs
@@ -295,7 +295,7 @@
     if echoed.is_some_and(|echoed| echoed.as_bytes() == id.as_bytes()) {
         return Ok(response);
     }
-    log::warn!("route: request={id} got an answer with another id");
+    log::warn!("route: request={id} got an answer that does not carry its id");
     response.into_body().discard();
     Err(Failure::new(Verdict::MayHaveRun, Cause::Crossed))
 }
--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quetzalpick_core::payload::Payload;
 use quetzalpick_core::quota::{Peer, Transfer};
 use quetzalpick_core::record::{Record, Role};
 use quetzalpick_core::state::State;
@@ -11,7 +12,6 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::demand::Recorder;
-use crate::payload::Payload;
 use crate::share::{Peers, Shares};
 
 /// Pause between two rounds of delivering transfers at a planned stop.
@@ -75,7 +75,8 @@
         hints: shares.with(|quota, now_ms| quota.hints(now_ms)),
         demand: demand.rates(),
     };
-    replica.offer(payload.to_bytes());
+    // Names and numbers always encode.
+    replica.offer(payload.to_bytes().unwrap_or_default().into());
     // Without a lease the shares may belong to others already.
     if !replica.is_leased_as(&shares.member()) {
         return;
