--- a/crates/quetzalpick-gate/src/claim/closer.rs
+++ b/crates/quetzalpick-gate/src/claim/closer.rs
@@ -15,6 +15,9 @@
 /// Pause before what could not be closed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Interval at which a planned stop looks whether everything is recorded.
+const SETTLED_POLL: Duration = Duration::from_millis(20);
+
 /// Claims that one gate remembers to close; more than it can have open between two retentions.
 const PENDING_MAX: usize = 65_536;
 
@@ -63,20 +66,23 @@
         self.added.notify_one();
     }
 
-    /// Tells whether nothing is left to close.
-    pub(crate) fn is_empty(&self) -> bool {
+    /// Tells whether every outcome that is known has been recorded.
+    ///
+    /// A claim that is not known to stand needs no record at a planned stop: the fold rejects one that shows up later.
+    fn is_settled(&self) -> bool {
         let inner = self.lock();
-        inner.pending.is_empty() && inner.working == 0
+        let finishes = |pending: &Pending| matches!(pending, Pending::Finish(_));
+        inner.working == 0 && !inner.pending.iter().any(finishes)
     }
 
-    /// Waits until nothing is left to close; tells whether that was so in time.
+    /// Waits until every known outcome has been recorded; tells whether that was so in time.
     pub(crate) async fn drained(&self, within: Duration) -> bool {
         let deadline = Instant::now() + within;
-        while !self.is_empty() {
+        while !self.is_settled() {
             if Instant::now() >= deadline {
                 return false;
             }
-            tokio::time::sleep(RETRY_PAUSE / 10).await;
+            tokio::time::sleep(SETTLED_POLL).await;
         }
         true
     }
--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -108,6 +108,7 @@
         let answerer = Answerer::new(Arc::clone(&shares));
         let replica = Replica::try_start(platform.log, replica, answerer.clone()).await?;
         answerer.connect(replica.clone());
+        replica.observe(&metrics.meter("quetzalpick-node"));
         let (standing, watched) = watch::channel(Standing::default());
         let age_ms = options.prefix_age.as_millis() as u64;
         let prefixes = Prefixes::new(options.prefix_capacity, age_ms);
--- /dev/null
+++ b/crates/quetzalpick-gate/tests/gate/golden.rs
@@ -0,0 +1,159 @@
+//! Whole sessions of callers, errors included.
+
+use http::Method;
+
+use crate::client::{Client, redact};
+use crate::world::{LAGOS, PASTO, World};
+
+/// `Session` writes down requests and answers.
+struct Session {
+    client: Client,
+    written: String,
+}
+
+impl Session {
+    /// Sends a request and writes it down with its answer.
+    async fn call(&mut self, method: Method, path: &str, headers: &[(&str, &str)], body: &str) {
+        let answer = self.client.call(method.clone(), path, headers, body).await;
+        self.written.push_str(&format!("> {method} {path}\n"));
+        for (name, value) in headers {
+            self.written.push_str(&format!("> {name}: {value}\n"));
+        }
+        let shown = if body.len() > 400 { "[long]" } else { body };
+        self.written
+            .push_str(&format!("{shown}\n{}\n", answer.shown()));
+    }
+
+    /// Posts JSON with a key.
+    async fn post(&mut self, path: &str, key: &str, body: &str) {
+        let bearer = format!("Bearer {key}");
+        let headers = [("authorization", bearer.as_str())];
+        self.call(Method::POST, path, &headers, body).await;
+    }
+}
+
+const CHAT: &str = "/v1/chat/completions";
+const TEXT: &str = "/v1/completions";
+const HELLO: &str =
+    r#"{"model":"menu","messages":[{"role":"user","content":"Draft a menu"}],"max_tokens":4}"#;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_whole_sessions() {
+    let world = World::start().await;
+    let gate = world.gate("vm-1").await;
+    let mut session = Session {
+        client: gate.client.clone(),
+        written: String::new(),
+    };
+    let lagos = format!("Bearer {LAGOS}");
+    let key = [("authorization", lagos.as_str())];
+    session.call(Method::GET, "/v1/models", &key, "").await;
+    session.post(CHAT, LAGOS, HELLO).await;
+    let adapter = HELLO.replace("menu\"", "menu-kosher\"");
+    session.post(CHAT, LAGOS, &adapter).await;
+    session
+        .post(TEXT, LAGOS, r#"{"model":"menu","prompt":"Butter"}"#)
+        .await;
+    let named = [
+        ("authorization", lagos.as_str()),
+        ("x-request-id", "mine-1"),
+    ];
+    session.call(Method::POST, CHAT, &named, HELLO).await;
+    let streamed = HELLO.replace(
+        "}]",
+        r#"}],"stream":true,"stream_options":{"include_usage":true}"#,
+    );
+    session.post(CHAT, LAGOS, &streamed).await;
+    session
+        .call(Method::GET, "/services/orders/availability", &[], "")
+        .await;
+    let booking = [
+        ("authorization", lagos.as_str()),
+        ("idempotency-key", "order-7"),
+    ];
+    let bookings = "/services/orders/bookings";
+    for body in [r#"{"order":"7"}"#, r#"{"order":"7"}"#, r#"{"order":"8"}"#] {
+        session.call(Method::POST, bookings, &booking, body).await;
+    }
+    session
+        .call(Method::GET, "/services/orders/bookings/7", &key, "")
+        .await;
+    insta::assert_snapshot!("sessions", session.written);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_bad_input_as_not_run() {
+    let world = World::start().await;
+    let gate = world.gate("vm-1").await;
+    let mut session = Session {
+        client: gate.client.clone(),
+        written: String::new(),
+    };
+    session.call(Method::POST, CHAT, &[], HELLO).await;
+    session.post(CHAT, "sk-wrong-0123456789", HELLO).await;
+    session.post(CHAT, LAGOS, "{\"model\":").await;
+    session.post(CHAT, LAGOS, "[]").await;
+    session.post(CHAT, LAGOS, r#"{"messages":[]}"#).await;
+    for body in [
+        r#"{"model":"a b","messages":[]}"#,
+        r#"{"model":"menu","messages":[]}"#,
+        r#"{"model":"menu","messages":[{"content":"no role"}]}"#,
+        r#"{"model":"menu","messages":[{"role":"user","content":"x"}],"max_tokens":0}"#,
+        r#"{"model":"menu","messages":[{"role":"user","content":"x"}],"n":2}"#,
+        r#"{"model":"menu","messages":[{"role":"user","content":"x"}],"stream":"yes"}"#,
+        r#"{"model":"nothing","messages":[{"role":"user","content":"x"}]}"#,
+        r#"{"model":"butter","messages":[{"role":"user","content":"x"}]}"#,
+        r#"{"model":"menu","messages":[{"role":"user","content":"x"}],"max_tokens":1000000}"#,
+    ] {
+        session.post(CHAT, LAGOS, body).await;
+    }
+    // Another workspace's model looks like one that does not exist.
+    session
+        .post(CHAT, PASTO, &HELLO.replace("menu\"", "menu-kosher\""))
+        .await;
+    let pasto = format!("Bearer {PASTO}");
+    let key = [("authorization", pasto.as_str())];
+    session.call(Method::GET, "/v1/models", &key, "").await;
+    session.call(Method::GET, CHAT, &key, "").await;
+    session.call(Method::GET, "/v2/chat", &key, "").await;
+    session
+        .call(Method::GET, "/services/none/x", &key, "")
+        .await;
+    session
+        .call(Method::POST, "/services/orders/bookings", &[], "{}")
+        .await;
+    let long = "x".repeat(300);
+    let bad = [
+        ("authorization", pasto.as_str()),
+        ("idempotency-key", &long),
+    ];
+    session
+        .call(Method::POST, "/services/orders/bookings", &bad, "{}")
+        .await;
+    let huge = format!(r#"{{"model":"menu","prompt":"{}"}}"#, "x".repeat(5 << 20));
+    session.post(TEXT, LAGOS, &huge).await;
+    // An encoded way round does not reach the open route's neighbours.
+    let path = "/services/orders/availability/%2e%2e/bookings/7";
+    session.call(Method::GET, path, &[], "").await;
+    assert_eq!(world.engines[0].record().executed, 0);
+    assert_eq!(world.service.record().executions, Vec::new());
+    insta::assert_snapshot!("refusals", session.written);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stays_up_under_broken_requests() {
+    let world = World::start().await;
+    let gate = world.gate("vm-1").await;
+    let client = &gate.client;
+    let long = "x".repeat(200_000);
+    let head = format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {long}\r\n\r\n");
+    let slow_head = client
+        .raw(b"POST /v1/chat/completions HTTP/1.1\r\nhost")
+        .await;
+    let garbage = client.raw(b"\x16\x03\x01 garbage\r\n\r\n").await;
+    let oversized = client.raw(head.as_bytes()).await;
+    let first = |text: &str| redact(text.lines().next().unwrap_or("[closed]"));
+    let seen = [first(&slow_head), first(&garbage), first(&oversized)];
+    insta::assert_debug_snapshot!("broken", seen);
+    assert_eq!(client.post(CHAT, LAGOS, HELLO).await.status, 200);
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/tests/gate/keys.rs
@@ -0,0 +1,177 @@
+//! Keys: withdrawn while in use, and never seen by an endpoint.
+
+use std::time::Duration;
+
+use http::Method;
+use quetzalpick_standin::engine::Options;
+
+use crate::world::{LAGOS, PASTO, World, add_key, quick_engine, withdraw_key};
+
+const CHAT: &str = "/v1/chat/completions";
+const HELLO: &str =
+    r#"{"model":"menu","messages":[{"role":"user","content":"Draft"}],"max_tokens":4}"#;
+
+/// Returns the base64 form of a text, as browsers send user names and passwords.
+fn base64(text: &str) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for chunk in text.as_bytes().chunks(3) {
+        let mut bits = 0_u32;
+        for at in 0..3 {
+            bits = bits << 8 | u32::from(*chunk.get(at).unwrap_or(&0));
+        }
+        for at in 0..4 {
+            let digit = bits >> (18 - 6 * at) & 63;
+            let shown = at <= chunk.len();
+            out.push(if shown {
+                char::from(DIGITS[digit as usize])
+            } else {
+                '='
+            });
+        }
+    }
+    out
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_endpoint_sees_a_key() {
+    let world = World::start().await;
+    let gate = world.gate("vm-1").await;
+    let bearer = format!("Bearer {LAGOS}");
+    let basic = format!("Basic {}", base64(&format!("user:{LAGOS}")));
+    let cookie = format!("session={LAGOS}; theme=dark");
+    let encoded: String = LAGOS.bytes().map(|b| format!("%{b:02x}")).collect();
+    let twice = encoded.replace('%', "%25");
+    let variants: Vec<(&str, &str)> = vec![
+        ("x-api-key", LAGOS),
+        ("api-key", LAGOS),
+        ("x-auth-token", LAGOS),
+        ("proxy-authorization", &basic),
+        ("cookie", &cookie),
+        ("x-forwarded-authorization", &bearer),
+        ("accept", LAGOS),
+        ("accept-language", LAGOS),
+        ("idempotency-key", LAGOS),
+        ("if-match", LAGOS),
+        ("x-request-id", LAGOS),
+        ("referer", LAGOS),
+        ("user-agent", LAGOS),
+    ];
+    let queries = [
+        format!("api_key={LAGOS}&day=2"),
+        format!("day=2&Access-Token={encoded}"),
+        format!("day={LAGOS}"),
+        format!("day={encoded}"),
+        format!("day={twice}"),
+        LAGOS.to_owned(),
+        format!("{LAGOS}=1&key={twice}"),
+    ];
+    for (name, value) in &variants {
+        let headers = [("authorization", bearer.as_str()), (*name, *value)];
+        gate.client.call(Method::POST, CHAT, &headers, HELLO).await;
+        for path in [
+            "/services/orders/availability",
+            "/services/orders/bookings/7",
+        ] {
+            gate.client.get(path, &headers).await;
+        }
+        // A key with nothing but a common header beside an open route.
+        gate.client
+            .get("/services/orders/availability", &[(*name, *value)])
+            .await;
+    }
+    for query in &queries {
+        let headers = [("authorization", bearer.as_str())];
+        let path = format!("{CHAT}?{query}");
+        gate.client.call(Method::POST, &path, &headers, HELLO).await;
+        let path = format!("/services/orders/availability?{query}");
+        gate.client.get(&path, &headers).await;
+    }
+    // In a body or a path the key cannot be left out, so the request is refused.
+    let in_body = HELLO.replace("Draft", LAGOS);
+    let escaped = HELLO.replace("Draft", &LAGOS.replace('-', "\\u002d"));
+    for body in [in_body, escaped] {
+        assert_eq!(gate.client.post(CHAT, LAGOS, body).await.status, 400);
+    }
+    let path = format!("/services/orders/bookings/{LAGOS}");
+    let headers = [("authorization", bearer.as_str())];
+    assert_eq!(gate.client.get(&path, &headers).await.status, 400);
+
+    let seen = [world.engines[0].record().seen, world.service.record().seen];
+    for form in [LAGOS, &encoded, &twice, &basic[6..]] {
+        assert!(
+            !seen.iter().any(|seen| seen.contains(form)),
+            "{form} was seen"
+        );
+    }
+    // The records do hold what was meant for the endpoints, so that they would hold the key as well.
+    assert!(seen[1].queries.iter().any(|query| query == "day=2"));
+    assert!(world.engines[0].record().executed > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_on_a_kept_connection_and_in_a_stream() {
+    let slow = Options {
+        token: Duration::from_millis(50),
+        stop_after: 10_000,
+        ..quick_engine()
+    };
+    let world = World::with_engines(vec![slow]).await;
+    let gate = world.gate("vm-1").await;
+    world
+        .change(add_key("lagos-2", "lagos", "sk-lagos-second-key"))
+        .await;
+    gate.until(|state| state.catalog().keys().len() == 3).await;
+    let long = HELLO.replace(r#""max_tokens":4"#, r#""max_tokens":5000,"stream":true"#);
+    let mut withdrawn = gate.client.stream(LAGOS, long.clone()).await;
+    let mut kept = gate.client.stream("sk-lagos-second-key", long).await;
+    withdrawn.next().await.unwrap();
+    kept.next().await.unwrap();
+
+    world.change(withdraw_key("lagos-1")).await;
+    let events = withdrawn.rest().await;
+    let last = events.last().unwrap();
+    assert!(last.starts_with("event: error"), "{last}");
+    assert!(last.contains("withdrawn"), "{last}");
+    // The engine is told; the other key's stream goes on; the same connection opens nothing any more.
+    crate::world::until(|| world.engines[0].record().cancelled == 1).await;
+    assert!(kept.next().await.unwrap().starts_with("data: {"));
+    let refused = gate.client.post(CHAT, LAGOS, HELLO).await;
+    assert_eq!((refused.status, refused.verdict()), (401, "not-run"));
+    let served = gate.client.post(CHAT, "sk-lagos-second-key", HELLO).await;
+    assert_eq!(served.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_that_is_cut_off_refuses_and_ends_streams() {
+    let slow = Options {
+        token: Duration::from_millis(50),
+        stop_after: 10_000,
+        ..quick_engine()
+    };
+    let world = World::with_engines(vec![slow]).await;
+    let gate = world.gate("vm-1").await;
+    // Two further voters, so that one alone is no majority.
+    let mut others = vec![world.gate("vm-2").await, world.gate("vm-3").await];
+    gate.until(|state| state.roster().voters().len() == 3).await;
+    let long = HELLO.replace(r#""max_tokens":4"#, r#""max_tokens":5000,"stream":true"#);
+    let mut stream = gate.client.stream(PASTO, long.replace("5000", "900")).await;
+    stream.next().await.unwrap();
+    gate.log.cut(true);
+    for other in &mut others {
+        other.kill();
+    }
+    let events = stream.rest().await;
+    let last = events.last().unwrap();
+    assert!(last.contains("cut off"), "{last}");
+    let refused = gate.client.post(CHAT, LAGOS, HELLO).await;
+    assert_eq!((refused.status, refused.verdict()), (503, "not-run"));
+    assert!(refused.headers.contains_key("retry-after"));
+    // With the log back, the gate serves again.
+    gate.log.cut(false);
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
+    while gate.client.post(CHAT, LAGOS, HELLO).await.status != 200 {
+        assert!(tokio::time::Instant::now() < deadline, "never serves again");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-gate/tests/gate/main.rs
@@ -0,0 +1,10 @@
+//! Tests of a running gate with stand-ins of the platform, the engines and the services in the same process.
+
+mod client;
+mod golden;
+mod keys;
+mod once;
+mod relay;
+mod stop;
+mod truth;
+mod world;
--- /dev/null
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -0,0 +1,414 @@
+//! A small deployment in one process: a log in memory, engines, a service and gates.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use quetzalpick_core::id::{
+    Artifact, Boot, Command, Domain, Endpoint, Incarnation, KeyName, Member, Service, Version, Vm,
+    Workspace,
+};
+use quetzalpick_core::record::{
+    Adapter, Author, Change, Digest, EndpointKind, EndpointSpec, Entry, Join, Key, Model, Record,
+    Report, Role, Route, ServiceSpec, WorkspaceSpec,
+};
+use quetzalpick_gate::{Gate, Listeners, Options, Platform};
+use quetzalpick_node::http::server;
+use quetzalpick_node::replica;
+use quetzalpick_platform::engine;
+use quetzalpick_platform::errors::Result as CallResult;
+use quetzalpick_platform::memory;
+use quetzalpick_platform::traits::{Log, Stream, Vms};
+use quetzalpick_platform::wire::engine::{Action, Copy, Order};
+use quetzalpick_platform::wire::vms;
+use quetzalpick_standin::{engine as engines, service as services};
+use sha2::{Digest as _, Sha256};
+use tokio::runtime::Runtime;
+
+use crate::client::Client;
+
+/// Key of workspace `lagos`, which may use everything.
+pub(crate) const LAGOS: &str = "sk-lagos-0123456789abcdef";
+
+/// Key of workspace `pasto`, which may use model `menu` only.
+pub(crate) const PASTO: &str = "sk-pasto-fedcba9876543210";
+
+/// Longest wait for something that is to happen, far beyond what it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// `World` is the platform with its endpoints.
+pub(crate) struct World {
+    pub(crate) log: memory::Log,
+    pub(crate) engines: Vec<engines::Server>,
+    pub(crate) service: services::Server,
+    pub(crate) vms: List,
+    commands: Mutex<u64>,
+}
+
+/// `List` is a VM list that tests write.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct List {
+    list: Arc<Mutex<vms::List>>,
+}
+
+impl List {
+    /// Lists an endpoint as leaving.
+    pub(crate) fn leave(&self, endpoint: &str) {
+        self.list.lock().unwrap().vms.push(vms::Vm {
+            name: endpoint.to_owned(),
+            domain: "a".to_owned(),
+            address: String::new(),
+            status: vms::Status::Leaving,
+        });
+    }
+}
+
+impl Vms for List {
+    async fn list(&self) -> CallResult<vms::List> {
+        Ok(self.list.lock().unwrap().clone())
+    }
+}
+
+/// `Process` is a gate in a runtime of its own, so that it can be killed at any moment.
+pub(crate) struct Process {
+    runtime: Option<Runtime>,
+    gate: Option<Gate<memory::Log>>,
+    pub(crate) client: Client,
+    pub(crate) admin: Client,
+    /// The gate's own handle on the log.
+    pub(crate) log: memory::Log,
+}
+
+impl Process {
+    /// Ends the process without warning.
+    pub(crate) fn kill(&mut self) {
+        self.gate = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Begins the planned stop and returns what tells whether it finished everything.
+    pub(crate) fn stop(&mut self) -> tokio::task::JoinHandle<bool> {
+        let gate = self.gate.take().unwrap();
+        self.runtime.as_ref().unwrap().spawn(gate.stop())
+    }
+
+    /// Waits until the gate's view meets a condition.
+    pub(crate) async fn until(&self, met: impl Fn(&quetzalpick_core::state::State) -> bool) {
+        let replica = self.gate.as_ref().unwrap().replica();
+        until(|| replica.read(|state| met(state))).await;
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until a condition is met.
+pub(crate) async fn until(met: impl Fn() -> bool) {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !met() {
+        assert!(tokio::time::Instant::now() < deadline, "waited too long");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+pub(crate) fn artifact(name: &str) -> Artifact {
+    Artifact::try_new(name).unwrap()
+}
+
+pub(crate) fn endpoint(name: &str) -> Endpoint {
+    Endpoint::try_new(name).unwrap()
+}
+
+pub(crate) fn workspace(name: &str) -> Workspace {
+    Workspace::try_new(name).unwrap()
+}
+
+fn domain(name: &str) -> Domain {
+    Domain::try_new(name).unwrap()
+}
+
+fn orders() -> Service {
+    Service::try_new("orders").unwrap()
+}
+
+/// Returns the change that adds a key.
+pub(crate) fn add_key(name: &str, of: &str, key: &str) -> Change {
+    let digest = Digest(Sha256::digest(key.as_bytes()).into());
+    let workspace = workspace(of);
+    Change::AddKey(KeyName::try_new(name).unwrap(), Key { workspace, digest })
+}
+
+/// Returns the change that withdraws a key.
+pub(crate) fn withdraw_key(name: &str) -> Change {
+    Change::WithdrawKey(KeyName::try_new(name).unwrap())
+}
+
+/// Returns the change that sets a workspace with what its keys open.
+pub(crate) fn set_workspace(name: &str, rate: u64, burst: u64, artifacts: &[&str]) -> Change {
+    let spec = WorkspaceSpec {
+        rate,
+        burst,
+        artifacts: artifacts.iter().map(|name| artifact(name)).collect(),
+        services: Vec::new(),
+    };
+    Change::SetWorkspace(workspace(name), spec)
+}
+
+/// Returns a rule of the order service.
+fn route(method: &str, prefix: &str, open: bool, idempotent: bool) -> Route {
+    Route {
+        method: method.to_owned(),
+        prefix: prefix.to_owned(),
+        open,
+        idempotent,
+    }
+}
+
+/// Returns the order that loads a copy.
+fn load(name: &str, base: Option<&str>) -> Order {
+    Order {
+        fencing: 0,
+        action: Action::Load,
+        copy: Copy {
+            artifact: name.to_owned(),
+            version: 1,
+            memory_mb: 1_000,
+        },
+        base: base.map(str::to_owned),
+    }
+}
+
+/// Returns the options of an engine that is fast enough for tests.
+pub(crate) fn quick_engine() -> engines::Options {
+    engines::Options {
+        token: Duration::from_millis(1),
+        token_per_running: Duration::ZERO,
+        prompt_token: Duration::ZERO,
+        ..engines::Options::default()
+    }
+}
+
+/// Returns the options of a gate whose waits are short.
+pub(crate) fn quick_gate() -> Options {
+    Options {
+        grace: Duration::from_millis(50),
+        lease: Duration::from_secs(2),
+        silence_timeout: Duration::from_secs(2),
+        vms_interval: Duration::from_millis(50),
+        report_interval: Duration::from_millis(50),
+        ..Options::default()
+    }
+}
+
+impl World {
+    /// Starts a platform with one engine.
+    pub(crate) async fn start() -> Self {
+        Self::with_engines(vec![quick_engine()]).await
+    }
+
+    /// Starts a platform with engines that all hold model `menu` and adapter `menu-kosher`.
+    pub(crate) async fn with_engines(options: Vec<engines::Options>) -> Self {
+        let mut engines = Vec::new();
+        for options in options {
+            let engine = engines::Server::try_start(options).await.unwrap();
+            engine.preload(&load("menu", None));
+            engine.preload(&load("menu-kosher", Some("menu")));
+            engines.push(engine);
+        }
+        let options = services::Options::default();
+        let world = Self {
+            log: memory::Log::new(),
+            engines,
+            service: services::Server::try_start(options).await.unwrap(),
+            vms: List::default(),
+            commands: Mutex::new(0),
+        };
+        world.configure().await;
+        world
+    }
+
+    /// Appends the configuration, and a report of what the engines hold.
+    async fn configure(&self) {
+        self.change(set_workspace("lagos", 100_000, 100_000, &[]))
+            .await;
+        self.change(set_workspace("pasto", 1_000, 1_000, &["menu"]))
+            .await;
+        self.change(add_key("lagos-1", "lagos", LAGOS)).await;
+        self.change(add_key("pasto-1", "pasto", PASTO)).await;
+        for name in ["menu", "butter"] {
+            let model = Model {
+                version: Version(1),
+                memory_mb: 1_000,
+                max_output: 8,
+            };
+            self.change(Change::SetModel(artifact(name), model)).await;
+        }
+        let adapter = Adapter {
+            base: artifact("menu"),
+            version: Version(1),
+            memory_mb: 1_000,
+        };
+        self.change(Change::SetAdapter(artifact("menu-kosher"), adapter))
+            .await;
+        let routes = vec![
+            route("GET", "/availability", true, true),
+            route("GET", "/bookings", false, true),
+            route("POST", "/bookings", false, false),
+        ];
+        let spec = ServiceSpec { charge: 10, routes };
+        self.change(Change::SetService(orders(), spec)).await;
+        let kind = EndpointKind::Service { service: orders() };
+        self.set_endpoint("orders-1", self.service.address(), kind)
+            .await;
+        for (at, engine) in self.engines.iter().enumerate() {
+            let kind = EndpointKind::Engine {
+                accelerators: 1,
+                memory_mb: 80_000,
+                checks_fencing: true,
+            };
+            self.set_endpoint(&format!("engine-{at}"), engine.address(), kind)
+                .await;
+        }
+        self.report_engines().await;
+    }
+
+    /// Adds an endpoint.
+    pub(crate) async fn set_endpoint(&self, name: &str, address: SocketAddr, kind: EndpointKind) {
+        let spec = EndpointSpec {
+            address: address.to_string(),
+            domain: domain("a"),
+            kind,
+            draining: false,
+        };
+        self.change(Change::SetEndpoint(endpoint(name), spec)).await;
+    }
+
+    /// Lets a keeper come, report what the engines hold, and leave.
+    async fn report_engines(&self) {
+        let keeper = Member {
+            vm: Vm::try_new("vm-0/keeper").unwrap(),
+            incarnation: Incarnation(1),
+        };
+        let join = Join {
+            member: keeper.clone(),
+            role: Role::Keeper,
+            domain: domain("a"),
+            peer_address: "127.0.0.1:1".to_owned(),
+        };
+        let author = Author::Member(keeper.clone());
+        self.append(author.clone(), Record::Join(join)).await;
+        self.append(author.clone(), Record::Lead(keeper.clone()))
+            .await;
+        for (at, engine) in self.engines.iter().enumerate() {
+            let loaded = ["menu", "menu-kosher"].map(|name| (artifact(name), Version(1)));
+            let report = Report {
+                endpoint: endpoint(&format!("engine-{at}")),
+                boot: Boot(engine.report().boot),
+                loaded: loaded.to_vec(),
+            };
+            self.append(author.clone(), Record::Report(report)).await;
+        }
+        self.append(author, Record::Leave(keeper)).await;
+    }
+
+    /// Appends a change of configuration.
+    pub(crate) async fn change(&self, change: Change) {
+        let author = Author::Operator("test".to_owned());
+        self.append(author, Record::Change(change)).await;
+    }
+
+    /// Appends a record.
+    pub(crate) async fn append(&self, author: Author, record: Record) {
+        let number = {
+            let mut commands = self.commands.lock().unwrap();
+            *commands += 1;
+            *commands
+        };
+        let entry = Entry {
+            command: Command(0, number),
+            author,
+            expect: None,
+            record,
+        };
+        let bytes = Bytes::from(entry.to_bytes().unwrap());
+        self.log.append(Stream::Control, vec![bytes]).await.unwrap();
+    }
+
+    /// Starts a gate and waits until it is ready.
+    pub(crate) async fn gate(&self, vm: &str) -> Process {
+        self.gate_with(vm, quick_gate()).await
+    }
+
+    /// Starts a gate with options and waits until it is ready.
+    pub(crate) async fn gate_with(&self, vm: &str, options: Options) -> Process {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let log = self.log.handle(vm);
+        let platform = Platform {
+            log: log.clone(),
+            engine: engine::Client::default(),
+            vms: self.vms.clone(),
+        };
+        let listeners = Listeners {
+            callers: "127.0.0.1:0".to_owned(),
+            admin: "127.0.0.1:0".to_owned(),
+            limits: server::Options {
+                head_timeout: Duration::from_millis(500),
+                ..server::Options::default()
+            },
+        };
+        let start = Gate::try_start(platform, listeners, replica_options(vm), options);
+        let gate = runtime.spawn(start).await.unwrap().unwrap();
+        let process = Process {
+            client: Client::new(gate.address()),
+            admin: Client::new(gate.admin_address()),
+            runtime: Some(runtime),
+            gate: Some(gate),
+            log,
+        };
+        process.ready().await;
+        process
+    }
+
+    /// Returns how often an order ran.
+    pub(crate) fn executions(&self, order: &str) -> u32 {
+        self.service.record().executions_of(order)
+    }
+}
+
+impl Process {
+    /// Waits until the gate says that it is ready and holds its shares.
+    async fn ready(&self) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while self.admin.get("/readyz", &[]).await.status != 200 {
+            assert!(tokio::time::Instant::now() < deadline, "never ready");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Returns the options of a replica whose times are short.
+fn replica_options(vm: &str) -> replica::Options {
+    let member = Member {
+        vm: Vm::try_new(format!("{vm}/gate")).unwrap(),
+        incarnation: Incarnation(rand::random()),
+    };
+    replica::Options {
+        secret: "a secret of the tests".to_owned(),
+        lease: Duration::from_secs(2),
+        exchange_interval: Duration::from_millis(50),
+        suspicion: Duration::from_millis(500),
+        not_sent_after: Duration::from_millis(300),
+        unknown_after: Duration::from_millis(1_500),
+        ..replica::Options::new(member, Role::Gate, domain("a"), "127.0.0.1:0")
+    }
+}
