Serve the whole path and prove it against stand-ins

Cause of what failed first: a gate that has just joined had heard no hints, so it refused requests within the rate. It is now ready only once it has heard every gate that is not suspected. A repeat of a claimed call asked for tokens before it looked at the claim; now the claim is looked at first and a repeat costs nothing. Words in forwarded headers and queries that are keys by the configuration are left out, also on routes open to all: a key in 'accept' had been passed on there.

--- a/crates/quetzalpick-gate/src/api/header.rs
+++ b/crates/quetzalpick-gate/src/api/header.rs
@@ -59,18 +59,37 @@
     (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
 
-/// Collects every text of a request that may be a key, wherever callers put it.
+/// Collects the texts that a request presents as keys, wherever callers put them.
 pub(crate) fn presented_keys(headers: &HeaderMap, query: &str) -> Vec<String> {
     let mut keys: Vec<String> = query::presented(query).collect();
     for name in [&AUTHORIZATION, &PROXY_AUTHORIZATION, &COOKIE] {
-        let texts = headers.get_all(name).iter().filter_map(|v| v.to_str().ok());
-        // A scheme or a cookie's name stands before the key.
-        keys.extend(texts.flat_map(|text| text.split([' ', '=', ';', ',']).map(str::to_owned)));
+        let values = headers.get_all(name).iter();
+        keys.extend(values.flat_map(words));
     }
     for name in KEY_HEADERS {
         let texts = headers.get_all(name).iter().filter_map(|v| v.to_str().ok());
         keys.extend(texts.map(str::to_owned));
     }
+    sorted(keys)
+}
+
+/// Collects the words of what may reach an endpoint: a caller may have put a key there by mistake.
+pub(crate) fn suspected_keys(headers: &HeaderMap, path: &str, query: &str) -> Vec<String> {
+    let values = UPSTREAM.into_iter().flat_map(|name| headers.get_all(name));
+    let texts = values.flat_map(words).chain(query::words(path));
+    sorted(texts.chain(query::words(query)).collect())
+}
+
+/// Cuts a header's value where a key may begin or end: after a scheme or a cookie's name.
+fn words(value: &HeaderValue) -> Vec<String> {
+    let text = value.to_str().unwrap_or_default();
+    text.split([' ', '=', ';', ','])
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Sorts keys and leaves out those that are too short to be searched for.
+fn sorted(mut keys: Vec<String>) -> Vec<String> {
     keys.retain(|key| key.len() >= KEY_MIN_CHARS);
     keys.sort();
     keys.dedup();
--- a/crates/quetzalpick-gate/src/api/query.rs
+++ b/crates/quetzalpick-gate/src/api/query.rs
@@ -69,6 +69,21 @@
     })
 }
 
+/// Returns the words of a path or a query, as they are and decoded.
+pub(crate) fn words(text: &str) -> Vec<String> {
+    let cut = |text: &str| -> Vec<String> {
+        let words = text.split(['/', '&', ';', '=', ' ', ',']);
+        words.map(str::to_owned).collect()
+    };
+    let mut text = text.to_owned();
+    let mut words = cut(&text);
+    for _ in 0..DECODE_ROUNDS {
+        text = decode(&text);
+        words.extend(cut(&text));
+    }
+    words
+}
+
 /// Returns the query without parameters that carry keys or hold one of the given.
 pub(crate) fn strip(query: &str, keys: &[String]) -> String {
     let kept: Vec<&str> = query
--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -69,6 +69,7 @@
 struct Ready<L: Log> {
     replica: Replica<L>,
     lifecycle: Lifecycle,
+    shares: Arc<Shares>,
 }
 
 impl<L: Log> Readiness for Ready<L> {
@@ -77,8 +78,11 @@
         if phase != Phase::Serving {
             return Some(format!("the process is {phase}"));
         }
-        let lease = self.replica.is_leased();
-        (!lease).then(|| "no lease".to_owned())
+        if !self.replica.is_leased() {
+            return Some("no lease".to_owned());
+        }
+        let introduced = self.shares.is_introduced();
+        (!introduced).then(|| "other gates were not heard yet".to_owned())
     }
 }
 
@@ -139,6 +143,7 @@
         let ready = Ready {
             replica: context.replica.clone(),
             lifecycle: lifecycle.clone(),
+            shares: Arc::clone(&context.shares),
         };
         tokio::spawn(admin.run(Admin::new(ready, metrics), background.clone()));
         let callers_stop = CancellationToken::new();
--- a/crates/quetzalpick-gate/src/serve/access.rs
+++ b/crates/quetzalpick-gate/src/serve/access.rs
@@ -1,6 +1,7 @@
 //! Keys: who calls, and whether the key is still in force.
 
 use http::HeaderMap;
+use http::request::Parts;
 use quetzalpick_core::id::Workspace;
 use quetzalpick_core::record::Digest;
 use quetzalpick_core::state::State;
@@ -59,3 +60,13 @@
     // The table is sorted by digest, so the lookup leaks at most a prefix of a digest, which opens nothing.
     identity::same(&key.digest, digest).then_some(&key.workspace)
 }
+
+/// Returns every key in a request's head: what is presented as one, and what is one by the configuration.
+pub(crate) fn keys(head: &Parts, state: &State) -> Vec<String> {
+    let query = head.uri.query().unwrap_or_default();
+    let mut keys = header::presented_keys(&head.headers, query);
+    let suspected = header::suspected_keys(&head.headers, head.uri.path(), query);
+    let known = |word: &String| lookup(state, &identity::digest(word)).is_some();
+    keys.extend(suspected.into_iter().filter(known));
+    keys
+}
--- a/crates/quetzalpick-gate/src/serve/handler.rs
+++ b/crates/quetzalpick-gate/src/serve/handler.rs
@@ -16,7 +16,7 @@
 use crate::api::query;
 use crate::api::refusal::{Kind, Refusal};
 use crate::context::Context;
-use crate::serve::access::Caller;
+use crate::serve::access::{self, Caller};
 use crate::serve::service::{self, Address};
 use crate::serve::{completion, models};
 
@@ -116,7 +116,7 @@
         let body = self.body(&head, body).await?;
         let completion = Completion::try_new(form, &body)?;
         // Escapes are resolved by now, so that they hide no key.
-        without_key(&head, &completion.to_body(1, ""))?;
+        without_key(&head, &self.keys(&head), &completion.to_body(1, ""))?;
         completion::serve(&self.context, caller, completion, id).await
     }
 
@@ -141,6 +141,7 @@
         let caller = service::authorize(context, &address, &head.method, &head.headers)?;
         let body = self.body(&head, body).await?;
         let incoming = service::Incoming {
+            keys: self.keys(&head),
             address,
             head,
             body,
@@ -153,17 +154,21 @@
     async fn body(&self, head: &Parts, body: Incoming) -> Result<bytes::Bytes, Refusal> {
         let options = &self.context.options;
         let body = body::read(body, options.body_max_bytes, options.body_timeout).await?;
-        without_key(head, &body)?;
+        without_key(head, &self.keys(head), &body)?;
         Ok(body)
     }
+
+    /// Returns every key in a request's head.
+    fn keys(&self, head: &Parts) -> Vec<String> {
+        let replica = &self.context.replica;
+        replica.read(|state| access::keys(head, state))
+    }
 }
 
-/// Checks that neither the path nor the body holds a key that the request presents.
-fn without_key(head: &Parts, body: &[u8]) -> Result<(), Refusal> {
-    let query = head.uri.query().unwrap_or_default();
-    let keys = header::presented_keys(&head.headers, query);
+/// Checks that neither the path nor the body holds one of the keys.
+fn without_key(head: &Parts, keys: &[String], body: &[u8]) -> Result<(), Refusal> {
     let in_body = |key: &String| body.windows(key.len()).any(|part| part == key.as_bytes());
-    if query::holds_key(head.uri.path(), &keys) || keys.iter().any(in_body) {
+    if query::holds_key(head.uri.path(), keys) || keys.iter().any(in_body) {
         let message = "the path or the body holds the key, which no endpoint may see";
         return Err(Refusal::not_run(Kind::InvalidRequestError, message));
     }
--- a/crates/quetzalpick-gate/src/serve/once.rs
+++ b/crates/quetzalpick-gate/src/serve/once.rs
@@ -44,8 +44,8 @@
     pub(crate) caller: Option<Caller>,
     /// The call.
     pub(crate) call: Call,
-    /// Its charge.
-    pub(crate) charged: Option<Charged>,
+    /// Tokens that it costs.
+    pub(crate) tokens: u64,
 }
 
 /// `Known` is what became of an earlier call with the same key.
@@ -80,10 +80,12 @@
 /// Claims a call and sends it, or tells what became of an earlier one.
 async fn run<L: Log>(context: &Arc<Context<L>>, once: Once) -> Result<Response<Reply>, Refusal> {
     for _ in 0..CLAIMS_MAX {
-        // What this gate knows already needs no record.
+        // What this gate knows already needs no record and costs nothing.
         if let Known::Made(answer) = known(context, &once).await {
             return answer;
         }
+        let workspace = once.key.workspace.as_ref();
+        let charged = service::charge(context, workspace, once.tokens).await?;
         let member = context.lease().await?;
         let claim = Claim {
             key: once.key.clone(),
@@ -91,7 +93,9 @@
             member: member.clone(),
         };
         match context.replica.submit(Record::Claim(claim), None).await {
-            Answer::Accepted { offset, .. } => return dispatch(context, once, offset).await,
+            Answer::Accepted { offset, .. } => {
+                return dispatch(context, once, offset, charged).await;
+            }
             Answer::Rejected {
                 reason: Reason::Claimed { .. },
                 ..
@@ -129,9 +133,10 @@
     context: &Arc<Context<L>>,
     once: Once,
     claim: Offset,
+    charged: Option<Charged>,
 ) -> Result<Response<Reply>, Refusal> {
     log::info!("claim: request={} claimed at {claim}", once.call.id);
-    let sent = service::send(context, once.caller.as_ref(), &once.call, once.charged).await;
+    let sent = service::send(context, once.caller.as_ref(), &once.call, charged).await;
     let result = match &sent {
         Ok(whole) => ran(whole),
         Err(refusal) if refusal.verdict == Verdict::NotRun => ClaimResult::NotRun,
--- a/crates/quetzalpick-gate/src/serve/service.rs
+++ b/crates/quetzalpick-gate/src/serve/service.rs
@@ -78,6 +78,8 @@
     pub(crate) head: Parts,
     /// Its body.
     pub(crate) body: Bytes,
+    /// Every key in its head.
+    pub(crate) keys: Vec<String>,
     /// The id drawn for it.
     pub(crate) id: String,
 }
@@ -130,7 +132,6 @@
         .ok_or_else(|| unknown(address))?;
     let key = idempotency_key(&head.headers)?;
     let workspace = caller.as_ref().map(|caller| caller.workspace.clone());
-    let charged = charge(context, workspace.as_ref(), rule.charge).await?;
     let call = call(context, &incoming, rule.idempotent);
     if let (Some(key), false) = (key, rule.idempotent) {
         let method = incoming.head.method.as_str();
@@ -143,10 +144,11 @@
             fingerprint: identity::fingerprint(method, &call.target, &incoming.body),
             caller,
             call,
-            charged,
+            tokens: rule.charge,
         };
         return once::serve(context, once).await;
     }
+    let charged = charge(context, workspace.as_ref(), rule.charge).await?;
     let sent = send(context, caller.as_ref(), &call, charged).await;
     sent.map(answer)
 }
@@ -165,7 +167,7 @@
 }
 
 /// Charges a call; a call on a route open to all, or to a service without a charge, costs nothing.
-async fn charge<L: Log>(
+pub(crate) async fn charge<L: Log>(
     context: &Context<L>,
     workspace: Option<&Workspace>,
     tokens: u64,
@@ -180,8 +182,7 @@
 fn call<L: Log>(context: &Context<L>, incoming: &Incoming, idempotent: bool) -> Call {
     let head = &incoming.head;
     let query = head.uri.query().unwrap_or_default();
-    let keys = header::presented_keys(&head.headers, query);
-    let query = query::strip(query, &keys);
+    let query = query::strip(query, &incoming.keys);
     let path = &incoming.address.path;
     let now_ms = context.clock.now_ms();
     let timeout_ms = context.options.request_timeout.as_millis() as u64;
@@ -193,7 +194,7 @@
         } else {
             format!("{path}?{query}")
         },
-        headers: header::upstream(&head.headers, &keys),
+        headers: header::upstream(&head.headers, &incoming.keys),
         body: incoming.body.clone(),
         need: Need::Service(incoming.address.service.clone()),
         idempotent,
--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -6,7 +6,6 @@
 use quetzalpick_core::payload::Payload;
 use quetzalpick_core::quota::{Peer, Transfer};
 use quetzalpick_core::record::{Record, Role};
-use quetzalpick_core::state::State;
 use quetzalpick_node::replica::{Answer, Replica};
 use quetzalpick_platform::traits::Log;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -69,8 +68,9 @@
 
 /// Publishes hints, and lets shares follow the demand.
 fn rebalance<L: Log>(replica: &Replica<L>, shares: &Arc<Shares>, demand: &Recorder) {
-    let peers = replica.read(|state| gates(replica, state));
-    shares.set_peers(peers);
+    let (peers, all) = heard(replica);
+    // A gate that is silent from the start holds up the others for a lease at most: then it is suspected.
+    shares.set_peers(peers, all);
     let payload = Payload {
         hints: shares.with(|quota, now_ms| quota.hints(now_ms)),
         demand: demand.rates(),
@@ -93,14 +93,29 @@
     }
 }
 
-/// Returns the other active gates with their hints.
-fn gates<L: Log>(replica: &Replica<L>, state: &State) -> Vec<Peer> {
-    let peers = replica.peers().into_iter();
-    peers
-        .filter(|peer| peer.role == Role::Gate && state.roster().is_active(&peer.member))
-        .map(|peer| Peer {
-            hints: Payload::from_bytes(&peer.payload).unwrap_or_default().hints,
-            member: peer.member,
+/// Returns the other gates that were heard, with their hints, and whether those are all.
+fn heard<L: Log>(replica: &Replica<L>) -> (Vec<Peer>, bool) {
+    let own = replica.member();
+    let expected = replica.read(|state| {
+        let members = state.roster().members().iter();
+        let gates = members.filter(|(member, row)| row.role == Role::Gate && **member != own);
+        // Nobody waits for a gate that others suspect to be dead.
+        gates.filter(|(_, row)| row.suspected.is_none()).count()
+    });
+    let gates: Vec<Peer> = gates(replica);
+    let all = replica.is_leased() && gates.len() >= expected;
+    (gates, all)
+}
+
+/// Returns the other gates whose hints were heard.
+fn gates<L: Log>(replica: &Replica<L>) -> Vec<Peer> {
+    let gates = replica.peers().into_iter();
+    let gates = gates.filter(|peer| peer.role == Role::Gate);
+    gates
+        .filter_map(|peer| {
+            let hints = Payload::from_bytes(&peer.payload).ok()?.hints;
+            let member = peer.member;
+            Some(Peer { member, hints })
         })
         .collect()
 }
@@ -118,8 +133,8 @@
     shares: &Arc<Shares>,
     within: Duration,
 ) -> bool {
-    let gates = replica.read(|state| gates(replica, state));
-    let members: Vec<_> = gates.into_iter().map(|gate| gate.member).collect();
+    let gates = gates(replica).into_iter();
+    let members: Vec<_> = gates.map(|gate| gate.member).collect();
     if members.is_empty() || !replica.is_leased_as(&shares.member()) {
         log::info!("quota: nobody to hand shares over to");
         return false;
--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -25,6 +25,7 @@
     member: Member,
     quota: Quota,
     peers: Arc<Vec<Peer>>,
+    introduced: bool,
 }
 
 impl Shares {
@@ -36,6 +37,7 @@
             member,
             quota,
             peers,
+            introduced: false,
         });
         Self {
             clock,
@@ -67,13 +69,21 @@
         if inner.member != *member {
             inner.member = member.clone();
             inner.quota = Quota::new(member.clone(), self.options.clone());
+            inner.introduced = false;
         }
         inner.quota.sync(now_ms, state);
     }
 
-    /// Takes over what peers said of their shares.
-    pub(crate) fn set_peers(&self, peers: Vec<Peer>) {
-        self.lock().peers = Arc::new(peers);
+    /// Takes over what peers said of their shares; `all` tells whether every other gate has been heard.
+    pub(crate) fn set_peers(&self, peers: Vec<Peer>, all: bool) {
+        let mut inner = self.lock();
+        inner.peers = Arc::new(peers);
+        inner.introduced |= all;
+    }
+
+    /// Tells whether this gate has heard what the others hold, so that it can gather tokens.
+    pub(crate) fn is_introduced(&self) -> bool {
+        self.lock().introduced
     }
 
     /// Returns what peers said of their shares.
--- a/crates/quetzalpick-gate/tests/gate/world.rs
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -235,12 +235,6 @@
 
     /// Appends the configuration, and a report of what the engines hold.
     async fn configure(&self) {
-        self.change(set_workspace("lagos", 100_000, 100_000, &[]))
-            .await;
-        self.change(set_workspace("pasto", 1_000, 1_000, &["menu"]))
-            .await;
-        self.change(add_key("lagos-1", "lagos", LAGOS)).await;
-        self.change(add_key("pasto-1", "pasto", PASTO)).await;
         for name in ["menu", "butter"] {
             let model = Model {
                 version: Version(1),
@@ -256,6 +250,12 @@
         };
         self.change(Change::SetAdapter(artifact("menu-kosher"), adapter))
             .await;
+        self.change(set_workspace("lagos", 100_000, 100_000, &[]))
+            .await;
+        self.change(set_workspace("pasto", 1_000, 1_000, &["menu"]))
+            .await;
+        self.change(add_key("lagos-1", "lagos", LAGOS)).await;
+        self.change(add_key("pasto-1", "pasto", PASTO)).await;
         let routes = vec![
             route("GET", "/availability", true, true),
             route("GET", "/bookings", false, true),
