--- a/crates/quetzalpick-core/src/record/config.rs
+++ b/crates/quetzalpick-core/src/record/config.rs
@@ -157,6 +157,6 @@
     SetService(Service, ServiceSpec),
     /// Removes a service.
     RemoveService(Service),
-    /// Retires every member of a process that an operator vouches is dead.
+    /// Retires the suspected members of a process, which an operator vouches are dead.
     RetireVm(Vm),
 }
--- a/crates/quetzalpick-core/src/record/octets.rs
+++ b/crates/quetzalpick-core/src/record/octets.rs
@@ -50,3 +50,29 @@
         Ok(bytes)
     }
 }
+
+/// Byte strings that may be missing.
+pub(crate) mod optional {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    /// `Bytes` is a byte string in the codec's compact form.
+    #[derive(Serialize, Deserialize)]
+    struct Bytes(#[serde(with = "super")] Vec<u8>);
+
+    /// Writes bytes as one byte string, or that there are none.
+    pub(crate) fn serialize<S: Serializer>(
+        bytes: &Option<Vec<u8>>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let bytes = bytes.clone().map(Bytes);
+        bytes.serialize(serializer)
+    }
+
+    /// Reads a byte string, or that there are none.
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Vec<u8>>, D::Error> {
+        let bytes = Option::<Bytes>::deserialize(deserializer)?;
+        Ok(bytes.map(|Bytes(bytes)| bytes))
+    }
+}
--- a/crates/quetzalpick-core/src/state/fold.rs
+++ b/crates/quetzalpick-core/src/state/fold.rs
@@ -179,11 +179,7 @@
             Change::RemoveWorkspace(name) => self.shares.remove(name),
             Change::RemoveEndpoint(name) => self.ledger.close(name),
             Change::RetireVm(vm) => {
-                let members = self.roster.members().keys();
-                let members: Vec<Member> = members.filter(|m| m.vm == *vm).cloned().collect();
-                if members.is_empty() {
-                    return Err(unknown("active VM", vm));
-                }
+                let members = self.roster.check_dead(vm)?;
                 self.leave(offset, &members);
             }
             _ => {}
--- a/crates/quetzalpick-core/src/state/roster.rs
+++ b/crates/quetzalpick-core/src/state/roster.rs
@@ -2,10 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Domain, Member, Offset};
+use crate::id::{Domain, Member, Offset, Vm};
 use crate::record::{Join, Retire, Role, Seat};
 use crate::state::catalog::check_address;
-use crate::state::outcome::{Reason, conflict, invalid};
+use crate::state::outcome::{Reason, conflict, invalid, unknown};
 use crate::table::Table;
 
 /// `Membership` is what the roster knows of one active member.
@@ -183,6 +183,22 @@
         self.check_witnesses(retire.seats, &retire.witnesses)
     }
 
+    /// Returns the members of a VM that are suspected, which an operator vouches are dead.
+    ///
+    /// A member that started meanwhile under the same name is heard of, and so stays.
+    pub(crate) fn check_dead(&self, vm: &Vm) -> Result<Vec<Member>, Reason> {
+        let is_named = |(member, _): &(&Member, &Membership)| member.vm == *vm;
+        if !self.members.iter().any(|row| is_named(&row)) {
+            return Err(unknown("active VM", vm));
+        }
+        let suspected = self.members.iter().filter(|(_, m)| m.suspected.is_some());
+        let dead: Vec<Member> = suspected.filter(is_named).map(|(m, _)| m.clone()).collect();
+        if dead.is_empty() {
+            return Err(conflict(format!("{vm} is not suspected by its peers")));
+        }
+        Ok(dead)
+    }
+
     /// Removes a member's rights.
     pub(crate) fn depart(&mut self, member: &Member) {
         self.members.remove(member);
--- a/crates/quetzalpick-core/src/state/shares.rs
+++ b/crates/quetzalpick-core/src/state/shares.rs
@@ -41,8 +41,10 @@
     pub(crate) epoch: Offset,
     /// Active gates that have not declared in the present epoch, sorted; empty when it is settled.
     pub(crate) awaiting: Vec<Member>,
-    /// Declarations of the present epoch while it is not settled.
-    pub(crate) declared: Table<Member, Vec<Holding>>,
+    /// Gates that have declared in the present epoch while it is not settled, sorted.
+    pub(crate) declarers: Vec<Member>,
+    /// Parts that they declared, added up by workspace and the offset of its creation.
+    pub(crate) declared: Table<(Workspace, Offset), u64>,
     /// Grants by active gate.
     pub(crate) grants: Table<Member, Table<Workspace, Grant>>,
     /// Parts that no gate holds, by workspace: the first gate to join takes them.
@@ -107,6 +109,7 @@
             self.grants.remove(member);
         }
         self.epoch = offset;
+        self.declarers.clear();
         self.declared = Table::default();
         self.awaiting = gates;
         self.settle(workspaces);
@@ -126,7 +129,12 @@
             .map_err(|_| conflict(format!("no declaration of {} is awaited", declare.member)))?;
         self.check_holdings(&declare.holdings)?;
         let member = self.awaiting.remove(awaited);
-        self.declared.insert(member, declare.holdings.clone());
+        let at = self.declarers.partition_point(|other| *other < member);
+        self.declarers.insert(at, member);
+        for holding in &declare.holdings {
+            let key = (holding.workspace.clone(), holding.created);
+            *self.declared.get_or_insert_with(key, || 0) += holding.parts;
+        }
         self.settle(workspaces);
         Ok(())
     }
@@ -147,14 +155,10 @@
         Ok(())
     }
 
-    /// Adds up the declared parts of a workspace.
+    /// Returns the declared parts of a workspace.
     fn declared_parts(&self, workspace: &Workspace, created: Offset) -> u64 {
-        let holdings = self.declared.values().filter_map(|holdings| {
-            let at = holdings.binary_search_by(|h| h.workspace.cmp(workspace));
-            at.ok().map(|at| &holdings[at])
-        });
-        let parts = holdings.filter(|h| h.created == created).map(|h| h.parts);
-        parts.sum()
+        let key = (workspace.clone(), created);
+        self.declared.get(&key).copied().unwrap_or(0)
     }
 
     /// Once no declaration is awaited, gives out with empty buckets what nobody declared.
@@ -162,7 +166,7 @@
         if !self.awaiting.is_empty() {
             return;
         }
-        let declarers: Vec<Member> = self.declared.keys().cloned().collect();
+        let declarers = std::mem::take(&mut self.declarers);
         for (workspace, (created, _)) in workspaces.iter() {
             // A departed gate never held parts of a workspace that was created after its departure.
             if *created > self.epoch {
--- a/crates/quetzalpick-core/tests/state/golden.rs
+++ b/crates/quetzalpick-core/tests/state/golden.rs
@@ -270,6 +270,8 @@
         session.note(format!("{gate} {}", compact(grants)));
     }
     session.change(Change::RetireVm(vm_name("ng-4")));
+    session.accepted(&e, Record::Suspect(d.clone()));
+    session.change(Change::RetireVm(vm_name("ng-4")));
     session.accepted(&e, Record::Leave(e.clone()));
     let f = member("ng-6", 6);
     session.by(&f, join(&f, Role::Gate));
