--- /dev/null
+++ b/crates/quetzalpick-load/src/run/mod.rs
@@ -0,0 +1,13 @@
+//! An open-loop run against gates.
+
+mod arrivals;
+mod call;
+mod drive;
+mod scenario;
+mod sse;
+mod token;
+
+pub use arrivals::{Arrival, Kind, schedule};
+pub use call::{End, Outcome};
+pub use drive::drive;
+pub use scenario::{Balance, Process, Scenario, Shape, Workspace};
