--- a/crates/quetzalpick-node/src/replica/exchange.rs
+++ b/crates/quetzalpick-node/src/replica/exchange.rs
@@ -55,7 +55,6 @@
                 }
             });
         join_all(calls).await;
-        self.note_renewal();
     }
 
     /// Returns the members to call: all, or a sample while the log can be read.
@@ -128,6 +127,7 @@
         self.hear(answer);
         if active {
             lock(&self.lease).statement(&statement.member, sent_at, statement.applied);
+            self.note_renewal();
         }
     }
 
--- a/crates/quetzalpick-node/src/replica/follower.rs
+++ b/crates/quetzalpick-node/src/replica/follower.rs
@@ -33,6 +33,7 @@
             let sent_at = self.clock.now();
             // A caller that finds no lease cuts a long read short; a read without waiting is not cut.
             let read = tokio::select! {
+                biased;
                 read = self.read(Stream::Control, from, wait) => Some(read),
                 () = self.read_now.notified(), if !wait.is_zero() => None,
             };
--- a/crates/quetzalpick-node/src/replica/handle.rs
+++ b/crates/quetzalpick-node/src/replica/handle.rs
@@ -299,6 +299,7 @@
         );
     };
     tokio::select! {
+                biased;
         () = stop.cancelled() => {}
         () = work => {}
     }
--- a/crates/quetzalpick-node/src/replica/shared.rs
+++ b/crates/quetzalpick-node/src/replica/shared.rs
@@ -136,7 +136,7 @@
     /// Tells whether the log was read to its head within a time.
     pub(crate) fn reads_within(&self, limit: Duration) -> bool {
         let at = self.read_at.load(Ordering::Relaxed);
-        at > 0 && self.clock.now() - at <= millis(limit)
+        at > 0 && self.clock.now().saturating_sub(at) <= millis(limit)
     }
 
     /// Takes over a state from a snapshot or a peer, unless the present one is as new.
--- a/crates/quetzalpick-node/src/replica/stagger.rs
+++ b/crates/quetzalpick-node/src/replica/stagger.rs
@@ -34,6 +34,11 @@
         row.0 <= now
     }
 
+    /// Returns the next time at which a duty may be done, in ms.
+    pub(crate) fn next_due(&self) -> Option<u64> {
+        self.due.values().map(|(due, _)| *due).min()
+    }
+
     /// Forgets the delays of duties that were not asked for at `now`.
     pub(crate) fn prune(&mut self, now: u64) {
         self.due.retain(|_, (_, asked)| *asked >= now);
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -1,6 +1,7 @@
 //! What any process does about the others: suspecting and retiring silent members, seating voters, dropping old claims.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use quetzalpick_core::id::{Member, Offset};
 use quetzalpick_core::record::{Record, Retire, Role, Seat};
@@ -76,7 +77,7 @@
     pub(crate) async fn watch_others(&self) {
         let mut watch = Watch::default();
         loop {
-            sleep(self.options.exchange_interval).await;
+            sleep(self.watch_pause(&watch)).await;
             let now = self.clock.now();
             self.note_pause(now, &mut watch);
             if let Some((duty, record)) = self.next_duty(now, &mut watch) {
@@ -93,6 +94,15 @@
         }
     }
 
+    /// Returns how long nothing needs to be done.
+    fn watch_pause(&self, watch: &Watch) -> Duration {
+        let now = self.clock.now();
+        let due = watch.stagger.next_due();
+        let rest = due.map(|due| Duration::from_millis(due.saturating_sub(now).max(1)));
+        let interval = self.options.exchange_interval;
+        rest.map_or(interval, |rest| rest.min(interval))
+    }
+
     /// Starts all silences anew if this process was paused, as it could hear nobody meanwhile.
     fn note_pause(&self, now: u64, watch: &mut Watch) {
         let tick = millis(self.options.exchange_interval);
--- a/crates/quetzalpick-node/src/replica/writer.rs
+++ b/crates/quetzalpick-node/src/replica/writer.rs
@@ -46,6 +46,7 @@
             }
             let pause = self.pause(appends.len());
             tokio::select! {
+                biased;
                 Some(()) = appends.next(), if !appends.is_empty() => {}
                 // What is submitted in the next moments goes into the same append.
                 () = self.writes.added.notified() => sleep(GATHER).await,
--- /dev/null
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -0,0 +1,252 @@
+//! Replicas together: golden session, lost answers, races, cuts, outages, freezes and starts.
+
+mod support;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use quetzalpick_core::id::{Offset, Revision};
+use quetzalpick_core::record::{Author, Entry};
+use quetzalpick_core::state::{Reason, State};
+use quetzalpick_node::replica::{Answer, Options};
+use quetzalpick_platform::traits::Stream;
+use support::{Fleet, command, sleep, workspace};
+
+/// Default lease, in ms.
+const LEASE_MS: u64 = 5_000;
+
+#[tokio::test(start_paused = true)]
+async fn a_session_of_starts_changes_and_a_crash() {
+    let mut fleet = Fleet::start(3).await;
+    assert_matches!(
+        fleet.processes[0].set("lagos", None).await,
+        Answer::Accepted { .. }
+    );
+    fleet.kill(2);
+    sleep(12_000).await;
+    fleet.spawn(2, 1).await;
+    sleep(3_000).await;
+    assert_matches!(
+        fleet.processes[2].set("abuja", Some(1)).await,
+        Answer::Accepted { .. }
+    );
+    assert_matches!(
+        fleet.processes[2].replica.leave().await,
+        Answer::Accepted { .. }
+    );
+    sleep(2_000).await;
+    insta::assert_snapshot!(fleet.story());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_append_that_takes_effect_twice_counts_once() {
+    let fleet = Fleet::start(1).await;
+    let process = &fleet.processes[0];
+    // The first append is held back, the second one is answered, and then the first one arrives.
+    process.log.hold_appends(1);
+    assert_matches!(process.set("lagos", None).await, Answer::Accepted { .. });
+    process.log.release();
+    // An answer lost after the effect is read back.
+    process.log.lose_answers(1);
+    assert_matches!(process.set("abuja", None).await, Answer::Accepted { .. });
+    sleep(1_000).await;
+    assert_eq!(process.revision(), 2);
+    // A fold that takes every entry for a new command counts three: the log holds one of them twice.
+    let (_, records) = fleet.log.records(Stream::Control);
+    let mut naive = State::default();
+    for (number, bytes) in (0..).zip(&records) {
+        let mut entry = Entry::from_bytes(bytes).unwrap();
+        entry.command = command(number);
+        naive.apply(Offset(number), &entry);
+    }
+    assert_eq!(naive.revision(), Revision(3));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_racing_operators_one_wins() {
+    let fleet = Fleet::start(3).await;
+    let [a, b, c] = &fleet.processes[..] else {
+        unreachable!()
+    };
+    let answers = tokio::join!(
+        a.set("x", Some(0)),
+        b.set("x", Some(0)),
+        c.set("x", Some(0))
+    );
+    let answers = [answers.0, answers.1, answers.2];
+    let won = answers
+        .iter()
+        .filter(|a| matches!(a, Answer::Accepted { .. }))
+        .count();
+    let stale = |a: &&Answer| {
+        matches!(
+            a,
+            Answer::Rejected {
+                reason: Reason::Revision { .. },
+                ..
+            }
+        )
+    };
+    assert_eq!(
+        (won, answers.iter().filter(stale).count()),
+        (1, 2),
+        "{answers:?}"
+    );
+    // Without an expected revision all of them win, and two changes are lost.
+    let answers = tokio::join!(a.set("x", None), b.set("x", None), c.set("x", None));
+    assert_matches!(
+        answers,
+        (
+            Answer::Accepted { .. },
+            Answer::Accepted { .. },
+            Answer::Accepted { .. }
+        )
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_command_gets_the_first_answer() {
+    let fleet = Fleet::start(2).await;
+    let submit = |at: usize| {
+        let author = Author::Operator("ada".to_owned());
+        let replica = &fleet.processes[at].replica;
+        replica.submit_as(author, command(7), workspace("x"), Some(Revision(0)))
+    };
+    let first = submit(0).await;
+    assert_matches!(first, Answer::Accepted { .. });
+    sleep(100).await;
+    assert_eq!(submit(1).await, first);
+    assert!(fleet.processes[1].replica.ask(command(7)).is_some());
+    assert!(fleet.processes[1].replica.ask(command(8)).is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_cut_from_the_log_learns_from_peers() {
+    let fleet = Fleet::start(3).await;
+    fleet.processes[2].log.cut(true);
+    sleep(2 * LEASE_MS).await;
+    assert_matches!(
+        fleet.processes[0].set("lagos", None).await,
+        Answer::Accepted { .. }
+    );
+    sleep(2_000).await;
+    assert_eq!(fleet.processes[2].revision(), 1);
+    for _ in 0..100 {
+        sleep(100).await;
+        assert_eq!(fleet.leased(), [true; 3]);
+    }
+    // Its own writes are answered at once and truly.
+    assert_matches!(
+        fleet.processes[2].set("abuja", None).await,
+        Answer::NotSent { .. }
+    );
+    fleet.processes[2].log.cut(false);
+    sleep(10_000).await;
+    assert_eq!(fleet.processes[0].revision(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn in_an_outage_a_majority_keeps_its_leases_and_a_minority_loses_them() {
+    let fleet = Fleet::start(5).await;
+    fleet.log.outage(true);
+    for _ in 0..600 {
+        sleep(100).await;
+        assert_eq!(fleet.leased(), [true; 5]);
+    }
+    fleet.part(&[3, 4], &[0, 1, 2], true);
+    sleep(LEASE_MS).await;
+    assert_eq!(fleet.leased(), [true, true, true, false, false]);
+    assert!(fleet.processes[3].replica.leased().await.is_err());
+    fleet.part(&[3, 4], &[0, 1, 2], false);
+    sleep(1_000).await;
+    assert!(fleet.processes[3].replica.leased().await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frozen_process_wakes_without_a_lease_and_joins_anew() {
+    let fleet = Fleet::start(3).await;
+    let frozen = &fleet.processes[2];
+    let before = frozen.replica.member();
+    frozen.freeze(true);
+    sleep(30_000).await;
+    // Its view is what it was, and the clock alone ends its lease.
+    assert!(!frozen.replica.is_leased());
+    let departed = fleet.processes[0]
+        .replica
+        .read(|s| !s.roster().is_active(&before));
+    assert!(departed, "{}", fleet.story());
+    frozen.freeze(false);
+    sleep(5_000).await;
+    assert_eq!(fleet.leased(), [true; 3]);
+    assert!(!frozen.replica.is_leased_as(&before));
+    assert_ne!(frozen.replica.member(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_starts_from_a_peer_in_an_outage() {
+    let mut fleet = Fleet::start(3).await;
+    assert_matches!(
+        fleet.processes[0].set("lagos", None).await,
+        Answer::Accepted { .. }
+    );
+    sleep(1_000).await;
+    fleet.log.outage(true);
+    let lonely = fleet
+        .spawn_with(4, 0, |options| options.seeds.clear())
+        .await;
+    let late = fleet.spawn(3, 0).await;
+    sleep(2_000).await;
+    assert_eq!(fleet.processes[late].revision(), 1);
+    // Without a state there is nothing to act on, and without having joined there is no right to.
+    assert!(!fleet.processes[lonely].replica.is_loaded());
+    assert_eq!(fleet.leased(), [true, true, true, false, false]);
+    fleet.log.outage(false);
+    sleep(5_000).await;
+    assert_eq!(fleet.leased(), [true; 5]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_longer_than_the_retention_ends_with_a_snapshot() {
+    let short = |options: &mut Options| options.log_retention = Duration::from_secs(20);
+    let mut fleet = Fleet::start_with(3, short).await;
+    fleet.log.retain(Stream::Control, 20);
+    fleet.processes[2].log.cut(true);
+    fleet.part(&[2], &[0, 1], true);
+    for number in 0..60 {
+        let answer = fleet.processes[0].set(&format!("w{number}"), None).await;
+        assert_matches!(answer, Answer::Accepted { .. });
+        sleep(1_000).await;
+    }
+    assert_eq!(fleet.processes[2].revision(), 0);
+    // Only the log comes back, so that the snapshot is all there is.
+    fleet.processes[2].log.cut(false);
+    let late = fleet
+        .spawn_with(3, 0, |options| options.seeds.clear())
+        .await;
+    sleep(2_000).await;
+    let revisions = [2, late].map(|at| fleet.processes[at].revision());
+    assert_eq!(revisions, [60; 2]);
+    fleet.part(&[2], &[0, 1], false);
+    sleep(10_000).await;
+    assert_eq!(fleet.leased(), [true; 4]);
+    assert!(fleet.processes.iter().all(|p| p.replica.divergences() == 0));
+    // One of them usually publishes, not all: a quarter of the retention is 5 s, so that 15 are needed in 75 s.
+    let (oldest, kept) = fleet.log.records(Stream::Snapshots);
+    let published = oldest.0 + kept.len() as u64;
+    assert!((1..=30).contains(&published), "{published} snapshots");
+}
+
+#[tokio::test(start_paused = true)]
+async fn peers_applications_call_each_other() {
+    let fleet = Fleet::start(2).await;
+    let to = fleet.processes[1].replica.member();
+    let from = &fleet.processes[0].replica;
+    let answer = from.call(&to, "/echo", "hello".into()).await;
+    assert_eq!(answer.unwrap(), "vm-0/keeper sent hello");
+    assert!(from.call(&to, "/other", "hello".into()).await.is_err());
+    fleet.processes[1].replica.offer("payload".into());
+    sleep(1_000).await;
+    let peers = from.peers();
+    assert_eq!(peers.len(), 1);
+    assert_eq!(peers[0].payload, "payload");
+}
--- /dev/null
+++ b/crates/quetzalpick-node/tests/support/mod.rs
@@ -0,0 +1,331 @@
+//! Several processes in one, with switches for cuts, freezes and outages; time is the runtime's paused clock.
+
+#![allow(dead_code)]
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use bytes::Bytes;
+use quetzalpick_core::id::{Command, Domain, Incarnation, Member, Offset, Revision, Vm, Workspace};
+use quetzalpick_core::record::{Author, Change, Entry, Record, Role, WorkspaceSpec};
+use quetzalpick_core::state::{Outcome, State};
+use quetzalpick_core::table::Table;
+use quetzalpick_node::errors::Result;
+use quetzalpick_node::peer::{Application, Service, Transport};
+use quetzalpick_node::replica::{Answer, Options, Replica};
+use quetzalpick_platform::errors::{Result as CallResult, refused};
+use quetzalpick_platform::memory::Log;
+use quetzalpick_platform::traits::Stream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// One call on its way to a listener.
+type Call = (String, Bytes, oneshot::Sender<Option<Bytes>>);
+
+/// `Network` connects the processes.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Network {
+    listeners: Arc<Mutex<Table<String, mpsc::UnboundedSender<Call>>>>,
+    cuts: Arc<Mutex<Vec<(String, String)>>>,
+}
+
+impl Network {
+    /// Cuts or joins one direction; what is sent over a cut gets no answer.
+    pub(crate) fn cut(&self, from: &str, to: &str, cut: bool) {
+        let row = (from.to_owned(), to.to_owned());
+        let mut cuts = self.cuts.lock().unwrap();
+        cuts.retain(|r| *r != row);
+        if cut {
+            cuts.push(row);
+        }
+    }
+
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        let cuts = self.cuts.lock().unwrap();
+        cuts.iter().any(|(f, t)| f == from && t == to)
+    }
+}
+
+/// `Wire` is one process's end of the network.
+#[derive(Debug, Clone)]
+pub(crate) struct Wire {
+    network: Network,
+    address: String,
+}
+
+impl Transport for Wire {
+    type Listener = mpsc::UnboundedReceiver<Call>;
+
+    async fn call(&self, address: &str, path: &str, body: Bytes) -> CallResult<Bytes> {
+        let listener = self.network.listeners.lock().unwrap().get(address).cloned();
+        let (sender, receiver) = oneshot::channel();
+        if self.network.is_cut(&self.address, address) {
+            return std::future::pending().await;
+        }
+        let sent = listener.map(|l| l.send((path.to_owned(), body, sender)).is_ok());
+        if sent != Some(true) {
+            return Err(refused(address, 0, "nobody listens"));
+        }
+        let answer = receiver.await;
+        if self.network.is_cut(address, &self.address) {
+            return std::future::pending().await;
+        }
+        answer
+            .ok()
+            .flatten()
+            .ok_or_else(|| refused(address, 404, "unknown"))
+    }
+
+    async fn bind(&self, address: &str) -> Result<(Self::Listener, String)> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut listeners = self.network.listeners.lock().unwrap();
+        listeners.insert(address.to_owned(), sender);
+        Ok((receiver, address.to_owned()))
+    }
+
+    async fn serve(&self, mut calls: Self::Listener, service: impl Service, _: CancellationToken) {
+        while let Some((path, body, answer)) = calls.recv().await {
+            let _ = answer.send(service.answer(&path, body).await);
+        }
+    }
+}
+
+/// `Echo` answers calls of peers' applications with the path and body.
+#[derive(Debug, Clone)]
+pub(crate) struct Echo;
+
+impl Application for Echo {
+    async fn call(&self, from: &Member, path: &str, body: Bytes) -> Option<Bytes> {
+        let body = String::from_utf8_lossy(&body).into_owned();
+        (path == "/echo").then(|| Bytes::from(format!("{} sent {body}", from.vm)))
+    }
+}
+
+/// `Freeze` stops the polling of a process.
+#[derive(Debug, Clone, Default)]
+struct Freeze {
+    frozen: Arc<AtomicBool>,
+    waker: Arc<Mutex<Option<Waker>>>,
+}
+
+impl Freeze {
+    fn set(&self, frozen: bool) {
+        self.frozen.store(frozen, Ordering::Relaxed);
+        if let Some(waker) = self.waker.lock().unwrap().take() {
+            waker.wake();
+        }
+    }
+
+    async fn run(self, work: impl Future<Output = ()> + Send) {
+        let mut work: Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(work);
+        poll_fn(|cx| {
+            if self.frozen.load(Ordering::Relaxed) {
+                *self.waker.lock().unwrap() = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            work.as_mut().poll(cx)
+        })
+        .await;
+    }
+}
+
+/// `Process` is one running process.
+pub(crate) struct Process {
+    pub(crate) replica: Replica<Log, Wire>,
+    pub(crate) log: Log,
+    pub(crate) address: String,
+    freeze: Freeze,
+    work: JoinHandle<()>,
+}
+
+impl Process {
+    pub(crate) fn freeze(&self, frozen: bool) {
+        self.freeze.set(frozen);
+    }
+
+    pub(crate) fn next(&self) -> u64 {
+        self.replica.read(|state| state.next().0)
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.replica.read(|state| state.revision().0)
+    }
+
+    /// Sets a workspace, the change that tests use.
+    pub(crate) async fn set(&self, name: &str, expect: Option<u64>) -> Answer {
+        let author = Author::Operator("ada".to_owned());
+        let command = self.replica.draw_command();
+        let expect = expect.map(Revision);
+        self.replica
+            .submit_as(author, command, workspace(name), expect)
+            .await
+    }
+}
+
+/// Makes the record that sets a workspace.
+pub(crate) fn workspace(name: &str) -> Record {
+    let spec = WorkspaceSpec {
+        rate: 10,
+        burst: 10,
+        artifacts: Vec::new(),
+        services: Vec::new(),
+    };
+    Record::Change(Change::SetWorkspace(
+        Workspace::try_new(name).unwrap(),
+        spec,
+    ))
+}
+
+/// `Fleet` is a log, a network and the processes on them.
+pub(crate) struct Fleet {
+    pub(crate) log: Log,
+    pub(crate) network: Network,
+    pub(crate) processes: Vec<Process>,
+}
+
+impl Fleet {
+    /// Starts processes and waits until all of them vote.
+    pub(crate) async fn start(count: u64) -> Self {
+        Self::start_with(count, |_| {}).await
+    }
+
+    /// Starts processes with changed options and waits until all of them vote.
+    pub(crate) async fn start_with(count: u64, change: impl Fn(&mut Options)) -> Self {
+        let mut fleet = Self {
+            log: Log::new(),
+            network: Network::default(),
+            processes: Vec::new(),
+        };
+        for number in 0..count {
+            fleet.spawn_with(number, 0, &change).await;
+        }
+        let voters = |p: &Process| p.replica.read(|s| s.roster().voters().len());
+        for _ in 0..600 {
+            if fleet.processes.iter().all(|p| voters(p) as u64 == count) {
+                return fleet;
+            }
+            sleep(100).await;
+        }
+        panic!("the processes do not all vote: {}", fleet.story());
+    }
+
+    /// Starts a process; `start` tells starts of the same one apart.
+    pub(crate) async fn spawn(&mut self, number: u64, start: u64) -> usize {
+        self.spawn_with(number, start, |_| {}).await
+    }
+
+    /// Starts a process with changed options.
+    pub(crate) async fn spawn_with(
+        &mut self,
+        number: u64,
+        start: u64,
+        change: impl FnOnce(&mut Options),
+    ) -> usize {
+        let role = if number.is_multiple_of(2) {
+            Role::Keeper
+        } else {
+            Role::Gate
+        };
+        let member = Member {
+            vm: Vm::try_new(format!("vm-{number}/{role}")).unwrap(),
+            incarnation: Incarnation(number * 16 + start),
+        };
+        let address = format!("127.0.0.1:{}", 7000 + number);
+        let domain = Domain::try_new(format!("d{}", number % 3)).unwrap();
+        let mut options = Options::new(member, role, domain, &address);
+        options.seed = number * 16 + start;
+        options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
+        change(&mut options);
+        let log = self.log.handle(&format!("{number}"));
+        let wire = Wire {
+            network: self.network.clone(),
+            address: address.clone(),
+        };
+        let made = Replica::try_new(log.clone(), wire, options, Echo).await;
+        let (replica, driver) = made.unwrap();
+        let freeze = Freeze::default();
+        let work = tokio::spawn(freeze.clone().run(driver));
+        self.processes.push(Process {
+            replica,
+            log,
+            address,
+            freeze,
+            work,
+        });
+        self.processes.len() - 1
+    }
+
+    /// Ends a process without any notice.
+    pub(crate) fn kill(&mut self, at: usize) -> Process {
+        let process = self.processes.remove(at);
+        process.work.abort();
+        process
+    }
+
+    /// Cuts or joins all connections between two sides.
+    pub(crate) fn part(&self, a: &[usize], b: &[usize], cut: bool) {
+        for x in a {
+            for y in b {
+                let (x, y) = (&self.processes[*x].address, &self.processes[*y].address);
+                self.network.cut(x, y, cut);
+                self.network.cut(y, x, cut);
+            }
+        }
+    }
+
+    /// Returns which processes hold a lease.
+    pub(crate) fn leased(&self) -> Vec<bool> {
+        self.processes
+            .iter()
+            .map(|p| p.replica.is_leased())
+            .collect()
+    }
+
+    /// Folds the whole log anew; `None` if its beginning is gone.
+    pub(crate) fn fold(&self) -> Option<(State, Vec<(Entry, Outcome)>)> {
+        let (first, records) = self.log.records(Stream::Control);
+        let mut state = State::default();
+        let mut entries = Vec::new();
+        for (offset, bytes) in (0..).map(Offset).zip(&records) {
+            let entry = Entry::from_bytes(bytes).unwrap();
+            let outcome = state.apply(offset, &entry);
+            entries.push((entry, outcome));
+        }
+        (first == Offset(0)).then_some((state, entries))
+    }
+
+    /// Tells what the log holds, one line an entry.
+    pub(crate) fn story(&self) -> String {
+        let (_, entries) = self.fold().expect("the whole log");
+        let line = |(offset, (entry, outcome)): (usize, &(Entry, Outcome))| {
+            let author = match &entry.author {
+                Author::Member(member) => member.to_string(),
+                Author::Operator(name) => name.clone(),
+            };
+            let record = match &entry.record {
+                Record::Join(join) => format!("Join({}, {})", join.member, join.role),
+                Record::Seat(seat) => format!("Seat({})", seat.member),
+                Record::Retire(r) => format!("Retire({}, {})", r.member, r.suspected),
+                Record::Change(Change::SetWorkspace(name, _)) => format!("SetWorkspace({name})"),
+                other => format!("{other:?}"),
+            };
+            format!("{offset} {author} {record}: {outcome:?}\n")
+        };
+        entries.iter().enumerate().map(line).collect()
+    }
+}
+
+/// Lets the paused clock go on, in ms.
+pub(crate) async fn sleep(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// Draws a command that no process draws.
+pub(crate) fn command(number: u64) -> Command {
+    Command(u64::MAX, number)
+}
