--- a/crates/quetzalpick-node/src/settings/mod.rs
+++ b/crates/quetzalpick-node/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings in TOML: read as a whole, with every problem listed.
 
+pub mod command;
 mod problem;
 mod reader;
 pub mod sections;
--- a/crates/quetzalpick-node/src/settings/sections.rs
+++ b/crates/quetzalpick-node/src/settings/sections.rs
@@ -26,6 +26,12 @@
     address(text).map(|address| address.to_string())
 }
 
+/// Parses the secret, which travels in a header.
+fn secret(text: &str) -> Option<String> {
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    (visible && text.len() >= SECRET_MIN_CHARS).then(|| text.to_owned())
+}
+
 /// `Vm` names the VM that the process runs on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Vm {
@@ -102,8 +108,7 @@
 
 impl Section for Peers {
     fn read(reader: &mut Reader<'_>) -> Self {
-        let secret = |text: &str| (text.len() >= SECRET_MIN_CHARS).then(|| text.to_owned());
-        let secret_allowed = format!("text of {SECRET_MIN_CHARS} characters or more");
+        let secret_allowed = format!("{SECRET_MIN_CHARS} or more of the visible ASCII characters");
         let peers = Self {
             listen: reader.required("listen", "127.0.0.1:7101", ADDRESS, address_text),
             address: reader.required("address", "127.0.0.1:7101", ADDRESS, address_text),
--- /dev/null
+++ b/crates/quetzalpick-node/tests/settings.rs
@@ -0,0 +1,87 @@
+//! Settings: the printed default, and a file with every kind of fault.
+
+use quetzalpick_node::settings::command::{EXIT_SETTINGS, EXIT_SUCCESS, EXIT_USAGE, Start, start};
+use quetzalpick_node::settings::sections::{Log, Metrics, Peers, Platform, Vm};
+use quetzalpick_node::settings::{Reader, Section, load, print_default};
+
+/// `Settings` is what a process would read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Settings {
+    vm: Vm,
+    platform: Platform,
+    peers: Peers,
+    log: Log,
+    metrics: Metrics,
+}
+
+impl Section for Settings {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            vm: reader.section("vm"),
+            platform: reader.section("platform"),
+            peers: reader.section("peers"),
+            log: reader.section("log"),
+            metrics: reader.section("metrics"),
+        }
+    }
+}
+
+#[test]
+fn the_printed_default_is_usable() {
+    let text = print_default::<Settings>();
+    let settings = load::<Settings>("default.toml", &text);
+    assert!(settings.is_ok(), "{settings:?}");
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn every_fault_is_listed() {
+    let text = r#"
+extra = 1
+
+[vm]
+name = "no spaces"
+domain = 7
+
+[platform]
+log = "localhost:7000"
+log_retention_ms = 5
+vms = "127.0.0.1:7000"
+
+[peers]
+listen = "127.0.0.1:7101"
+secret = "short"
+seeds = ["127.0.0.1:7102", "there"]
+lease_ms = 1_000
+exchange_interval_ms = 900
+lease = 5
+
+[log]
+level = "loud"
+levels = { "quetzalpick_gate::route" = "debug", "quetzalpick_node" = "quiet" }
+
+metrics = 3
+"#;
+    let problems = load::<Settings>("gate.toml", text).unwrap_err();
+    insta::assert_snapshot!(problems);
+    let broken = load::<Settings>("gate.toml", "[vm\nname = 1 2").unwrap_err();
+    assert!(
+        broken.list.iter().any(|p| p.key == "syntax" && p.line == 1),
+        "{broken}"
+    );
+}
+
+#[test]
+fn the_command_line_says_how_it_ends() {
+    let run = |arguments: &[&str]| {
+        let arguments = std::iter::once("gate").chain(arguments.iter().copied());
+        start::<Settings>(clap::Command::new("gate"), arguments.map(str::to_owned))
+    };
+    assert_eq!(run(&["--print-default"]), Start::Exit(EXIT_SUCCESS));
+    assert_eq!(
+        run(&["--settings", "/nowhere.toml"]),
+        Start::Exit(EXIT_SETTINGS)
+    );
+    assert_eq!(run(&["--other"]), Start::Exit(EXIT_USAGE));
+    assert_eq!(run(&[]), Start::Exit(EXIT_USAGE));
+}
