--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -6,9 +6,11 @@
 #![warn(rust_2018_idioms)]
 
 pub mod admit;
+pub mod dispatch;
 pub mod errors;
 pub mod id;
 pub mod lease;
+pub mod payload;
 pub mod plan;
 pub mod quota;
 pub mod record;
--- a/crates/quetzalpick-gate/src/lib.rs
+++ b/crates/quetzalpick-gate/src/lib.rs
@@ -2,3 +2,25 @@
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
+
+mod admission;
+mod api;
+mod claim;
+mod clock;
+mod context;
+mod demand;
+pub mod errors;
+mod fleet;
+mod gate;
+mod meters;
+mod options;
+mod run;
+mod serve;
+pub mod settings;
+mod share;
+mod standing;
+
+pub use gate::{Gate, Listeners, Platform};
+pub use options::Options;
+pub use run::run;
+pub use settings::Settings;
--- a/crates/quetzalpick-load/src/lib.rs
+++ b/crates/quetzalpick-load/src/lib.rs
@@ -1,4 +1,8 @@
-//! Open-loop load with reports per workspace.
+//! Open-loop load with reports per workspace, and side-by-side comparisons of policies.
 
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
+
+pub mod command;
+pub mod report;
+pub mod run;
