--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -6,7 +6,6 @@
 use quetzalpick_core::payload::Payload;
 use quetzalpick_core::quota::{Peer, Transfer};
 use quetzalpick_core::record::{Record, Role};
-use quetzalpick_core::state::State;
 use quetzalpick_node::replica::{Answer, Replica};
 use quetzalpick_platform::traits::Log;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -17,6 +16,9 @@
 /// Pause between two rounds of delivering transfers at a planned stop.
 const DELIVERY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time that a gate which has just started waits to hear the others, so that it can gather tokens.
+const INTRODUCTION: Duration = Duration::from_secs(3);
+
 /// Keeps the shares in step for ever.
 pub(crate) async fn keep<L: Log>(
     replica: Replica<L>,
@@ -69,7 +71,11 @@
 
 /// Publishes hints, and lets shares follow the demand.
 fn rebalance<L: Log>(replica: &Replica<L>, shares: &Arc<Shares>, demand: &Recorder) {
-    let peers = replica.read(|state| gates(replica, state));
+    let peers = gates(replica);
+    if replica.is_leased() {
+        let all = peers.len() >= expected(replica);
+        shares.introduce(all, INTRODUCTION);
+    }
     shares.set_peers(peers);
     let payload = Payload {
         hints: shares.with(|quota, now_ms| quota.hints(now_ms)),
@@ -93,14 +99,25 @@
     }
 }
 
-/// Returns the other active gates with their hints.
-fn gates<L: Log>(replica: &Replica<L>, state: &State) -> Vec<Peer> {
-    let peers = replica.peers().into_iter();
-    peers
-        .filter(|peer| peer.role == Role::Gate && state.roster().is_active(&peer.member))
-        .map(|peer| Peer {
-            hints: Payload::from_bytes(&peer.payload).unwrap_or_default().hints,
-            member: peer.member,
+/// Counts the other active gates; nobody waits for one that is suspected to be dead.
+fn expected<L: Log>(replica: &Replica<L>) -> usize {
+    let own = replica.member();
+    replica.read(|state| {
+        let members = state.roster().members().iter();
+        let gates = members.filter(|(member, row)| row.role == Role::Gate && **member != own);
+        gates.filter(|(_, row)| row.suspected.is_none()).count()
+    })
+}
+
+/// Returns the other gates whose hints were heard.
+fn gates<L: Log>(replica: &Replica<L>) -> Vec<Peer> {
+    let gates = replica.peers().into_iter();
+    let gates = gates.filter(|peer| peer.role == Role::Gate);
+    gates
+        .filter_map(|peer| {
+            let hints = Payload::from_bytes(&peer.payload).ok()?.hints;
+            let member = peer.member;
+            Some(Peer { member, hints })
         })
         .collect()
 }
@@ -118,8 +135,8 @@
     shares: &Arc<Shares>,
     within: Duration,
 ) -> bool {
-    let gates = replica.read(|state| gates(replica, state));
-    let members: Vec<_> = gates.into_iter().map(|gate| gate.member).collect();
+    let gates = gates(replica).into_iter();
+    let members: Vec<_> = gates.map(|gate| gate.member).collect();
     if members.is_empty() || !replica.is_leased_as(&shares.member()) {
         log::info!("quota: nobody to hand shares over to");
         return false;
