Let the load tool's balancer pass over gates that take no connection

Cause: with a gate killed, 309 of 1501 requests were counted broken because the tool kept calling a dead address; the platform's balancer does not. Ruled out: retrying a request that may have left; only an unmade connection moves on.

--- a/crates/quetzalpick-load/src/run/call.rs
+++ b/crates/quetzalpick-load/src/run/call.rs
@@ -10,9 +10,11 @@
 use strum::{Display, IntoStaticStr};
 
 use quetzalpick_core::verdict::Verdict;
+use quetzalpick_platform::errors::Error;
 use quetzalpick_platform::http::{Pool, Request, Response, Timeouts};
 
 use crate::run::arrivals::{Arrival, Kind};
+use crate::run::balancer::Balancer;
 use crate::run::scenario::Scenario;
 use crate::run::sse::Lines;
 use crate::run::token::{Expected, expected};
@@ -73,7 +75,12 @@
 }
 
 /// Sends the request of an arrival and awaits its end.
-pub(crate) async fn call(pool: &Pool, scenario: &Scenario, arrival: &Arrival) -> Outcome {
+pub(crate) async fn call(
+    pool: &Pool,
+    balancer: &Balancer,
+    scenario: &Scenario,
+    arrival: &Arrival,
+) -> Outcome {
     let started = Instant::now();
     let patience = Duration::from_millis(scenario.patience_ms);
     let sent = build(scenario, arrival);
@@ -83,8 +90,15 @@
         ..Timeouts::default()
     };
     let expected_tokens = sent.expected.as_ref().map_or(0, |expected| expected.tokens);
-    let gate = &scenario.gates[arrival.gate];
-    let answer = pool.send(gate, sent.request.clone(), timeouts).await;
+    let answer = send(
+        pool,
+        balancer,
+        scenario,
+        arrival.gate,
+        &sent.request,
+        timeouts,
+    )
+    .await;
     let mut outcome = Outcome {
         number: arrival.number,
         end: End::Broken,
@@ -107,6 +121,33 @@
     outcome
 }
 
+/// Sends a request to its gate, or to the next one if nothing could be sent, as a balancer does.
+async fn send(
+    pool: &Pool,
+    balancer: &Balancer,
+    scenario: &Scenario,
+    first: usize,
+    request: &Request,
+    timeouts: Timeouts,
+) -> Result<Response, Error> {
+    let gates = balancer.order(first);
+    let mut failure = None;
+    for gate in gates {
+        match pool
+            .send(&scenario.gates[gate], request.clone(), timeouts)
+            .await
+        {
+            Err(error) if error.verdict() == Verdict::NotRun => {
+                balancer.failed(gate);
+                failure = Some(Err(error));
+            }
+            answer => return answer,
+        }
+    }
+    // A scenario names at least one gate.
+    failure.expect("a gate was tried")
+}
+
 /// Builds the request of an arrival.
 fn build(scenario: &Scenario, arrival: &Arrival) -> Sent {
     let key = &scenario.workspaces[arrival.workspace].key;
--- a/crates/quetzalpick-load/src/run/drive.rs
+++ b/crates/quetzalpick-load/src/run/drive.rs
@@ -11,6 +11,7 @@
 use quetzalpick_platform::http::{Options, Pool};
 
 use crate::run::arrivals::Arrival;
+use crate::run::balancer::Balancer;
 use crate::run::call::{End, Outcome, call};
 use crate::run::scenario::Scenario;
 
@@ -27,7 +28,7 @@
         idle_per_address: IDLE_PER_GATE,
         ..Options::default()
     });
-    let shared = Arc::new(scenario.clone());
+    let shared = Arc::new((scenario.clone(), Balancer::new(scenario.gates.len())));
     let started = Instant::now();
     let mut tasks = FuturesUnordered::new();
     let mut outcomes = Vec::with_capacity(arrivals.len());
@@ -42,9 +43,9 @@
                 Some(ended) = tasks.next() => outcomes.push(ended),
             }
         }
-        let (pool, scenario, arrival) = (pool.clone(), Arc::clone(&shared), arrival.clone());
+        let (pool, shared, arrival) = (pool.clone(), Arc::clone(&shared), arrival.clone());
         let number = arrival.number;
-        let task = tokio::spawn(async move { call(&pool, &scenario, &arrival).await });
+        let task = tokio::spawn(async move { call(&pool, &shared.1, &shared.0, &arrival).await });
         tasks.push(async move { task.await.unwrap_or_else(|_| lost(number)) });
         if told.elapsed() >= Duration::from_secs(1) {
             told = Instant::now();
--- a/crates/quetzalpick-load/src/run/mod.rs
+++ b/crates/quetzalpick-load/src/run/mod.rs
@@ -1,6 +1,7 @@
 //! An open-loop run against gates.
 
 mod arrivals;
+mod balancer;
 mod call;
 mod drive;
 mod scenario;
