Prove the keeper: operator sessions, races, repeats, and placement under order faults

Cause: the operator API and the leader were only seen working in the demo. Ruled out: a fake engine; the stand-in records overcommitted memory itself.

--- /dev/null
+++ b/crates/quetzalpick-keeper/tests/keeper/main.rs
@@ -0,0 +1,6 @@
+//! The keeper against a log in memory and engine stand-ins.
+
+mod placement;
+mod session;
+mod settings;
+mod world;
