Suspect less often and sooner after a restart

Cause: a suspicion that was refuted before the next look was forgotten, so that a process which did not hear another one suspected it with every tick. Waiting for a record's answer counted as a pause of this process. With a sample of peers the silence between two calls is longer, and a process that was started anew need not be awaited. Ruled out: a majority of reporters before a suspicion. Under a one-way cut and short pauses one reporter retired nobody, as refutation and the wait of a lease stand between; the cost is the time from suspicion to refutation.

--- a/crates/quetzalpick-node/src/replica/handle.rs
+++ b/crates/quetzalpick-node/src/replica/handle.rs
@@ -100,7 +100,7 @@
         Ok((replica, driver))
     }
 
-    /// Calls a function with the state; it must be quick, as it holds up the fold.
+    /// Calls a function with the state; it must be quick, as it holds up the fold, and must not use the replica.
     pub fn read<R>(&self, look: impl FnOnce(&State) -> R) -> R {
         look(&self.shared.view().state)
     }
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -5,7 +5,7 @@
 
 use quetzalpick_core::id::{Member, Offset};
 use quetzalpick_core::record::{Record, Retire, Role, Seat};
-use quetzalpick_core::state::State;
+use quetzalpick_core::state::{Membership, State};
 use quetzalpick_platform::traits::Log;
 use tokio::time::sleep;
 
@@ -90,6 +90,12 @@
                 watch.expired = expire.unwrap_or(watch.expired);
                 log::info!("member: {answer:?}");
                 watch.stagger.done(&duty);
+                // Waiting for the answer is no pause.
+                watch.ticked_at = self.clock.now();
+                if let Duty::Suspect(member) = duty {
+                    // A refutation may follow before the next look.
+                    watch.suspected.push((member, watch.ticked_at));
+                }
             }
         }
     }
@@ -141,6 +147,28 @@
         due
     }
 
+    /// Tells whether a member has been silent for the suspicion time, or its process was started anew since.
+    fn is_silent(&self, now: u64, state: &State, member: &Member) -> bool {
+        let limit = self.silence_limit(state);
+        let contacts = lock(&self.contacts);
+        let members = state.roster().members();
+        let joined = members.get(member).map(|row| row.joined);
+        let replaces = |(other, row): (&Member, &Membership)| {
+            let later = joined.is_some_and(|joined| row.joined > joined);
+            later && other.vm == member.vm && contacts.silence(now, other) < limit
+        };
+        contacts.silence(now, member) >= limit || members.iter().any(replaces)
+    }
+
+    /// Returns the silence after which a member is suspected, in ms.
+    fn silence_limit(&self, state: &State) -> u64 {
+        let suspicion = millis(self.options.suspicion);
+        let members = state.roster().members().len() as u64;
+        // With a sample of k of n members, one calls and is called by another only every n / 2k exchanges.
+        let sample = self.options.exchange_sample.map_or(members, |k| k as u64);
+        suspicion * members.div_ceil(sample.max(1) * 2).max(1)
+    }
+
     /// Returns the suspicions to record.
     fn suspicions(
         &self,
@@ -149,9 +177,7 @@
         me: &Member,
         watch: &Watch,
     ) -> Vec<(Duty, Record)> {
-        let contacts = lock(&self.contacts);
-        let limit = millis(self.options.suspicion);
-        let is_silent = |m: &Member| m != me && contacts.silence(now, m) >= limit;
+        let is_silent = |m: &Member| m != me && self.is_silent(now, state, m);
         // A process that hears no majority is more likely cut off itself, and nobody could be retired then.
         let voters = state.roster().voters();
         let silent = voters.iter().filter(|m| is_silent(m)).count();
@@ -167,13 +193,10 @@
 
     /// Returns the retirements that are complete but for their record.
     fn retirements(&self, now: u64, state: &State, me: &Member) -> Vec<(Duty, Record)> {
-        let contacts = lock(&self.contacts);
-        let limit = millis(self.options.suspicion);
-        let is_silent = |m: &Member| m != me && contacts.silence(now, m) >= limit;
+        let is_silent = |m: &Member| m != me && self.is_silent(now, state, m);
         let members = state.roster().members().iter();
         let suspected = members.filter_map(|(m, row)| Some((m, row.suspected?)));
         let silent: Vec<(&Member, Offset)> = suspected.filter(|(m, _)| is_silent(m)).collect();
-        drop(contacts);
         let witness = lock(&self.witness);
         let options = lease_options(&self.options);
         let retire = |(member, suspected): (&Member, Offset)| {
@@ -210,10 +233,8 @@
 
     /// Returns an active member that does not vote yet and is heard.
     fn next_voter<'a>(&self, now: u64, state: &'a State) -> Option<&'a Member> {
-        let contacts = lock(&self.contacts);
-        let limit = millis(self.options.suspicion);
         let me = self.me();
-        let is_heard = |m: &Member| *m == me || contacts.silence(now, m) < limit;
+        let is_heard = |m: &Member| *m == me || !self.is_silent(now, state, m);
         let roster = state.roster();
         let mut active = roster
             .members()
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -250,3 +250,32 @@
     assert_eq!(peers.len(), 1);
     assert_eq!(peers[0].payload, "payload");
 }
+
+#[tokio::test(start_paused = true)]
+async fn one_way_cuts_and_short_pauses_retire_nobody() {
+    let fleet = Fleet::start(5).await;
+    let [a, b] = [0, 1].map(|at| fleet.processes[at].address.clone());
+    let before = fleet.story().lines().count();
+    let mut unleased_ms = [0; 5];
+    // What one process sends does not reach another one, and a third is paused for less than a lease now and then.
+    fleet.network.cut(&a, &b, true);
+    for step in 0..6_000 {
+        fleet.processes[2].freeze(step % 1_000 < 400);
+        sleep(10).await;
+        for (sum, leased) in unleased_ms.iter_mut().zip(fleet.leased()) {
+            *sum += if leased { 0 } else { 10 };
+        }
+    }
+    let story = fleet.story();
+    let count = |record: &str| {
+        story
+            .lines()
+            .skip(before)
+            .filter(|l| l.contains(record))
+            .count()
+    };
+    let counts = ["Suspect", "Refute", "Retire"].map(|record| (record, count(record)));
+    insta::assert_snapshot!(format!(
+        "{counts:?}\nunleased in 60 s, in ms: {unleased_ms:?}"
+    ));
+}
