Prove the verdicts of the pool against a peer that closes at every byte

The peer closes after each byte of a request and of an answer with a length or in chunks, on new and on kept connections.

--- /dev/null
+++ b/crates/quetzalpick-platform/tests/pool.rs
@@ -0,0 +1,190 @@
+//! The verdicts of the connection pool, against a peer that closes at every byte.
+
+mod peer;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use http_body_util::Full;
+use quetzalpick_core::verdict::Verdict;
+use quetzalpick_platform::errors::{Error, Result};
+use quetzalpick_platform::http::{Body, Options, Pool, Request, Timeouts};
+
+use peer::{Peer, Script, answer};
+
+const BODY: &str = r#"{"order":7}"#;
+
+fn request(id: &str) -> Request {
+    hyper::Request::post("/bookings")
+        .header("x-request-id", id)
+        .body(Full::new(Bytes::from_static(BODY.as_bytes())))
+        .unwrap()
+}
+
+/// Sends a request and reads the whole answer, without deciding what becomes of the connection.
+async fn exchange(pool: &Pool, peer: &Peer, id: &str) -> Result<(String, Body)> {
+    let sent = pool.send(&peer.address, request(id), Timeouts::default());
+    let mut body = sent.await?.into_body();
+    let bytes = body.collect_up_to(1_000).await?;
+    Ok((String::from_utf8(bytes.to_vec()).unwrap(), body))
+}
+
+/// Counts the bytes of a request on the wire.
+async fn request_length() -> usize {
+    let peer = Peer::start(Script::CloseInRequest(usize::MAX)).await;
+    exchange(&Pool::default(), &peer, "a").await.unwrap();
+    peer.bytes.load(std::sync::atomic::Ordering::SeqCst)
+}
+
+#[tokio::test]
+async fn peer_closes_at_every_byte_of_the_request() {
+    let length = request_length().await;
+    for at in 0..=length {
+        let peer = Peer::start(Script::CloseInRequest(at)).await;
+        let failure = exchange(&Pool::default(), &peer, "a").await.unwrap_err();
+        let verdict = failure.verdict();
+        // Nobody can tell whether a peer that closes at once was sent anything, but once it read a byte it was.
+        assert!(
+            verdict == Verdict::MayHaveRun || at == 0,
+            "{verdict} after {at} bytes: {failure}"
+        );
+        // A request that may have run is not sent again behind the caller's back.
+        assert_eq!(peer.counts().0, 1, "after {at} bytes");
+    }
+}
+
+#[tokio::test]
+async fn peer_closes_at_every_byte_of_the_answer() {
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
+    for whole in [answer("a"), chunked.to_vec()] {
+        for at in 0..=whole.len() {
+            let peer = Peer::start(Script::CloseInAnswer(whole.clone(), at)).await;
+            let pool = Pool::default();
+            let first = exchange(&pool, &peer, "a").await.map(|(text, _)| text);
+            if at < whole.len() {
+                // Also an answer whose text is there but whose end is not is no answer.
+                let failure = first.unwrap_err();
+                assert_eq!(failure.verdict(), Verdict::MayHaveRun, "after {at} bytes");
+                assert_eq!(peer.counts(), (1, 1), "after {at} bytes");
+            } else {
+                assert_eq!(first.unwrap(), "a");
+                exchange(&pool, &peer, "b").await.unwrap();
+                assert_eq!(peer.counts(), (1, 2), "a whole answer frees the connection");
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn kept_connection_closed_by_the_peer_is_replaced() {
+    let peer = Peer::start(Script::CloseInLaterRequest(1, 0)).await;
+    let pool = Pool::default();
+    for round in 1..=3 {
+        exchange(&pool, &peer, "a").await.unwrap();
+        peer.settle(round).await;
+        assert_eq!(peer.counts(), (round, round));
+    }
+}
+
+#[tokio::test]
+async fn kept_connection_closed_within_the_next_request_is_not_retried() {
+    for at in 1..=request_length().await {
+        let peer = Peer::start(Script::CloseInLaterRequest(1, at)).await;
+        let pool = Pool::default();
+        exchange(&pool, &peer, "a").await.unwrap();
+        let failure = exchange(&pool, &peer, "b").await.unwrap_err();
+        assert_eq!(failure.verdict(), Verdict::MayHaveRun, "after {at} bytes");
+        assert_eq!(peer.counts().0, 1, "after {at} bytes");
+    }
+}
+
+#[tokio::test]
+async fn refused_connection_and_bad_address_have_not_run() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let free = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    for address in [free.as_str(), "localhost:80", ""] {
+        let pool = Pool::default();
+        let sent = pool.send(address, request("a"), Timeouts::default());
+        assert_matches!(
+            sent.await,
+            Err(Error::Unanswered {
+                verdict: Verdict::NotRun,
+                ..
+            })
+        );
+    }
+}
+
+#[tokio::test]
+async fn silent_peer_may_have_run_and_its_connection_is_closed() {
+    let peer = Peer::start(Script::Silent).await;
+    let timeouts = Timeouts {
+        head: Duration::from_millis(20),
+        ..Timeouts::default()
+    };
+    let pool = Pool::default();
+    let sent = pool.send(&peer.address, request("a"), timeouts);
+    assert_matches!(
+        sent.await,
+        Err(Error::Unanswered {
+            verdict: Verdict::MayHaveRun,
+            ..
+        })
+    );
+    peer.settle(1).await;
+}
+
+/// Sends three requests and returns the ids that came back; a checked caller discards a connection with a wrong one.
+async fn answers_to_three(checked: bool) -> Vec<String> {
+    let peer = Peer::start(Script::ShiftedByOne).await;
+    let pool = Pool::default();
+    let mut answers = Vec::new();
+    for id in ["a", "b", "c"] {
+        let (text, body) = exchange(&pool, &peer, id).await.unwrap();
+        if checked && text != id {
+            body.discard();
+        }
+        answers.push(text);
+    }
+    answers
+}
+
+#[tokio::test]
+async fn crossed_answers_never_reach_the_next_request() {
+    // A caller that keeps the connection hands each request's answer to the one after it.
+    assert_eq!(answers_to_three(false).await, ["nobody", "a", "b"]);
+    assert_eq!(answers_to_three(true).await, ["nobody", "nobody", "nobody"]);
+}
+
+#[tokio::test]
+async fn unread_answer_closes_its_connection_and_idle_ones_are_bounded() {
+    let peer = Peer::start(Script::CloseInRequest(usize::MAX)).await;
+    let options = Options {
+        idle_per_address: 2,
+        ..Options::default()
+    };
+    let pool = Pool::new(options);
+    let unread = pool.send(&peer.address, request("a"), Timeouts::default());
+    drop(unread.await.unwrap());
+    peer.settle(1).await;
+    let mut open = Vec::new();
+    for id in ["b", "c", "d"] {
+        open.push(exchange(&pool, &peer, id).await.unwrap());
+    }
+    assert_eq!(peer.counts(), (4, 4));
+    drop(open);
+    peer.settle(2).await;
+    assert_eq!(peer.closed.load(std::sync::atomic::Ordering::SeqCst), 2);
+}
+
+#[tokio::test]
+async fn answer_beyond_the_bound_is_refused() {
+    let peer = Peer::start(Script::CloseInRequest(usize::MAX)).await;
+    let pool = Pool::default();
+    let sent = pool.send(&peer.address, request("abcdef"), Timeouts::default());
+    let mut body = sent.await.unwrap().into_body();
+    assert_matches!(body.collect_up_to(5).await, Err(Error::Garbled { .. }));
+    peer.settle(1).await;
+}
