--- a/crates/quetzalpick-keeper/src/place/engines.rs
+++ b/crates/quetzalpick-keeper/src/place/engines.rs
@@ -4,12 +4,12 @@
 
 use futures::future::join_all;
 
+use quetzalpick_core::dispatch::Dispatch;
 use quetzalpick_core::id::{Artifact, Boot, Endpoint, Offset, Version};
 use quetzalpick_core::record::{
     EndpointKind, EndpointSpec, Operation, Report, Settled, Settlement,
 };
-use quetzalpick_core::state::{Account, Open, State};
-use quetzalpick_core::table::Table;
+use quetzalpick_core::state::{Account, Ledger, Open, State};
 use quetzalpick_platform::traits::Engine;
 use quetzalpick_platform::wire::engine;
 
@@ -20,6 +20,8 @@
     pub(crate) report: engine::Report,
     /// First offset not applied here when the report was asked for.
     pub(crate) asked_at: Offset,
+    /// When it was asked for, in ms.
+    pub(crate) asked_ms: u64,
     /// When it arrived, in ms.
     pub(crate) at_ms: u64,
 }
@@ -35,6 +37,7 @@
     let now_ms = &now_ms;
     let ask_one = |(endpoint, address): &(Endpoint, String)| {
         let (endpoint, address) = (endpoint.clone(), address.clone());
+        let asked_ms = now_ms();
         async move {
             let report = tokio::time::timeout(limit, client.report(&address))
                 .await
@@ -45,6 +48,7 @@
                 Reported {
                     report,
                     asked_at,
+                    asked_ms,
                     at_ms: now_ms(),
                 },
             ))
@@ -67,31 +71,39 @@
         .collect()
 }
 
-/// Returns the copies that a report lists, sorted.
-fn copies(report: &engine::Report) -> Vec<(Artifact, Version)> {
+/// Returns copies that a report lists, sorted.
+fn copies(listed: &[engine::Copy]) -> Vec<(Artifact, Version)> {
     let copy = |copy: &engine::Copy| {
         Some((
             Artifact::try_new(&copy.artifact).ok()?,
             Version(copy.version),
         ))
     };
-    let mut copies: Vec<_> = report.loaded.iter().filter_map(copy).collect();
+    let mut copies: Vec<_> = listed.iter().filter_map(copy).collect();
     copies.sort();
     copies
 }
 
 /// Returns the record that corrects the ledger where an engine restarted, or holds what no open order explains.
+///
+/// While an order may still arrive, or the engine is loading, its report is not yet the last word.
 pub(crate) fn correction(
     endpoint: &Endpoint,
-    account: &Account,
+    ledger: &Ledger,
+    dispatch: &Dispatch,
     reported: &Reported,
 ) -> Option<Report> {
     let boot = Boot(reported.report.boot);
-    let loaded = copies(&reported.report);
-    if account.boot == boot && !differs(account, &loaded) {
+    let loaded = copies(&reported.report.loaded);
+    let account = ledger.accounts().get(endpoint);
+    if account.is_some_and(|account| account.boot == boot && !differs(account, &loaded)) {
         return None;
     }
-    Some(Report {
+    // Nothing was ever sent to an engine without an account, unless one was closed.
+    let untouched = account.is_none() && ledger.is_never_closed();
+    let is_quiet =
+        dispatch.is_quiet(endpoint, reported.asked_ms) && reported.report.loading.is_empty();
+    (untouched || is_quiet).then(|| Report {
         endpoint: endpoint.clone(),
         boot,
         seen: reported.asked_at,
@@ -120,53 +132,61 @@
 pub(crate) fn settlements(
     endpoint: &Endpoint,
     account: &Account,
+    dispatch: &Dispatch,
     reported: &Reported,
 ) -> Vec<Settled> {
     // A report of another boot first corrects the ledger.
     if account.boot != Boot(reported.report.boot) {
         return Vec::new();
     }
-    let loaded = copies(&reported.report);
+    let shown = Shown {
+        loaded: copies(&reported.report.loaded),
+        loading: copies(&reported.report.loading),
+        refused: &reported.report.refused,
+    };
     let settle = |open: &Open| {
-        let settlement = settlement(open, &loaded, reported)?;
-        let boot = Boot(reported.report.boot);
+        let is_past = dispatch.is_past(endpoint, &open.operation, reported.asked_ms);
+        let settlement = shown.settlement(open, is_past)?;
         Some(Settled {
             endpoint: endpoint.clone(),
             sequence: open.sequence,
-            boot,
+            boot: Boot(reported.report.boot),
             seen: reported.asked_at,
             settlement,
         })
     };
-    account.open.iter().filter_map(settle).collect()
+    // A report that was asked for before the order was announced says nothing of it.
+    let open = account
+        .open
+        .iter()
+        .filter(|open| reported.asked_at > open.fencing.max(account.reported));
+    open.filter_map(settle).collect()
 }
 
-/// Tells whether a report settles an open order.
-fn settlement(
-    open: &Open,
-    loaded: &[(Artifact, Version)],
-    reported: &Reported,
-) -> Option<Settlement> {
-    // A report that was asked for before the order was announced says nothing of it.
-    if reported.asked_at <= open.fencing {
-        return None;
-    }
-    if reported.report.refused.contains(&open.fencing.0) {
-        return Some(Settlement::Refused);
-    }
-    let has = |artifact: &Artifact, version: Version| {
-        loaded.binary_search(&(artifact.clone(), version)).is_ok()
-    };
-    let done = match &open.operation {
-        Operation::Load(artifact, version) => has(artifact, *version),
-        Operation::Unload(artifact, version) => !has(artifact, *version),
-    };
-    done.then_some(Settlement::Done)
+/// `Shown` is what a report shows of an engine's copies.
+struct Shown<'a> {
+    loaded: Vec<(Artifact, Version)>,
+    loading: Vec<(Artifact, Version)>,
+    refused: &'a [u64],
 }
 
-/// Returns the newest reports, with those that just arrived.
-pub(crate) fn renew(reports: &mut Table<Endpoint, Reported>, arrived: Vec<(Endpoint, Reported)>) {
-    for (endpoint, reported) in arrived {
-        reports.insert(endpoint, reported);
+impl Shown<'_> {
+    /// Tells whether an open order is settled; a refused one only when it can no longer arrive again.
+    fn settlement(&self, open: &Open, is_past: bool) -> Option<Settlement> {
+        let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
+            &open.operation;
+        let copy = (artifact.clone(), *version);
+        let holds = self.loaded.binary_search(&copy).is_ok();
+        let loads = self.loading.binary_search(&copy).is_ok();
+        let done = match open.operation {
+            Operation::Load(..) => holds,
+            Operation::Unload(..) => !holds && !loads,
+        };
+        let refused = self.refused.contains(&open.fencing.0) && !loads && is_past;
+        match (done, refused) {
+            (true, _) => Some(Settlement::Done),
+            (false, true) => Some(Settlement::Refused),
+            (false, false) => None,
+        }
     }
 }
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -6,7 +6,7 @@
 
 use quetzalpick_core::id::{Endpoint, Offset, Sequence};
 use quetzalpick_core::plan::{Demand, Planner, Step};
-use quetzalpick_core::record::{Intent, Operation, Record};
+use quetzalpick_core::record::{Intent, Operation, Record, Settled};
 use quetzalpick_core::state::{Leadership, State};
 use quetzalpick_core::table::Table;
 use quetzalpick_node::peer::Transport;
@@ -18,7 +18,7 @@
 use crate::place::engines::{self, Reported};
 use crate::place::options::Options;
 use crate::place::orders::Orders;
-use crate::place::round::{self, Due, Limits};
+use crate::place::round::{self, Due};
 
 /// `Leader` runs placement on one keeper.
 #[derive(Debug)]
@@ -48,7 +48,7 @@
             options,
             started: Instant::now(),
             term: None,
-            orders: Orders::default(),
+            orders: Orders::begin(0),
             reports: Table::default(),
             leaving: Vec::new(),
         }
@@ -91,15 +91,16 @@
             self.orders = Orders::begin(self.now_ms());
             self.reports = Table::default();
         }
-        self.look().await;
-        self.settle().await;
+        let arrived = self.look().await;
+        self.correct(&arrived).await;
+        self.settle(&arrived).await;
         self.send_due().await;
         self.plan(leadership).await;
         self.send_due().await;
     }
 
     /// Asks engines and the VM list how things are.
-    async fn look(&mut self) {
+    async fn look(&mut self) -> Vec<(Endpoint, Reported)> {
         let (engines, asked_at) = self
             .replica
             .read(|state| (engines::configured(state), state.next()));
@@ -114,7 +115,9 @@
         );
         let listing = tokio::time::timeout(self.options.report, self.vms.list());
         let (arrived, list) = tokio::join!(asking, listing);
-        engines::renew(&mut self.reports, arrived);
+        for (endpoint, reported) in &arrived {
+            self.reports.insert(endpoint.clone(), reported.clone());
+        }
         // The list lags and may be out; what it last said stands until it answers again.
         if let Ok(Ok(list)) = list {
             let rows = list
@@ -126,20 +129,16 @@
                 .collect();
             self.leaving.sort();
         }
+        arrived
     }
 
-    /// Records what the reports show: first what corrects the ledger, then what became of open orders.
-    async fn settle(&mut self) {
-        let reports = &self.reports;
+    /// Records where engines hold something else than the ledger says.
+    async fn correct(&mut self, arrived: &[(Endpoint, Reported)]) {
+        let dispatch = &self.orders.dispatch;
         let corrections = self.replica.read(|state| {
-            let rows = reports.iter().filter_map(|(endpoint, reported)| {
-                let account = state
-                    .ledger()
-                    .accounts()
-                    .get(endpoint)
-                    .cloned()
-                    .unwrap_or_default();
-                engines::correction(endpoint, &account, reported)
+            let rows = arrived.iter();
+            let rows = rows.filter_map(|(endpoint, reported)| {
+                engines::correction(endpoint, state.ledger(), dispatch, reported)
             });
             rows.collect::<Vec<_>>()
         });
@@ -150,34 +149,32 @@
                 correction.boot
             );
         }
-        join_all(
-            corrections
-                .into_iter()
-                .map(|report| self.replica.submit(Record::Report(report), None)),
-        )
-        .await;
+        let records = corrections.into_iter().map(Record::Report);
+        join_all(records.map(|record| self.replica.submit(record, None))).await;
+    }
+
+    /// Records what became of open orders.
+    async fn settle(&mut self, arrived: &[(Endpoint, Reported)]) {
+        let dispatch = &self.orders.dispatch;
         let settlements = self.replica.read(|state| {
-            let rows = reports.iter().filter_map(|(endpoint, reported)| {
+            let rows = arrived.iter().filter_map(|(endpoint, reported)| {
                 let account = state.ledger().accounts().get(endpoint)?;
-                Some(engines::settlements(endpoint, account, reported))
+                Some(engines::settlements(endpoint, account, dispatch, reported))
             });
             rows.flatten().collect::<Vec<_>>()
         });
         for settled in &settlements {
-            log::info!(
-                "place: {} order {} is {}",
-                settled.endpoint,
-                settled.sequence,
-                settled.settlement
-            );
-            self.orders.settled(&settled.endpoint, settled.sequence);
+            let Settled {
+                endpoint,
+                sequence,
+                settlement,
+                ..
+            } = settled;
+            log::info!("place: {endpoint} order {sequence} is {settlement}");
+            self.orders.settled(endpoint, *sequence);
         }
-        join_all(
-            settlements
-                .into_iter()
-                .map(|settled| self.replica.submit(Record::Settled(settled), None)),
-        )
-        .await;
+        let records = settlements.into_iter().map(Record::Settled);
+        join_all(records.map(|record| self.replica.submit(record, None))).await;
     }
 
     /// Plans, and announces each wanted order; the fold has the last word.
@@ -188,16 +185,14 @@
             &round::demand(&self.replica.peers(), interval_ms),
         );
         let now_ms = self.now_ms();
-        let limits = Limits {
-            silence_ms: millis(self.options.silence),
-            lateness_ms: millis(self.options.order_lateness),
-        };
+        let silence_ms = millis(self.options.silence);
         let (replica, planner) = (&self.replica, &mut self.planner);
         let (reports, orders, demand, leaving) =
             (&self.reports, &self.orders, &self.demand, &self.leaving);
         let (steps, intents) = replica.read(|state| {
-            let statuses = round::statuses(state, reports, orders, limits, leaving, now_ms);
-            let steps = planner.plan(now_ms, state, demand, &statuses);
+            let statuses = round::statuses(state, reports, orders, silence_ms, leaving, now_ms);
+            let mut steps = planner.plan(now_ms, state, demand, &statuses);
+            steps.retain(|step| round::may_announce(step, orders, now_ms));
             let intents = intents(state, leadership, &steps);
             (steps, intents)
         });
@@ -214,16 +209,17 @@
 
     /// Sends the orders that are due, if the lease still holds.
     async fn send_due(&mut self) {
-        if !self.replica.is_leased() {
-            return;
-        }
         let (now_ms, repeat_ms) = (self.now_ms(), millis(self.options.repeat));
         let due = self
             .replica
-            .read(|state| round::due(state, &self.orders, repeat_ms, now_ms));
+            .read(|state| round::due(state, &self.orders, &self.reports, repeat_ms, now_ms));
+        // An order counts as sent before the lease is checked, so that its lateness is never underrated.
         for Due { endpoint, open, .. } in &due {
-            let is_load = matches!(open.operation, Operation::Load(..));
-            self.orders.sent(endpoint, open.sequence, is_load, now_ms);
+            self.orders
+                .sent(endpoint, open.sequence, &open.operation, now_ms);
+        }
+        if !self.replica.is_leased() {
+            return;
         }
         let engines = &self.engines;
         let send = |due: Due| async move {
--- a/crates/quetzalpick-keeper/src/place/options.rs
+++ b/crates/quetzalpick-keeper/src/place/options.rs
@@ -11,8 +11,6 @@
     pub planner: plan::Options,
     /// Time between two rounds.
     pub interval: Duration,
-    /// Longest time that an order is on its way to an engine.
-    pub order_lateness: Duration,
     /// Time after which an order without effect is sent again.
     pub repeat: Duration,
     /// Longest wait for an engine's report.
@@ -26,7 +24,6 @@
         Self {
             planner: plan::Options::default(),
             interval: Duration::from_millis(500),
-            order_lateness: Duration::from_secs(10),
             repeat: Duration::from_secs(2),
             report: Duration::from_secs(1),
             silence: Duration::from_secs(3),
--- a/crates/quetzalpick-keeper/src/place/orders.rs
+++ b/crates/quetzalpick-keeper/src/place/orders.rs
@@ -1,42 +1,40 @@
-//! Orders sent by this leader: when to repeat one, and when one may still be on its way.
+//! Orders sent by this leader: when to repeat one, and when one can no longer arrive.
 
+use quetzalpick_core::dispatch::Dispatch;
 use quetzalpick_core::id::{Endpoint, Sequence};
+use quetzalpick_core::record::Operation;
 use quetzalpick_core::table::Table;
 
 /// `Orders` remembers when orders were sent, in ms on this process's monotonic clock.
-///
-/// A leader knows nothing of orders that former leaders sent, so it counts them as sent when its term began.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Orders {
-    began_ms: u64,
+    /// The rules of lateness.
+    pub(crate) dispatch: Dispatch,
     sent_ms: Table<(Endpoint, Sequence), u64>,
-    load_ms: Table<Endpoint, u64>,
 }
 
 impl Orders {
     /// Starts a term.
     pub(crate) fn begin(now_ms: u64) -> Self {
         Self {
-            began_ms: now_ms,
-            ..Self::default()
+            dispatch: Dispatch::new(now_ms),
+            sent_ms: Table::default(),
         }
     }
 
-    /// Notes that an order is sent now.
+    /// Notes that an order is about to be sent.
     pub(crate) fn sent(
         &mut self,
         endpoint: &Endpoint,
         sequence: Sequence,
-        is_load: bool,
+        operation: &Operation,
         now_ms: u64,
     ) {
         self.sent_ms.insert((endpoint.clone(), sequence), now_ms);
-        if is_load {
-            self.load_ms.insert(endpoint.clone(), now_ms);
-        }
+        self.dispatch.sent(endpoint, operation, now_ms);
     }
 
-    /// Forgets a settled order.
+    /// Forgets when a settled order was sent; its lateness is remembered.
     pub(crate) fn settled(&mut self, endpoint: &Endpoint, sequence: Sequence) {
         self.sent_ms.remove(&(endpoint.clone(), sequence));
     }
@@ -54,15 +52,4 @@
             None => true,
         }
     }
-
-    /// Tells whether a load may still be on its way to an engine.
-    pub(crate) fn may_arrive(&self, endpoint: &Endpoint, lateness_ms: u64, now_ms: u64) -> bool {
-        let last_ms = self
-            .load_ms
-            .get(endpoint)
-            .copied()
-            .unwrap_or_default()
-            .max(self.began_ms);
-        now_ms.saturating_sub(last_ms) < lateness_ms
-    }
 }
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -2,7 +2,7 @@
 
 use quetzalpick_core::id::{Artifact, Endpoint, Version};
 use quetzalpick_core::payload::Payload;
-use quetzalpick_core::plan::Status;
+use quetzalpick_core::plan::{Reason, Status, Step};
 use quetzalpick_core::record::{EndpointKind, Operation};
 use quetzalpick_core::state::{Open, State};
 use quetzalpick_core::table::Table;
@@ -26,18 +26,24 @@
 }
 
 /// Returns the open orders that are to be sent now, each engine's in sequence.
-pub(crate) fn due(state: &State, orders: &Orders, repeat_ms: u64, now_ms: u64) -> Vec<Due> {
+pub(crate) fn due(
+    state: &State,
+    orders: &Orders,
+    reports: &Table<Endpoint, Reported>,
+    repeat_ms: u64,
+    now_ms: u64,
+) -> Vec<Due> {
     let mut due = Vec::new();
     for (endpoint, account) in state.ledger().accounts().iter() {
         let Some(spec) = state.catalog().endpoints().get(endpoint) else {
             continue;
         };
         for open in &account.open {
-            if orders.is_due(endpoint, open.sequence, repeat_ms, now_ms) {
-                let address = spec.address.clone();
+            let is_due = orders.is_due(endpoint, open.sequence, repeat_ms, now_ms);
+            if is_due && !is_known(reports.get(endpoint), open) {
                 due.push(Due {
                     endpoint: endpoint.clone(),
-                    address,
+                    address: spec.address.clone(),
                     open: open.clone(),
                     order: order(state, open),
                 });
@@ -47,6 +53,22 @@
     due
 }
 
+/// Tells whether an engine shows that it has received an order, so that sending it again is of no use.
+fn is_known(reported: Option<&Reported>, open: &Open) -> bool {
+    let Some(report) = reported.map(|reported| &reported.report) else {
+        return false;
+    };
+    let loads = |artifact: &Artifact, version: Version| {
+        let mut loading = report.loading.iter();
+        loading.any(|copy| copy.artifact == artifact.as_str() && copy.version == version.0)
+    };
+    let is_loading = match &open.operation {
+        Operation::Load(artifact, version) => loads(artifact, *version),
+        Operation::Unload(..) => false,
+    };
+    is_loading || report.refused.contains(&open.fencing.0)
+}
+
 /// Builds the order of an intent.
 fn order(state: &State, open: &Open) -> engine::Order {
     let (action, artifact, version) = match &open.operation {
@@ -80,24 +102,24 @@
     state: &State,
     reports: &Table<Endpoint, Reported>,
     orders: &Orders,
-    limits: Limits,
+    silence_ms: u64,
     leaving: &[Endpoint],
     now_ms: u64,
 ) -> Table<Endpoint, Status> {
     let mut statuses = Table::default();
     for (endpoint, spec) in state.catalog().endpoints().iter() {
-        let EndpointKind::Engine { checks_fencing, .. } = spec.kind else {
+        if !matches!(spec.kind, EndpointKind::Engine { .. }) {
             continue;
-        };
+        }
         let reported = reports.get(endpoint);
-        let alive = reported
-            .is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < limits.silence_ms);
+        let alive =
+            reported.is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < silence_ms);
         let requests = reported.map_or(0, |reported| {
             reported.report.running + reported.report.waiting
         });
         let listed = leaving.binary_search(endpoint).is_ok();
         let leaving = listed || reported.is_some_and(|reported| reported.report.leaving);
-        let unsettled = !checks_fencing && orders.may_arrive(endpoint, limits.lateness_ms, now_ms);
+        let unsettled = !orders.dispatch.is_quiet(endpoint, now_ms);
         statuses.insert(
             endpoint.clone(),
             Status {
@@ -111,13 +133,17 @@
     statuses
 }
 
-/// `Limits` are the times that a status depends on.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Limits {
-    /// Silence after which an engine counts as gone, in ms.
-    pub(crate) silence_ms: u64,
-    /// Longest time that an order is on its way, in ms.
-    pub(crate) lateness_ms: u64,
+/// Tells whether a planned step may be announced now.
+///
+/// The opposite order may still be on its way and would undo the step. A load that makes something reachable again is
+/// worth that risk; the ledger counts its memory either way.
+pub(crate) fn may_announce(step: &Step, orders: &Orders, now_ms: u64) -> bool {
+    let is_urgent =
+        step.reason == Reason::Unreachable && matches!(step.operation, Operation::Load(..));
+    is_urgent
+        || orders
+            .dispatch
+            .may_announce(&step.endpoint, &step.operation, now_ms)
 }
 
 /// Adds up the demand that the gates told of, as tokens within an interval.
