--- a/crates/quetzalpick-core/src/plan/mod.rs
+++ b/crates/quetzalpick-core/src/plan/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod planner;
 mod room;
+mod spare;
 mod step;
 
 pub use demand::Demand;
--- a/crates/quetzalpick-core/src/plan/planner.rs
+++ b/crates/quetzalpick-core/src/plan/planner.rs
@@ -116,7 +116,10 @@
         match self.options.policy {
             Policy::Static => {}
             Policy::LeastRecentlyUsed => self.replace_least_recent(&mut draft),
-            Policy::Gain => self.follow_demand(now_ms, &mut draft),
+            Policy::Gain => {
+                self.follow_demand(now_ms, &mut draft);
+                draft.spare();
+            }
         }
         let steps = draft.steps;
         self.allowance = allowance;
--- a/crates/quetzalpick-core/src/plan/step.rs
+++ b/crates/quetzalpick-core/src/plan/step.rs
@@ -32,6 +32,8 @@
     Replace,
     /// Demand makes another copy worth its move.
     Demand,
+    /// Memory is free for a second copy, which keeps the artifact reachable when an engine is lost.
+    Spare,
     /// The copy's version or artifact is not wanted any more.
     Stale,
     /// The engine is draining or leaving.
--- a/crates/quetzalpick-core/src/state/ledger/account.rs
+++ b/crates/quetzalpick-core/src/state/ledger/account.rs
@@ -31,6 +31,8 @@
     pub open: Vec<Open>,
     /// Sequence of the last accepted intent.
     pub last: Sequence,
+    /// Whether an unload was ever announced.
+    pub unloads: bool,
     /// Offset of the last accepted report.
     pub reported: Offset,
     /// Offset of the last accepted record about the engine.
--- a/crates/quetzalpick-core/src/state/ledger/book.rs
+++ b/crates/quetzalpick-core/src/state/ledger/book.rs
@@ -86,6 +86,7 @@
             .accounts
             .get_or_insert_with(endpoint.clone(), Account::default);
         account.last = intent.sequence;
+        account.unloads |= matches!(intent.operation, Operation::Unload(..));
         account.changed = offset;
         account.open.push(open);
         Ok(())
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -192,7 +192,7 @@
         let (steps, intents) = replica.read(|state| {
             let statuses = round::statuses(state, reports, orders, silence_ms, leaving, now_ms);
             let mut steps = planner.plan(now_ms, state, demand, &statuses);
-            steps.retain(|step| round::may_announce(step, orders, now_ms));
+            steps.retain(|step| round::may_announce(step, state, orders, now_ms));
             let intents = intents(state, leadership, &steps);
             (steps, intents)
         });
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -135,12 +135,15 @@
 
 /// Tells whether a planned step may be announced now.
 ///
-/// The opposite order may still be on its way and would undo the step. A load that makes something reachable again is
-/// worth that risk; the ledger counts its memory either way.
-pub(crate) fn may_announce(step: &Step, orders: &Orders, now_ms: u64) -> bool {
-    let is_urgent =
-        step.reason == Reason::Unreachable && matches!(step.operation, Operation::Load(..));
-    is_urgent
+/// The opposite order may still be on its way and would undo the step. A load need not wait where no unload was ever
+/// announced, and one that makes something reachable is worth the risk; the ledger counts its memory either way.
+pub(crate) fn may_announce(step: &Step, state: &State, orders: &Orders, now_ms: u64) -> bool {
+    let is_load = matches!(step.operation, Operation::Load(..));
+    let account = state.ledger().accounts().get(&step.endpoint);
+    let never_unloaded = account.is_some_and(|account| !account.unloads);
+    let is_urgent = step.reason == Reason::Unreachable;
+    let at_once = is_load && (never_unloaded || is_urgent);
+    at_once
         || orders
             .dispatch
             .may_announce(&step.endpoint, &step.operation, now_ms)
