--- a/crates/quetzalpick-core/src/state/shares.rs
+++ b/crates/quetzalpick-core/src/state/shares.rs
@@ -10,6 +10,19 @@
 /// `Workspaces` are the workspaces in force with the offsets of their creation.
 type Workspaces = Table<Workspace, (Offset, WorkspaceSpec)>;
 
+/// Gates that the parts of one workspace are given to at once; the others get theirs by transfers.
+const HOLDERS_MAX: usize = 16;
+
+/// Picks the gates that parts are given to, other ones for another offset.
+fn holders(gates: &[Member], offset: Offset) -> Vec<Member> {
+    if gates.len() <= HOLDERS_MAX {
+        return gates.to_vec();
+    }
+    let start = offset.0 as usize % gates.len();
+    let around = gates.iter().cycle().skip(start);
+    around.take(HOLDERS_MAX).cloned().collect()
+}
+
 /// Divides parts over members as equally as whole parts allow.
 fn divide<'a>(
     parts: u64,
@@ -67,7 +80,7 @@
         self.grants.get(member)
     }
 
-    /// Gives out the parts of a new workspace with full buckets.
+    /// Gives out the parts of a new workspace with full buckets, at most to `HOLDERS_MAX` gates.
     pub(crate) fn create(&mut self, workspace: &Workspace, created: Offset, gates: &[Member]) {
         let grant = |parts| Grant {
             created,
@@ -77,7 +90,8 @@
         if gates.is_empty() {
             self.unclaimed.insert(workspace.clone(), grant(PARTS_TOTAL));
         }
-        for (gate, parts) in divide(PARTS_TOTAL, gates) {
+        let holders = holders(gates, created);
+        for (gate, parts) in divide(PARTS_TOTAL, &holders) {
             let grants = self.grants.get_or_insert_with(gate.clone(), Table::default);
             grants.insert(workspace.clone(), grant(parts));
         }
@@ -167,13 +181,14 @@
             return;
         }
         let declarers = std::mem::take(&mut self.declarers);
+        let holders = holders(&declarers, self.epoch);
         for (workspace, (created, _)) in workspaces.iter() {
             // A departed gate never held parts of a workspace that was created after its departure.
             if *created > self.epoch {
                 continue;
             }
             let missing = PARTS_TOTAL - self.declared_parts(workspace, *created);
-            self.give(workspace, *created, missing, &declarers);
+            self.give(workspace, *created, missing, &holders);
         }
         self.declared = Table::default();
     }
--- a/crates/quetzalpick-core/tests/state/main.rs
+++ b/crates/quetzalpick-core/tests/state/main.rs
@@ -7,3 +7,4 @@
 mod paths;
 mod replicas;
 mod script;
+mod shares;
--- /dev/null
+++ b/crates/quetzalpick-core/tests/state/shares.rs
@@ -0,0 +1,260 @@
+//! Parts of workspaces through creation, transfers that are lost, departures and epochs.
+
+use std::collections::BTreeMap;
+
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::record::{Change, Declare, Holding, PARTS_TOTAL, Record, Role};
+use quetzalpick_core::state::Outcome;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::script::{Session, join, member, seeds, set_workspace, vm_name, workspace};
+
+const STEPS: usize = 300;
+const NAMES: [&str; 3] = ["lagos", "abuja", "jos"];
+
+/// `Gate` holds parts as a gate does: it adds what the fold granted since it last looked.
+struct Gate {
+    member: Member,
+    entered: Offset,
+    held: BTreeMap<(usize, Offset), u64>,
+    taken: BTreeMap<(usize, Offset), u64>,
+}
+
+struct World {
+    random: Pcg64,
+    session: Session,
+    gates: Vec<Gate>,
+    started: u64,
+    settled: usize,
+    /// Without this check, which is the naive way, parts move between gates of different epochs.
+    checks_epoch: bool,
+    violation: Option<String>,
+}
+
+impl World {
+    fn step(&mut self) {
+        match self.random.random_range(0..20) {
+            0..4 if self.gates.len() < 40 => self.start(),
+            4..6 => {
+                let name = self.name();
+                self.session.change(set_workspace(name, 10));
+            }
+            6 if self.random.random_bool(0.2) => {
+                let name = workspace(self.name());
+                self.session.change(Change::RemoveWorkspace(name));
+            }
+            7 if !self.gates.is_empty() => self.depart(),
+            8..12 => self.transfer(),
+            _ => self.declare(),
+        }
+        self.take();
+        self.check();
+    }
+
+    fn name(&mut self) -> &'static str {
+        NAMES[self.random.random_range(0..NAMES.len())]
+    }
+
+    fn start(&mut self) {
+        self.started += 1;
+        let member = member(&format!("ng-{}", self.started), self.started);
+        self.session.accepted(&member, join(&member, Role::Gate));
+        self.gates.push(Gate {
+            member,
+            entered: self.session.state.shares().epoch(),
+            held: BTreeMap::new(),
+            taken: BTreeMap::new(),
+        });
+    }
+
+    fn depart(&mut self) {
+        let at = self.random.random_range(0..self.gates.len());
+        let gate = self.gates.remove(at);
+        let vm = vm_name(gate.member.vm.as_str());
+        assert!(matches!(
+            self.session.change(Change::RetireVm(vm)),
+            Outcome::Accepted(_)
+        ));
+    }
+
+    /// Moves parts between two gates of one epoch; some are lost on the way.
+    fn transfer(&mut self) {
+        if self.gates.len() < 2 {
+            return;
+        }
+        let (from, to) = (
+            self.random.random_range(0..self.gates.len()),
+            self.random.random_range(0..self.gates.len()),
+        );
+        if self.checks_epoch && self.gates[from].entered != self.gates[to].entered {
+            return;
+        }
+        let lost = self.random.random_bool(0.2);
+        let halve = |(key, parts): (&(usize, Offset), &mut u64)| {
+            let moved = *parts / 2;
+            *parts -= moved;
+            (*key, moved)
+        };
+        let moved: Vec<_> = self.gates[from].held.iter_mut().map(halve).collect();
+        for (key, parts) in moved {
+            if !lost {
+                *self.gates[to].held.entry(key).or_default() += parts;
+            }
+        }
+    }
+
+    /// A gate enters the epoch and declares what it holds.
+    fn declare(&mut self) {
+        let epoch = self.session.state.shares().epoch();
+        let awaiting = self.session.state.shares().awaiting().to_vec();
+        let Some(gate) = self.gates.iter_mut().find(|g| awaiting.contains(&g.member)) else {
+            return;
+        };
+        gate.entered = epoch;
+        let rows = gate.held.iter().filter(|(_, parts)| **parts > 0);
+        let mut holdings: Vec<Holding> = rows
+            .map(|((name, created), parts)| Holding {
+                workspace: workspace(NAMES[*name]),
+                created: *created,
+                parts: *parts,
+            })
+            .collect();
+        holdings.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        let declare = Declare {
+            member: gate.member.clone(),
+            epoch,
+            holdings,
+        };
+        let member = gate.member.clone();
+        let outcome = self.session.by(&member, Record::Declare(declare));
+        if !matches!(outcome, Outcome::Accepted(_)) {
+            self.violation = Some(outcome.to_string());
+        }
+        self.settled += usize::from(awaiting.len() == 1);
+    }
+
+    /// Lets each gate take what was granted to it, and drop what is void.
+    fn take(&mut self) {
+        let state = &self.session.state;
+        let created = |name: usize| {
+            let found = state.catalog().workspaces().get(&workspace(NAMES[name]));
+            found.map(|(created, _)| *created)
+        };
+        for gate in &mut self.gates {
+            gate.held
+                .retain(|(name, at), _| created(*name) == Some(*at));
+            let grants = state.shares().grants(&gate.member).unwrap();
+            for (name, text) in NAMES.iter().enumerate() {
+                let Some(grant) = grants.get(&workspace(text)) else {
+                    continue;
+                };
+                let key = (name, grant.created);
+                let taken = gate.taken.insert(key, grant.parts).unwrap_or(0);
+                *gate.held.entry(key).or_default() += grant.parts - taken;
+            }
+        }
+    }
+
+    /// Checks that no parts came from nowhere.
+    fn check(&mut self) {
+        let mut sums: BTreeMap<usize, u64> = BTreeMap::new();
+        for gate in &self.gates {
+            for ((name, _), parts) in &gate.held {
+                *sums.entry(*name).or_default() += parts;
+            }
+        }
+        if sums.values().any(|sum| *sum > PARTS_TOTAL) {
+            self.violation = Some(format!("{sums:?}"));
+        }
+    }
+
+    /// Lets everybody declare without further transfers, after which nothing is missing.
+    fn finish(&mut self) {
+        self.start();
+        self.start();
+        for _ in 0..2 {
+            self.depart();
+            while !self.session.state.shares().awaiting().is_empty() {
+                self.declare();
+                self.take();
+            }
+        }
+        for (name, text) in NAMES.iter().enumerate() {
+            if !self
+                .session
+                .state
+                .catalog()
+                .workspaces()
+                .contains(&workspace(text))
+            {
+                continue;
+            }
+            let held = self.gates.iter().flat_map(|gate| &gate.held);
+            let held = held.filter(|((held, _), _)| *held == name);
+            let sum: u64 = held.map(|(_, parts)| parts).sum();
+            let nobody = self.gates.is_empty();
+            assert!(nobody || sum == PARTS_TOTAL, "{text}: {sum}");
+        }
+    }
+}
+
+/// Runs one seed and tells what went wrong, and how many epochs were settled.
+fn run(seed: u64, checks_epoch: bool) -> (Option<String>, usize) {
+    let mut world = World {
+        random: Pcg64::seed_from_u64(seed),
+        session: Session::default(),
+        gates: Vec::new(),
+        started: 0,
+        settled: 0,
+        checks_epoch,
+        violation: None,
+    };
+    for _ in 0..STEPS {
+        world.step();
+        if world.violation.is_some() {
+            return (world.violation, world.settled);
+        }
+    }
+    world.finish();
+    (world.violation, world.settled)
+}
+
+#[test]
+fn parts_are_conserved() {
+    let mut total = 0;
+    for seed in seeds(60) {
+        let (violation, settled) = run(seed, true);
+        assert_eq!(violation, None, "seed {seed}");
+        total += settled;
+    }
+    println!("{total} epochs settled");
+    assert!(total > 60);
+}
+
+#[test]
+fn transfers_between_epochs_are_caught() {
+    let found = (0..60).find_map(|seed| Some((seed, run(seed, false).0?)));
+    println!("{found:?}");
+    assert!(found.is_some_and(|(seed, _)| seed == 4));
+}
+
+#[test]
+fn few_gates_get_the_parts_of_a_workspace() {
+    let mut session = Session::default();
+    let gates: Vec<Member> = (0..40).map(|n| member(&format!("ng-{n}"), n)).collect();
+    for gate in &gates {
+        session.accepted(gate, join(gate, Role::Gate));
+    }
+    session.changes([set_workspace("lagos", 10), set_workspace("abuja", 10)]);
+    let holders = |name: &str| {
+        let parts = |gate: &Member| {
+            let grants = session.state.shares().grants(gate)?;
+            Some(grants.get(&workspace(name))?.parts)
+        };
+        let parts: Vec<u64> = gates.iter().filter_map(parts).collect();
+        (parts.len(), parts.iter().sum::<u64>())
+    };
+    assert_eq!(holders("lagos"), (16, PARTS_TOTAL));
+    assert_eq!(holders("abuja"), (16, PARTS_TOTAL));
+}
