Close the account of an endpoint that moves to another address

At another address stands another engine: what the former one held says nothing about its memory, and intents would be checked against it until the next report. Also split the fold into the state and its decisions, and the test models by what acts in them.

--- a/crates/quetzalpick-core/src/record/config.rs
+++ b/crates/quetzalpick-core/src/record/config.rs
@@ -147,7 +147,7 @@
     RemoveArtifact(Artifact),
     /// Bounds or pins the copies of a model or adapter.
     SetPlace(Artifact, Place),
-    /// Creates or changes an endpoint.
+    /// Creates or changes an endpoint; another address means another engine, as after a removal.
     SetEndpoint(Endpoint, EndpointSpec),
     /// Removes an endpoint; one that holds the only copy of something is rejected.
     RemoveEndpoint(Endpoint),
--- a/crates/quetzalpick-core/src/state/catalog/endpoint.rs
+++ b/crates/quetzalpick-core/src/state/catalog/endpoint.rs
@@ -37,6 +37,11 @@
         if let Some(former) = self.endpoints.get(name) {
             self.check_kind(name, &former.kind, &spec.kind)?;
         }
+        // At another address stands another engine, and what the former one holds is given up.
+        let moves = self.moves(name, spec);
+        if moves {
+            ledger.check_removal(self, name)?;
+        }
         match &spec.kind {
             EndpointKind::Engine {
                 accelerators,
@@ -47,7 +52,7 @@
                 check_range("memory_mb", *memory_mb, 1..=MEMORY_MAX_MB)?;
                 // Memory that is loaded or promised stays promised.
                 let used_mb = ledger.used_mb(name);
-                if *memory_mb < used_mb {
+                if !moves && *memory_mb < used_mb {
                     return Err(conflict(format!(
                         "{used_mb} MB are loaded or promised at endpoint {name}"
                     )));
@@ -63,6 +68,12 @@
         Ok(())
     }
 
+    /// Tells whether a change gives an endpoint another address.
+    pub(crate) fn moves(&self, name: &Endpoint, spec: &EndpointSpec) -> bool {
+        let former = self.endpoints.get(name);
+        former.is_some_and(|former| former.address != spec.address)
+    }
+
     /// Checks that no other endpoint has an address.
     fn check_unused(&self, name: &Endpoint, address: &str) -> Result<(), Reason> {
         let mut others = self.endpoints.iter().filter(|(other, _)| *other != name);
--- a/crates/quetzalpick-core/src/state/mod.rs
+++ b/crates/quetzalpick-core/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod claims;
+mod decide;
 mod fold;
 mod ledger;
 mod outcome;
--- a/crates/quetzalpick-core/tests/state/golden.rs
+++ b/crates/quetzalpick-core/tests/state/golden.rs
@@ -212,6 +212,8 @@
     leader.intend(session, "e1", 4, unload("menu-ng", 1));
     leader.intend(session, "e2", 3, unload("menu", 2));
     session.change(Change::RemoveEndpoint(endpoint("e2")));
+    session.change(set_engine("e2", 9007, 1_000, false));
+    session.change(set_engine("e1", 9001, 1_000, false));
     session.change(Change::Drain(endpoint("e1"), true));
     leader.settle(session, "e1", 4, Settlement::Refused);
     leader.intend(session, "e1", 5, load("menu", 2));
@@ -239,6 +241,8 @@
     let a = leader.member.clone();
     session.by(&a, Record::Resign(a.clone()));
     leader.settle(session, "e1", 5, Settlement::Done);
+    session.note("another address is another engine");
+    session.change(set_engine("e1", 9008, 500, false));
     session.note(compact(&session.state.ledger()));
 }
 
--- /dev/null
+++ b/crates/quetzalpick-core/tests/state/lease/duties.rs
@@ -0,0 +1,129 @@
+//! What each VM of the model does by itself: it reads, asks its peers, and writes about the roster.
+
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::lease::Options;
+use quetzalpick_core::record::{Record, Retire, Seat};
+use rand::RngExt;
+
+use super::{Event, Policy, Vm, World};
+
+const SUSPICION_MS: u64 = 3_000;
+
+impl World {
+    /// Lets a VM do what it does all the time.
+    pub(super) fn work(&mut self, at: usize) {
+        let sent = self.clock(at);
+        if self.chance(10) && self.reaches_log(at) {
+            self.after(900, Event::Read { vm: at, sent });
+        }
+        if self.chance(10) {
+            for to in (0..self.vms.len()).filter(|to| *to != at) {
+                if self.vms[to].running && self.reaches(at, to) {
+                    self.after(700, Event::Ask { from: at, to, sent });
+                }
+            }
+        }
+        self.declare_complete(at);
+        let member = &self.vms[at].member;
+        let was_active = self.vms[at].state.next() > Offset(0) && self.retired.contains(member);
+        if was_active && !self.vms[at].state.roster().is_active(member) {
+            // A retired VM that has learnt of it starts anew.
+            self.vms[at].running = false;
+            self.start();
+            return;
+        }
+        let quiet = sent.saturating_sub(self.vms[at].wrote) > 400;
+        if !quiet || !self.reaches_log(at) || !self.chance(4) {
+            return;
+        }
+        if let Some(record) = self.proposal(at, sent) {
+            self.vms[at].wrote = sent;
+            let member = self.vms[at].member.clone();
+            self.write(&member, record);
+        }
+    }
+
+    /// Notes changes that the VM knows to be in force everywhere.
+    fn declare_complete(&mut self, at: usize) {
+        let now = self.clock(at);
+        let vm = &self.vms[at];
+        for (offset, complete) in self.changes.iter_mut().rev().take(8) {
+            let applied = Offset(offset.0 + 1);
+            if *complete || vm.state.next() < applied {
+                continue;
+            }
+            let witnesses = witnesses(self.policy, now, vm, applied, &self.options);
+            *complete = witnesses.is_some();
+            self.counts.complete += usize::from(*complete);
+        }
+    }
+
+    /// Returns what a VM would write about the roster.
+    fn proposal(&mut self, at: usize, now: u64) -> Option<Record> {
+        let pick = self.random.random_range(0..4_usize);
+        let vm = &self.vms[at];
+        let roster = vm.state.roster();
+        let own = roster.members().get(&vm.member)?;
+        if own.suspected.is_some() {
+            return Some(Record::Refute(vm.member.clone()));
+        }
+        let seats = roster.seats_changed();
+        for (member, membership) in roster.members().iter() {
+            let suspected = membership.suspected;
+            let Some(suspected) = suspected.filter(|_| *member != vm.member) else {
+                continue;
+            };
+            let applied = Offset(suspected.0 + 1);
+            if let Some(witnesses) = witnesses(self.policy, now, vm, applied, &self.options) {
+                let retire = Retire {
+                    member: member.clone(),
+                    suspected,
+                    seats,
+                    witnesses,
+                };
+                return Some(Record::Retire(retire));
+            }
+        }
+        let unseated = roster.members().keys().filter(|m| !roster.is_voter(m));
+        let departed = roster.voters().iter().filter(|m| !roster.is_active(m));
+        let mut candidates = unseated.chain(departed).cloned();
+        let witnesses = match self.policy {
+            Policy::SeatAtOnce => Some(roster.voters().to_vec()),
+            _ => vm.witness.majority(&vm.state, seats).map(|m| m.members),
+        };
+        if let (Some(member), Some(witnesses)) = (candidates.next(), witnesses) {
+            return Some(Record::Seat(Seat {
+                member,
+                seats,
+                witnesses,
+            }));
+        }
+        let silent = |member: &&Member| {
+            let heard = vm.heard.iter().find(|(peer, _)| peer == *member);
+            let heard = heard.map_or(vm.clock.0 + 4_000, |(_, at)| *at);
+            now.saturating_sub(heard) > SUSPICION_MS
+        };
+        let others = roster.members().keys().filter(|m| **m != vm.member);
+        let silent: Vec<&Member> = others.filter(silent).collect();
+        let suspect = silent.get(pick % silent.len().max(1))?;
+        let known = roster.members().get(*suspect)?;
+        known
+            .suspected
+            .is_none()
+            .then(|| Record::Suspect((*suspect).clone()))
+    }
+}
+
+/// Returns the witnesses of a completed taking away.
+fn witnesses(
+    policy: Policy,
+    now: u64,
+    vm: &Vm,
+    applied: Offset,
+    options: &Options,
+) -> Option<Vec<Member>> {
+    match policy {
+        Policy::NoWait => vm.witness.majority(&vm.state, applied).map(|m| m.members),
+        _ => vm.witness.complete(now, &vm.state, applied, options),
+    }
+}
--- a/crates/quetzalpick-core/tests/state/ledger.rs
+++ b/crates/quetzalpick-core/tests/state/ledger.rs
@@ -3,20 +3,23 @@
 //! The oracle looks at the engines only: what they hold and load never takes more than their memory, and without
 //! restarts of engines everything that was placed once stays somewhere.
 
+mod engine;
+mod leader;
+
 use std::collections::BTreeSet;
 
 use quetzalpick_core::dispatch::Dispatch;
-use quetzalpick_core::id::{Artifact, Boot, Endpoint, Member, Offset, Sequence, Version};
+use quetzalpick_core::id::{Artifact, Endpoint, Member, Offset, Version};
 use quetzalpick_core::record::{
-    Change, EndpointKind, Entry, Intent, ORDER_LATENESS_MS, Operation, Record, Report, Role,
-    Settled, Settlement,
+    Change, EndpointKind, Entry, ORDER_LATENESS_MS, Operation, Record, Role,
 };
-use quetzalpick_core::state::{Open, Outcome, State};
+use quetzalpick_core::state::{Outcome, State};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use self::engine::Engine;
 use crate::script::{
-    artifact, by, endpoint, join, member, operator, seeds, set_adapter, set_engine, set_model,
+    by, endpoint, join, member, operator, seeds, set_adapter, set_engine, set_model,
 };
 
 const TICK_MS: u64 = 200;
@@ -48,30 +51,6 @@
     restarts: bool,
 }
 
-struct Engine {
-    name: Endpoint,
-    boot: u64,
-    seen: u64,
-    loaded: Vec<(Copy, u64)>,
-    loading: Vec<(u64, Copy, u64)>,
-    refused: Vec<u64>,
-}
-
-impl Engine {
-    fn used_mb(&self) -> u64 {
-        let loaded = self.loaded.iter().map(|(_, mb)| mb);
-        loaded.chain(self.loading.iter().map(|(_, _, mb)| mb)).sum()
-    }
-
-    fn holds(&self, copy: &Copy) -> bool {
-        self.loaded.iter().any(|(held, _)| held == copy)
-    }
-
-    fn loads(&self, copy: &Copy) -> bool {
-        self.loading.iter().any(|(_, held, _)| held == copy)
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Order {
     fencing: u64,
@@ -332,17 +311,6 @@
         }
     }
 
-    fn finish_loads(&mut self) {
-        let now = self.now;
-        for engine in &mut self.engines {
-            let (done, loading): (Vec<_>, Vec<_>) =
-                engine.loading.drain(..).partition(|(at, ..)| *at <= now);
-            engine.loading = loading;
-            let done = done.into_iter().map(|(_, copy, mb)| (copy, mb));
-            engine.loaded.extend(done);
-        }
-    }
-
     fn deliver(&mut self) {
         let now = self.now;
         let events = std::mem::take(&mut self.events);
@@ -363,56 +331,6 @@
         }
     }
 
-    /// An engine takes an order, whether it has room or not.
-    fn arrive(&mut self, at: usize, order: &Order) {
-        let refuses = self.chance(20);
-        let done = self.now + self.random.random_range(0..3_000);
-        let checks = self.setup.checks_fencing;
-        let engine = &mut self.engines[at];
-        if checks && order.fencing < engine.seen {
-            return;
-        }
-        engine.seen = engine.seen.max(order.fencing);
-        if refuses {
-            engine.refused.push(order.fencing);
-            return;
-        }
-        let copy = copy_of(&order.operation);
-        match &order.operation {
-            Operation::Load(..) if engine.holds(&copy) || engine.loads(&copy) => {}
-            Operation::Load(..) => {
-                self.counts.loads += 1;
-                engine.loading.push((done, copy, order.memory_mb));
-            }
-            Operation::Unload(..) => {
-                self.counts.unloads += 1;
-                engine.loaded.retain(|(held, _)| *held != copy);
-                engine.loading.retain(|(_, held, _)| *held != copy);
-            }
-        }
-    }
-
-    fn ask(&mut self, at: usize, asked: u64, seen: Offset, leader: u64) {
-        let engine = &self.engines[at];
-        let memory_mb = self.memory_mb(&engine.name).unwrap_or(0);
-        let view = View {
-            asked,
-            seen,
-            boot: engine.boot,
-            loaded: engine.loaded.iter().map(|(copy, _)| copy.clone()).collect(),
-            loading: engine
-                .loading
-                .iter()
-                .map(|(_, copy, _)| copy.clone())
-                .collect(),
-            refused: engine.refused.clone(),
-            free_mb: memory_mb.saturating_sub(engine.used_mb()),
-        };
-        let answered = self.now + self.random.random_range(0..600);
-        let answer = Event::Answer(at, leader, Box::new(view));
-        self.events.push((answered, answer));
-    }
-
     fn memory_mb(&self, endpoint: &Endpoint) -> Option<u64> {
         let spec = self.state.catalog().endpoints().get(endpoint)?;
         match spec.kind {
@@ -421,139 +339,6 @@
         }
     }
 
-    /// The leader acts on a report: it records, settles, sends again or plans.
-    fn consider(&mut self, at: usize, view: &View) {
-        let name = self.engines[at].name.clone();
-        if self.memory_mb(&name).is_none() {
-            self.set_engine(at, 1_200);
-            return;
-        }
-        if self.setup.policy == Policy::ReportOnly {
-            self.plan_by_report(at, view);
-            return;
-        }
-        let account = self.state.ledger().accounts().get(&name).cloned();
-        let Some(account) = account.filter(|account| account.boot.0 == view.boot) else {
-            let quiet = self.leader.dispatch.is_quiet(&name, view.asked);
-            if (quiet && view.loading.is_empty()) || self.setup.policy == Policy::NoLateness {
-                let report = Report {
-                    endpoint: name,
-                    boot: Boot(view.boot),
-                    seen: self.seen(view),
-                    loaded: view.loaded.clone(),
-                };
-                self.append(at, Record::Report(report));
-            }
-            return;
-        };
-        for open in &account.open {
-            if let Some(settlement) = self.settlement(&name, open, view) {
-                let settled = Settled {
-                    endpoint: name,
-                    sequence: open.sequence,
-                    boot: Boot(view.boot),
-                    seen: self.seen(view),
-                    settlement,
-                };
-                self.append(at, Record::Settled(settled));
-                return;
-            }
-            if self.random.random_bool(0.3) && !view.refused.contains(&open.fencing.0) {
-                let order = Order {
-                    fencing: open.fencing.0,
-                    operation: open.operation.clone(),
-                    memory_mb: open.memory_mb,
-                };
-                self.send(at, order);
-            }
-        }
-        self.plan(at, &name, account.last);
-    }
-
-    /// Returns the first offset not applied when the engine was asked.
-    fn seen(&self, view: &View) -> Offset {
-        match self.setup.policy {
-            Policy::Unguarded => Offset(u64::MAX),
-            _ => view.seen,
-        }
-    }
-
-    /// Tells what a report shows of an open order.
-    fn settlement(&self, name: &Endpoint, open: &Open, view: &View) -> Option<Settlement> {
-        let copy = copy_of(&open.operation);
-        let (held, loading) = (view.loaded.contains(&copy), view.loading.contains(&copy));
-        let done = match open.operation {
-            Operation::Load(..) => held,
-            Operation::Unload(..) => !held && !loading,
-        };
-        let past = self
-            .leader
-            .dispatch
-            .is_past(name, &open.operation, view.asked);
-        let past = past || self.setup.policy == Policy::NoLateness;
-        let refused = view.refused.contains(&open.fencing.0) && !loading && past;
-        match (done, refused) {
-            (true, _) => Some(Settlement::Done),
-            (false, true) => Some(Settlement::Refused),
-            (false, false) => None,
-        }
-    }
-
-    /// Announces an order at random; the fold rejects what does not fit.
-    fn plan(&mut self, at: usize, name: &Endpoint, last: Sequence) {
-        let operation = self.operation(name);
-        let now = self.now;
-        let may = self.leader.dispatch.may_announce(name, &operation, now);
-        if !may && self.setup.policy != Policy::NoLateness {
-            return;
-        }
-        let leadership = self.state.leadership();
-        let intent = Intent {
-            leader: self.leader.member.clone(),
-            term: leadership.map_or(Offset(0), |leadership| leadership.term),
-            endpoint: name.clone(),
-            sequence: Sequence(last.0 + 1),
-            operation,
-        };
-        self.append(at, Record::Intent(intent));
-    }
-
-    fn operation(&mut self, name: &Endpoint) -> Operation {
-        let account = self.state.ledger().accounts().get(name);
-        let copies: Vec<Copy> = account.map_or(Vec::new(), |a| a.loaded.keys().cloned().collect());
-        let unloads = self.random.random_bool(0.4) && !copies.is_empty();
-        if unloads {
-            let (name, version) = copies[self.random.random_range(0..copies.len())].clone();
-            return Operation::Unload(name, version);
-        }
-        let number = self.random.random_range(0..MODELS + ADAPTERS);
-        let name = match number.checked_sub(MODELS) {
-            Some(adapter) => artifact(&format!("a{adapter}")),
-            None => artifact(&format!("m{number}")),
-        };
-        let (version, _) = self.state.catalog().wanted(&name).unwrap();
-        Operation::Load(name, version)
-    }
-
-    /// The naive leader: it sends what the report leaves room for.
-    fn plan_by_report(&mut self, at: usize, view: &View) {
-        let name = self.engines[at].name.clone();
-        let operation = self.operation(&name);
-        let (wanted, _) = copy_of(&operation);
-        let (_, memory_mb) = self.state.catalog().wanted(&wanted).unwrap();
-        if memory_mb <= view.free_mb {
-            let fencing = self.state.next().0;
-            self.send(
-                at,
-                Order {
-                    fencing,
-                    operation,
-                    memory_mb,
-                },
-            );
-        }
-    }
-
     fn check(&mut self) -> Option<String> {
         for engine in &self.engines {
             let memory_mb = self.memory_mb(&engine.name);
--- a/crates/quetzalpick-core/tests/state/main.rs
+++ b/crates/quetzalpick-core/tests/state/main.rs
@@ -1,4 +1,7 @@
 //! Proofs of the fold, the lease and the ledger.
+//!
+//! A longer run takes `QUETZALPICK_FUZZ_CASES` seeds from `QUETZALPICK_FUZZ_SEED` on and prints them:
+//! `QUETZALPICK_FUZZ_CASES=1000 cargo test --release -p quetzalpick-core --test state -- --nocapture`
 
 mod claims;
 mod golden;
