--- a/crates/quetzalpick-core/src/state/recent.rs
+++ b/crates/quetzalpick-core/src/state/recent.rs
@@ -1,6 +1,7 @@
 //! Commands applied lately, so that a repeat counts once.
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::id::{Command, Offset};
 use crate::state::outcome::Outcome;
@@ -21,9 +22,21 @@
 /// `Recent` is the memory of commands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Recent {
+    #[serde(deserialize_with = "tables")]
     tables: Vec<Table<Command, Applied>>,
 }
 
+/// Reads the tables, which have to be as many as this program looks commands up in.
+fn tables<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<Table<Command, Applied>>, D::Error> {
+    let tables = Vec::<Table<Command, Applied>>::deserialize(deserializer)?;
+    if tables.len() != TABLES {
+        return Err(D::Error::invalid_length(tables.len(), &"256 tables"));
+    }
+    Ok(tables)
+}
+
 impl Default for Recent {
     fn default() -> Self {
         Self {
@@ -33,21 +46,19 @@
 }
 
 /// Returns the number of the table that a command belongs to.
-fn table_of(command: Command, tables: usize) -> usize {
-    usize::from(command.0.to_be_bytes()[0]) % tables
+fn table_of(command: Command) -> usize {
+    usize::from(command.0.to_be_bytes()[0])
 }
 
 impl Recent {
     /// Returns what became of a command that was applied before.
     pub(crate) fn get(&self, command: Command) -> Option<&Applied> {
-        let table = table_of(command, self.tables.len());
-        self.tables[table].get(&command)
+        self.tables[table_of(command)].get(&command)
     }
 
     /// Remembers a command.
     pub(crate) fn insert(&mut self, command: Command, applied: Applied) {
-        let table = table_of(command, self.tables.len());
-        self.tables[table].insert(command, applied);
+        self.tables[table_of(command)].insert(command, applied);
     }
 
     /// Drops commands applied before an offset.
