--- a/crates/quetzalpick-core/src/dispatch.rs
+++ b/crates/quetzalpick-core/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! Times are milliseconds on the leader's own monotonic clock.
 
 use crate::id::Endpoint;
-use crate::record::{ORDER_LATENESS_MS, Operation};
+use crate::record::Operation;
 use crate::table::Table;
 
 /// `Dispatch` remembers when the leader last sent each order.
@@ -14,6 +14,7 @@
 #[derive(Debug, Clone)]
 pub struct Dispatch {
     began: u64,
+    lateness_ms: u64,
     sent: Table<Endpoint, Table<Operation, u64>>,
 }
 
@@ -27,9 +28,12 @@
 
 impl Dispatch {
     /// Creates the memory of a leader whose term began at `now`; former leaders may have sent anything until then.
-    pub fn new(now: u64) -> Self {
+    ///
+    /// An order arrives at most `lateness_ms` after it was sent, by default `record::ORDER_LATENESS_MS`.
+    pub fn new(now: u64, lateness_ms: u64) -> Self {
         Self {
             began: now,
+            lateness_ms,
             sent: Table::default(),
         }
     }
@@ -41,7 +45,8 @@
             .get_or_insert_with(endpoint.clone(), Table::default);
         orders.insert(operation.clone(), now);
         // Orders that have arrived or were lost need not be remembered.
-        orders.retain(|_, sent| now.saturating_sub(*sent) <= ORDER_LATENESS_MS);
+        let lateness_ms = self.lateness_ms;
+        orders.retain(|_, sent| now.saturating_sub(*sent) <= lateness_ms);
     }
 
     /// Tells whether an order, as sent by anybody, can no longer arrive after `now`.
@@ -56,7 +61,9 @@
         self.is_past(endpoint, &opposite(operation), now)
     }
 
-    /// Tells whether no order at all can still arrive at an engine, as a report after its restart needs.
+    /// Tells whether no order at all can still arrive at an engine.
+    ///
+    /// A report after its restart needs that, unless `Ledger::was_ordered` rules orders out.
     pub fn is_quiet(&self, endpoint: &Endpoint, now: u64) -> bool {
         let orders = self.sent.get(endpoint);
         let newest = orders.and_then(|orders| orders.values().max());
@@ -66,6 +73,6 @@
     /// Tells whether an order sent last at `sent`, or by a former leader, can no longer arrive.
     fn is_past_since(&self, sent: Option<u64>, now: u64) -> bool {
         let sent = sent.unwrap_or(0).max(self.began);
-        now.saturating_sub(sent) > ORDER_LATENESS_MS
+        now.saturating_sub(sent) > self.lateness_ms
     }
 }
--- a/crates/quetzalpick-core/src/state/ledger/book.rs
+++ b/crates/quetzalpick-core/src/state/ledger/book.rs
@@ -41,6 +41,16 @@
         self.accounts.get(endpoint).map_or(0, Account::used_mb)
     }
 
+    /// Tells whether an order may ever have been sent to an engine that is not known to be past.
+    ///
+    /// Orders need an accepted intent, which needs an account; an account that was closed may have had some.
+    pub fn was_ordered(&self, endpoint: &Endpoint) -> bool {
+        match self.accounts.get(endpoint) {
+            Some(account) => account.last.0 > 0,
+            None => self.closed.0 > 0,
+        }
+    }
+
     /// Returns the memory that copies of a version take wherever one is loaded or promised, in MB.
     pub(crate) fn memory_of(&self, artifact: &Artifact, version: Version) -> Option<u64> {
         let mut accounts = self.accounts.values();
--- a/crates/quetzalpick-core/tests/state/ledger.rs
+++ b/crates/quetzalpick-core/tests/state/ledger.rs
@@ -132,7 +132,7 @@
             events: Vec::new(),
             leader: Leader {
                 member: member("ng-0", 0),
-                dispatch: Dispatch::new(0),
+                dispatch: Dispatch::new(0, ORDER_LATENESS_MS),
                 waiting: vec![None; ENGINES],
             },
             commands: 0,
@@ -178,7 +178,7 @@
             &mut self.leader,
             Leader {
                 member: member(&format!("ng-{number}"), number),
-                dispatch: Dispatch::new(self.now),
+                dispatch: Dispatch::new(self.now, ORDER_LATENESS_MS),
                 waiting: vec![None; ENGINES],
             },
         );
@@ -411,7 +411,7 @@
     let naive = [
         (Policy::ReportOnly, [0, 0, 0, 0]),
         (Policy::NoLateness, [8, 3, 8, 8]),
-        (Policy::Unguarded, [12, 6, 51, 15]),
+        (Policy::Unguarded, [2, 3, 2, 13]),
     ];
     for (policy, seeds) in naive {
         for (setup, seed) in setups(policy).zip(seeds) {
--- a/crates/quetzalpick-core/tests/state/ledger/leader.rs
+++ b/crates/quetzalpick-core/tests/state/ledger/leader.rs
@@ -22,7 +22,8 @@
         }
         let account = self.state.ledger().accounts().get(&name).cloned();
         let Some(account) = account.filter(|account| account.boot.0 == view.boot) else {
-            let quiet = self.leader.dispatch.is_quiet(&name, view.asked);
+            let ordered = self.state.ledger().was_ordered(&name);
+            let quiet = !ordered || self.leader.dispatch.is_quiet(&name, view.asked);
             if (quiet && view.loading.is_empty()) || self.setup.policy == Policy::NoLateness {
                 let report = Report {
                     endpoint: name,
