--- a/crates/quetzalpick-core/src/plan/fleet.rs
+++ b/crates/quetzalpick-core/src/plan/fleet.rs
@@ -76,6 +76,12 @@
         self.copy(item).is_some_and(|copy| copy.phase == phase)
     }
 
+    /// Tells whether another version of a copy's artifact is in a phase here.
+    pub(crate) fn has_sibling(&self, copy: &Copy<'_>, phase: Phase) -> bool {
+        let mut others = self.copies.iter().filter(|other| other.phase == phase);
+        others.any(|other| other.artifact == copy.artifact && other.version != copy.version)
+    }
+
     /// Tells whether the copies of an adapter can be used here: its base model serves.
     fn has_base(&self, item: &Item<'_>) -> bool {
         item.base.is_none_or(|base| self.has(base, Phase::Serving))
--- a/crates/quetzalpick-core/src/plan/gain.rs
+++ b/crates/quetzalpick-core/src/plan/gain.rs
@@ -2,7 +2,7 @@
 
 use crate::plan::Reason;
 use crate::plan::draft::Draft;
-use crate::plan::fleet::{Fleet, signed};
+use crate::plan::fleet::{Copy, Fleet, Phase, Site, signed};
 use crate::plan::room::{Keep, Victims};
 
 /// `Offer` is one further copy with what it gains.
@@ -23,7 +23,7 @@
         sites.map(|site| self.overload_at(site, engine_rate)).sum()
     }
 
-    pub(crate) fn overload_at(&self, site: &crate::plan::fleet::Site<'_>, engine_rate: u64) -> u64 {
+    pub(crate) fn overload_at(&self, site: &Site<'_>, engine_rate: u64) -> u64 {
         let speed = engine_rate.saturating_mul(u64::from(site.accelerators));
         self.load(site).saturating_sub(speed)
     }
@@ -88,7 +88,6 @@
 
     /// Projects a further copy and what goes for it.
     fn imagine(&mut self, item: usize, site: usize, victims: Option<&Victims>) {
-        use crate::plan::fleet::{Copy, Phase};
         let wanted = &self.items[item];
         let target = &mut self.sites[site];
         for copy in victims.iter().flat_map(|victims| &victims.copies) {
--- a/crates/quetzalpick-core/src/plan/planner.rs
+++ b/crates/quetzalpick-core/src/plan/planner.rs
@@ -4,7 +4,7 @@
 
 use crate::id::{Artifact, Endpoint};
 use crate::plan::draft::Draft;
-use crate::plan::fleet::{Fleet, Phase, signed};
+use crate::plan::fleet::{Fleet, Phase, Site, signed};
 use crate::plan::item::items;
 use crate::plan::limits::{Allowance, Limits};
 use crate::plan::room::Keep;
@@ -219,7 +219,7 @@
         let base_mb = signed(self.fleet.items[base].memory_mb);
         let fleet = &self.fleet;
         // A base model without any serving copy is wanted for its own sake, and one that is under way may have room.
-        let under_way = |site: &crate::plan::fleet::Site<'_>| {
+        let under_way = |site: &Site<'_>| {
             site.is_usable() && site.has(base, Phase::Loading) && site.soon_mb >= adapter_mb
         };
         if fleet.good(base) == 0 || fleet.sites.iter().any(under_way) {
--- a/crates/quetzalpick-core/src/plan/room.rs
+++ b/crates/quetzalpick-core/src/plan/room.rs
@@ -4,7 +4,7 @@
 
 use crate::plan::Reason;
 use crate::plan::draft::Draft;
-use crate::plan::fleet::{Fleet, Phase, Site, signed};
+use crate::plan::fleet::{Copy, Fleet, Phase, Site, signed};
 
 /// `Victims` are copies at one site, by index, whose memory makes room.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +18,11 @@
     ///
     /// A base model goes only together with its adapters, which are listed by `dependents`.
     pub(crate) fn may_unload(&self, site: usize, copy: usize, keep: Keep) -> bool {
+        // Adapters that wait for another version of their base model need not be moved.
+        let here = &self.sites[site];
+        if here.has_sibling(&here.copies[copy], Phase::Loading) {
+            return false;
+        }
         let dependents = self.dependents(site, copy);
         let mut all = dependents.iter().chain([&copy]);
         all.all(|copy| self.may_unload_alone(site, *copy, keep))
@@ -44,13 +49,11 @@
     pub(crate) fn dependents(&self, site: usize, copy: usize) -> Vec<usize> {
         let here = &self.sites[site];
         let base = &here.copies[copy];
-        let other = |c: &crate::plan::fleet::Copy<'_>| {
-            c.artifact == base.artifact && c.version != base.version && c.phase != Phase::Unloading
-        };
-        if here.copies.iter().any(other) {
+        // Another version that serves here carries the adapters.
+        if here.has_sibling(base, Phase::Serving) {
             return Vec::new();
         }
-        let depends = |c: &crate::plan::fleet::Copy<'_>| {
+        let depends = |c: &Copy<'_>| {
             let on = c.item.and_then(|item| self.items[item].base);
             on.is_some() && on == base.item && c.phase != Phase::Unloading
         };
--- /dev/null
+++ b/crates/quetzalpick-core/tests/plan/fleet.rs
@@ -0,0 +1,292 @@
+//! Engines that carry out orders late, under the real fold.
+
+use quetzalpick_core::id::{
+    Artifact, Boot, Command, Domain, Endpoint, Incarnation, Member, Offset, Sequence, Version, Vm,
+};
+use quetzalpick_core::plan::{Demand, Options, Planner, Status, Step};
+use quetzalpick_core::record::{
+    Author, Change, EndpointKind, EndpointSpec, Entry, Intent, Join, Operation, Record, Report,
+    Role, Settled, Settlement,
+};
+use quetzalpick_core::state::{Outcome, State};
+use quetzalpick_core::table::Table;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Time between two rounds of planning, in ms.
+pub(crate) const ROUND_MS: u64 = 500;
+
+/// `Order` is an accepted order that has not taken effect.
+#[derive(Debug, Clone)]
+struct Order {
+    endpoint: Endpoint,
+    sequence: Sequence,
+    operation: Operation,
+    due_ms: u64,
+}
+
+/// `Fleet` is a set of engines with the state that the placement leader folds.
+pub(crate) struct Fleet {
+    pub(crate) state: State,
+    pub(crate) demand: Demand,
+    pub(crate) planner: Planner,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) now_ms: u64,
+    /// Accepted loads and unloads so far.
+    pub(crate) moves: u32,
+    /// Steps that the fold rejected, with its reasons.
+    pub(crate) rejected: Vec<String>,
+    leader: Member,
+    term: Offset,
+    orders: Vec<Order>,
+    /// Whether an artifact has been reachable since its last version change.
+    reached: Table<Artifact, ()>,
+}
+
+pub(crate) fn artifact(name: &str) -> Artifact {
+    Artifact::try_new(name).expect("the name is valid")
+}
+
+pub(crate) fn endpoint(at: usize) -> Endpoint {
+    Endpoint::try_new(format!("e{at}")).expect("the name is valid")
+}
+
+impl Fleet {
+    pub(crate) fn new(seed: u64, engines: usize, memory_mb: u64, options: Options) -> Self {
+        let leader = Member {
+            vm: Vm::try_new("vm/keeper").expect("the name is valid"),
+            incarnation: Incarnation(1),
+        };
+        let mut fleet = Self {
+            state: State::default(),
+            demand: Demand::new(),
+            planner: Planner::new(options),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            now_ms: 0,
+            moves: 0,
+            rejected: Vec::new(),
+            term: Offset(1),
+            orders: Vec::new(),
+            reached: Table::default(),
+            leader: leader.clone(),
+        };
+        fleet.append(Record::Join(Join {
+            member: leader.clone(),
+            role: Role::Keeper,
+            domain: domain(0),
+            peer_address: "127.0.0.1:1".to_owned(),
+        }));
+        fleet.append(Record::Lead(leader));
+        for at in 0..engines {
+            fleet.change(Change::SetEndpoint(endpoint(at), spec(at, memory_mb)));
+            fleet.restart(at, 1);
+        }
+        fleet
+    }
+
+    pub(crate) fn append(&mut self, record: Record) -> Outcome {
+        let offset = self.state.next();
+        let entry = Entry {
+            command: Command(1, offset.0),
+            author: Author::Member(self.leader.clone()),
+            expect: None,
+            record,
+        };
+        self.state.apply(offset, &entry)
+    }
+
+    pub(crate) fn change(&mut self, change: Change) {
+        let outcome = self.append(Record::Change(change.clone()));
+        assert!(
+            matches!(outcome, Outcome::Accepted(_)),
+            "{change:?}: {outcome:?}"
+        );
+    }
+
+    /// Starts an engine with empty memory; orders that were under way still arrive.
+    pub(crate) fn restart(&mut self, at: usize, boot: u64) {
+        self.append(Record::Report(Report {
+            endpoint: endpoint(at),
+            boot: Boot(boot),
+            loaded: Vec::new(),
+        }));
+        self.reached = Table::default();
+    }
+
+    /// Lets orders take effect, plans, and appends the intents.
+    pub(crate) fn round(&mut self) -> Vec<Step> {
+        self.now_ms += ROUND_MS;
+        self.carry_out();
+        let status = Status {
+            alive: true,
+            ..Status::default()
+        };
+        let endpoints = self.state.catalog().endpoints().keys();
+        let engines: Table<Endpoint, Status> = endpoints.map(|e| (e.clone(), status)).collect();
+        let steps = self
+            .planner
+            .plan(self.now_ms, &self.state, &self.demand, &engines);
+        steps.iter().for_each(|step| self.order(step));
+        self.check();
+        steps
+    }
+
+    /// Runs rounds until nothing is wanted for a while, and returns the moves that it took; `None` if it never rests.
+    pub(crate) fn rest(&mut self) -> Option<u32> {
+        const QUIET_ROUNDS: u32 = 30;
+        const ROUNDS_MAX: u32 = 1_500;
+        let before = self.moves;
+        let mut quiet = 0;
+        for _ in 0..ROUNDS_MAX {
+            let steps = self.round();
+            let idle = steps.is_empty() && self.orders.is_empty();
+            quiet = if idle { quiet + 1 } else { 0 };
+            if quiet == QUIET_ROUNDS {
+                return Some(self.moves - before);
+            }
+        }
+        None
+    }
+
+    /// Runs rounds until nothing is wanted for a while.
+    ///
+    /// # Panics
+    ///
+    /// If the fleet never comes to rest.
+    pub(crate) fn converge(&mut self, what: &str) {
+        let moves = self.rest();
+        assert!(
+            moves.is_some(),
+            "{what}: still moving after {} moves",
+            self.moves
+        );
+    }
+
+    /// Returns the artifacts that no confirmed copy of their wanted version serves.
+    pub(crate) fn unreachable(&self) -> Vec<Artifact> {
+        let catalog = self.state.catalog();
+        let artifacts = catalog.models().keys().chain(catalog.adapters().keys());
+        let missing = artifacts.filter(|a| !self.is_served(a, catalog.wanted(a).map(|w| w.0)));
+        missing.cloned().collect()
+    }
+
+    /// Tells whether a copy, of one version or of any, can be used: an adapter needs its base model beside it.
+    fn is_served(&self, artifact: &Artifact, version: Option<Version>) -> bool {
+        let catalog = self.state.catalog();
+        let base = catalog
+            .adapters()
+            .get(artifact)
+            .map(|adapter| &adapter.base);
+        let mut accounts = self.state.ledger().accounts().values();
+        accounts.any(|account| {
+            let held = match version {
+                Some(version) => account.serves(artifact, version),
+                None => account.serves_any(artifact),
+            };
+            held && base.is_none_or(|base| account.serves_any(base))
+        })
+    }
+
+    fn order(&mut self, step: &Step) {
+        let account = self.state.ledger().accounts().get(&step.endpoint);
+        let last = account.map_or(0, |account| account.last.0);
+        let sequence = Sequence(last + 1);
+        let outcome = self.append(Record::Intent(Intent {
+            leader: self.leader.clone(),
+            term: self.term,
+            endpoint: step.endpoint.clone(),
+            sequence,
+            operation: step.operation.clone(),
+        }));
+        if let Outcome::Rejected(reason) = outcome {
+            self.rejected.push(format!("{step:?}: {reason}"));
+            return;
+        }
+        self.moves += 1;
+        let delay_ms = self.random.random_range(0..6) * ROUND_MS;
+        self.orders.push(Order {
+            endpoint: step.endpoint.clone(),
+            sequence,
+            operation: step.operation.clone(),
+            due_ms: self.now_ms + delay_ms,
+        });
+    }
+
+    /// Settles the orders that are due; now and then an engine refuses one for good.
+    fn carry_out(&mut self) {
+        let now_ms = self.now_ms;
+        let orders = std::mem::take(&mut self.orders);
+        let (due, later) = orders.into_iter().partition(|order| order.due_ms <= now_ms);
+        self.orders = later;
+        for order in due {
+            let refused = self.random.random_bool(0.03);
+            let settlement = if refused {
+                Settlement::Refused
+            } else {
+                Settlement::Done
+            };
+            let boot = self
+                .state
+                .ledger()
+                .accounts()
+                .get(&order.endpoint)
+                .map(|a| a.boot);
+            self.append(Record::Settled(Settled {
+                endpoint: order.endpoint,
+                sequence: order.sequence,
+                boot: boot.expect("the engine was reported"),
+                settlement,
+            }));
+        }
+    }
+
+    /// Checks memory, the loads under way, and that what was reachable still is.
+    fn check(&mut self) {
+        let catalog = self.state.catalog();
+        for (name, spec) in catalog.endpoints().iter() {
+            let EndpointKind::Engine { memory_mb, .. } = spec.kind else {
+                continue;
+            };
+            assert!(
+                self.state.ledger().used_mb(name) <= memory_mb,
+                "{name} is overcommitted"
+            );
+        }
+        let loads = |adapters: bool| {
+            let is_load = |order: &&Order| match &order.operation {
+                Operation::Load(name, _) => catalog.adapters().contains(name) == adapters,
+                Operation::Unload(..) => false,
+            };
+            self.orders.iter().filter(is_load).count()
+        };
+        let options = self.planner.options();
+        assert!(loads(false) <= options.loads_in_flight as usize);
+        assert!(loads(true) <= options.adapters_in_flight as usize);
+        for name in self.reached.keys() {
+            assert!(
+                self.is_served(name, None),
+                "{name} was reachable and is not"
+            );
+        }
+        let names = catalog.models().keys().chain(catalog.adapters().keys());
+        let served = names.filter(|name| self.is_served(name, None)).cloned();
+        self.reached = served.map(|name| (name, ())).collect();
+    }
+}
+
+pub(crate) fn domain(at: usize) -> Domain {
+    Domain::try_new(format!("d{}", at % 3)).expect("the name is valid")
+}
+
+pub(crate) fn spec(at: usize, memory_mb: u64) -> EndpointSpec {
+    EndpointSpec {
+        address: format!("127.0.0.1:{}", 9_000 + at),
+        domain: domain(at),
+        kind: EndpointKind::Engine {
+            accelerators: 1,
+            memory_mb,
+            checks_fencing: true,
+        },
+        draining: false,
+    }
+}
