Take the VM list as a hint for suspicion

Cause: a VM that the platform no longer lists is most likely gone, and waiting the whole time for it holds up its shares. The list never retires anybody by itself.

--- a/crates/quetzalpick-node/src/replica/contacts.rs
+++ b/crates/quetzalpick-node/src/replica/contacts.rs
@@ -25,6 +25,8 @@
     known: Table<Member, Contact>,
     /// Silence counts from here for members that were never heard, in ms.
     awake_since: u64,
+    /// VMs on the platform's list, sorted; empty while it is not known.
+    listed: Vec<String>,
 }
 
 impl Contacts {
@@ -49,6 +51,23 @@
         self.awake_since = now;
     }
 
+    /// Takes the platform's list of VMs, which lags and is a hint only.
+    pub(crate) fn list(&mut self, vms: impl Iterator<Item = String>) {
+        self.listed = vms.collect();
+        self.listed.sort_unstable();
+    }
+
+    /// Tells whether the platform's list is known and lacks a member's VM.
+    pub(crate) fn is_unlisted(&self, member: &Member) -> bool {
+        // A process is named after its VM and its role.
+        let name = member.vm.as_str();
+        let vm = name.rsplit_once('/').map_or(name, |(vm, _)| vm);
+        let found = self
+            .listed
+            .binary_search_by(|listed| listed.as_str().cmp(vm));
+        !self.listed.is_empty() && found.is_err()
+    }
+
     /// Returns for how long a member that joined has been silent, in ms.
     pub(crate) fn silence(&self, now: u64, member: &Member) -> u64 {
         let heard = self.known.get(member).map_or(0, |contact| contact.heard_at);
--- a/crates/quetzalpick-node/src/replica/handle.rs
+++ b/crates/quetzalpick-node/src/replica/handle.rs
@@ -14,6 +14,7 @@
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_platform::errors::{Result as CallResult, unanswered};
 use quetzalpick_platform::traits::Log;
+use quetzalpick_platform::wire::vms;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -206,6 +207,12 @@
         *lock(&self.shared.payload) = payload;
     }
 
+    /// Takes the platform's list of VMs: a silent member whose VM it lacks is suspected in half the time.
+    pub fn hint(&self, list: &vms::List) {
+        let names = list.vms.iter().map(|vm| vm.name.clone());
+        lock(&self.shared.contacts).list(names);
+    }
+
     /// Calls the application of a peer; `path` begins with `/`.
     ///
     /// # Errors
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -157,7 +157,13 @@
             let later = joined.is_some_and(|joined| row.joined > joined);
             later && other.vm == member.vm && contacts.silence(now, other) < limit
         };
-        contacts.silence(now, member) >= limit || members.iter().any(replaces)
+        // A VM that the platform no longer lists is most likely gone.
+        let limit_of_member = if contacts.is_unlisted(member) {
+            limit / 2
+        } else {
+            limit
+        };
+        contacts.silence(now, member) >= limit_of_member || members.iter().any(replaces)
     }
 
     /// Returns the silence after which a member is suspected, in ms.
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -10,6 +10,7 @@
 use quetzalpick_core::state::{Reason, State};
 use quetzalpick_node::replica::{Answer, Options};
 use quetzalpick_platform::traits::Stream;
+use quetzalpick_platform::wire::vms;
 use support::{Fleet, command, sleep, workspace};
 
 /// Default lease, in ms.
@@ -279,3 +280,42 @@
         "{counts:?}\nunleased in 60 s, in ms: {unleased_ms:?}"
     ));
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_vm_list_and_a_restart_hasten_suspicion() {
+    let suspected_after = async |listed: &[&str], restart: bool| {
+        let mut fleet = Fleet::start(3).await;
+        let vm = |name: &&str| vms::Vm {
+            name: (*name).to_owned(),
+            domain: "a".to_owned(),
+            address: "127.0.0.1".to_owned(),
+            status: vms::Status::Live,
+        };
+        let list = vms::List {
+            vms: listed.iter().map(vm).collect(),
+        };
+        fleet.processes.iter().for_each(|p| p.replica.hint(&list));
+        if restart {
+            fleet.restart(2, 1, false).await;
+        } else {
+            fleet.kill(2);
+        }
+        for tenths in 0..100 {
+            if fleet.story().contains("Suspect(") {
+                return tenths;
+            }
+            sleep(100).await;
+        }
+        panic!("not suspected: {}", fleet.story());
+    };
+    let all = ["vm-0", "vm-1", "vm-2"];
+    let plain = suspected_after(&all, false).await;
+    let unlisted = suspected_after(&all[..2], false).await;
+    let restarted = suspected_after(&all, true).await;
+    let unknown = suspected_after(&[], false).await;
+    assert!(
+        unlisted < plain && restarted < unlisted,
+        "{plain} {unlisted} {restarted}"
+    );
+    assert_eq!(unknown, plain);
+}
