--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use quetzalpick_core::id::{Offset, Revision};
-use quetzalpick_core::record::{Author, Entry};
-use quetzalpick_core::state::{Reason, State};
+use bytes::Bytes;
+use quetzalpick_core::id::{Domain, Offset, Revision};
+use quetzalpick_core::record::{Author, Entry, Role};
+use quetzalpick_core::state::{Reason, Snapshot, State};
+use quetzalpick_node::peer::{Blob, Exchange, Statement, Transport};
 use quetzalpick_node::replica::{Answer, Options};
 use quetzalpick_platform::traits::Stream;
 use quetzalpick_platform::wire::vms;
@@ -319,3 +321,54 @@
     );
     assert_eq!(unknown, plain);
 }
+
+#[tokio::test(start_paused = true)]
+async fn keepers_let_old_commands_be_forgotten() {
+    let short = |options: &mut Options| options.claim_retention = Duration::from_secs(60);
+    let fleet = Fleet::start_with(2, short).await;
+    let replica = &fleet.processes[1].replica;
+    let author = Author::Operator("ada".to_owned());
+    replica
+        .submit_as(author, command(7), workspace("x"), None)
+        .await;
+    sleep(55_000).await;
+    assert!(replica.ask(command(7)).is_some());
+    sleep(20_000).await;
+    assert_eq!(replica.ask(command(7)), None);
+    let story = fleet.story();
+    let mut expiries = story.lines().filter(|line| line.contains("Expire("));
+    assert!(
+        expiries.all(|line| line.contains("keeper#") && line.contains("Accepted")),
+        "{story}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_bodies_are_refused_and_a_differing_digest_is_counted() {
+    let fleet = Fleet::start(2).await;
+    let wire = fleet.wire("127.0.0.1:9999");
+    let to = &fleet.processes[0].address;
+    for path in ["/peer/exchange", "/peer/entries", "/app/echo", "/other", ""] {
+        let answer = wire.call(to, path, "nonsense".into()).await;
+        assert!(answer.is_err(), "{path}");
+    }
+    let state = wire.call(to, "/peer/state", Bytes::new()).await.unwrap();
+    let state = Snapshot::from_bytes(&state).unwrap().open().unwrap();
+    // The other process now seems to have applied the same entries to another effect.
+    let exchange = Exchange {
+        statement: Statement {
+            member: fleet.processes[1].replica.member(),
+            applied: state.next(),
+            digest: state.digest() ^ 1,
+        },
+        role: Role::Gate,
+        domain: Domain::try_new("d1").unwrap(),
+        address: fleet.processes[1].address.clone(),
+        active: true,
+        payload: Blob::default(),
+    };
+    let body = rmp_serde::to_vec(&exchange).unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 0);
+    wire.call(to, "/peer/exchange", body.into()).await.unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 1);
+}
--- a/crates/quetzalpick-node/tests/support/mod.rs
+++ b/crates/quetzalpick-node/tests/support/mod.rs
@@ -249,10 +249,7 @@
         options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
         change(&mut options);
         let log = self.log.handle(&format!("{number}"));
-        let wire = Wire {
-            network: self.network.clone(),
-            address: address.clone(),
-        };
+        let wire = self.wire(&address);
         let made = Replica::try_new(log.clone(), wire, options, Echo).await;
         let (replica, driver) = made.unwrap();
         let freeze = Freeze::default();
@@ -268,6 +265,14 @@
         self.processes.len() - 1
     }
 
+    /// Returns an end of the network at an address where no process is.
+    pub(crate) fn wire(&self, address: &str) -> Wire {
+        Wire {
+            network: self.network.clone(),
+            address: address.to_owned(),
+        }
+    }
+
     /// Ends a process without any notice.
     pub(crate) fn kill(&mut self, at: usize) {
         self.processes.remove(at);
