Check a lease without asking for the majority while the log can be read

Cause: each request checks the lease, and the check sorted the send times of all voters; its cost grew with the fleet. Ruled out: a cached end of the lease, since a state that was just applied could be older than the cache.

--- a/crates/quetzalpick-core/src/lease.rs
+++ b/crates/quetzalpick-core/src/lease.rs
@@ -114,9 +114,7 @@
 
     /// Returns the time until which `member` may act on `state`, or `None` if it may not at all.
     pub fn until(&self, now: u64, state: &State, member: &Member) -> Option<u64> {
-        // A member under suspicion holds no lease, so that nobody has to wait for it after the suspicion is known.
-        let membership = state.roster().members().get(member)?;
-        if membership.suspected.is_some() {
+        if !may_hold(state, member) {
             return None;
         }
         let read = self.reads.sent_at(state.next());
@@ -127,6 +125,11 @@
 
     /// Tells whether `member` may act on `state` now.
     pub fn holds(&self, now: u64, state: &State, member: &Member) -> bool {
+        // While the log can be read, nothing that grows with the number of voters needs to be looked at.
+        let read = self.reads.sent_at(state.next());
+        if read.is_some_and(|sent_at| now < sent_at + self.options.lease_ms) {
+            return may_hold(state, member);
+        }
         self.until(now, state, member)
             .is_some_and(|until| now < until)
     }
@@ -150,3 +153,11 @@
         times.get(majority - 1).copied()
     }
 }
+
+/// Tells whether a member may hold a lease at all.
+///
+/// One under suspicion may not, so that nobody has to wait for it after the suspicion is known.
+fn may_hold(state: &State, member: &Member) -> bool {
+    let membership = state.roster().members().get(member);
+    membership.is_some_and(|membership| membership.suspected.is_none())
+}
--- a/crates/quetzalpick-node/src/replica/shared.rs
+++ b/crates/quetzalpick-node/src/replica/shared.rs
@@ -64,6 +64,8 @@
     pub(crate) read_at: AtomicU64,
     /// Time until which no quick read is tried for a missing lease, in ms.
     pub(crate) unleased_until: AtomicU64,
+    /// Last change of the voters after which statements of others were forgotten.
+    seats_pruned: AtomicU64,
     /// Digests of peers that differed at the same offset.
     pub(crate) divergences: AtomicU64,
     pub(crate) leaving: AtomicBool,
@@ -93,6 +95,7 @@
             exchange_now: Notify::new(),
             read_at: AtomicU64::new(0),
             unleased_until: AtomicU64::new(0),
+            seats_pruned: AtomicU64::new(0),
             divergences: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             stop: CancellationToken::new(),
@@ -174,7 +177,10 @@
         let me = self.me();
         let next = {
             let view = self.view();
-            lock(&self.lease).prune(&view.state);
+            let seats = view.state.roster().seats_changed().0;
+            if self.seats_pruned.swap(seats, Ordering::Relaxed) != seats {
+                lock(&self.lease).prune(&view.state);
+            }
             let mut witness = lock(&self.witness);
             witness.observe(now, &view.state);
             witness.statement(&me, view.state.next(), now);
