Let a bounded number of members vote, spread over the failure domains

Cause: with all members as voters, a lease without the log takes exchanges with half of the fleet in each lease; at 740 members that is far over the budget of messages. The limit is 21, above the size of today's fleets, so nothing changes for them. Ruled out: electing voters by a separate procedure; the seat change that replaces departed voters does it. Before and after: 9 members with 3 voters and a sample of 2 peers keep all leases through 30 s of outage after one voter died (test few_voters_in_all_domains_carry_a_sampled_fleet_through_an_outage); there was no such case before.

--- a/crates/quetzalpick-node/src/replica/exchange.rs
+++ b/crates/quetzalpick-node/src/replica/exchange.rs
@@ -57,24 +57,27 @@
         join_all(calls).await;
     }
 
-    /// Returns the members to call: all, or a sample while the log can be read.
+    /// Returns the members to call: all or a sample, and all voters while the log cannot be read.
     fn targets(&self) -> Vec<(Member, String)> {
         let me = self.me();
+        let reads = self.reads_within(self.options.exchange_interval * 2);
         let view = self.view();
-        let members = view.state.roster().members().iter();
-        let others = members.filter(|(member, _)| **member != me);
-        let mut targets: Vec<(Member, String)> = others
-            .map(|(m, row)| (m.clone(), row.peer_address.clone()))
-            .collect();
+        let roster = view.state.roster();
+        let mut targets = Vec::new();
+        let mut others = Vec::new();
+        for (member, row) in roster.members().iter().filter(|(member, _)| **member != me) {
+            // Without the log the lease rests on the voters, so that none of them is left out.
+            let needed = !reads && roster.is_voter(member);
+            let list = if needed { &mut targets } else { &mut others };
+            list.push((member.clone(), row.peer_address.clone()));
+        }
         drop(view);
-        // Without the log the lease rests on the voters, so that none is left out.
         let sample = self.options.exchange_sample.unwrap_or(usize::MAX);
-        if self.reads_within(self.options.exchange_interval * 2) {
-            while targets.len() > sample {
-                let at = self.random_below(targets.len() as u64);
-                targets.swap_remove(at as usize);
-            }
+        while others.len() > sample {
+            let at = self.random_below(others.len() as u64);
+            others.swap_remove(at as usize);
         }
+        targets.append(&mut others);
         targets
     }
 
--- a/crates/quetzalpick-node/src/replica/mod.rs
+++ b/crates/quetzalpick-node/src/replica/mod.rs
@@ -21,4 +21,4 @@
 
 pub use answer::{Answer, Peer, Unleased};
 pub use handle::Replica;
-pub use options::Options;
+pub use options::{Options, VOTERS_MAX};
--- a/crates/quetzalpick-node/src/replica/options.rs
+++ b/crates/quetzalpick-node/src/replica/options.rs
@@ -7,6 +7,9 @@
 
 use crate::errors::{Result, invalid};
 
+/// Most members that vote, unless set otherwise.
+pub const VOTERS_MAX: usize = 21;
+
 /// `Options` are the settings of a replica.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -30,6 +33,8 @@
     pub exchange_interval: Duration,
     /// Peers called in each exchange; `None` for all.
     pub exchange_sample: Option<usize>,
+    /// Most members that vote, spread over the failure domains.
+    pub voters: usize,
     /// Silence after which a peer is suspected.
     pub suspicion: Duration,
     /// How long the log service keeps records.
@@ -64,6 +69,7 @@
             lease: Duration::from_secs(5),
             exchange_interval: Duration::from_millis(500),
             exchange_sample: None,
+            voters: VOTERS_MAX,
             suspicion: Duration::from_secs(3),
             log_retention: Duration::from_secs(3600),
             claim_retention: Duration::from_secs(24 * 3600),
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::id::{Domain, Member, Offset};
 use quetzalpick_core::record::{Record, Retire, Role, Seat};
 use quetzalpick_core::state::{Membership, State};
 use quetzalpick_platform::traits::Log;
@@ -237,18 +237,23 @@
         Some((duty, Record::Seat(seat)))
     }
 
-    /// Returns an active member that does not vote yet and is heard.
+    /// Returns an active member that is heard and is to vote, from the failure domain with the fewest voters.
     fn next_voter<'a>(&self, now: u64, state: &'a State) -> Option<&'a Member> {
+        let roster = state.roster();
+        if roster.voters().len() >= self.options.voters {
+            return None;
+        }
         let me = self.me();
         let is_heard = |m: &Member| *m == me || !self.is_silent(now, state, m);
-        let roster = state.roster();
-        let mut active = roster
-            .members()
-            .iter()
-            .filter(|(_, row)| row.suspected.is_none());
-        active
-            .find(|(m, _)| !roster.is_voter(m) && is_heard(m))
-            .map(|(m, _)| m)
+        let members = || roster.members().iter();
+        let voters_in = |domain: &Domain| {
+            let beside = members().filter(|(m, row)| row.domain == *domain && roster.is_voter(m));
+            beside.count()
+        };
+        let fit = members().filter(|(m, row)| row.suspected.is_none() && !roster.is_voter(m));
+        let heard = fit.filter(|(m, _)| is_heard(m));
+        let next = heard.min_by_key(|(_, row)| (voters_in(&row.domain), row.joined));
+        next.map(|(m, _)| m)
     }
 
     /// Returns the expiry of claims that a keeper has seen for longer than they are remembered.
--- a/crates/quetzalpick-node/src/settings/sections.rs
+++ b/crates/quetzalpick-node/src/settings/sections.rs
@@ -89,6 +89,8 @@
     pub exchange_interval: Duration,
     /// Peers called in each exchange, 0 for all.
     pub exchange_sample: usize,
+    /// Most members that vote; the same for all processes.
+    pub voters: usize,
     /// Silence after which a peer is suspected.
     pub suspicion: Duration,
     /// How long claims and command ids are remembered.
@@ -118,6 +120,8 @@
             exchange_interval: reader.millis("exchange_interval_ms", 500, 50..=10_000),
             exchange_sample: reader.number("exchange_sample", 0, 0..=1_000, "peers, 0 for all")
                 as usize,
+            voters: reader.number("voters", replica::VOTERS_MAX as u64, 1..=101, "members")
+                as usize,
             suspicion: reader.millis("suspicion_ms", 3_000, 500..=60_000),
             claim_retention: reader.millis(
                 "claim_retention_ms",
@@ -151,6 +155,7 @@
             lease: self.lease,
             exchange_interval: self.exchange_interval,
             exchange_sample: (self.exchange_sample > 0).then_some(self.exchange_sample),
+            voters: self.voters,
             suspicion: self.suspicion,
             log_retention: platform.log_retention,
             claim_retention: self.claim_retention,
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -372,3 +372,45 @@
     wire.call(to, "/peer/exchange", body.into()).await.unwrap();
     assert_eq!(fleet.processes[0].replica.divergences(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn few_voters_in_all_domains_carry_a_sampled_fleet_through_an_outage() {
+    let sampled = |options: &mut Options| {
+        options.voters = 3;
+        options.exchange_sample = Some(2);
+    };
+    let mut fleet = Fleet::start_with(9, sampled).await;
+    let voters = |fleet: &Fleet| {
+        let domains = |state: &State| {
+            let members = state.roster().members();
+            let domain = |voter| members.get(voter).map(|row| row.domain.to_string());
+            let mut domains: Vec<_> = state.roster().voters().iter().map(domain).collect();
+            domains.sort();
+            domains
+        };
+        fleet.processes.last().unwrap().replica.read(domains)
+    };
+    let all = ["d0", "d1", "d2"].map(|domain| Some(domain.to_owned()));
+    assert_eq!(voters(&fleet), all);
+    // A voter dies and another one of its domain takes its seat; nobody else is suspected.
+    let first = fleet.processes[0].replica.member();
+    assert!(
+        fleet.processes[0]
+            .replica
+            .read(|s| s.roster().is_voter(&first))
+    );
+    fleet.kill(0);
+    sleep(40_000).await;
+    assert_eq!(voters(&fleet), all);
+    assert_eq!(
+        fleet.story().matches("Suspect(").count(),
+        1,
+        "{}",
+        fleet.story()
+    );
+    fleet.log.outage(true);
+    for _ in 0..300 {
+        sleep(100).await;
+        assert_eq!(fleet.leased(), [true; 8]);
+    }
+}
