Show that idle connections are closed

Cause: a caller that sends nothing must not hold one of the listener's connections. Before: not shown; after: the golden session has a silent connection and a kept one that stays idle, both closed.

--- a/crates/quetzalpick-node/tests/http.rs
+++ b/crates/quetzalpick-node/tests/http.rs
@@ -98,6 +98,11 @@
         ),
         ("slow head", "GET / HTTP/1.1\r\nhost: x\r\n".to_owned()),
         ("not HTTP", "what?\r\n\r\n".to_owned()),
+        ("nothing sent", String::new()),
+        (
+            "kept alive and idle",
+            post(5, "hello").replace("connection: close\r\n", ""),
+        ),
         ("still whole", post(5, "hello")),
     ];
     let mut session = String::new();
