--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use quetzalpick_core::id::{Offset, Revision};
-use quetzalpick_core::record::{Author, Entry};
-use quetzalpick_core::state::{Reason, State};
+use bytes::Bytes;
+use quetzalpick_core::id::{Domain, Offset, Revision};
+use quetzalpick_core::record::{Author, Entry, Role};
+use quetzalpick_core::state::{Reason, Snapshot, State};
+use quetzalpick_node::peer::{Blob, Exchange, Statement, Transport};
 use quetzalpick_node::replica::{Answer, Options};
 use quetzalpick_platform::traits::Stream;
+use quetzalpick_platform::wire::vms;
 use support::{Fleet, command, sleep, workspace};
 
 /// Default lease, in ms.
@@ -279,3 +282,135 @@
         "{counts:?}\nunleased in 60 s, in ms: {unleased_ms:?}"
     ));
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_vm_list_and_a_restart_hasten_suspicion() {
+    let suspected_after = async |listed: &[&str], restart: bool| {
+        let mut fleet = Fleet::start(3).await;
+        let vm = |name: &&str| vms::Vm {
+            name: (*name).to_owned(),
+            domain: "a".to_owned(),
+            address: "127.0.0.1".to_owned(),
+            status: vms::Status::Live,
+        };
+        let list = vms::List {
+            vms: listed.iter().map(vm).collect(),
+        };
+        fleet.processes.iter().for_each(|p| p.replica.hint(&list));
+        if restart {
+            fleet.restart(2, 1, false).await;
+        } else {
+            fleet.kill(2);
+        }
+        for tenths in 0..100 {
+            if fleet.story().contains("Suspect(") {
+                return tenths;
+            }
+            sleep(100).await;
+        }
+        panic!("not suspected: {}", fleet.story());
+    };
+    let all = ["vm-0", "vm-1", "vm-2"];
+    let plain = suspected_after(&all, false).await;
+    let unlisted = suspected_after(&all[..2], false).await;
+    let restarted = suspected_after(&all, true).await;
+    let unknown = suspected_after(&[], false).await;
+    assert!(
+        unlisted < plain && restarted < unlisted,
+        "{plain} {unlisted} {restarted}"
+    );
+    assert_eq!(unknown, plain);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keepers_let_old_commands_be_forgotten() {
+    let short = |options: &mut Options| options.claim_retention = Duration::from_secs(60);
+    let fleet = Fleet::start_with(2, short).await;
+    let replica = &fleet.processes[1].replica;
+    let author = Author::Operator("ada".to_owned());
+    replica
+        .submit_as(author, command(7), workspace("x"), None)
+        .await;
+    sleep(55_000).await;
+    assert!(replica.ask(command(7)).is_some());
+    sleep(20_000).await;
+    assert_eq!(replica.ask(command(7)), None);
+    let story = fleet.story();
+    let mut expiries = story.lines().filter(|line| line.contains("Expire("));
+    assert!(
+        expiries.all(|line| line.contains("keeper#") && line.contains("Accepted")),
+        "{story}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_bodies_are_refused_and_a_differing_digest_is_counted() {
+    let fleet = Fleet::start(2).await;
+    let wire = fleet.wire("127.0.0.1:9999");
+    let to = &fleet.processes[0].address;
+    for path in ["/peer/exchange", "/peer/entries", "/app/echo", "/other", ""] {
+        let answer = wire.call(to, path, "nonsense".into()).await;
+        assert!(answer.is_err(), "{path}");
+    }
+    let state = wire.call(to, "/peer/state", Bytes::new()).await.unwrap();
+    let state = Snapshot::from_bytes(&state).unwrap().open().unwrap();
+    // The other process now seems to have applied the same entries to another effect.
+    let exchange = Exchange {
+        statement: Statement {
+            member: fleet.processes[1].replica.member(),
+            applied: state.next(),
+            digest: state.digest() ^ 1,
+        },
+        role: Role::Gate,
+        domain: Domain::try_new("d1").unwrap(),
+        address: fleet.processes[1].address.clone(),
+        active: true,
+        payload: Blob::default(),
+    };
+    let body = rmp_serde::to_vec(&exchange).unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 0);
+    wire.call(to, "/peer/exchange", body.into()).await.unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn few_voters_in_all_domains_carry_a_sampled_fleet_through_an_outage() {
+    let sampled = |options: &mut Options| {
+        options.voters = 3;
+        options.exchange_sample = Some(2);
+    };
+    let mut fleet = Fleet::start_with(9, sampled).await;
+    let voters = |fleet: &Fleet| {
+        let domains = |state: &State| {
+            let members = state.roster().members();
+            let domain = |voter| members.get(voter).map(|row| row.domain.to_string());
+            let mut domains: Vec<_> = state.roster().voters().iter().map(domain).collect();
+            domains.sort();
+            domains
+        };
+        fleet.processes.last().unwrap().replica.read(domains)
+    };
+    let all = ["d0", "d1", "d2"].map(|domain| Some(domain.to_owned()));
+    assert_eq!(voters(&fleet), all);
+    // A voter dies and another one of its domain takes its seat; nobody else is suspected.
+    let first = fleet.processes[0].replica.member();
+    assert!(
+        fleet.processes[0]
+            .replica
+            .read(|s| s.roster().is_voter(&first))
+    );
+    fleet.kill(0);
+    sleep(40_000).await;
+    assert_eq!(voters(&fleet), all);
+    assert_eq!(
+        fleet.story().matches("Suspect(").count(),
+        1,
+        "{}",
+        fleet.story()
+    );
+    fleet.log.outage(true);
+    for _ in 0..300 {
+        sleep(100).await;
+        assert_eq!(fleet.leased(), [true; 8]);
+    }
+}
--- a/crates/quetzalpick-node/tests/support/mod.rs
+++ b/crates/quetzalpick-node/tests/support/mod.rs
@@ -139,6 +139,7 @@
     pub(crate) replica: Replica<Log, Wire>,
     pub(crate) log: Log,
     pub(crate) address: String,
+    number: u64,
     freeze: Freeze,
     work: JoinHandle<()>,
 }
@@ -210,9 +211,12 @@
         for number in 0..count {
             fleet.spawn_with(number, 0, &change).await;
         }
+        let mut options = fleet.options(0, 0);
+        change(&mut options);
+        let count = options.voters.min(fleet.processes.len());
         let voters = |p: &Process| p.replica.read(|s| s.roster().voters().len());
         for _ in 0..600 {
-            if fleet.processes.iter().all(|p| voters(p) as u64 == count) {
+            if fleet.processes.iter().all(|p| voters(p) == count) {
                 return fleet;
             }
             sleep(100).await;
@@ -232,26 +236,11 @@
         start: u64,
         change: impl FnOnce(&mut Options),
     ) -> usize {
-        let role = if number.is_multiple_of(2) {
-            Role::Keeper
-        } else {
-            Role::Gate
-        };
-        let member = Member {
-            vm: Vm::try_new(format!("vm-{number}/{role}")).unwrap(),
-            incarnation: Incarnation(number * 16 + start),
-        };
-        let address = format!("127.0.0.1:{}", 7000 + number);
-        let domain = Domain::try_new(format!("d{}", number % 3)).unwrap();
-        let mut options = Options::new(member, role, domain, &address);
-        options.seed = number * 16 + start;
-        options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
+        let mut options = self.options(number, start);
         change(&mut options);
+        let address = options.peer_address.clone();
         let log = self.log.handle(&format!("{number}"));
-        let wire = Wire {
-            network: self.network.clone(),
-            address: address.clone(),
-        };
+        let wire = self.wire(&address);
         let made = Replica::try_new(log.clone(), wire, options, Echo).await;
         let (replica, driver) = made.unwrap();
         let freeze = Freeze::default();
@@ -260,17 +249,57 @@
             replica,
             log,
             address,
+            number,
             freeze,
             work,
         });
         self.processes.len() - 1
     }
 
+    /// Returns the options of a process.
+    fn options(&self, number: u64, start: u64) -> Options {
+        let role = if number.is_multiple_of(2) {
+            Role::Keeper
+        } else {
+            Role::Gate
+        };
+        let member = Member {
+            vm: Vm::try_new(format!("vm-{number}/{role}")).unwrap(),
+            incarnation: Incarnation(number * 1_000 + start),
+        };
+        let address = format!("127.0.0.1:{}", 7000 + number);
+        let domain = Domain::try_new(format!("d{}", number % 3)).unwrap();
+        let mut options = Options::new(member, role, domain, &address);
+        options.seed = number * 1_000 + start;
+        options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
+        options
+    }
+
+    /// Returns an end of the network at an address where no process is.
+    pub(crate) fn wire(&self, address: &str) -> Wire {
+        Wire {
+            network: self.network.clone(),
+            address: address.to_owned(),
+        }
+    }
+
     /// Ends a process without any notice.
     pub(crate) fn kill(&mut self, at: usize) {
         self.processes.remove(at);
     }
 
+    /// Ends a process, after its departure was recorded or without any notice, and starts it anew in its place.
+    pub(crate) async fn restart(&mut self, at: usize, start: u64, planned: bool) {
+        let number = self.processes[at].number;
+        if planned {
+            let _ = self.processes[at].replica.leave().await;
+        }
+        self.kill(at);
+        let last = self.spawn(number, start).await;
+        let process = self.processes.remove(last);
+        self.processes.insert(at, process);
+    }
+
     /// Cuts or joins all connections between two sides.
     pub(crate) fn part(&self, a: &[usize], b: &[usize], cut: bool) {
         for x in a {
