Prove the stand-ins by golden sessions and echo request ids on every answer

Refusals that a fault switch causes carried no x-request-id, so that a caller that checks it took a true refusal for a crossed answer. The echo now stands once, in the shared server. A crossed answer of the service carries another's body too.

--- a/crates/quetzalpick-standin/src/engine/completion.rs
+++ b/crates/quetzalpick-standin/src/engine/completion.rs
@@ -12,10 +12,7 @@
 use super::usage::Usage;
 use super::{stream, token};
 use crate::fault::Fault;
-use crate::server::{Call, Reply, error, json};
-
-/// Header with the caller's request id.
-pub(crate) const REQUEST_ID: &str = "x-request-id";
+use crate::server::{Call, REQUEST_ID, Reply, error, json};
 
 /// Header with the reason for which nothing ran.
 const NOT_RUN: &str = "x-not-run";
@@ -64,14 +61,7 @@
     }
     let id = call.header(REQUEST_ID).map(str::to_owned);
     let id = id.unwrap_or_else(|| app.draw_id());
-    let reply = admit(app, call, kind, request, prompt, &id).await;
-    // A crossed answer carries the other request's id already.
-    match &reply {
-        Reply::Answer(response) if !response.headers().contains_key(REQUEST_ID) => {
-            reply.with_header(REQUEST_ID, &id)
-        }
-        _ => reply,
-    }
+    admit(app, call, kind, request, prompt, &id).await
 }
 
 /// Checks that a request can run here, waits for its turn and lets it run.
--- a/crates/quetzalpick-standin/src/engine/stream.rs
+++ b/crates/quetzalpick-standin/src/engine/stream.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use serde_json::{Value, json as value};
 
-use super::completion::{Job, Kind, REQUEST_ID, envelope, usage};
+use super::completion::{Job, Kind, envelope, usage};
 use super::token;
-use crate::server::{Broken, Reply, Sender, parts};
+use crate::server::{Broken, REQUEST_ID, Reply, Sender, parts};
 
 /// Chunks that may wait for a slow reader before generation waits too.
 const CHUNKS_BUFFERED: usize = 16;
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -15,6 +15,9 @@
 use crate::fault::{Fault, Faults, Switch};
 use crate::seen::Recorder;
 
+/// Header with the caller's request id.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
 /// Beginning of the paths of the administration.
 const ADMIN: &str = "/admin/";
 
@@ -82,8 +85,20 @@
     error(StatusCode::NOT_FOUND, "not_found", message)
 }
 
-/// Answers a call, as the faults that are on let it be answered.
+/// Answers a call, with the caller's request id unless the answer carries another one.
 pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
+    let id = call.header(REQUEST_ID).map(str::to_owned);
+    let reply = answer_with_faults(app, call, limit).await;
+    match (&reply, id) {
+        (Reply::Answer(response), Some(id)) if !response.headers().contains_key(REQUEST_ID) => {
+            reply.with_header(REQUEST_ID, id)
+        }
+        _ => reply,
+    }
+}
+
+/// Answers a call, as the faults that are on let it be answered.
+async fn answer_with_faults<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
     let path = call.path().to_owned();
     if let Some(name) = path.strip_prefix(ADMIN) {
         return administer(&app, name, &call);
--- a/crates/quetzalpick-standin/src/service/server.rs
+++ b/crates/quetzalpick-standin/src/service/server.rs
@@ -15,10 +15,7 @@
 use crate::errors::Result;
 use crate::fault::{Fault, Faults};
 use crate::seen::Recorder;
-use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
-
-/// Header with the caller's request id.
-const REQUEST_ID: &str = "x-request-id";
+use crate::server::{Application, Call, Listener, REQUEST_ID, Reply, error, json, unknown};
 
 /// Request id of an answer that belongs to nobody's request.
 const NOBODY: &str = "nobody";
@@ -221,10 +218,10 @@
                 _ => unknown(&call),
             }
         };
-        match call.header(REQUEST_ID) {
-            _ if crossed => reply.with_header(REQUEST_ID, NOBODY),
-            Some(id) => reply.with_header(REQUEST_ID, id),
-            None => reply,
+        if crossed {
+            let other = value!({"order": NOBODY, "confirmation": NOBODY, "executions": 0});
+            return json(StatusCode::CREATED, &other).with_header(REQUEST_ID, NOBODY);
         }
+        reply
     }
 }
--- /dev/null
+++ b/crates/quetzalpick-standin/tests/caller/mod.rs
@@ -0,0 +1,72 @@
+//! A caller that writes down each exchange as a golden session.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use quetzalpick_platform::http::{Pool, Timeouts};
+
+/// Headers that sessions show; the others are the library's.
+const SHOWN: [&str; 4] = ["x-request-id", "x-not-run", "retry-after", "content-type"];
+
+/// A caller of one stand-in.
+#[derive(Debug, Default)]
+pub(crate) struct Caller {
+    pub(crate) session: String,
+    pool: Pool,
+    address: String,
+}
+
+impl Caller {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let address = address.to_string();
+        Self {
+            address,
+            ..Self::default()
+        }
+    }
+
+    /// Sends `METHOD /path header=value ...` with a body, writes the exchange down and returns the answer's body.
+    pub(crate) async fn send(&mut self, line: &str, body: &str) -> String {
+        let mut words = line.split(' ');
+        let method = words.next().unwrap();
+        let mut request = hyper::Request::builder()
+            .method(method)
+            .uri(words.next().unwrap());
+        for header in words {
+            let (name, value) = header.split_once('=').unwrap();
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(body.to_owned())));
+        writeln!(self.session, "> {line} {body}").unwrap();
+        let sent = self
+            .pool
+            .send(&self.address, request.unwrap(), Timeouts::default());
+        let response = match sent.await {
+            Ok(response) => response,
+            Err(failure) => {
+                writeln!(self.session, "< {}\n", failure.verdict()).unwrap();
+                return String::new();
+            }
+        };
+        write!(self.session, "< {}", response.status().as_u16()).unwrap();
+        for name in SHOWN {
+            if let Some(value) = response.headers().get(name) {
+                write!(self.session, " {name}={}", value.to_str().unwrap()).unwrap();
+            }
+        }
+        let mut body = response.into_body();
+        let mut text = String::new();
+        let mut broken = "";
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => text += std::str::from_utf8(&frame.into_data().unwrap()).unwrap(),
+                Err(_) => broken = "(broken off)\n",
+            }
+        }
+        let shown = text.trim_end();
+        writeln!(self.session, "\n{shown}\n{broken}").unwrap();
+        text
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-standin/tests/service.rs
@@ -0,0 +1,72 @@
+//! A session with the service.
+
+mod caller;
+
+use caller::Caller;
+use quetzalpick_standin::fault::Fault;
+use quetzalpick_standin::service::{Options, Server};
+
+#[tokio::test]
+async fn service_session() {
+    let server = Server::try_start(Options::default()).await.unwrap();
+    let mut caller = Caller::new(server.address());
+    let c = &mut caller;
+    c.send(
+        "POST /bookings?table=4 x-request-id=r1 x-note=fish",
+        r#"{"order":7}"#,
+    )
+    .await;
+    c.send("GET /bookings/7 x-request-id=r2", "").await;
+    c.send("GET /bookings/8", "").await;
+    c.send("GET /availability x-request-id=r3", "").await;
+    // Bad input is refused, and the service goes on.
+    c.send("POST /bookings", "{").await;
+    c.send("POST /bookings", r#"{"order":{}}"#).await;
+    c.send("PUT /bookings", "").await;
+    c.send("POST /admin/fault", r#"{"fault":"earthquake"}"#)
+        .await;
+    c.send("POST /admin/nothing", "{}").await;
+    // Faults, each for one call.
+    for (fault, order) in [
+        (r#"{"fault":"answer-lost","count":1}"#, 20),
+        (r#"{"fault":"order-lost","count":1}"#, 21),
+        (r#"{"fault":"order-delayed","ms":0,"count":1}"#, 22),
+        (r#"{"fault":"outage","count":1}"#, 23),
+        (r#"{"fault":"refuse","count":1,"path":"/bookings"}"#, 24),
+        (r#"{"fault":"close-at","bytes":30,"count":1}"#, 25),
+        (r#"{"fault":"crossed","count":1}"#, 26),
+    ] {
+        c.send("POST /admin/fault", fault).await;
+        let booking = format!(r#"{{"order":{order}}}"#);
+        c.send("POST /bookings x-request-id=r4", &booking).await;
+    }
+    c.send("POST /admin/leaving", r#"{"leaving":true}"#).await;
+    c.send("GET /availability", "").await;
+    // The record is whole once the delayed order has run.
+    while server.record().executions_of("22") == 0 {
+        tokio::task::yield_now().await;
+    }
+    c.send("GET /admin/record", "").await;
+    insta::assert_snapshot!(
+        caller
+            .session
+            .replace(&server.address().to_string(), "ADDRESS")
+    );
+    let record = server.record();
+    let executions = [7, 20, 21, 22, 23, 24, 25, 26].map(|o| record.executions_of(&o.to_string()));
+    assert_eq!(executions, [1, 1, 0, 1, 0, 0, 1, 1]);
+}
+
+#[tokio::test]
+async fn answer_closed_at_every_byte_ran_once_each() {
+    let server = Server::try_start(Options::default()).await.unwrap();
+    let mut caller = Caller::new(server.address());
+    for bytes in 0..200 {
+        server.faults().set(Fault::CloseAt { bytes }, Some(1));
+        let booking = format!(r#"{{"order":{bytes}}}"#);
+        caller.send("POST /bookings", &booking).await;
+        assert_eq!(server.record().executions_of(&bytes.to_string()), 1);
+    }
+    assert!(!caller.session.contains("not-run"));
+    assert!(caller.session.contains("may-have-run"));
+}
