Refuse faults and preloads that a stand-in cannot show, and let platforms share a log

A platform can be served on a further port with faults of its own, so that one VM is cut off while others are not. Bodies that declare too great a length are refused before they are read. Kept connections are given up after 10 s instead of 30 s, before the stand-ins (30 s) and common servers close them.

--- a/crates/quetzalpick-platform/src/http/options.rs
+++ b/crates/quetzalpick-platform/src/http/options.rs
@@ -7,7 +7,8 @@
 pub struct Options {
     /// Idle connections kept for each address.
     pub idle_per_address: usize,
-    /// Longest time that an idle connection is kept.
+    /// Longest time that an idle connection is kept; shorter than peers keep theirs, so that a peer hardly ever closes a
+    /// connection while a request is on its way.
     pub idle_timeout: Duration,
     /// Largest head of an answer, in bytes.
     pub head_max_bytes: usize,
@@ -19,7 +20,7 @@
     fn default() -> Self {
         Self {
             idle_per_address: 64,
-            idle_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(10),
             head_max_bytes: 64 * 1024,
             headers_max: 100,
         }
--- a/crates/quetzalpick-standin/src/engine/memory.rs
+++ b/crates/quetzalpick-standin/src/engine/memory.rs
@@ -2,6 +2,7 @@
 
 use quetzalpick_core::table::Table;
 use quetzalpick_platform::wire::engine::{Action, Copy, Order, Report};
+use snafu::Snafu;
 
 use super::record::Overcommit;
 
@@ -27,12 +28,20 @@
 }
 
 /// `Refusal` says why an order was refused.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub(crate) enum Refusal {
-    /// Its fencing number is older than this one.
-    Fenced(u64),
+    /// Its fencing number is older than one that was seen.
+    #[snafu(display("fencing number {seen} was seen"))]
+    Fenced {
+        /// Newest number seen.
+        seen: u64,
+    },
     /// It can never be done.
-    Never(&'static str),
+    #[snafu(display("{reason}"))]
+    Never {
+        /// Why not.
+        reason: &'static str,
+    },
 }
 
 /// `Effect` is what an accepted order still needs.
@@ -44,6 +53,11 @@
     Load(Option<Overcommit>),
 }
 
+/// Makes the refusal of an order that can never be done.
+fn never(reason: &'static str) -> Refusal {
+    Refusal::Never { reason }
+}
+
 /// Artifact and version.
 type Key = (String, u32);
 
@@ -82,7 +96,7 @@
     /// Takes an order and says what it still needs.
     pub(crate) fn order(&mut self, order: &Order) -> Result<Effect, Refusal> {
         if self.checks_fencing && order.fencing < self.seen {
-            return Err(Refusal::Fenced(self.seen));
+            return Err(Refusal::Fenced { seen: self.seen });
         }
         self.seen = self.seen.max(order.fencing);
         let result = match order.action {
@@ -101,12 +115,12 @@
     /// Takes an order to load.
     fn load(&mut self, order: &Order) -> Result<Effect, Refusal> {
         if order.copy.memory_mb > self.limit_mb {
-            return Err(Refusal::Never("larger than the memory"));
+            return Err(never("larger than the memory"));
         }
         if let Some(base) = &order.base
             && self.serving(base).is_none()
         {
-            return Err(Refusal::Never("base model is not loaded"));
+            return Err(never("base model is not loaded"));
         }
         if let Some(held) = self.held.get_mut(&key(&order.copy)) {
             held.fencing = held.fencing.max(order.fencing);
@@ -144,7 +158,7 @@
         let based = |held: &Held| held.base.as_ref() == Some(&order.copy.artifact);
         let needed = self.held.values().any(based) && !self.held.keys().any(other_version);
         if needed && self.held.contains(&key) {
-            return Err(Refusal::Never("adapters of this model are loaded"));
+            return Err(never("adapters of this model are loaded"));
         }
         match self.held.get_mut(&key) {
             Some(held) if held.users > 0 => {
--- a/crates/quetzalpick-standin/src/engine/order.rs
+++ b/crates/quetzalpick-standin/src/engine/order.rs
@@ -52,8 +52,10 @@
     }
     match obey(app, &order) {
         Ok(()) => accepted(),
-        Err(Refusal::Fenced(seen)) => json(StatusCode::CONFLICT, &Fenced { seen }),
-        Err(Refusal::Never(reason)) => error(StatusCode::UNPROCESSABLE_ENTITY, "refused", reason),
+        Err(Refusal::Fenced { seen }) => json(StatusCode::CONFLICT, &Fenced { seen }),
+        Err(Refusal::Never { reason }) => {
+            error(StatusCode::UNPROCESSABLE_ENTITY, "refused", reason)
+        }
     }
 }
 
--- a/crates/quetzalpick-standin/src/engine/server.rs
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -20,8 +20,8 @@
 use super::order;
 use super::record::{Record, Tally};
 use super::session::{Session, Sessions};
-use crate::errors::Result;
-use crate::fault::Faults;
+use crate::errors::{Result, preload_error};
+use crate::fault::{Fault, Faults};
 use crate::seen::Recorder;
 use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
 
@@ -116,11 +116,16 @@
     }
 
     /// Puts a copy into memory at once, as if it had been loaded before the start.
-    pub fn preload(&self, order: &Order) {
+    ///
+    /// # Errors
+    ///
+    /// `Error::Preload` if the engine would refuse to load it.
+    pub fn preload(&self, order: &Order) -> Result<()> {
         let mut state = self.app.lock();
-        if state.memory.order(order).is_ok() {
-            state.memory.loaded(&order.copy);
-        }
+        let result = state.memory.order(order);
+        result.map_err(|refusal| preload_error(order, refusal))?;
+        state.memory.loaded(&order.copy);
+        Ok(())
     }
 
     /// Refuses new requests from now on, or takes them again.
@@ -265,6 +270,10 @@
 impl Application for App {
     const OUTLIVES_CALLER: bool = false;
 
+    fn shows(_: Fault) -> bool {
+        true
+    }
+
     fn faults(&self) -> &Faults {
         &self.faults
     }
--- a/crates/quetzalpick-standin/src/errors.rs
+++ b/crates/quetzalpick-standin/src/errors.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use quetzalpick_platform::wire::engine::Order;
 use snafu::Snafu;
 
 /// `Result` is the result of the crate's fallible functions.
@@ -20,6 +21,14 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// A copy to be loaded at the start was refused.
+    #[snafu(display("cannot preload {artifact}: {refusal}"))]
+    Preload {
+        /// Model or adapter.
+        artifact: String,
+        /// Why it was refused.
+        refusal: String,
+    },
     /// The runtime could not be started, or standard output is closed.
     #[snafu(display("cannot {what}: {source}"))]
     Process {
@@ -29,3 +38,11 @@
         source: std::io::Error,
     },
 }
+
+/// Builds the error of a copy that cannot be loaded at the start.
+pub(crate) fn preload_error(order: &Order, refusal: impl ToString) -> Error {
+    Error::Preload {
+        artifact: order.copy.artifact.clone(),
+        refusal: refusal.to_string(),
+    }
+}
--- a/crates/quetzalpick-standin/src/fault.rs
+++ b/crates/quetzalpick-standin/src/fault.rs
@@ -47,6 +47,17 @@
     Crossed,
 }
 
+impl Fault {
+    /// Tells whether every stand-in can show the fault.
+    pub(crate) fn is_common(self) -> bool {
+        use Fault::{AnswerLost, CloseAt, Outage, Refuse, Slow};
+        matches!(
+            self,
+            Outage | Refuse | Slow { .. } | AnswerLost | CloseAt { .. }
+        )
+    }
+}
+
 /// `Switch` turns a fault on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Switch {
--- a/crates/quetzalpick-standin/src/platform/server.rs
+++ b/crates/quetzalpick-standin/src/platform/server.rs
@@ -84,12 +84,12 @@
     app: Arc<App>,
 }
 
-/// `App` is what the platform knows.
+/// `App` is what the platform knows, and the faults of one of its servers.
 #[derive(Debug)]
 struct App {
     log: memory::Log,
-    vms: Vms,
-    weights: Weights,
+    vms: Arc<Vms>,
+    weights: Arc<Weights>,
     faults: Faults,
     recorder: Recorder,
 }
@@ -107,8 +107,8 @@
         log.limit_rate(Some(options.appends_per_second));
         let app = Arc::new(App {
             log,
-            vms: Vms::new(options.vms, options.vms_lag),
-            weights: Weights::new(options.weights),
+            vms: Arc::new(Vms::new(options.vms, options.vms_lag)),
+            weights: Arc::new(Weights::new(options.weights)),
             faults: Faults::default(),
             recorder: Recorder::default(),
         });
@@ -116,6 +116,25 @@
         Ok(Self { listener, app })
     }
 
+    /// Starts another server of the same platform on a free port, with faults of its own.
+    ///
+    /// So one VM can be cut off from the platform while others are not.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Listen` if no port is free.
+    pub async fn try_start_another(&self) -> Result<Self> {
+        let app = Arc::new(App {
+            log: self.app.log.clone(),
+            vms: Arc::clone(&self.app.vms),
+            weights: Arc::clone(&self.app.weights),
+            faults: Faults::default(),
+            recorder: Recorder::default(),
+        });
+        let listener = Listener::try_start(LOOPBACK, Arc::clone(&app)).await?;
+        Ok(Self { listener, app })
+    }
+
     /// Returns the address listened on.
     pub fn address(&self) -> SocketAddr {
         self.listener.address()
@@ -233,6 +252,10 @@
 impl Application for App {
     const OUTLIVES_CALLER: bool = true;
 
+    fn shows(fault: Fault) -> bool {
+        matches!(fault, Fault::OrderLost | Fault::OrderDelayed { .. })
+    }
+
     fn faults(&self) -> &Faults {
         &self.faults
     }
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -35,6 +35,9 @@
     /// Whether a call goes on after its caller has gone away.
     const OUTLIVES_CALLER: bool;
 
+    /// Tells whether this kind of stand-in can show a fault, besides those that all can show.
+    fn shows(fault: Fault) -> bool;
+
     /// Returns the faults to show.
     fn faults(&self) -> &Faults;
 
@@ -149,6 +152,20 @@
 #[derive(Deserialize)]
 struct Nothing {}
 
+/// Turns a fault on, if this stand-in can show it.
+fn turn_on<A: Application>(app: &Arc<A>, switch: Switch) -> Result<(), Reply> {
+    if !switch.fault.is_common() && !A::shows(switch.fault) {
+        let message = format!("{} cannot be shown here", switch.fault);
+        return Err(error(
+            StatusCode::BAD_REQUEST,
+            "invalid_request_error",
+            message,
+        ));
+    }
+    app.faults().add(switch);
+    Ok(())
+}
+
 /// Handles a call of the administration.
 fn administer<A: Application>(app: &Arc<A>, name: &str, call: &Call) -> Reply {
     let done = |result: Result<(), Reply>| match result {
@@ -156,10 +173,10 @@
         Err(reply) => reply,
     };
     match (&call.head.method, name) {
-        (&Method::POST, "fault") => {
-            let switch = call.json::<Switch>();
-            done(switch.map(|switch| app.faults().add(switch)))
-        }
+        (&Method::POST, "fault") => done(
+            call.json::<Switch>()
+                .and_then(|switch| turn_on(app, switch)),
+        ),
         (&Method::POST, "clear") => {
             let nothing = call.json::<Nothing>();
             done(nothing.map(|_| app.faults().clear()))
--- a/crates/quetzalpick-standin/src/server/listener.rs
+++ b/crates/quetzalpick-standin/src/server/listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -150,13 +150,14 @@
 
 /// Reads the body of a request, within bounds on size and time.
 async fn read(body: Incoming) -> std::result::Result<bytes::Bytes, Reply> {
+    // A body that says it is too long is refused before it is read.
+    if body.size_hint().lower() > BODY_MAX_BYTES as u64 {
+        return Err(too_large());
+    }
     let reading = Limited::new(body, BODY_MAX_BYTES).collect();
     match timeout(BODY_TIMEOUT, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(failure)) if failure.is::<LengthLimitError>() => {
-            let message = format!("a body has at most {BODY_MAX_BYTES} bytes");
-            Err(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message))
-        }
+        Ok(Err(failure)) if failure.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => Err(Reply::Close),
         Err(_) => {
             let message = "the body did not arrive in time";
@@ -164,3 +165,9 @@
         }
     }
 }
+
+/// Makes the answer to a body that is too large.
+fn too_large() -> Reply {
+    let message = format!("a body has at most {BODY_MAX_BYTES} bytes");
+    error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+}
--- a/crates/quetzalpick-standin/src/service/server.rs
+++ b/crates/quetzalpick-standin/src/service/server.rs
@@ -177,6 +177,11 @@
 impl Application for App {
     const OUTLIVES_CALLER: bool = true;
 
+    fn shows(fault: Fault) -> bool {
+        use Fault::{Crossed, OrderDelayed, OrderLost};
+        matches!(fault, OrderLost | OrderDelayed { .. } | Crossed)
+    }
+
     fn faults(&self) -> &Faults {
         &self.faults
     }
--- a/crates/quetzalpick-standin/tests/platform.rs
+++ b/crates/quetzalpick-standin/tests/platform.rs
@@ -162,6 +162,36 @@
     assert_eq!(client.list().await.unwrap().vms, []);
 }
 
+#[tokio::test]
+async fn another_server_shares_the_log_but_not_the_faults() {
+    let server = start(1_000).await;
+    let other = server.try_start_another().await.unwrap();
+    server.faults().set(Fault::Outage, None);
+    let client = |server: &Server| {
+        let address = server.address().to_string();
+        log::Client::new(Pool::default(), address, log::Options::default())
+    };
+    let records = vec![Bytes::from_static(b"one")];
+    assert!(
+        client(&server)
+            .append(Stream::Control, records.clone())
+            .await
+            .is_err()
+    );
+    assert_eq!(
+        client(&other)
+            .append(Stream::Control, records)
+            .await
+            .unwrap(),
+        Offset(0)
+    );
+    server.faults().clear();
+    let batch = client(&server)
+        .read(Stream::Control, Offset(0), Duration::ZERO)
+        .await;
+    assert_eq!(batch.unwrap().records.len(), 1);
+}
+
 #[tokio::test]
 async fn most_loads_at_a_time_are_counted() {
     let server = start(1_000).await;
--- a/crates/quetzalpick-standin/tests/service.rs
+++ b/crates/quetzalpick-standin/tests/service.rs
@@ -25,6 +25,11 @@
     c.send("PUT /bookings", "").await;
     c.send("POST /admin/fault", r#"{"fault":"earthquake"}"#)
         .await;
+    c.send(
+        "POST /admin/fault",
+        r#"{"fault":"stream-crash","tokens":1}"#,
+    )
+    .await;
     c.send("POST /admin/nothing", "{}").await;
     // Faults, each for one call.
     for (fault, order) in [
