--- a/crates/quetzalpick-standin/src/platform/weights.rs
+++ b/crates/quetzalpick-standin/src/platform/weights.rs
@@ -54,7 +54,7 @@
 
 /// `Weights` is the weight store.
 #[derive(Debug)]
-pub(crate) struct Weights {
+pub struct Weights {
     options: Options,
     next_start: Mutex<Option<Instant>>,
     models: Lane,
@@ -106,7 +106,7 @@
 
 impl Weights {
     /// Makes a weight store.
-    pub(crate) fn new(options: Options) -> Self {
+    pub fn new(options: Options) -> Self {
         Self {
             options,
             next_start: Mutex::default(),
@@ -116,7 +116,7 @@
     }
 
     /// Waits until a model's weights are loaded.
-    pub(crate) async fn load_model(&self) {
+    pub async fn load_model(&self) {
         sleep_until(self.start()).await;
         let Options {
             load,
@@ -127,7 +127,7 @@
     }
 
     /// Waits until an adapter's weights are loaded.
-    pub(crate) async fn load_adapter(&self) {
+    pub async fn load_adapter(&self) {
         let Options {
             adapter,
             adapters_at_full_speed,
@@ -137,7 +137,7 @@
     }
 
     /// Returns what was recorded of models and of adapters.
-    pub(crate) fn counts(&self) -> (Counts, Counts) {
+    pub fn counts(&self) -> (Counts, Counts) {
         (self.models.counts(), self.adapters.counts())
     }
 
