--- a/crates/quetzalpick-standin/src/command/run.rs
+++ b/crates/quetzalpick-standin/src/command/run.rs
@@ -41,7 +41,7 @@
         Some(("engine", matches)) => {
             let server = engine::Server::try_start(engine_options(matches)).await?;
             for order in matches.get_many::<Order>("preload").into_iter().flatten() {
-                server.preload(order)?;
+                server.try_preload(order)?;
             }
             announce(server.address())?;
             wait(signals).await;
--- a/crates/quetzalpick-standin/src/engine/server.rs
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -115,12 +115,22 @@
         self.app.report()
     }
 
+    /// Puts a copy into memory at once, as if it had been loaded before the start.
+    ///
+    /// # Panics
+    ///
+    /// If the engine would refuse to load it.
+    pub fn preload(&self, order: &Order) {
+        self.try_preload(order)
+            .unwrap_or_else(|error| panic!("{error}"));
+    }
+
     /// Puts a copy into memory at once, as if it had been loaded before the start.
     ///
     /// # Errors
     ///
     /// `Error::Preload` if the engine would refuse to load it.
-    pub fn preload(&self, order: &Order) -> Result<()> {
+    pub fn try_preload(&self, order: &Order) -> Result<()> {
         let mut state = self.app.lock();
         let result = state.memory.order(order);
         result.map_err(|refusal| preload_error(order, refusal))?;
--- a/crates/quetzalpick-standin/tests/engine.rs
+++ b/crates/quetzalpick-standin/tests/engine.rs
@@ -54,9 +54,7 @@
 /// Starts an engine with one model.
 async fn start(options: Options) -> Server {
     let server = Server::try_start(options).await.unwrap();
-    server
-        .preload(&order(0, Action::Load, "menu", 60, None))
-        .unwrap();
+    server.preload(&order(0, Action::Load, "menu", 60, None));
     server
 }
 
