--- a/crates/quetzalpick-gate/src/meters.rs
+++ b/crates/quetzalpick-gate/src/meters.rs
@@ -1,5 +1,7 @@
 //! Metrics of the gate.
 
+use std::time::Duration;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
@@ -19,37 +21,37 @@
     pub(crate) fn new(meter: &Meter) -> Self {
         Self {
             requests: meter
-                .u64_counter("gate_requests")
+                .u64_counter("quetzalpick_gate_requests")
                 .with_description("Answers to callers, by status.")
                 .build(),
             refusals: meter
-                .u64_counter("gate_refusals")
+                .u64_counter("quetzalpick_gate_refusals")
                 .with_description("Refused requests, by type and verdict.")
                 .build(),
             tokens: meter
-                .u64_counter("gate_output_tokens")
+                .u64_counter("quetzalpick_gate_output_tokens")
                 .with_description("Output tokens relayed or answered.")
                 .build(),
             tries: meter
-                .u64_counter("gate_tries")
+                .u64_counter("quetzalpick_gate_tries")
                 .with_description("Requests sent to endpoints, retries included.")
                 .build(),
             resumed: meter
-                .u64_counter("gate_streams_resumed")
+                .u64_counter("quetzalpick_gate_streams_resumed")
                 .with_description("Broken streams that went on.")
                 .build(),
             latency: meter
-                .f64_histogram("gate_answer_seconds")
-                .with_description("Time from a request's head to the head of its answer.")
+                .f64_histogram("quetzalpick_gate_answer_ms")
+                .with_description("Time from a request's head to the head of its answer, in ms.")
                 .build(),
         }
     }
 
     /// Counts an answer.
-    pub(crate) fn answer(&self, status: u16, seconds: f64) {
+    pub(crate) fn answer(&self, status: u16, latency: Duration) {
         let status = [KeyValue::new("status", i64::from(status))];
         self.requests.add(1, &status);
-        self.latency.record(seconds, &[]);
+        self.latency.record(latency.as_secs_f64() * 1e3, &[]);
     }
 
     /// Counts a refusal.
--- a/crates/quetzalpick-gate/src/serve/handler.rs
+++ b/crates/quetzalpick-gate/src/serve/handler.rs
@@ -52,9 +52,8 @@
         if let Ok(shown) = shown {
             response.headers_mut().insert(REQUEST_ID, shown);
         }
-        let seconds = started.elapsed().as_secs_f64();
         let status = response.status().as_u16();
-        self.context.meters.answer(status, seconds);
+        self.context.meters.answer(status, started.elapsed());
         response
     }
 }
