--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use quetzalpick_core::id::{Offset, Revision};
-use quetzalpick_core::record::{Author, Entry};
-use quetzalpick_core::state::{Reason, State};
+use bytes::Bytes;
+use quetzalpick_core::id::{Domain, Offset, Revision};
+use quetzalpick_core::record::{Author, Entry, Role};
+use quetzalpick_core::state::{Reason, Snapshot, State};
+use quetzalpick_node::peer::{Blob, Exchange, Statement, Transport};
 use quetzalpick_node::replica::{Answer, Options};
 use quetzalpick_platform::traits::Stream;
+use quetzalpick_platform::wire::vms;
 use support::{Fleet, command, sleep, workspace};
 
 /// Default lease, in ms.
@@ -250,3 +253,122 @@
     assert_eq!(peers.len(), 1);
     assert_eq!(peers[0].payload, "payload");
 }
+
+#[tokio::test(start_paused = true)]
+async fn one_way_cuts_and_short_pauses_retire_nobody() {
+    let fleet = Fleet::start(5).await;
+    let [a, b] = [0, 1].map(|at| fleet.processes[at].address.clone());
+    let before = fleet.story().lines().count();
+    let mut unleased_ms = [0; 5];
+    // What one process sends does not reach another one, and a third is paused for less than a lease now and then.
+    fleet.network.cut(&a, &b, true);
+    for step in 0..6_000 {
+        fleet.processes[2].freeze(step % 1_000 < 400);
+        sleep(10).await;
+        for (sum, leased) in unleased_ms.iter_mut().zip(fleet.leased()) {
+            *sum += if leased { 0 } else { 10 };
+        }
+    }
+    let story = fleet.story();
+    let count = |record: &str| {
+        story
+            .lines()
+            .skip(before)
+            .filter(|l| l.contains(record))
+            .count()
+    };
+    let counts = ["Suspect", "Refute", "Retire"].map(|record| (record, count(record)));
+    insta::assert_snapshot!(format!(
+        "{counts:?}\nunleased in 60 s, in ms: {unleased_ms:?}"
+    ));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_vm_list_and_a_restart_hasten_suspicion() {
+    let suspected_after = async |listed: &[&str], restart: bool| {
+        let mut fleet = Fleet::start(3).await;
+        let vm = |name: &&str| vms::Vm {
+            name: (*name).to_owned(),
+            domain: "a".to_owned(),
+            address: "127.0.0.1".to_owned(),
+            status: vms::Status::Live,
+        };
+        let list = vms::List {
+            vms: listed.iter().map(vm).collect(),
+        };
+        fleet.processes.iter().for_each(|p| p.replica.hint(&list));
+        if restart {
+            fleet.restart(2, 1, false).await;
+        } else {
+            fleet.kill(2);
+        }
+        for tenths in 0..100 {
+            if fleet.story().contains("Suspect(") {
+                return tenths;
+            }
+            sleep(100).await;
+        }
+        panic!("not suspected: {}", fleet.story());
+    };
+    let all = ["vm-0", "vm-1", "vm-2"];
+    let plain = suspected_after(&all, false).await;
+    let unlisted = suspected_after(&all[..2], false).await;
+    let restarted = suspected_after(&all, true).await;
+    let unknown = suspected_after(&[], false).await;
+    assert!(
+        unlisted < plain && restarted < unlisted,
+        "{plain} {unlisted} {restarted}"
+    );
+    assert_eq!(unknown, plain);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keepers_let_old_commands_be_forgotten() {
+    let short = |options: &mut Options| options.claim_retention = Duration::from_secs(60);
+    let fleet = Fleet::start_with(2, short).await;
+    let replica = &fleet.processes[1].replica;
+    let author = Author::Operator("ada".to_owned());
+    replica
+        .submit_as(author, command(7), workspace("x"), None)
+        .await;
+    sleep(55_000).await;
+    assert!(replica.ask(command(7)).is_some());
+    sleep(20_000).await;
+    assert_eq!(replica.ask(command(7)), None);
+    let story = fleet.story();
+    let mut expiries = story.lines().filter(|line| line.contains("Expire("));
+    assert!(
+        expiries.all(|line| line.contains("keeper#") && line.contains("Accepted")),
+        "{story}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_bodies_are_refused_and_a_differing_digest_is_counted() {
+    let fleet = Fleet::start(2).await;
+    let wire = fleet.wire("127.0.0.1:9999");
+    let to = &fleet.processes[0].address;
+    for path in ["/peer/exchange", "/peer/entries", "/app/echo", "/other", ""] {
+        let answer = wire.call(to, path, "nonsense".into()).await;
+        assert!(answer.is_err(), "{path}");
+    }
+    let state = wire.call(to, "/peer/state", Bytes::new()).await.unwrap();
+    let state = Snapshot::from_bytes(&state).unwrap().open().unwrap();
+    // The other process now seems to have applied the same entries to another effect.
+    let exchange = Exchange {
+        statement: Statement {
+            member: fleet.processes[1].replica.member(),
+            applied: state.next(),
+            digest: state.digest() ^ 1,
+        },
+        role: Role::Gate,
+        domain: Domain::try_new("d1").unwrap(),
+        address: fleet.processes[1].address.clone(),
+        active: true,
+        payload: Blob::default(),
+    };
+    let body = rmp_serde::to_vec(&exchange).unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 0);
+    wire.call(to, "/peer/exchange", body.into()).await.unwrap();
+    assert_eq!(fleet.processes[0].replica.divergences(), 1);
+}
--- a/crates/quetzalpick-node/tests/support/mod.rs
+++ b/crates/quetzalpick-node/tests/support/mod.rs
@@ -139,6 +139,7 @@
     pub(crate) replica: Replica<Log, Wire>,
     pub(crate) log: Log,
     pub(crate) address: String,
+    number: u64,
     freeze: Freeze,
     work: JoinHandle<()>,
 }
@@ -239,19 +240,16 @@
         };
         let member = Member {
             vm: Vm::try_new(format!("vm-{number}/{role}")).unwrap(),
-            incarnation: Incarnation(number * 16 + start),
+            incarnation: Incarnation(number * 1_000 + start),
         };
         let address = format!("127.0.0.1:{}", 7000 + number);
         let domain = Domain::try_new(format!("d{}", number % 3)).unwrap();
         let mut options = Options::new(member, role, domain, &address);
-        options.seed = number * 16 + start;
+        options.seed = number * 1_000 + start;
         options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
         change(&mut options);
         let log = self.log.handle(&format!("{number}"));
-        let wire = Wire {
-            network: self.network.clone(),
-            address: address.clone(),
-        };
+        let wire = self.wire(&address);
         let made = Replica::try_new(log.clone(), wire, options, Echo).await;
         let (replica, driver) = made.unwrap();
         let freeze = Freeze::default();
@@ -260,17 +258,38 @@
             replica,
             log,
             address,
+            number,
             freeze,
             work,
         });
         self.processes.len() - 1
     }
 
+    /// Returns an end of the network at an address where no process is.
+    pub(crate) fn wire(&self, address: &str) -> Wire {
+        Wire {
+            network: self.network.clone(),
+            address: address.to_owned(),
+        }
+    }
+
     /// Ends a process without any notice.
     pub(crate) fn kill(&mut self, at: usize) {
         self.processes.remove(at);
     }
 
+    /// Ends a process, after its departure was recorded or without any notice, and starts it anew in its place.
+    pub(crate) async fn restart(&mut self, at: usize, start: u64, planned: bool) {
+        let number = self.processes[at].number;
+        if planned {
+            let _ = self.processes[at].replica.leave().await;
+        }
+        self.kill(at);
+        let last = self.spawn(number, start).await;
+        let process = self.processes.remove(last);
+        self.processes.insert(at, process);
+    }
+
     /// Cuts or joins all connections between two sides.
     pub(crate) fn part(&self, a: &[usize], b: &[usize], cut: bool) {
         for x in a {
