Bound what a request can make the gate search and hold

Cause: reading the path again. Every cookie's words were searched for in the body, so that one request could cost seconds; now only keys by the configuration and a few presented texts are. A caller that does not take its stream held its place for ever; it counts as gone after 30 s. A refund went to the shares of a later membership; it is dropped now. Refused transfers at a planned stop were not offered again. The lease is checked right before each charge.

--- a/crates/quetzalpick-gate/src/api/header.rs
+++ b/crates/quetzalpick-gate/src/api/header.rs
@@ -2,9 +2,8 @@
 
 use http::HeaderMap;
 use http::header::{
-    ACCEPT, ACCEPT_LANGUAGE, AUTHORIZATION, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, COOKIE,
-    ETAG, HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, LAST_MODIFIED, PROXY_AUTHORIZATION,
-    RETRY_AFTER,
+    ACCEPT, ACCEPT_LANGUAGE, AUTHORIZATION, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG,
+    HeaderName, HeaderValue, IF_MATCH, IF_NONE_MATCH, LAST_MODIFIED, RETRY_AFTER,
 };
 
 use crate::api::query;
@@ -21,6 +20,9 @@
 /// Shortest text that is searched for as a key, in characters; shorter ones would match by chance.
 const KEY_MIN_CHARS: usize = 8;
 
+/// Key parameters of a query that are searched for in the rest of the request.
+const QUERY_KEYS_MAX: usize = 4;
+
 /// Headers that carry keys under other names.
 const KEY_HEADERS: [&str; 5] = [
     "api-key",
@@ -59,25 +61,19 @@
     (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
 }
 
-/// Collects the texts that a request presents as keys, wherever callers put them.
+/// Collects the texts that a request presents as keys: a few, as each is searched for in the whole request.
 pub(crate) fn presented_keys(headers: &HeaderMap, query: &str) -> Vec<String> {
-    let mut keys: Vec<String> = query::presented(query).collect();
-    for name in [&AUTHORIZATION, &PROXY_AUTHORIZATION, &COOKIE] {
-        let values = headers.get_all(name).iter();
-        keys.extend(values.flat_map(words));
-    }
-    for name in KEY_HEADERS {
-        let texts = headers.get_all(name).iter().filter_map(|v| v.to_str().ok());
-        keys.extend(texts.map(str::to_owned));
-    }
-    sorted(keys)
+    let named = KEY_HEADERS.iter().filter_map(|name| headers.get(*name));
+    let named = named.filter_map(|value| value.to_str().ok());
+    let texts = bearer(headers).into_iter().chain(named).map(str::to_owned);
+    sorted(texts.chain(query::presented(query).take(QUERY_KEYS_MAX)))
 }
 
-/// Collects the words of what may reach an endpoint: a caller may have put a key there by mistake.
+/// Collects the words of a request's head that may be keys, wherever a caller may have put one by mistake.
 pub(crate) fn suspected_keys(headers: &HeaderMap, path: &str, query: &str) -> Vec<String> {
-    let values = UPSTREAM.into_iter().flat_map(|name| headers.get_all(name));
-    let texts = values.flat_map(words).chain(query::words(path));
-    sorted(texts.chain(query::words(query)).collect())
+    let values = headers.values().flat_map(words);
+    let words = values.chain(query::words(path)).chain(query::words(query));
+    sorted(words)
 }
 
 /// Cuts a header's value where a key may begin or end: after a scheme or a cookie's name.
@@ -89,8 +85,8 @@
 }
 
 /// Sorts keys and leaves out those that are too short to be searched for.
-fn sorted(mut keys: Vec<String>) -> Vec<String> {
-    keys.retain(|key| key.len() >= KEY_MIN_CHARS);
+fn sorted(keys: impl Iterator<Item = String>) -> Vec<String> {
+    let mut keys: Vec<String> = keys.filter(|key| key.len() >= KEY_MIN_CHARS).collect();
     keys.sort();
     keys.dedup();
     keys
--- a/crates/quetzalpick-gate/src/context.rs
+++ b/crates/quetzalpick-gate/src/context.rs
@@ -62,16 +62,17 @@
         Err(Refusal::not_run(Kind::UnavailableError, message).after(Duration::from_secs(1)))
     }
 
-    /// Charges tokens to a workspace.
+    /// Charges tokens to a workspace, with a lease: without one the shares may belong to others.
     ///
     /// # Errors
     ///
-    /// A refusal that did not run if the tokens are not to be had.
+    /// A refusal that did not run if there is no lease or the tokens are not to be had.
     pub(crate) async fn charge(
         &self,
         workspace: &Workspace,
         tokens: u64,
     ) -> Result<Charged, Refusal> {
+        self.lease().await?;
         let gather = Gather {
             within: self.options.gather_timeout,
             tries: self.options.gather_tries,
--- a/crates/quetzalpick-gate/src/options.rs
+++ b/crates/quetzalpick-gate/src/options.rs
@@ -21,6 +21,8 @@
     pub connect_timeout: Duration,
     /// Longest silence of an endpoint within an answer.
     pub silence_timeout: Duration,
+    /// Longest wait for a caller to take the next event of its stream.
+    pub caller_timeout: Duration,
     /// Most tries of one request.
     pub tries_max: u32,
     /// Requests of this gate under way for each copy of a model.
@@ -69,6 +71,7 @@
             queue_timeout: Duration::from_secs(5),
             connect_timeout: Duration::from_millis(300),
             silence_timeout: Duration::from_secs(10),
+            caller_timeout: Duration::from_secs(30),
             tries_max: 4,
             in_flight_per_copy: 64,
             gather_timeout: Duration::from_millis(20),
--- a/crates/quetzalpick-gate/src/serve/call.rs
+++ b/crates/quetzalpick-gate/src/serve/call.rs
@@ -66,6 +66,8 @@
     Forgotten,
     /// The answer is not that of this request.
     Crossed,
+    /// The caller does not take its stream.
+    Abandoned,
     /// The answer's length is not stated, so that nobody can tell whether it is whole.
     Unframed,
 }
--- a/crates/quetzalpick-gate/src/serve/relay.rs
+++ b/crates/quetzalpick-gate/src/serve/relay.rs
@@ -12,6 +12,7 @@
 use quetzalpick_platform::http::Timeouts;
 use quetzalpick_platform::traits::Log;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::api::completion::Completion;
 use crate::api::refusal::{Kind, Refusal};
@@ -141,6 +142,7 @@
                     self.relay.context.fleet.succeed(endpoint, need);
                     return End::Done;
                 }
+                Err(failure) if failure.cause == Cause::Abandoned => return End::Gone,
                 Err(failure) => failure,
             };
             // The rest of this answer is not wanted any more.
@@ -201,9 +203,12 @@
         }
         let used = self.relay.completion.prompt_tokens + self.progress.next;
         self.relay.admitted.charged.set_used(used);
-        // A caller that is gone is noticed by the side that waits for that.
-        let _ = self.relay.events.send(sse::event(data)).await;
-        Ok(())
+        let event = self.relay.events.send(sse::event(data));
+        let taken = timeout(self.relay.context.options.caller_timeout, event).await;
+        match taken {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Failure::new(Verdict::MayHaveRun, Cause::Abandoned)),
+        }
     }
 
     /// Finds another answer that goes on where the last one broke off.
@@ -257,7 +262,8 @@
         match end {
             End::Done => {
                 log::info!("stream: request={id} done tokens={}", self.progress.next);
-                let _ = self.relay.events.send(sse::event(sse::DONE)).await;
+                let last = self.relay.events.send(sse::event(sse::DONE));
+                let _ = timeout(self.relay.context.options.caller_timeout, last).await;
             }
             End::Refused(refusal) => {
                 log::warn!("stream: request={id} ended: {}", refusal.message);
@@ -265,7 +271,7 @@
                 self.relay.cancel(&self.target).await;
                 let event = sse::error_event(&refusal.to_json());
                 let last = self.relay.events.send(event);
-                let _ = tokio::time::timeout(LAST_EVENT_TIMEOUT, last).await;
+                let _ = timeout(LAST_EVENT_TIMEOUT, last).await;
             }
             End::Gone => {
                 log::info!("stream: request={id} left by its caller");
--- a/crates/quetzalpick-gate/src/share/charged.rs
+++ b/crates/quetzalpick-gate/src/share/charged.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use quetzalpick_core::id::Member;
 use quetzalpick_core::quota::Receipt;
 
 use crate::share::Shares;
@@ -10,6 +11,7 @@
 #[derive(Debug)]
 pub(crate) struct Charged {
     shares: Arc<Shares>,
+    member: Member,
     receipt: Option<Receipt>,
     tokens: u64,
     used: u64,
@@ -17,10 +19,11 @@
 
 impl Charged {
     /// Starts with nothing used.
-    pub(crate) fn new(shares: Arc<Shares>, receipt: Receipt) -> Self {
+    pub(crate) fn new(shares: Arc<Shares>, member: Member, receipt: Receipt) -> Self {
         let tokens = receipt.tokens();
         Self {
             shares,
+            member,
             receipt: Some(receipt),
             tokens,
             used: 0,
@@ -47,7 +50,7 @@
     fn drop(&mut self) {
         let unused = self.unused();
         if let Some(receipt) = self.receipt.take() {
-            self.shares.refund(receipt, unused);
+            self.shares.refund(&self.member, receipt, unused);
         }
     }
 }
--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -141,17 +141,18 @@
         log::info!("quota: nobody to hand shares over to");
         return false;
     }
-    shares.with(|quota, now_ms| quota.hand_over(now_ms, &members));
     let deadline = Instant::now() + within;
     while Instant::now() < deadline {
-        let open = shares.with(|quota, _| quota.unacknowledged().to_vec());
+        // What a gate refused is taken back, and offered to another.
+        let open = shares.with(|quota, now_ms| {
+            quota.hand_over(now_ms, &members);
+            quota.unacknowledged().to_vec()
+        });
         if open.is_empty() {
             log::info!("quota: handed over to {} gates", members.len());
             return true;
         }
-        let deliveries = open
-            .iter()
-            .map(|transfer| deliver(replica, shares, transfer));
+        let deliveries = open.iter().map(|open| deliver(replica, shares, open));
         let all = futures::future::join_all(deliveries);
         if tokio::time::timeout_at(deadline, all).await.is_ok() {
             tokio::time::sleep(DELIVERY_PAUSE).await;
--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -126,9 +126,11 @@
         let deadline = tokio::time::Instant::now() + gather.within;
         let mut asked: Vec<Member> = Vec::new();
         loop {
-            let charge = self.with(|quota, now_ms| quota.charge(now_ms, workspace, tokens));
+            let (member, charge) = self.try_charge(workspace, tokens);
             let (missing, retry_after_ms) = match charge {
-                Charge::Granted(receipt) => return Ok(Charged::new(Arc::clone(self), receipt)),
+                Charge::Granted(receipt) => {
+                    return Ok(Charged::new(Arc::clone(self), member, receipt));
+                }
                 Charge::Never { burst } => return Err(never(workspace, tokens, burst)),
                 Charge::Short {
                     missing,
@@ -150,6 +152,14 @@
         }
     }
 
+    /// Charges what this gate itself holds, and returns the member that is charged.
+    fn try_charge(&self, workspace: &Workspace, tokens: u64) -> (Member, Charge) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        let charge = inner.quota.charge(now_ms, workspace, tokens);
+        (inner.member.clone(), charge)
+    }
+
     /// Returns the richest peer that was not asked yet, and what to ask of it.
     fn donor(
         &self,
@@ -171,9 +181,13 @@
         self.with(|quota, now_ms| quota.take(now_ms, transfer))
     }
 
-    /// Gives back tokens that were not used, to the member that was charged only.
-    pub(crate) fn refund(&self, receipt: Receipt, unused: u64) {
-        self.with(|quota, now_ms| quota.refund(now_ms, receipt, unused));
+    /// Gives back tokens that were not used, unless this process has become another member since.
+    pub(crate) fn refund(&self, member: &Member, receipt: Receipt, unused: u64) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        if inner.member == *member {
+            inner.quota.refund(now_ms, receipt, unused);
+        }
     }
 }
 
--- a/crates/quetzalpick-gate/tests/gate/world.rs
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use quetzalpick_core::id::{
-    Artifact, Boot, Command, Domain, Endpoint, Incarnation, KeyName, Member, Service, Version, Vm,
-    Workspace,
+    Artifact, Boot, Command, Domain, Endpoint, Incarnation, KeyName, Member, Offset, Service,
+    Version, Vm, Workspace,
 };
 use quetzalpick_core::record::{
     Adapter, Author, Change, Digest, EndpointKind, EndpointSpec, Entry, Join, Key, Model, Record,
@@ -310,6 +310,7 @@
             let report = Report {
                 endpoint: endpoint(&format!("engine-{at}")),
                 boot: Boot(engine.report().boot),
+                seen: Offset(self.log.records(Stream::Control).1.len() as u64),
                 loaded: loaded.to_vec(),
             };
             self.append(author.clone(), Record::Report(report)).await;
