Keep cache hints by endpoint

Cause: one sorted table of 65536 hints moves up to 3 MB for each new block of a prompt, under the lock of the choice. Each endpoint now has its own of 1024, so that an insertion moves at most 48 KB.

--- a/crates/quetzalpick-gate/src/fleet/seen.rs
+++ b/crates/quetzalpick-gate/src/fleet/seen.rs
@@ -1,13 +1,14 @@
 //! What this gate has seen of one endpoint.
 
-use quetzalpick_core::route::{Health, Load};
-use quetzalpick_platform::wire::engine::Report;
+use quetzalpick_core::id::{Artifact, Endpoint};
+use quetzalpick_core::route::{Health, Load, Prefixes};
+use quetzalpick_platform::wire::engine::{Events, Report};
 
 /// Dispatches remembered between two reports.
 const DISPATCHES_MAX: usize = 1_024;
 
 /// `Seen` is what this gate has seen of one endpoint.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Seen {
     /// Health, by own requests.
     pub(crate) health: Health,
@@ -15,6 +16,8 @@
     pub(crate) in_flight: u32,
     /// Number to ask cache events from.
     pub(crate) next_event: u64,
+    /// Prompt prefixes that its cache is thought to hold.
+    prefixes: Prefixes,
     /// Whether the endpoint itself said that it is leaving.
     says_leaving: bool,
     /// Whether the VM list says that it is leaving.
@@ -32,6 +35,23 @@
 }
 
 impl Seen {
+    /// Returns a view of an endpoint that nothing is known of.
+    pub(crate) fn new(prefixes: Prefixes) -> Self {
+        Self {
+            health: Health::default(),
+            in_flight: 0,
+            next_event: 0,
+            prefixes,
+            says_leaving: false,
+            listed_leaving: false,
+            boot: None,
+            loaded: Vec::new(),
+            reported: 0,
+            reported_ms: 0,
+            dispatches: Vec::new(),
+        }
+    }
+
     /// Notes a dispatch.
     pub(crate) fn dispatch(&mut self, now_ms: u64) {
         self.in_flight += 1;
@@ -41,10 +61,11 @@
     }
 
     /// Takes in a report and tells whether the engine has restarted since the last one.
-    pub(crate) fn report(&mut self, now_ms: u64, report: &Report) -> bool {
+    pub(crate) fn report(&mut self, now_ms: u64, endpoint: &Endpoint, report: &Report) -> bool {
         let restarted = self.boot.is_some_and(|boot| boot != report.boot);
         if restarted {
             self.next_event = 0;
+            self.prefixes.forget(endpoint);
         }
         self.boot = Some(report.boot);
         self.loaded = report.loaded.iter().map(|c| c.artifact.clone()).collect();
@@ -57,6 +78,42 @@
         restarted
     }
 
+    /// Takes in cache events.
+    pub(crate) fn events(&mut self, now_ms: u64, endpoint: &Endpoint, events: &Events) {
+        self.next_event = events.next;
+        for event in &events.events {
+            if let Ok(artifact) = Artifact::try_new(&event.artifact) {
+                let cache = &mut self.prefixes;
+                cache.note(now_ms, endpoint, &artifact, event.prefix, event.cached);
+            }
+        }
+    }
+
+    /// Notes that the cache now holds a prompt whose block hashes these are.
+    pub(crate) fn cache(
+        &mut self,
+        now_ms: u64,
+        endpoint: &Endpoint,
+        artifact: &Artifact,
+        prefixes: &[u64],
+    ) {
+        for prefix in prefixes {
+            let cache = &mut self.prefixes;
+            cache.note(now_ms, endpoint, artifact, *prefix, true);
+        }
+    }
+
+    /// Returns how many leading blocks of a prompt the cache is thought to hold.
+    pub(crate) fn cached_blocks(
+        &self,
+        now_ms: u64,
+        endpoint: &Endpoint,
+        artifact: &Artifact,
+        prefixes: &[u64],
+    ) -> u32 {
+        self.prefixes.longest(now_ms, endpoint, artifact, prefixes)
+    }
+
     /// Notes that the endpoint refused a request because it is leaving.
     pub(crate) fn refuse_leaving(&mut self) {
         self.says_leaving = true;
--- a/crates/quetzalpick-gate/src/fleet/table.rs
+++ b/crates/quetzalpick-gate/src/fleet/table.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use quetzalpick_core::id::{Artifact, Domain, Endpoint};
+use quetzalpick_core::id::{Domain, Endpoint};
 use quetzalpick_core::record::EndpointSpec;
 use quetzalpick_core::route::{Candidate, Options, Prefixes, Reason, choose};
 use quetzalpick_core::state::State;
@@ -38,22 +38,23 @@
 #[derive(Debug)]
 struct Inner {
     seen: Table<Endpoint, Seen>,
-    prefixes: Prefixes,
+    /// The empty memory of cached prefixes that each endpoint begins with.
+    fresh: Prefixes,
 }
 
 impl Inner {
     /// Returns what was seen of an endpoint, for change.
     fn seen(&mut self, endpoint: &Endpoint) -> &mut Seen {
-        self.seen
-            .get_or_insert_with(endpoint.clone(), Seen::default)
+        let fresh = || Seen::new(self.fresh.clone());
+        self.seen.get_or_insert_with(endpoint.clone(), fresh)
     }
 }
 
 impl Fleet {
-    /// Returns a view of a gate in a failure domain before anything was seen.
-    pub(crate) fn new(clock: Clock, domain: Domain, options: Options, prefixes: Prefixes) -> Self {
+    /// Returns a view of a gate in a failure domain before anything was seen; each endpoint gets a copy of `fresh`.
+    pub(crate) fn new(clock: Clock, domain: Domain, options: Options, fresh: Prefixes) -> Self {
         let seen = Table::default();
-        let inner = Mutex::new(Inner { seen, prefixes });
+        let inner = Mutex::new(Inner { seen, fresh });
         Self {
             clock,
             domain,
@@ -113,15 +114,13 @@
     pub(crate) fn succeed(&self, endpoint: &Endpoint, need: &Need) {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        inner.seen(endpoint).health.succeed(now_ms);
+        let seen = inner.seen(endpoint);
+        seen.health.succeed(now_ms);
         if let Need::Copies {
             artifact, prefixes, ..
         } = need
         {
-            for prefix in prefixes {
-                let cache = &mut inner.prefixes;
-                cache.note(now_ms, endpoint, artifact, *prefix, true);
-            }
+            seen.cache(now_ms, endpoint, artifact, prefixes);
         }
     }
 
@@ -147,10 +146,8 @@
     pub(crate) fn report(&self, endpoint: &Endpoint, report: &Report) {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        let restarted = inner.seen(endpoint).report(now_ms, report);
-        if restarted {
+        if inner.seen(endpoint).report(now_ms, endpoint, report) {
             log::info!("route: endpoint={endpoint} restarted");
-            inner.prefixes.forget(endpoint);
         }
     }
 
@@ -163,13 +160,7 @@
     pub(crate) fn events(&self, endpoint: &Endpoint, events: &Events) {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        inner.seen(endpoint).next_event = events.next;
-        for event in &events.events {
-            if let Ok(artifact) = Artifact::try_new(&event.artifact) {
-                let cache = &mut inner.prefixes;
-                cache.note(now_ms, endpoint, &artifact, event.prefix, event.cached);
-            }
-        }
+        inner.seen(endpoint).events(now_ms, endpoint, events);
     }
 
     /// Takes in the VM list.
@@ -214,7 +205,7 @@
         let cached_blocks = match need {
             Need::Copies {
                 artifact, prefixes, ..
-            } => self.prefixes.longest(now_ms, endpoint, artifact, prefixes),
+            } => seen.cached_blocks(now_ms, endpoint, artifact, prefixes),
             Need::Service(_) => 0,
         };
         Some(Candidate {
--- a/crates/quetzalpick-gate/src/options.rs
+++ b/crates/quetzalpick-gate/src/options.rs
@@ -45,7 +45,7 @@
     pub grace: Duration,
     /// Longest time to hand over shares and to close claims in a planned stop.
     pub hand_over_timeout: Duration,
-    /// Cache hints remembered.
+    /// Cache hints remembered of each endpoint.
     pub prefix_capacity: usize,
     /// Time that a cache hint is trusted.
     pub prefix_age: Duration,
@@ -83,7 +83,7 @@
             repeat_wait: Duration::from_secs(1),
             grace: Duration::from_secs(2),
             hand_over_timeout: Duration::from_secs(5),
-            prefix_capacity: 65_536,
+            prefix_capacity: 1_024,
             prefix_age: Duration::from_secs(120),
             route: route::Options::default(),
             retry: retry::Options::default(),
