Send a fencing engine one order at a time

Ruled out: settling a fenced order at once; a restarted engine forgets the number and may still take it, so it is settled as refused when it can no longer arrive.

--- a/crates/quetzalpick-keeper/src/place/engines.rs
+++ b/crates/quetzalpick-keeper/src/place/engines.rs
@@ -13,6 +13,8 @@
 use quetzalpick_platform::traits::Engine;
 use quetzalpick_platform::wire::engine;
 
+use crate::place::orders::Orders;
+
 /// `Reported` is an engine's newest report.
 #[derive(Debug, Clone)]
 pub(crate) struct Reported {
@@ -132,7 +134,7 @@
 pub(crate) fn settlements(
     endpoint: &Endpoint,
     account: &Account,
-    dispatch: &Dispatch,
+    orders: &Orders,
     reported: &Reported,
 ) -> Vec<Settled> {
     // A report of another boot first corrects the ledger.
@@ -145,8 +147,12 @@
         refused: &reported.report.refused,
     };
     let settle = |open: &Open| {
-        let is_past = dispatch.is_past(endpoint, &open.operation, reported.asked_ms);
-        let settlement = shown.settlement(open, is_past)?;
+        let fencing = open.fencing.0;
+        let refused = shown.refused.contains(&fencing) || orders.is_fenced(endpoint, open.sequence);
+        let is_past = orders
+            .dispatch
+            .is_past(endpoint, &open.operation, reported.asked_ms);
+        let settlement = shown.settlement(open, refused && is_past)?;
         Some(Settled {
             endpoint: endpoint.clone(),
             sequence: open.sequence,
@@ -171,8 +177,8 @@
 }
 
 impl Shown<'_> {
-    /// Tells whether an open order is settled; a refused one only when it can no longer arrive again.
-    fn settlement(&self, open: &Open, is_past: bool) -> Option<Settlement> {
+    /// Tells whether an open order is settled; `refused` says that it was refused and can no longer arrive again.
+    fn settlement(&self, open: &Open, refused: bool) -> Option<Settlement> {
         let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
             &open.operation;
         let copy = (artifact.clone(), *version);
@@ -182,8 +188,7 @@
             Operation::Load(..) => holds,
             Operation::Unload(..) => !holds && !loads,
         };
-        let refused = self.refused.contains(&open.fencing.0) && !loads && is_past;
-        match (done, refused) {
+        match (done, refused && !loads) {
             (true, _) => Some(Settlement::Done),
             (false, true) => Some(Settlement::Refused),
             (false, false) => None,
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -20,6 +20,9 @@
 use crate::place::orders::Orders;
 use crate::place::round::{self, Due};
 
+/// Rounds within an interval while orders are open.
+const BUSY_ROUNDS: u32 = 5;
+
 /// `Leader` runs placement on one keeper.
 #[derive(Debug)]
 pub struct Leader<L: Log, T: Transport, E: Engine, V: Vms> {
@@ -48,7 +51,7 @@
             options,
             started: Instant::now(),
             term: None,
-            orders: Orders::begin(0),
+            orders: Orders::begin(0, 0),
             reports: Table::default(),
             leaving: Vec::new(),
         }
@@ -57,11 +60,27 @@
     /// Runs rounds for ever.
     pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(self.options.interval).await;
+            tokio::time::sleep(self.pause()).await;
             self.round().await;
         }
     }
 
+    /// Returns the time until the next round, which is shorter while orders are open.
+    fn pause(&self) -> Duration {
+        let is_open = |state: &State| {
+            state
+                .ledger()
+                .accounts()
+                .values()
+                .any(|a| !a.open.is_empty())
+        };
+        if self.term.is_some() && self.replica.read(is_open) {
+            self.options.interval / BUSY_ROUNDS
+        } else {
+            self.options.interval
+        }
+    }
+
     /// Does one round: nothing without a lease, and only an attempt to take the lead while nobody has it.
     pub async fn round(&mut self) {
         if !self.replica.is_leased() {
@@ -88,7 +107,7 @@
     async fn lead(&mut self, leadership: &Leadership) {
         if self.term != Some(leadership.term) {
             self.term = Some(leadership.term);
-            self.orders = Orders::begin(self.now_ms());
+            self.orders = Orders::begin(self.now_ms(), millis(self.options.order_lateness));
             self.reports = Table::default();
         }
         let arrived = self.look().await;
@@ -155,11 +174,11 @@
 
     /// Records what became of open orders.
     async fn settle(&mut self, arrived: &[(Endpoint, Reported)]) {
-        let dispatch = &self.orders.dispatch;
+        let orders = &self.orders;
         let settlements = self.replica.read(|state| {
             let rows = arrived.iter().filter_map(|(endpoint, reported)| {
                 let account = state.ledger().accounts().get(endpoint)?;
-                Some(engines::settlements(endpoint, account, dispatch, reported))
+                Some(engines::settlements(endpoint, account, orders, reported))
             });
             rows.flatten().collect::<Vec<_>>()
         });
@@ -223,22 +242,22 @@
         }
         let engines = &self.engines;
         let send = |due: Due| async move {
-            match engines.order(&due.address, &due.order).await {
-                Ok(()) => {}
-                Err(Error::Fenced { number, seen }) => {
-                    log::warn!(
-                        "place: {} knows fencing number {seen}, {number} is older",
-                        due.endpoint
-                    );
-                }
-                Err(error) => log::warn!(
-                    "place: order {} to {}: {error}",
-                    due.open.sequence,
-                    due.endpoint
-                ),
-            }
+            let answer = engines.order(&due.address, &due.order).await;
+            (due, answer)
         };
-        join_all(due.into_iter().map(send)).await;
+        for (due, answer) in join_all(due.into_iter().map(send)).await {
+            let Err(error) = answer else {
+                continue;
+            };
+            log::warn!(
+                "place: order {} to {}: {error}",
+                due.open.sequence,
+                due.endpoint
+            );
+            if matches!(error, Error::Fenced { .. }) {
+                self.orders.fenced(&due.endpoint, due.open.sequence);
+            }
+        }
     }
 
     /// Returns the time since this leader was made, in ms.
--- a/crates/quetzalpick-keeper/src/place/options.rs
+++ b/crates/quetzalpick-keeper/src/place/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::plan;
+use quetzalpick_core::record::ORDER_LATENESS_MS;
 
 /// `Options` sets the pace of placement.
 #[derive(Debug, Clone)]
@@ -11,6 +12,8 @@
     pub planner: plan::Options,
     /// Time between two rounds.
     pub interval: Duration,
+    /// Longest time that an order is on its way to an engine.
+    pub order_lateness: Duration,
     /// Time after which an order without effect is sent again.
     pub repeat: Duration,
     /// Longest wait for an engine's report.
@@ -24,6 +27,7 @@
         Self {
             planner: plan::Options::default(),
             interval: Duration::from_millis(500),
+            order_lateness: Duration::from_millis(ORDER_LATENESS_MS),
             repeat: Duration::from_secs(2),
             report: Duration::from_secs(1),
             silence: Duration::from_secs(3),
--- a/crates/quetzalpick-keeper/src/place/orders.rs
+++ b/crates/quetzalpick-keeper/src/place/orders.rs
@@ -11,14 +11,17 @@
     /// The rules of lateness.
     pub(crate) dispatch: Dispatch,
     sent_ms: Table<(Endpoint, Sequence), u64>,
+    /// Orders that an engine refused because it knows a newer number.
+    fenced: Table<(Endpoint, Sequence), ()>,
 }
 
 impl Orders {
     /// Starts a term.
-    pub(crate) fn begin(now_ms: u64) -> Self {
+    pub(crate) fn begin(now_ms: u64, lateness_ms: u64) -> Self {
         Self {
-            dispatch: Dispatch::new(now_ms),
+            dispatch: Dispatch::new(now_ms, lateness_ms),
             sent_ms: Table::default(),
+            fenced: Table::default(),
         }
     }
 
@@ -34,9 +37,20 @@
         self.dispatch.sent(endpoint, operation, now_ms);
     }
 
+    /// Notes that an engine refused an order because it knows a newer number.
+    pub(crate) fn fenced(&mut self, endpoint: &Endpoint, sequence: Sequence) {
+        self.fenced.insert((endpoint.clone(), sequence), ());
+    }
+
+    /// Tells whether an engine refused an order because it knows a newer number.
+    pub(crate) fn is_fenced(&self, endpoint: &Endpoint, sequence: Sequence) -> bool {
+        self.fenced.contains(&(endpoint.clone(), sequence))
+    }
+
     /// Forgets when a settled order was sent; its lateness is remembered.
     pub(crate) fn settled(&mut self, endpoint: &Endpoint, sequence: Sequence) {
         self.sent_ms.remove(&(endpoint.clone(), sequence));
+        self.fenced.remove(&(endpoint.clone(), sequence));
     }
 
     /// Tells whether an open order should be sent now.
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -26,6 +26,9 @@
 }
 
 /// Returns the open orders that are to be sent now, each engine's in sequence.
+///
+/// An engine that checks fencing numbers would refuse an order that arrives after a newer one for good. So it gets one
+/// order at a time, the oldest that it does not show to have received.
 pub(crate) fn due(
     state: &State,
     orders: &Orders,
@@ -38,9 +41,20 @@
         let Some(spec) = state.catalog().endpoints().get(endpoint) else {
             continue;
         };
-        for open in &account.open {
-            let is_due = orders.is_due(endpoint, open.sequence, repeat_ms, now_ms);
-            if is_due && !is_known(reports.get(endpoint), open) {
+        let one_at_a_time = matches!(
+            spec.kind,
+            EndpointKind::Engine {
+                checks_fencing: true,
+                ..
+            }
+        );
+        let unknown = account.open.iter().filter(|open| {
+            let is_fenced = orders.is_fenced(endpoint, open.sequence);
+            !is_fenced && !is_known(reports.get(endpoint), open)
+        });
+        let most = if one_at_a_time { 1 } else { usize::MAX };
+        for open in unknown.take(most) {
+            if orders.is_due(endpoint, open.sequence, repeat_ms, now_ms) {
                 due.push(Due {
                     endpoint: endpoint.clone(),
                     address: spec.address.clone(),
--- a/crates/quetzalpick-keeper/src/settings.rs
+++ b/crates/quetzalpick-keeper/src/settings.rs
@@ -118,6 +118,7 @@
         );
         planner.hold_ms = reader.number("hold_ms", planner.hold_ms, 0..=3_600_000, "ms");
         options.interval = reader.millis("interval_ms", 500, 50..=60_000);
+        options.order_lateness = reader.millis("order_lateness_ms", 10_000, 0..=600_000);
         options.repeat = reader.millis("order_repeat_ms", 2_000, 100..=60_000);
         Self { options }
     }
--- a/crates/quetzalpick-keeper/tests/keeper/placement.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/placement.rs
@@ -184,3 +184,38 @@
         .await;
     assert_never_overcommitted(&[&engine]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_reach_a_fencing_engine_out_of_turn_do_not_stall_it() {
+    let keeper = Keeper::start(&memory::Log::new(), "vm-1").await;
+    let engine = start_engine(true).await;
+    // Some orders of a row arrive after the next ones, whose numbers are newer.
+    for _ in 0..4 {
+        engine.faults().set(Fault::OrderLost, Some(1));
+        engine
+            .faults()
+            .set(Fault::OrderDelayed { ms: 400 }, Some(1));
+    }
+    keeper.accept(&[create_engine("e1", &engine, true)]).await;
+    keeper.accept(&configuration()).await;
+    let more: Vec<String> = (0..12)
+        .map(|n| format!("create adapter more-{n} on menu version 1 memory 10"))
+        .collect();
+    keeper.accept(&more).await;
+    let loaded = |state: &State| {
+        (0..12).all(|n| {
+            let artifact = Artifact::try_new(format!("more-{n}")).unwrap();
+            state
+                .ledger()
+                .copies(&artifact, Version(1))
+                .next()
+                .is_some()
+        })
+    };
+    keeper
+        .until("filled", |state| {
+            loaded(state) && all_reachable(state, 1, &[]) && is_settled(state)
+        })
+        .await;
+    assert_never_overcommitted(&[&engine]);
+}
