Compare static split, leased credits and escrow shares side by side

Adds Quota::donors_for, which names no donors when the hints together lack the tokens: a workspace beyond its rate is then refused without a message. Gates should call it in place of donors.

--- a/crates/quetzalpick-core/src/quota/gate.rs
+++ b/crates/quetzalpick-core/src/quota/gate.rs
@@ -212,6 +212,38 @@
         donors.into_iter().map(|(member, _)| member).collect()
     }
 
+    /// Returns the fewest peers whose hints add up to the tokens missing, the one with the most first; none if all
+    /// together have too few.
+    ///
+    /// So a workspace beyond its rate is refused without a message, rather than moving crumbs between gates.
+    pub fn donors_for<'a>(
+        &self,
+        workspace: &Workspace,
+        missing: u64,
+        peers: &'a [Peer],
+    ) -> Vec<&'a Member> {
+        let Some(purse) = self.purses.get(workspace) else {
+            return Vec::new();
+        };
+        let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
+        let mut hints: Vec<_> = hints.collect();
+        hints.sort_by_key(|(_, hint)| std::cmp::Reverse(hint.level_micro));
+        let needed = u128::from(missing) * u128::from(MICRO);
+        let mut found = 0;
+        let mut donors = Vec::new();
+        for (member, hint) in hints {
+            if found >= needed {
+                break;
+            }
+            found += u128::from(hint.level_micro);
+            donors.push(member);
+        }
+        if found < needed {
+            donors.clear();
+        }
+        donors
+    }
+
     /// Answers a peer's request with a transfer, which is subtracted at once; `None` if there is nothing to give.
     pub fn donate(&mut self, now_ms: u64, to: &Member, ask: &Ask) -> Option<Transfer> {
         if ask.epoch != self.epoch || !self.may_send(to) {
--- /dev/null
+++ b/crates/quetzalpick-load/src/compare/mod.rs
@@ -0,0 +1,16 @@
+//! Side-by-side comparison of ways to keep a workspace's rate across gates, in virtual time on the same arrivals.
+
+mod allowance;
+mod arrivals;
+mod command;
+mod escrow;
+mod gates;
+mod owner;
+mod report;
+mod scheme;
+mod simulate;
+
+pub use arrivals::Balancer;
+pub use command::{compare, compare_command};
+pub use report::{Row, compare_all};
+pub use scheme::Kind;
--- a/crates/quetzalpick-load/src/lib.rs
+++ b/crates/quetzalpick-load/src/lib.rs
@@ -4,5 +4,6 @@
 #![warn(rust_2018_idioms)]
 
 pub mod command;
+pub mod compare;
 pub mod report;
 pub mod run;
--- a/crates/quetzalpick-load/src/main.rs
+++ b/crates/quetzalpick-load/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Command;
 use quetzalpick_load::command::{run, run_command};
+use quetzalpick_load::compare::{compare, compare_command};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -11,9 +12,11 @@
         .version(clap::crate_version!())
         .about("Sends load to gates and compares policies")
         .subcommand_required(true)
-        .subcommand(run_command());
+        .subcommand(run_command())
+        .subcommand(compare_command());
     match command.get_matches().subcommand() {
         Some(("run", matches)) => run(matches).await,
+        Some(("compare", matches)) => compare(matches),
         _ => ExitCode::FAILURE,
     }
 }
