Give members time to be heard, and call a sample of peers in turns

Cause: in a trial with real processes (SIGSTOP of a gate for 13 s) the woken gate joined anew and was suspected at once, as its silence counted from the start of the others. Then, in the trial's outage, five processes tried to record the same suspicion until their deadline, though nothing could be recorded. Third, a long read that was about to end counted as an unreadable log, so that entries were fetched from peers for nothing. Seen failing: a_member_that_has_just_joined_is_given_time_to_be_heard on the former sources; with the second change the sampled fleet of few_voters_in_all_domains showed 3 suspicions where 1 is right: a random sample leaves a peer out for long. Ruled out: a longer silence for random samples, whose tail is never bounded; turns bound it.

--- a/crates/quetzalpick-node/src/replica/contacts.rs
+++ b/crates/quetzalpick-node/src/replica/contacts.rs
@@ -23,7 +23,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Contacts {
     known: Table<Member, Contact>,
-    /// Silence counts from here for members that were never heard, in ms.
+    /// When each active member was first seen to be one, in ms.
+    active_since: Table<Member, u64>,
+    /// When this process last began to listen, in ms.
     awake_since: u64,
     /// VMs on the platform's list, sorted; empty while it is not known.
     listed: Vec<String>,
@@ -68,10 +70,12 @@
         !self.listed.is_empty() && found.is_err()
     }
 
-    /// Returns for how long a member that joined has been silent, in ms.
+    /// Returns for how long an active member has been silent, in ms.
     pub(crate) fn silence(&self, now: u64, member: &Member) -> u64 {
         let heard = self.known.get(member).map_or(0, |contact| contact.heard_at);
-        now.saturating_sub(heard.max(self.awake_since))
+        // A member that has only just joined had no time to be heard.
+        let active = self.active_since.get(member).copied().unwrap_or(now);
+        now.saturating_sub(heard.max(active).max(self.awake_since))
     }
 
     /// Returns the last known address of a member.
@@ -93,8 +97,15 @@
         self.known.values().map(|c| c.address.clone()).collect()
     }
 
-    /// Forgets processes that are not active and have been silent for a time, in ms.
-    pub(crate) fn prune(&mut self, now: u64, roster: &Roster, silence: u64) {
+    /// Notes which members are active, and forgets other processes that have been silent for a time, in ms.
+    pub(crate) fn note_active(&mut self, now: u64, roster: &Roster, silence: u64) {
+        self.active_since
+            .retain(|member, _| roster.is_active(member));
+        for member in roster.members().keys() {
+            if !self.active_since.contains(member) {
+                self.active_since.insert(member.clone(), now);
+            }
+        }
         let keep = |member: &Member, contact: &Contact| {
             roster.is_active(member) || now.saturating_sub(contact.heard_at) < silence
         };
--- a/crates/quetzalpick-node/src/replica/exchange.rs
+++ b/crates/quetzalpick-node/src/replica/exchange.rs
@@ -60,7 +60,7 @@
     /// Returns the members to call: all or a sample, and all voters while the log cannot be read.
     fn targets(&self) -> Vec<(Member, String)> {
         let me = self.me();
-        let reads = self.reads_within(self.options.exchange_interval * 2);
+        let reads = self.reads();
         let view = self.view();
         let roster = view.state.roster();
         let mut targets = Vec::new();
@@ -72,11 +72,13 @@
             list.push((member.clone(), row.peer_address.clone()));
         }
         drop(view);
-        let sample = self.options.exchange_sample.unwrap_or(usize::MAX);
-        while others.len() > sample {
-            let at = self.random_below(others.len() as u64);
-            others.swap_remove(at as usize);
-        }
+        // Taking turns reaches every member within a bounded time, which a random choice would not.
+        let sample = self.options.exchange_sample.unwrap_or(others.len());
+        let sample = sample.min(others.len());
+        let turn = self.exchange_turn.fetch_add(sample, Ordering::Relaxed);
+        let first = turn % others.len().max(1);
+        others.rotate_left(first);
+        others.truncate(sample);
         targets.append(&mut others);
         targets
     }
@@ -166,7 +168,7 @@
 
     /// Fetches what a peer has applied and this process has not, unless the log yields it.
     async fn catch_up(&self) {
-        while !self.reads_within(self.options.exchange_interval * 2) {
+        while !self.reads() {
             let next = self.next();
             let ahead = lock(&self.contacts).ahead(next);
             let Some(address) = ahead.filter(|_| self.view().loaded) else {
--- a/crates/quetzalpick-node/src/replica/follower.rs
+++ b/crates/quetzalpick-node/src/replica/follower.rs
@@ -13,9 +13,6 @@
 use crate::replica::clock::millis;
 use crate::replica::shared::{Bounds, Shared, lock};
 
-/// Waits of a long read in one lease, so that a lease is renewed well before it ends.
-const READS_PER_LEASE: u32 = 5;
-
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -26,7 +23,7 @@
     /// Follows the control stream for as long as it is polled.
     pub(crate) async fn follow(&self) {
         self.load().await;
-        let long = self.options.lease / READS_PER_LEASE;
+        let long = self.long_read();
         let mut wait = long;
         loop {
             let from = self.next();
@@ -47,6 +44,7 @@
                 }
                 Some(Err(error)) => {
                     log::debug!("state: read failed: {error}");
+                    self.read_at.store(0, Ordering::Relaxed);
                     let _ = timeout(RETRY_PAUSE, self.read_now.notified()).await;
                     wait = Duration::ZERO;
                 }
--- a/crates/quetzalpick-node/src/replica/shared.rs
+++ b/crates/quetzalpick-node/src/replica/shared.rs
@@ -1,6 +1,6 @@
 //! What the parts of a replica share.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 use crate::replica::view::View;
 use crate::replica::writes::Writes;
 
+/// Long reads in one lease.
+const READS_PER_LEASE: u32 = 5;
+
 /// Locks a mutex; data are whole between any two statements, so that a panic elsewhere does no harm.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -60,8 +63,10 @@
     pub(crate) read_now: Notify,
     /// Asks for an exchange without waiting.
     pub(crate) exchange_now: Notify,
-    /// Time of the last read that reached the head, in ms; 0 if there was none.
+    /// Time of the last read that reached the head, in ms; 0 if there was none or a read failed since.
     pub(crate) read_at: AtomicU64,
+    /// Members called so far by turns.
+    pub(crate) exchange_turn: AtomicUsize,
     /// Time until which no quick read is tried for a missing lease, in ms.
     pub(crate) unleased_until: AtomicU64,
     /// Last change of the voters after which statements of others were forgotten.
@@ -94,6 +99,7 @@
             read_now: Notify::new(),
             exchange_now: Notify::new(),
             read_at: AtomicU64::new(0),
+            exchange_turn: AtomicUsize::new(0),
             unleased_until: AtomicU64::new(0),
             seats_pruned: AtomicU64::new(0),
             divergences: AtomicU64::new(0),
@@ -136,10 +142,16 @@
         view.loaded && lock(&self.lease).holds(now, &view.state, member)
     }
 
-    /// Tells whether the log was read to its head within a time.
-    pub(crate) fn reads_within(&self, limit: Duration) -> bool {
+    /// Tells whether the log can be read: the last read succeeded, and not long ago.
+    pub(crate) fn reads(&self) -> bool {
         let at = self.read_at.load(Ordering::Relaxed);
-        at > 0 && self.clock.now().saturating_sub(at) <= millis(limit)
+        let limit = millis(self.long_read() + self.options.exchange_interval * 2);
+        at > 0 && self.clock.now().saturating_sub(at) <= limit
+    }
+
+    /// Returns how long a read waits for entries: a lease is renewed well before it ends.
+    pub(crate) fn long_read(&self) -> Duration {
+        self.options.lease / READS_PER_LEASE
     }
 
     /// Takes over a state from a snapshot or a peer, unless the present one is as new.
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -121,15 +121,15 @@
     /// Returns the first duty whose delay is over, with the record that does it.
     fn next_duty(&self, now: u64, watch: &mut Watch) -> Option<(Duty, Record)> {
         let me = self.me();
-        // A process without a lease may be wrong about everything.
-        if !self.holds_lease(&me) {
+        // A process without a lease may be wrong about everything, and without the log nothing can be recorded.
+        if !self.holds_lease(&me) || !self.reads() {
             return None;
         }
         let hold_ms = millis(self.options.suspicion) * REFUTED_TIMES;
         let view = self.view();
         let state = &view.state;
         watch.note_suspected(now, state, hold_ms);
-        lock(&self.contacts).prune(now, state.roster(), hold_ms);
+        lock(&self.contacts).note_active(now, state.roster(), hold_ms);
         let mut duties = self.suspicions(now, state, &me, watch);
         duties.extend(self.retirements(now, state, &me));
         duties.extend(self.seat(now, state));
@@ -169,10 +169,12 @@
     /// Returns the silence after which a member is suspected, in ms.
     fn silence_limit(&self, state: &State) -> u64 {
         let suspicion = millis(self.options.suspicion);
-        let members = state.roster().members().len() as u64;
-        // With a sample of k of n members, one calls and is called by another only every n / 2k exchanges.
-        let sample = self.options.exchange_sample.map_or(members, |k| k as u64);
-        suspicion * members.div_ceil(sample.max(1) * 2).max(1)
+        let Some(sample) = self.options.exchange_sample else {
+            return suspicion;
+        };
+        // With a sample, one is called by each other member only once in so many exchanges.
+        let turns = state.roster().members().len().div_ceil(sample.max(1)) as u64;
+        suspicion + turns * 2 * millis(self.options.exchange_interval)
     }
 
     /// Returns the suspicions to record.
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -183,6 +183,13 @@
     assert_eq!(fleet.leased(), [true; 3]);
     assert!(!frozen.replica.is_leased_as(&before));
     assert_ne!(frozen.replica.member(), before);
+    // Nobody takes the new member for silent because it was not heard yet.
+    assert_eq!(
+        fleet.story().matches("Suspect(").count(),
+        1,
+        "{}",
+        fleet.story()
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -414,3 +421,21 @@
         assert_eq!(fleet.leased(), [true; 8]);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_has_just_joined_is_given_time_to_be_heard() {
+    let mut fleet = Fleet::start(3).await;
+    sleep(20_000).await;
+    let late = fleet.spawn(3, 0).await;
+    fleet.part(&[late], &[0, 1, 2], true);
+    let joined = fleet.processes[late].replica.member();
+    sleep(2_500).await;
+    assert!(
+        fleet.processes[0]
+            .replica
+            .read(|s| s.roster().is_active(&joined))
+    );
+    assert!(!fleet.story().contains("Suspect("), "{}", fleet.story());
+    sleep(2_000).await;
+    assert!(fleet.story().contains("Suspect("));
+}
