Use one codec for byte strings

Cause: the codec of byte strings stood in core and in node. Before and after: the tests of both crates pass unchanged.

--- a/crates/quetzalpick-core/src/record/mod.rs
+++ b/crates/quetzalpick-core/src/record/mod.rs
@@ -3,7 +3,7 @@
 mod claim;
 mod config;
 mod entry;
-pub(crate) mod octets;
+pub mod octets;
 mod placement;
 mod roster;
 mod share;
--- a/crates/quetzalpick-core/src/record/octets.rs
+++ b/crates/quetzalpick-core/src/record/octets.rs
@@ -6,15 +6,20 @@
 use serde::ser::Serializer;
 
 /// Writes bytes as one byte string.
-pub(crate) fn serialize<S: Serializer>(
-    bytes: impl AsRef<[u8]>,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
+///
+/// # Errors
+///
+/// Whatever the serializer meets.
+pub fn serialize<S: Serializer>(bytes: impl AsRef<[u8]>, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.serialize_bytes(bytes.as_ref())
 }
 
 /// Reads a byte string, or a sequence of numbers in formats without byte strings.
-pub(crate) fn deserialize<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+///
+/// # Errors
+///
+/// Whatever the deserializer meets, and a length that does not fit.
+pub fn deserialize<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
     T: TryFrom<Vec<u8>>,
