--- a/crates/quetzalpick-core/src/plan/planner.rs
+++ b/crates/quetzalpick-core/src/plan/planner.rs
@@ -118,7 +118,10 @@
             Policy::LeastRecentlyUsed => self.replace_least_recent(&mut draft),
             Policy::Gain => {
                 self.follow_demand(now_ms, &mut draft);
-                draft.spare();
+                let artifacts: Vec<&Artifact> =
+                    draft.fleet.items.iter().map(|item| item.artifact).collect();
+                let may_change = |item: usize| self.may_change(now_ms, artifacts[item]);
+                draft.spare(self.options.engine_rate, may_change);
             }
         }
         let steps = draft.steps;
--- a/crates/quetzalpick-core/tests/plan/fleet.rs
+++ b/crates/quetzalpick-core/tests/plan/fleet.rs
@@ -108,6 +108,7 @@
         self.append(Record::Report(Report {
             endpoint: endpoint(at),
             boot: Boot(boot),
+            seen: self.state.next(),
             loaded: Vec::new(),
         }));
         self.reached = Table::default();
@@ -235,6 +236,7 @@
                 endpoint: order.endpoint,
                 sequence: order.sequence,
                 boot: boot.expect("the engine was reported"),
+                seen: self.state.next(),
                 settlement,
             }));
         }
