Settle orders that a newer fencing number overtook

Cause: when two orders to one engine cross, the older one is refused for ever; it was neither done nor in the list of refused orders, so it stayed open and its memory promised. Dispatch::settlement now decides what a report shows of an order, for the model and for keepers.

--- a/crates/quetzalpick-core/src/dispatch.rs
+++ b/crates/quetzalpick-core/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! Times are milliseconds on the leader's own monotonic clock.
 
 use crate::id::Endpoint;
-use crate::record::Operation;
+use crate::record::{Operation, Settlement};
 use crate::table::Table;
 
 /// `Dispatch` remembers when the leader last sent each order.
@@ -18,6 +18,26 @@
     sent: Table<Endpoint, Table<Operation, u64>>,
 }
 
+/// `Sight` is what an engine showed of one order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sight {
+    /// The report lists the copy as loaded.
+    pub loaded: bool,
+    /// The report lists the copy as being loaded.
+    pub loading: bool,
+    /// The report lists the order as refused for good.
+    pub refused: bool,
+    /// The engine checks fencing numbers and knows a newer one, by its report or by its answer to the order.
+    pub overtaken: bool,
+}
+
+impl Sight {
+    /// Tells whether sending the order again is useless; it would only put off its settlement.
+    pub fn is_futile(self) -> bool {
+        self.refused || self.overtaken
+    }
+}
+
 /// Returns the order that undoes another.
 fn opposite(operation: &Operation) -> Operation {
     match operation {
@@ -61,6 +81,27 @@
         self.is_past(endpoint, &opposite(operation), now)
     }
 
+    /// Returns what became of an order as a report shows it that was asked for at `asked`, `None` while that is open.
+    pub fn settlement(
+        &self,
+        endpoint: &Endpoint,
+        operation: &Operation,
+        sight: Sight,
+        asked: u64,
+    ) -> Option<Settlement> {
+        let done = match operation {
+            Operation::Load(..) => sight.loaded,
+            Operation::Unload(..) => !sight.loaded && !sight.loading,
+        };
+        if done {
+            return Some(Settlement::Done);
+        }
+        // A copy of the order that is still on its way could be taken after all, as by an engine that restarts.
+        let refused = sight.is_futile() && !sight.loading;
+        let refused = refused && self.is_past(endpoint, operation, asked);
+        refused.then_some(Settlement::Refused)
+    }
+
     /// Tells whether no order at all can still arrive at an engine.
     ///
     /// A report after its restart needs that, unless `Ledger::was_ordered` rules orders out.
--- a/crates/quetzalpick-core/tests/state/ledger.rs
+++ b/crates/quetzalpick-core/tests/state/ledger.rs
@@ -66,6 +66,8 @@
     loaded: Vec<Copy>,
     loading: Vec<Copy>,
     refused: Vec<u64>,
+    /// Newest fencing number that the engine knows.
+    fencing: u64,
     free_mb: u64,
 }
 
@@ -410,8 +412,8 @@
 fn naive_leaders_are_caught() {
     let naive = [
         (Policy::ReportOnly, [0, 0, 0, 0]),
-        (Policy::NoLateness, [8, 3, 8, 8]),
-        (Policy::Unguarded, [2, 3, 2, 13]),
+        (Policy::NoLateness, [8, 3, 14, 5]),
+        (Policy::Unguarded, [2, 3, 9, 8]),
     ];
     for (policy, seeds) in naive {
         for (setup, seed) in setups(policy).zip(seeds) {
--- a/crates/quetzalpick-core/tests/state/ledger/engine.rs
+++ b/crates/quetzalpick-core/tests/state/ledger/engine.rs
@@ -86,6 +86,7 @@
                 .map(|(_, copy, _)| copy.clone())
                 .collect(),
             refused: engine.refused.clone(),
+            fencing: engine.seen,
             free_mb: memory_mb.saturating_sub(engine.used_mb()),
         };
         let answered = self.now + self.random.random_range(0..600);
--- a/crates/quetzalpick-core/tests/state/ledger/leader.rs
+++ b/crates/quetzalpick-core/tests/state/ledger/leader.rs
@@ -1,5 +1,6 @@
 //! The placement leader of the model.
 
+use quetzalpick_core::dispatch::Sight;
 use quetzalpick_core::id::{Boot, Endpoint, Offset, Sequence};
 use quetzalpick_core::record::{Intent, Operation, Record, Report, Settled, Settlement};
 use quetzalpick_core::state::Open;
@@ -36,7 +37,8 @@
             return;
         };
         for open in &account.open {
-            if let Some(settlement) = self.settlement(&name, open, view) {
+            let sight = self.sight(open, view);
+            if let Some(settlement) = self.settlement(&name, open, sight, view) {
                 let settled = Settled {
                     endpoint: name,
                     sequence: open.sequence,
@@ -47,7 +49,7 @@
                 self.append(at, Record::Settled(settled));
                 return;
             }
-            if self.random.random_bool(0.3) && !view.refused.contains(&open.fencing.0) {
+            if self.random.random_bool(0.3) && !sight.is_futile() {
                 let order = Order {
                     fencing: open.fencing.0,
                     operation: open.operation.clone(),
@@ -60,41 +62,42 @@
     }
 
     /// Returns the first offset not applied when the engine was asked.
-    pub(super) fn seen(&self, view: &View) -> Offset {
+    fn seen(&self, view: &View) -> Offset {
         match self.setup.policy {
             Policy::Unguarded => Offset(u64::MAX),
             _ => view.seen,
         }
     }
 
-    /// Tells what a report shows of an open order.
-    pub(super) fn settlement(
+    /// Returns what a report shows of an open order.
+    fn sight(&self, open: &Open, view: &View) -> Sight {
+        let copy = copy_of(&open.operation);
+        Sight {
+            loaded: view.loaded.contains(&copy),
+            loading: view.loading.contains(&copy),
+            refused: view.refused.contains(&open.fencing.0),
+            overtaken: self.setup.checks_fencing && open.fencing.0 < view.fencing,
+        }
+    }
+
+    /// Tells what became of an open order.
+    fn settlement(
         &self,
         name: &Endpoint,
         open: &Open,
+        sight: Sight,
         view: &View,
     ) -> Option<Settlement> {
-        let copy = copy_of(&open.operation);
-        let (held, loading) = (view.loaded.contains(&copy), view.loading.contains(&copy));
-        let done = match open.operation {
-            Operation::Load(..) => held,
-            Operation::Unload(..) => !held && !loading,
+        let asked = match self.setup.policy {
+            Policy::NoLateness => u64::MAX,
+            _ => view.asked,
         };
-        let past = self
-            .leader
-            .dispatch
-            .is_past(name, &open.operation, view.asked);
-        let past = past || self.setup.policy == Policy::NoLateness;
-        let refused = view.refused.contains(&open.fencing.0) && !loading && past;
-        match (done, refused) {
-            (true, _) => Some(Settlement::Done),
-            (false, true) => Some(Settlement::Refused),
-            (false, false) => None,
-        }
+        let dispatch = &self.leader.dispatch;
+        dispatch.settlement(name, &open.operation, sight, asked)
     }
 
     /// Announces an order at random; the fold rejects what does not fit.
-    pub(super) fn plan(&mut self, at: usize, name: &Endpoint, last: Sequence) {
+    fn plan(&mut self, at: usize, name: &Endpoint, last: Sequence) {
         let operation = self.operation(name);
         let now = self.now;
         let may = self.leader.dispatch.may_announce(name, &operation, now);
@@ -112,7 +115,7 @@
         self.append(at, Record::Intent(intent));
     }
 
-    pub(super) fn operation(&mut self, name: &Endpoint) -> Operation {
+    fn operation(&mut self, name: &Endpoint) -> Operation {
         let account = self.state.ledger().accounts().get(name);
         let copies: Vec<Copy> = account.map_or(Vec::new(), |a| a.loaded.keys().cloned().collect());
         let unloads = self.random.random_bool(0.4) && !copies.is_empty();
@@ -130,7 +133,7 @@
     }
 
     /// The naive leader: it sends what the report leaves room for.
-    pub(super) fn plan_by_report(&mut self, at: usize, view: &View) {
+    fn plan_by_report(&mut self, at: usize, view: &View) {
         let name = self.engines[at].name.clone();
         let operation = self.operation(&name);
         let (wanted, _) = copy_of(&operation);
