Split duties by concern and find silent members once a tick

Cause: reading the code again: whether a member was silent was worked out several times a tick with a scan of all members each; a departed voter counted as heard; a start that was never heard counted as replacing another one.

--- a/crates/quetzalpick-node/src/replica/contacts.rs
+++ b/crates/quetzalpick-node/src/replica/contacts.rs
@@ -78,6 +78,12 @@
         now.saturating_sub(heard.max(active).max(self.awake_since))
     }
 
+    /// Tells whether a member was heard within a time, in ms.
+    pub(crate) fn is_heard(&self, now: u64, member: &Member, limit: u64) -> bool {
+        let contact = self.known.get(member);
+        contact.is_some_and(|contact| now.saturating_sub(contact.heard_at) < limit)
+    }
+
     /// Returns the last known address of a member.
     pub(crate) fn address(&self, member: &Member) -> Option<&str> {
         self.known.get(member).map(|c| c.address.as_str())
--- a/crates/quetzalpick-node/src/replica/stagger.rs
+++ b/crates/quetzalpick-node/src/replica/stagger.rs
@@ -12,8 +12,8 @@
     Retire(Member, Offset),
     /// Changing the voters by this member, after the change at this offset.
     Seat(Member, Offset),
-    /// Dropping old claims.
-    Expire,
+    /// Dropping the claims before this offset.
+    Expire(Offset),
     /// Publishing a snapshot later than the one at this offset.
     Publish(Offset),
 }
--- /dev/null
+++ b/crates/quetzalpick-node/src/replica/voters.rs
@@ -0,0 +1,47 @@
+//! Keeps the set of voters full: departed members are replaced, one at a time.
+
+use quetzalpick_core::id::{Domain, Member};
+use quetzalpick_core::record::{Record, Seat};
+use quetzalpick_core::state::State;
+
+use crate::replica::shared::{Shared, lock};
+use crate::replica::stagger::Duty;
+
+impl<L, T> Shared<L, T> {
+    /// Returns the next change of the voters: departed ones are unseated first.
+    pub(crate) fn seat(&self, state: &State, silent: &[Member]) -> Option<(Duty, Record)> {
+        let roster = state.roster();
+        let departed = roster.voters().iter().find(|m| !roster.is_active(m));
+        let member = departed.or_else(|| next_voter(state, silent, self.options.voters))?;
+        let seats = roster.seats_changed();
+        let witnesses = lock(&self.witness).majority(state, seats)?.members;
+        let duty = Duty::Seat(member.clone(), seats);
+        let seat = Seat {
+            member: member.clone(),
+            seats,
+            witnesses,
+        };
+        Some((duty, Record::Seat(seat)))
+    }
+}
+
+/// Returns an active member that is heard and is to vote, from the failure domain with the fewest voters.
+fn next_voter<'a>(state: &'a State, silent: &[Member], most: usize) -> Option<&'a Member> {
+    let roster = state.roster();
+    if roster.voters().len() >= most {
+        return None;
+    }
+    let domain_of = |voter: &Member| roster.members().get(voter).map(|row| &row.domain);
+    let voters_in = |domain: &Domain| {
+        let voters = roster.voters().iter();
+        voters
+            .filter(|voter| domain_of(voter) == Some(domain))
+            .count()
+    };
+    let is_fit =
+        |member: &Member| !roster.is_voter(member) && silent.binary_search(member).is_err();
+    let members = roster.members().iter();
+    let fit = members.filter(|(m, row)| row.suspected.is_none() && is_fit(m));
+    let next = fit.min_by_key(|(_, row)| (voters_in(&row.domain), row.joined));
+    next.map(|(member, _)| member)
+}
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -1,11 +1,11 @@
-//! What any process does about the others: suspecting and retiring silent members, seating voters, dropping old claims.
+//! What any process does about the others: suspecting and retiring silent members, and dropping old claims.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use quetzalpick_core::id::{Domain, Member, Offset};
-use quetzalpick_core::record::{Record, Retire, Role, Seat};
-use quetzalpick_core::state::{Membership, State};
+use quetzalpick_core::id::{Member, Offset};
+use quetzalpick_core::record::{Record, Retire, Role};
+use quetzalpick_core::state::State;
 use quetzalpick_platform::traits::Log;
 use tokio::time::sleep;
 
@@ -39,7 +39,7 @@
 }
 
 impl Watch {
-    /// Notes which members are suspected now and tells whether one was suspected lately.
+    /// Notes which members are suspected now, and forgets suspicions of long ago.
     fn note_suspected(&mut self, now: u64, state: &State, hold_ms: u64) {
         let members = state.roster().members();
         self.suspected.retain(|(_, at)| now - at < hold_ms);
@@ -55,6 +55,19 @@
         self.suspected.iter().any(|(m, _)| m == member)
     }
 
+    /// Notes that a duty was tried.
+    fn note_done(&mut self, now: u64, duty: Duty) {
+        self.stagger.done(&duty);
+        // Waiting for the answer is no pause.
+        self.ticked_at = now;
+        match duty {
+            // A refutation may follow before the next look.
+            Duty::Suspect(member) => self.suspected.push((member, now)),
+            Duty::Expire(before) => self.expired = before,
+            _ => {}
+        }
+    }
+
     /// Notes the applied offset and returns the newest one that is older than the retention.
     fn outdated(&mut self, now: u64, next: Offset, retention_ms: u64) -> Option<Offset> {
         let spaced = |(at, _): &Sample| now - at >= retention_ms / SAMPLES;
@@ -82,20 +95,9 @@
             self.note_pause(now, &mut watch);
             if let Some((duty, record)) = self.next_duty(now, &mut watch) {
                 log::info!("member: recording {record:?}");
-                let expire = match &record {
-                    Record::Expire(before) => Some(*before),
-                    _ => None,
-                };
                 let answer = self.submit(record, None).await;
-                watch.expired = expire.unwrap_or(watch.expired);
                 log::info!("member: {answer:?}");
-                watch.stagger.done(&duty);
-                // Waiting for the answer is no pause.
-                watch.ticked_at = self.clock.now();
-                if let Duty::Suspect(member) = duty {
-                    // A refutation may follow before the next look.
-                    watch.suspected.push((member, watch.ticked_at));
-                }
+                watch.note_done(self.clock.now(), duty);
             }
         }
     }
@@ -130,9 +132,10 @@
         let state = &view.state;
         watch.note_suspected(now, state, hold_ms);
         lock(&self.contacts).note_active(now, state.roster(), hold_ms);
-        let mut duties = self.suspicions(now, state, &me, watch);
-        duties.extend(self.retirements(now, state, &me));
-        duties.extend(self.seat(now, state));
+        let silent = self.silent(now, state, &me);
+        let mut duties = suspicions(state, &silent, watch);
+        duties.extend(self.retirements(now, state, &silent));
+        duties.extend(self.seat(state, &silent));
         duties.extend(self.expiry(now, state, watch));
         drop(view);
         let spread = millis(self.options.exchange_interval);
@@ -147,64 +150,10 @@
         due
     }
 
-    /// Tells whether a member has been silent for the suspicion time, or its process was started anew since.
-    fn is_silent(&self, now: u64, state: &State, member: &Member) -> bool {
-        let limit = self.silence_limit(state);
-        let contacts = lock(&self.contacts);
-        let members = state.roster().members();
-        let joined = members.get(member).map(|row| row.joined);
-        let replaces = |(other, row): (&Member, &Membership)| {
-            let later = joined.is_some_and(|joined| row.joined > joined);
-            later && other.vm == member.vm && contacts.silence(now, other) < limit
-        };
-        // A VM that the platform no longer lists is most likely gone.
-        let limit_of_member = if contacts.is_unlisted(member) {
-            limit / 2
-        } else {
-            limit
-        };
-        contacts.silence(now, member) >= limit_of_member || members.iter().any(replaces)
-    }
-
-    /// Returns the silence after which a member is suspected, in ms.
-    fn silence_limit(&self, state: &State) -> u64 {
-        let suspicion = millis(self.options.suspicion);
-        let Some(sample) = self.options.exchange_sample else {
-            return suspicion;
-        };
-        // With a sample, one is called by each other member only once in so many exchanges.
-        let turns = state.roster().members().len().div_ceil(sample.max(1)) as u64;
-        suspicion + turns * 2 * millis(self.options.exchange_interval)
-    }
-
-    /// Returns the suspicions to record.
-    fn suspicions(
-        &self,
-        now: u64,
-        state: &State,
-        me: &Member,
-        watch: &Watch,
-    ) -> Vec<(Duty, Record)> {
-        let is_silent = |m: &Member| m != me && self.is_silent(now, state, m);
-        // A process that hears no majority is more likely cut off itself, and nobody could be retired then.
-        let voters = state.roster().voters();
-        let silent = voters.iter().filter(|m| is_silent(m)).count();
-        if silent * 2 >= voters.len() {
-            return Vec::new();
-        }
-        let members = state.roster().members().iter();
-        let standing = members.filter(|(_, row)| row.suspected.is_none());
-        let suspects = standing.filter(|(m, _)| is_silent(m) && !watch.was_suspected(m));
-        let duty = |m: &Member| (Duty::Suspect(m.clone()), Record::Suspect(m.clone()));
-        suspects.map(|(m, _)| duty(m)).collect()
-    }
-
     /// Returns the retirements that are complete but for their record.
-    fn retirements(&self, now: u64, state: &State, me: &Member) -> Vec<(Duty, Record)> {
-        let is_silent = |m: &Member| m != me && self.is_silent(now, state, m);
-        let members = state.roster().members().iter();
-        let suspected = members.filter_map(|(m, row)| Some((m, row.suspected?)));
-        let silent: Vec<(&Member, Offset)> = suspected.filter(|(m, _)| is_silent(m)).collect();
+    fn retirements(&self, now: u64, state: &State, silent: &[Member]) -> Vec<(Duty, Record)> {
+        let members = state.roster().members();
+        let suspected = |m| Some((m, members.get(m)?.suspected?));
         let witness = lock(&self.witness);
         let options = lease_options(&self.options);
         let retire = |(member, suspected): (&Member, Offset)| {
@@ -220,42 +169,11 @@
             };
             Some((duty, Record::Retire(retire)))
         };
-        silent.into_iter().filter_map(retire).collect()
-    }
-
-    /// Returns the next change of the voters: departed ones are unseated first.
-    fn seat(&self, now: u64, state: &State) -> Option<(Duty, Record)> {
-        let roster = state.roster();
-        let departed = roster.voters().iter().find(|m| !roster.is_active(m));
-        let member = departed.or_else(|| self.next_voter(now, state))?;
-        let changed = roster.seats_changed();
-        let witnesses = lock(&self.witness).majority(state, changed)?.members;
-        let duty = Duty::Seat(member.clone(), changed);
-        let seat = Seat {
-            member: member.clone(),
-            seats: changed,
-            witnesses,
-        };
-        Some((duty, Record::Seat(seat)))
-    }
-
-    /// Returns an active member that is heard and is to vote, from the failure domain with the fewest voters.
-    fn next_voter<'a>(&self, now: u64, state: &'a State) -> Option<&'a Member> {
-        let roster = state.roster();
-        if roster.voters().len() >= self.options.voters {
-            return None;
-        }
-        let me = self.me();
-        let is_heard = |m: &Member| *m == me || !self.is_silent(now, state, m);
-        let members = || roster.members().iter();
-        let voters_in = |domain: &Domain| {
-            let beside = members().filter(|(m, row)| row.domain == *domain && roster.is_voter(m));
-            beside.count()
-        };
-        let fit = members().filter(|(m, row)| row.suspected.is_none() && !roster.is_voter(m));
-        let heard = fit.filter(|(m, _)| is_heard(m));
-        let next = heard.min_by_key(|(_, row)| (voters_in(&row.domain), row.joined));
-        next.map(|(m, _)| m)
+        silent
+            .iter()
+            .filter_map(suspected)
+            .filter_map(retire)
+            .collect()
     }
 
     /// Returns the expiry of claims that a keeper has seen for longer than they are remembered.
@@ -264,6 +182,27 @@
         let outdated = watch.outdated(now, state.next(), retention)?;
         let keeper = self.options.role == Role::Keeper;
         let new = outdated > watch.expired;
-        (keeper && new).then_some((Duty::Expire, Record::Expire(outdated)))
+        (keeper && new).then_some((Duty::Expire(outdated), Record::Expire(outdated)))
+    }
+}
+
+/// Returns the suspicions to record.
+fn suspicions(state: &State, silent: &[Member], watch: &Watch) -> Vec<(Duty, Record)> {
+    let roster = state.roster();
+    let is_silent = |m: &Member| silent.binary_search(m).is_ok();
+    // A process that hears no majority is more likely cut off itself, and nobody could be retired then.
+    let voters = roster.voters();
+    let heard = voters
+        .iter()
+        .filter(|m| roster.is_active(m) && !is_silent(m));
+    if heard.count() * 2 <= voters.len() {
+        return Vec::new();
     }
+    let is_suspected = |m: &Member| {
+        let row = roster.members().get(m);
+        row.is_some_and(|row| row.suspected.is_some()) || watch.was_suspected(m)
+    };
+    let duty = |m: &Member| (Duty::Suspect(m.clone()), Record::Suspect(m.clone()));
+    let suspects = silent.iter().filter(|m| !is_suspected(m));
+    suspects.map(duty).collect()
 }
