Refuse writes at once while the log is out

Cause: a write that could not be appended was answered only after its deadline: 1 s where the log refused, 5 s as unknown where it answered 503. While no read has reached the head for long, nothing is appended and the answer is at once. Ruled out: judging by the last read alone, as one failed read would refuse writes that go through a moment later. Seen failing: a_process_cut_from_the_log_learns_from_peers with the new assertion on the former sources. Before and after on the paused clock: 1 s before, 0 s after.

--- a/crates/quetzalpick-node/src/replica/follower.rs
+++ b/crates/quetzalpick-node/src/replica/follower.rs
@@ -44,7 +44,7 @@
                 }
                 Some(Err(error)) => {
                     log::debug!("state: read failed: {error}");
-                    self.read_at.store(0, Ordering::Relaxed);
+                    self.read_failed.store(true, Ordering::Relaxed);
                     let _ = timeout(RETRY_PAUSE, self.read_now.notified()).await;
                     wait = Duration::ZERO;
                 }
@@ -87,6 +87,7 @@
             lock(&self.lease).read_head(sent_at, batch.end());
             self.read_at
                 .store(self.clock.now().max(1), Ordering::Relaxed);
+            self.read_failed.store(false, Ordering::Relaxed);
             self.note_renewal();
         }
     }
--- a/crates/quetzalpick-node/src/replica/shared.rs
+++ b/crates/quetzalpick-node/src/replica/shared.rs
@@ -63,8 +63,10 @@
     pub(crate) read_now: Notify,
     /// Asks for an exchange without waiting.
     pub(crate) exchange_now: Notify,
-    /// Time of the last read that reached the head, in ms; 0 if there was none or a read failed since.
+    /// Time of the last read that reached the head, in ms; 0 if there was none.
     pub(crate) read_at: AtomicU64,
+    /// Whether the last read failed.
+    pub(crate) read_failed: AtomicBool,
     /// Members called so far by turns.
     pub(crate) exchange_turn: AtomicUsize,
     /// Time until which no quick read is tried for a missing lease, in ms.
@@ -99,6 +101,7 @@
             read_now: Notify::new(),
             exchange_now: Notify::new(),
             read_at: AtomicU64::new(0),
+            read_failed: AtomicBool::new(false),
             exchange_turn: AtomicUsize::new(0),
             unleased_until: AtomicU64::new(0),
             seats_pruned: AtomicU64::new(0),
@@ -144,9 +147,15 @@
 
     /// Tells whether the log can be read: the last read succeeded, and not long ago.
     pub(crate) fn reads(&self) -> bool {
+        let at = self.read_at.load(Ordering::Relaxed);
+        at > 0 && !self.read_failed.load(Ordering::Relaxed) && !self.is_log_out()
+    }
+
+    /// Tells whether no read has reached the head for long; what is submitted then is not sent at all.
+    pub(crate) fn is_log_out(&self) -> bool {
         let at = self.read_at.load(Ordering::Relaxed);
         let limit = millis(self.long_read() + self.options.exchange_interval * 2);
-        at > 0 && self.clock.now().saturating_sub(at) <= limit
+        self.clock.now().saturating_sub(at) > limit
     }
 
     /// Returns how long a read waits for entries: a lease is renewed well before it ends.
--- a/crates/quetzalpick-node/src/replica/submit.rs
+++ b/crates/quetzalpick-node/src/replica/submit.rs
@@ -48,7 +48,8 @@
             log::error!("write: cannot encode {command}");
             return not_sent();
         };
-        if self.stop.is_cancelled() {
+        // During an outage the caller is told at once, as nothing could be read back.
+        if self.stop.is_cancelled() || self.is_log_out() {
             return not_sent();
         }
         let now = self.clock.now();
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -139,10 +139,12 @@
         assert_eq!(fleet.leased(), [true; 3]);
     }
     // Its own writes are answered at once and truly.
+    let began = tokio::time::Instant::now();
     assert_matches!(
         fleet.processes[2].set("abuja", None).await,
         Answer::NotSent { .. }
     );
+    assert_eq!(began.elapsed(), Duration::ZERO);
     fleet.processes[2].log.cut(false);
     sleep(10_000).await;
     assert_eq!(fleet.processes[0].revision(), 1);
