Answer an outage without the request id

An answer in place of a system that is out of service comes from something that never saw the request. With the id echoed, the gate's tests found that the gate passes such an answer on as the service's own although nothing ran.

--- a/crates/quetzalpick-standin/src/fault.rs
+++ b/crates/quetzalpick-standin/src/fault.rs
@@ -10,7 +10,7 @@
 #[serde(tag = "fault", rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Fault {
-    /// Calls get status 503 and do nothing.
+    /// Calls get status 503, without their request id, and do nothing.
     Outage,
     /// Calls are refused with status 429 and `x-not-run: overloaded`, and do nothing.
     Refuse,
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -88,10 +88,8 @@
     error(StatusCode::NOT_FOUND, "not_found", message)
 }
 
-/// Answers a call, with the caller's request id unless the answer carries another one.
-pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
-    let id = call.header(REQUEST_ID).map(str::to_owned);
-    let reply = answer_with_faults(app, call, limit).await;
+/// Adds the caller's request id to an answer, unless the answer carries another one.
+fn echo(reply: Reply, id: Option<&str>) -> Reply {
     match (&reply, id) {
         (Reply::Answer(response), Some(id)) if !response.headers().contains_key(REQUEST_ID) => {
             reply.with_header(REQUEST_ID, id)
@@ -101,10 +99,12 @@
 }
 
 /// Answers a call, as the faults that are on let it be answered.
-async fn answer_with_faults<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
+pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
+    let id = call.header(REQUEST_ID).map(str::to_owned);
+    let id = id.as_deref();
     let path = call.path().to_owned();
     if let Some(name) = path.strip_prefix(ADMIN) {
-        return administer(&app, name, &call);
+        return echo(administer(&app, name, &call), id);
     }
     app.recorder().record(&call.head);
     let faults = app.faults();
@@ -115,14 +115,14 @@
     if let Some(ms) = slow {
         sleep(Duration::from_millis(ms)).await;
     }
+    // What answers in place of a system that is out of service knows nothing of request ids.
     if faults.meets(&path, Fault::Outage) {
         return error(StatusCode::SERVICE_UNAVAILABLE, "outage", "out of service");
     }
     if faults.meets(&path, Fault::Refuse) {
         let reply = error(StatusCode::TOO_MANY_REQUESTS, "overloaded", "come back");
-        return reply
-            .with_header("x-not-run", "overloaded")
-            .with_header("retry-after", "1");
+        let reply = reply.with_header("x-not-run", "overloaded");
+        return echo(reply.with_header("retry-after", "1"), id);
     }
     let close_at = faults.take(&path, |fault| match fault {
         Fault::CloseAt { bytes } => Some(bytes),
@@ -136,7 +136,7 @@
     if let Some(bytes) = close_at {
         limit.set(bytes);
     }
-    reply
+    echo(reply, id)
 }
 
 /// Handles a call, in a task of its own if it goes on without its caller.
