Read a body that is too large to its end before it is refused

Closing a connection on which the caller still sends resets it, and the caller loses the 413 ("error writing a body to connection", so that its verdict is may-have-run). The new test failed before this change and passes after it.

--- a/crates/quetzalpick-standin/src/server/listener.rs
+++ b/crates/quetzalpick-standin/src/server/listener.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,7 +24,10 @@
 use crate::errors::{ListenSnafu, Result};
 
 /// Largest body of a request, in bytes.
-const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Largest body that is read to its end before it is refused as too large, in bytes.
+const DRAIN_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -149,21 +153,39 @@
 }
 
 /// Reads the body of a request, within bounds on size and time.
-async fn read(body: Incoming) -> std::result::Result<bytes::Bytes, Reply> {
-    // A body that says it is too long is refused before it is read.
-    if body.size_hint().lower() > BODY_MAX_BYTES as u64 {
-        return Err(too_large());
-    }
-    let reading = Limited::new(body, BODY_MAX_BYTES).collect();
-    match timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(failure)) if failure.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(Reply::Close),
-        Err(_) => {
+async fn read(body: Incoming) -> std::result::Result<Bytes, Reply> {
+    timeout(BODY_TIMEOUT, read_whole(body))
+        .await
+        .unwrap_or_else(|_| {
             let message = "the body did not arrive in time";
             Err(error(StatusCode::REQUEST_TIMEOUT, "timeout", message))
+        })
+}
+
+/// Reads a body to its end.
+///
+/// The rest of one that is too large is thrown away, since a caller that is still sending when the connection is closed
+/// loses the answer.
+async fn read_whole(mut body: Incoming) -> std::result::Result<Bytes, Reply> {
+    if body.size_hint().lower() > DRAIN_MAX_BYTES {
+        return Err(too_large());
+    }
+    let mut bytes = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Reply::Close)?;
+        let data = frame.into_data().unwrap_or_default();
+        length += data.len() as u64;
+        if length <= BODY_MAX_BYTES {
+            bytes.extend_from_slice(&data);
+        } else if length > DRAIN_MAX_BYTES {
+            return Err(too_large());
         }
     }
+    match length > BODY_MAX_BYTES {
+        true => Err(too_large()),
+        false => Ok(bytes.freeze()),
+    }
 }
 
 /// Makes the answer to a body that is too large.
--- a/crates/quetzalpick-standin/tests/bad_input.rs
+++ b/crates/quetzalpick-standin/tests/bad_input.rs
@@ -2,6 +2,9 @@
 
 use std::fmt::Write;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use quetzalpick_platform::http::{Pool, Timeouts};
 use quetzalpick_standin::service::{Options, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -48,3 +51,17 @@
     insta::assert_snapshot!(session);
     assert_eq!(server.record().executions, []);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_body_is_refused_after_it_was_read() {
+    let server = Server::try_start(Options::default()).await.unwrap();
+    let address = server.address().to_string();
+    let pool = Pool::default();
+    for _ in 0..10 {
+        let body = Full::new(Bytes::from(vec![b' '; 17 * 1024 * 1024]));
+        let request = hyper::Request::post("/bookings").body(body).unwrap();
+        // A server that closed while the body is on its way would take the answer from its caller.
+        let sent = pool.send(&address, request, Timeouts::default());
+        assert_eq!(sent.await.unwrap().status(), 413);
+    }
+}
