--- a/crates/quetzalpick-platform/src/wire/engine.rs
+++ b/crates/quetzalpick-platform/src/wire/engine.rs
@@ -3,8 +3,8 @@
 //! Callers' side: `POST /v1/chat/completions` and `POST /v1/completions` in the common form, with `x-request-id` echoed
 //! in the answer's headers and as `id` in its body and in each chunk of a stream; `x-priority` (0 is most urgent); each
 //! chunk's `quetzalpick_index` counts tokens from 0. `x-resume-from: N` continues the stream of that request id at
-//! token N (404 if it is not known any more); `x-prefix` in the body's field `quetzalpick_prefix` is text already
-//! generated elsewhere, which is taken as generated and counted. `DELETE /v1/requests/{id}` cancels. A leaving engine
+//! token N (404 with `x-not-run: resume` if it is not known any more); the body's field `quetzalpick_prefix` is text
+//! already generated elsewhere, which is taken as generated and counted, and the answer goes on after it. `DELETE /v1/requests/{id}` cancels. A leaving engine
 //! answers 503 with `x-not-run: leaving`; an overloaded one 429 with `x-not-run: overloaded`; an engine without the
 //! model 404 with `x-not-run: model`.
 //!
--- a/crates/quetzalpick-standin/src/engine/completion.rs
+++ b/crates/quetzalpick-standin/src/engine/completion.rs
@@ -12,7 +12,7 @@
 use super::usage::Usage;
 use super::{stream, token};
 use crate::fault::Fault;
-use crate::server::{Call, REQUEST_ID, Reply, error, json};
+use crate::server::{Call, REQUEST_ID, Reply, error, invalid, json};
 
 /// Header with the reason for which nothing ran.
 const NOT_RUN: &str = "x-not-run";
@@ -57,7 +57,7 @@
     let prompt = request.prompt_text();
     if prompt.is_empty() || request.max_tokens == Some(0) {
         let message = "a prompt or messages, and `max_tokens` of at least 1, are needed";
-        return error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+        return invalid(message);
     }
     let id = call.header(REQUEST_ID).map(str::to_owned);
     let id = id.unwrap_or_else(|| app.draw_id());
@@ -95,7 +95,7 @@
         Some(Ok(start)) if start <= session.end => start,
         Some(_) => {
             let message = "`x-resume-from` is beyond the answer";
-            return error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+            return invalid(message);
         }
     };
     let priority = call.header("x-priority").and_then(|text| text.parse().ok());
--- a/crates/quetzalpick-standin/src/engine/server.rs
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -7,7 +7,6 @@
 use hyper::{Method, StatusCode};
 use quetzalpick_platform::http::Pool;
 use quetzalpick_platform::wire::engine::{Order, Report};
-use serde::Deserialize;
 use serde_json::json as value;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -23,7 +22,7 @@
 use crate::errors::{Result, preload_error};
 use crate::fault::{Fault, Faults};
 use crate::seen::Recorder;
-use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
+use crate::server::{Application, Call, Leaving, Listener, Reply, confirm, error, json, unknown};
 
 /// `Server` is a running engine; dropping it cuts its connections.
 #[derive(Debug)]
@@ -271,12 +270,6 @@
     }
 }
 
-/// `Leaving` is the body of the call that makes an engine leave.
-#[derive(Deserialize)]
-struct Leaving {
-    leaving: bool,
-}
-
 impl Application for App {
     const OUTLIVES_CALLER: bool = false;
 
@@ -293,20 +286,18 @@
     }
 
     fn admin(self: &Arc<Self>, name: &str, call: &Call) -> Option<Reply> {
-        let done = || json(StatusCode::OK, &value!({"done": true}));
         match (&call.head.method, name) {
             (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
             (&Method::POST, "restart") => {
                 self.restart();
-                Some(done())
+                Some(confirm(Ok(())))
             }
-            (&Method::POST, "leaving") => Some(match call.json::<Leaving>() {
-                Ok(body) => {
+            (&Method::POST, "leaving") => {
+                let body = call.json::<Leaving>();
+                Some(confirm(body.map(|body| {
                     self.leaving.store(body.leaving, Ordering::SeqCst);
-                    done()
-                }
-                Err(reply) => reply,
-            }),
+                })))
+            }
             _ => None,
         }
     }
--- a/crates/quetzalpick-standin/src/fault.rs
+++ b/crates/quetzalpick-standin/src/fault.rs
@@ -1,6 +1,7 @@
 //! Faults that a stand-in can be told to show.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
@@ -112,6 +113,14 @@
         None
     }
 
+    /// Returns how much later a call takes effect, if it is to be delayed.
+    pub(crate) fn delay(&self, path: &str) -> Option<Duration> {
+        self.take(path, |fault| match fault {
+            Fault::OrderDelayed { ms } => Some(Duration::from_millis(ms)),
+            _ => None,
+        })
+    }
+
     /// Tells whether a call meets exactly this fault.
     pub(crate) fn meets(&self, path: &str, fault: Fault) -> bool {
         let same = |found| (found == fault).then_some(());
--- a/crates/quetzalpick-standin/src/platform/log.rs
+++ b/crates/quetzalpick-standin/src/platform/log.rs
@@ -9,7 +9,7 @@
 use quetzalpick_platform::traits::{Batch, Log, Stream};
 use quetzalpick_platform::wire::log::{Append, Appended, Gone, Page};
 
-use crate::server::{Call, Reply, error, message_pack};
+use crate::server::{Call, Reply, error, invalid, message_pack};
 
 /// Longest time that a read waits for records.
 const WAIT_MAX: Duration = Duration::from_secs(60);
@@ -19,11 +19,10 @@
 
 /// Decodes the records of an append, or makes the answer that says why not.
 pub(crate) fn decode(call: &Call) -> Result<Append, Reply> {
-    let refuse = |message: String| error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
-    let append: Append = rmp_serde::from_slice(&call.body).map_err(|e| refuse(e.to_string()))?;
+    let append: Append = rmp_serde::from_slice(&call.body).map_err(|e| invalid(e.to_string()))?;
     match append.records.len() {
         1..=APPEND_MAX_RECORDS => Ok(append),
-        _ => Err(refuse(format!(
+        _ => Err(invalid(format!(
             "an append has 1 to {APPEND_MAX_RECORDS} records"
         ))),
     }
@@ -53,7 +52,7 @@
 pub(crate) async fn read(log: &memory::Log, stream: Stream, call: &Call) -> Reply {
     let Some(from) = call.number("from") else {
         let message = "the query needs `from`";
-        return error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+        return invalid(message);
     };
     let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0)).min(WAIT_MAX);
     let max = call.number("max").unwrap_or(u64::MAX).max(1);
--- a/crates/quetzalpick-standin/src/platform/server.rs
+++ b/crates/quetzalpick-standin/src/platform/server.rs
@@ -9,7 +9,6 @@
 use quetzalpick_platform::traits::{Log, Stream};
 use quetzalpick_platform::wire::vms::Vm;
 use serde::{Deserialize, Serialize};
-use serde_json::json as value;
 use tokio::time::sleep;
 
 use super::vms::{Change, Vms};
@@ -19,7 +18,7 @@
 use crate::errors::Result;
 use crate::fault::{Fault, Faults};
 use crate::seen::{Recorder, Seen};
-use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
+use crate::server::{Application, Call, Listener, Reply, confirm, error, invalid, json, unknown};
 
 /// `Options` sets up a platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -210,16 +209,12 @@
         if self.faults.meets(path, Fault::OrderLost) {
             return Reply::Close;
         }
-        let delay = self.faults.take(path, |fault| match fault {
-            Fault::OrderDelayed { ms } => Some(ms),
-            _ => None,
-        });
-        let Some(ms) = delay else {
+        let Some(delay) = self.faults.delay(path) else {
             return log::append(&self.log, stream, append).await;
         };
         let log = self.log.clone();
         tokio::spawn(async move {
-            sleep(Duration::from_millis(ms)).await;
+            sleep(delay).await;
             // Beyond the rate the append is lost for good, as its caller must expect.
             let _ = log.append(stream, append.records).await;
         });
@@ -241,14 +236,6 @@
     }
 }
 
-/// Confirms a change made through the administration.
-fn done(result: std::result::Result<(), Reply>) -> Reply {
-    match result {
-        Ok(()) => json(StatusCode::OK, &value!({"done": true})),
-        Err(reply) => reply,
-    }
-}
-
 impl Application for App {
     const OUTLIVES_CALLER: bool = true;
 
@@ -269,20 +256,16 @@
             (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
             (&Method::POST, "vms") => {
                 let change = call.json::<Change>();
-                Some(done(change.map(|change| self.vms.change(change))))
+                Some(confirm(change.map(|change| self.vms.change(change))))
+            }
+            (&Method::POST, "retention") => {
+                Some(confirm(call.json::<Retention>().and_then(|body| {
+                    let stream = body.stream.parse::<Stream>();
+                    let stream = stream.map_err(|_| invalid("no such stream"))?;
+                    self.log.retain(stream, body.records);
+                    Ok(())
+                })))
             }
-            (&Method::POST, "retention") => Some(done(call.json::<Retention>().and_then(|body| {
-                let stream = body.stream.parse::<Stream>();
-                let stream = stream.map_err(|_| {
-                    error(
-                        StatusCode::BAD_REQUEST,
-                        "invalid_request_error",
-                        "no such stream",
-                    )
-                })?;
-                self.log.retain(stream, body.records);
-                Ok(())
-            }))),
             _ => None,
         }
     }
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Duration, sleep};
 
-use super::reply::{Reply, error, json};
+use super::reply::{Reply, confirm, error, invalid};
 use super::socket::Limit;
 use crate::fault::{Fault, Faults, Switch};
 use crate::seen::Recorder;
@@ -72,13 +72,7 @@
 
     /// Decodes the body as JSON, or makes the answer that says why not.
     pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
-        serde_json::from_slice(&self.body).map_err(|e| {
-            error(
-                StatusCode::BAD_REQUEST,
-                "invalid_request_error",
-                e.to_string(),
-            )
-        })
+        serde_json::from_slice(&self.body).map_err(|e| invalid(e.to_string()))
     }
 }
 
@@ -148,6 +142,13 @@
     task.await.unwrap_or(Reply::Close)
 }
 
+/// `Leaving` is the body of the call that makes an endpoint leave.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Leaving {
+    /// Whether new calls are refused.
+    pub(crate) leaving: bool,
+}
+
 /// `Nothing` is the body of a call that needs none.
 #[derive(Deserialize)]
 struct Nothing {}
@@ -156,11 +157,7 @@
 fn turn_on<A: Application>(app: &Arc<A>, switch: Switch) -> Result<(), Reply> {
     if !switch.fault.is_common() && !A::shows(switch.fault) {
         let message = format!("{} cannot be shown here", switch.fault);
-        return Err(error(
-            StatusCode::BAD_REQUEST,
-            "invalid_request_error",
-            message,
-        ));
+        return Err(invalid(message));
     }
     app.faults().add(switch);
     Ok(())
@@ -168,18 +165,14 @@
 
 /// Handles a call of the administration.
 fn administer<A: Application>(app: &Arc<A>, name: &str, call: &Call) -> Reply {
-    let done = |result: Result<(), Reply>| match result {
-        Ok(()) => json(StatusCode::OK, &serde_json::json!({"done": true})),
-        Err(reply) => reply,
-    };
     match (&call.head.method, name) {
-        (&Method::POST, "fault") => done(
-            call.json::<Switch>()
-                .and_then(|switch| turn_on(app, switch)),
-        ),
+        (&Method::POST, "fault") => {
+            let switch = call.json::<Switch>();
+            confirm(switch.and_then(|switch| turn_on(app, switch)))
+        }
         (&Method::POST, "clear") => {
             let nothing = call.json::<Nothing>();
-            done(nothing.map(|_| app.faults().clear()))
+            confirm(nothing.map(|_| app.faults().clear()))
         }
         _ => app.admin(name, call).unwrap_or_else(|| unknown(call)),
     }
--- a/crates/quetzalpick-standin/src/server/mod.rs
+++ b/crates/quetzalpick-standin/src/server/mod.rs
@@ -5,6 +5,6 @@
 mod reply;
 mod socket;
 
-pub(crate) use application::{Application, Call, REQUEST_ID, unknown};
+pub(crate) use application::{Application, Call, Leaving, REQUEST_ID, unknown};
 pub(crate) use listener::Listener;
-pub(crate) use reply::{Broken, Reply, Sender, error, json, message_pack, parts};
+pub(crate) use reply::{Broken, Reply, Sender, confirm, error, invalid, json, message_pack, parts};
--- a/crates/quetzalpick-standin/src/server/reply.rs
+++ b/crates/quetzalpick-standin/src/server/reply.rs
@@ -127,3 +127,16 @@
     };
     json(status, &Problem { error })
 }
+
+/// Makes the answer to a request that makes no sense.
+pub(crate) fn invalid(message: impl AsRef<str>) -> Reply {
+    error(StatusCode::BAD_REQUEST, "invalid_request_error", message)
+}
+
+/// Makes the answer to a call of the administration that changes something.
+pub(crate) fn confirm(result: Result<(), Reply>) -> Reply {
+    match result {
+        Ok(()) => json(StatusCode::OK, &serde_json::json!({"done": true})),
+        Err(reply) => reply,
+    }
+}
--- a/crates/quetzalpick-standin/src/service/server.rs
+++ b/crates/quetzalpick-standin/src/service/server.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use serde::Deserialize;
 use serde_json::{Value, json as value};
 use tokio::time::sleep;
 
@@ -15,7 +14,9 @@
 use crate::errors::Result;
 use crate::fault::{Fault, Faults};
 use crate::seen::Recorder;
-use crate::server::{Application, Call, Listener, REQUEST_ID, Reply, error, json, unknown};
+use crate::server::{
+    Application, Call, Leaving, Listener, REQUEST_ID, Reply, confirm, error, invalid, json, unknown,
+};
 
 /// Request id of an answer that belongs to nobody's request.
 const NOBODY: &str = "nobody";
@@ -103,12 +104,6 @@
     }
 }
 
-/// `Leaving` is the body of the call that makes a service leave.
-#[derive(Deserialize)]
-struct Leaving {
-    leaving: bool,
-}
-
 impl App {
     /// Returns what was recorded so far.
     fn record(&self) -> Record {
@@ -126,20 +121,16 @@
         };
         let Some(order) = order else {
             let message = "field `order` must be a text or a number";
-            return error(StatusCode::BAD_REQUEST, "invalid_request_error", message);
+            return invalid(message);
         };
         let path = call.path();
         if self.faults.meets(path, Fault::OrderLost) {
             return Reply::Close;
         }
-        let delay = self.faults.take(path, |fault| match fault {
-            Fault::OrderDelayed { ms } => Some(ms),
-            _ => None,
-        });
-        if let Some(ms) = delay {
+        if let Some(delay) = self.faults.delay(path) {
             let app = Arc::clone(self);
             tokio::spawn(async move {
-                sleep(Duration::from_millis(ms)).await;
+                sleep(delay).await;
                 app.bookings.execute(&order);
             });
             return Reply::Close;
@@ -193,13 +184,12 @@
     fn admin(self: &Arc<Self>, name: &str, call: &Call) -> Option<Reply> {
         match (&call.head.method, name) {
             (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
-            (&Method::POST, "leaving") => Some(match call.json::<Leaving>() {
-                Ok(body) => {
+            (&Method::POST, "leaving") => {
+                let body = call.json::<Leaving>();
+                Some(confirm(body.map(|body| {
                     self.leaving.store(body.leaving, Ordering::SeqCst);
-                    json(StatusCode::OK, &value!({"done": true}))
-                }
-                Err(reply) => reply,
-            }),
+                })))
+            }
             _ => None,
         }
     }
