Use one command line for all processes, and read oversized bodies to their end

Ruled out: closing at once, which is what loses the answer. Before and after: duplicate command line; one. Operator calls with oversized bodies are answered after the body was read.

--- a/crates/quetzalpick-keeper/src/main.rs
+++ b/crates/quetzalpick-keeper/src/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
+use clap::Command;
 use quetzalpick_keeper::{Settings, run};
-use quetzalpick_node::launch::{Launch, command, launch};
+use quetzalpick_node::settings::command::{Start, start};
 use quetzalpick_node::telemetry::logs;
 
 /// What the process does, for its help.
@@ -11,13 +12,12 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let settings: Settings = match launch(command(
-        "quetzalpick-keeper",
-        env!("CARGO_PKG_VERSION"),
-        ABOUT,
-    )) {
-        Launch::Run(settings) => settings,
-        Launch::Exit(code) => return code,
+    let command = Command::new("quetzalpick-keeper")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(ABOUT);
+    let settings: Settings = match start(command, std::env::args_os()) {
+        Start::Run(settings) => settings,
+        Start::Exit(code) => return ExitCode::from(code),
     };
     if let Err(error) = logs::try_start(&settings.log) {
         eprintln!("quetzalpick-keeper: {error}");
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -67,6 +67,7 @@
     let replica = Replica::try_start(log, options, Silent).await?;
     let lifecycle = Lifecycle::default();
     let metrics = Metrics::try_new()?;
+    replica.observe(&metrics.meter("replica"));
 
     // The admin listener is first to start and last to stop, so that probes are always answered.
     let admin = Server::try_bind(&settings.metrics.listen, Options::default()).await?;
--- a/crates/quetzalpick-node/src/http/body.rs
+++ b/crates/quetzalpick-node/src/http/body.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use snafu::Snafu;
 
+/// Most bytes of a body that is too long that are read and dropped.
+const DISCARD_MAX_BYTES: usize = 64 << 20;
+
 /// `Error` says why a body was not read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum Error {
@@ -42,18 +46,41 @@
 
 /// Reads a whole body within limits of size and time.
 ///
+/// The rest of a body that is too long is read and dropped, up to `DISCARD_MAX_BYTES`: a sender that is cut off while it
+/// still sends may never see the answer.
+///
 /// # Errors
 ///
 /// `Error` if the body is too long, too slow or breaks off.
 pub async fn collect(body: Incoming, max: usize, limit: Duration) -> Result<Bytes, Error> {
-    use http_body_util::{BodyExt, LengthLimitError, Limited};
-    let whole = Limited::new(body, max).collect();
-    match tokio::time::timeout(limit, whole).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Error::TooLong { max }),
-        Ok(Err(e)) => Err(Error::Broken {
-            reason: e.to_string(),
-        }),
-        Err(_) => Err(Error::TooSlow { limit }),
+    let whole = read_up_to(body, max);
+    let late = |_| Err(Error::TooSlow { limit });
+    tokio::time::timeout(limit, whole)
+        .await
+        .unwrap_or_else(late)
+}
+
+/// Reads a body, and drops it if it is longer than `max` bytes.
+async fn read_up_to(mut body: Incoming, max: usize) -> Result<Bytes, Error> {
+    let mut kept = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Error::Broken {
+            reason: error.to_string(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length <= max {
+            kept.extend_from_slice(&data);
+        } else if length > max + DISCARD_MAX_BYTES {
+            break;
+        }
+    }
+    if length > max {
+        Err(Error::TooLong { max })
+    } else {
+        Ok(kept.freeze())
     }
 }
--- a/crates/quetzalpick-node/src/lib.rs
+++ b/crates/quetzalpick-node/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod errors;
 pub mod http;
-pub mod launch;
 pub mod lifecycle;
 pub mod peer;
 pub mod replica;
