Settle orders by core's sight of them

Cause: the keeper judged reports by rules of its own beside those that core's fuzz proves. Ruled out: keeping both in step by hand.

--- a/crates/quetzalpick-core/src/state/ledger/book.rs
+++ b/crates/quetzalpick-core/src/state/ledger/book.rs
@@ -36,11 +36,6 @@
         &self.accounts
     }
 
-    /// Tells whether no account was ever closed, so that an engine without one was never sent an order.
-    pub fn is_never_closed(&self) -> bool {
-        self.closed == Offset::default()
-    }
-
     /// Returns the memory that is loaded or promised at an engine, in MB.
     pub fn used_mb(&self, endpoint: &Endpoint) -> u64 {
         self.accounts.get(endpoint).map_or(0, Account::used_mb)
--- a/crates/quetzalpick-keeper/src/place/engines.rs
+++ b/crates/quetzalpick-keeper/src/place/engines.rs
@@ -4,11 +4,9 @@
 
 use futures::future::join_all;
 
-use quetzalpick_core::dispatch::Dispatch;
+use quetzalpick_core::dispatch::{Dispatch, Sight};
 use quetzalpick_core::id::{Artifact, Boot, Endpoint, Offset, Version};
-use quetzalpick_core::record::{
-    EndpointKind, EndpointSpec, Operation, Report, Settled, Settlement,
-};
+use quetzalpick_core::record::{EndpointKind, EndpointSpec, Operation, Report, Settled};
 use quetzalpick_core::state::{Account, Ledger, Open, State};
 use quetzalpick_platform::traits::Engine;
 use quetzalpick_platform::wire::engine;
@@ -101,11 +99,9 @@
     if account.is_some_and(|account| account.boot == boot && !differs(account, &loaded)) {
         return None;
     }
-    // Nothing was ever sent to an engine without an account, unless one was closed.
-    let untouched = account.is_none() && ledger.is_never_closed();
     let is_quiet =
         dispatch.is_quiet(endpoint, reported.asked_ms) && reported.report.loading.is_empty();
-    (untouched || is_quiet).then(|| Report {
+    (is_quiet || !ledger.was_ordered(endpoint)).then(|| Report {
         endpoint: endpoint.clone(),
         boot,
         seen: reported.asked_at,
@@ -138,60 +134,51 @@
     reported: &Reported,
 ) -> Vec<Settled> {
     // A report of another boot first corrects the ledger.
-    if account.boot != Boot(reported.report.boot) {
+    let boot = Boot(reported.report.boot);
+    if account.boot != boot {
         return Vec::new();
     }
-    let shown = Shown {
-        loaded: copies(&reported.report.loaded),
-        loading: copies(&reported.report.loading),
-        refused: &reported.report.refused,
-    };
     let settle = |open: &Open| {
-        let fencing = open.fencing.0;
-        let refused = shown.refused.contains(&fencing) || orders.is_fenced(endpoint, open.sequence);
-        let is_past = orders
-            .dispatch
-            .is_past(endpoint, &open.operation, reported.asked_ms);
-        let settlement = shown.settlement(open, refused && is_past)?;
+        let sight = sight(endpoint, open, orders, reported);
+        let asked_ms = reported.asked_ms;
+        let dispatch = &orders.dispatch;
+        let settlement = dispatch.settlement(endpoint, &open.operation, sight, asked_ms)?;
         Some(Settled {
             endpoint: endpoint.clone(),
             sequence: open.sequence,
-            boot: Boot(reported.report.boot),
+            boot,
             seen: reported.asked_at,
             settlement,
         })
     };
     // A report that was asked for before the order was announced says nothing of it.
-    let open = account
+    let since = |open: &&Open| reported.asked_at > open.fencing.max(account.reported);
+    account
         .open
         .iter()
-        .filter(|open| reported.asked_at > open.fencing.max(account.reported));
-    open.filter_map(settle).collect()
-}
-
-/// `Shown` is what a report shows of an engine's copies.
-struct Shown<'a> {
-    loaded: Vec<(Artifact, Version)>,
-    loading: Vec<(Artifact, Version)>,
-    refused: &'a [u64],
+        .filter(since)
+        .filter_map(settle)
+        .collect()
 }
 
-impl Shown<'_> {
-    /// Tells whether an open order is settled; `refused` says that it was refused and can no longer arrive again.
-    fn settlement(&self, open: &Open, refused: bool) -> Option<Settlement> {
-        let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
-            &open.operation;
-        let copy = (artifact.clone(), *version);
-        let holds = self.loaded.binary_search(&copy).is_ok();
-        let loads = self.loading.binary_search(&copy).is_ok();
-        let done = match open.operation {
-            Operation::Load(..) => holds,
-            Operation::Unload(..) => !holds && !loads,
-        };
-        match (done, refused && !loads) {
-            (true, _) => Some(Settlement::Done),
-            (false, true) => Some(Settlement::Refused),
-            (false, false) => None,
-        }
+/// Returns what an engine shows of an order.
+pub(crate) fn sight(
+    endpoint: &Endpoint,
+    open: &Open,
+    orders: &Orders,
+    reported: &Reported,
+) -> Sight {
+    let report = &reported.report;
+    let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
+        &open.operation;
+    let lists = |listed: &[engine::Copy]| {
+        let mut copies = listed.iter();
+        copies.any(|copy| copy.artifact == artifact.as_str() && copy.version == version.0)
+    };
+    Sight {
+        loaded: lists(&report.loaded),
+        loading: lists(&report.loading),
+        refused: report.refused.contains(&open.fencing.0),
+        overtaken: orders.is_fenced(endpoint, open.sequence),
     }
 }
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -9,7 +9,7 @@
 use quetzalpick_node::replica::Peer;
 use quetzalpick_platform::wire::engine;
 
-use crate::place::engines::Reported;
+use crate::place::engines::{Reported, sight};
 use crate::place::orders::Orders;
 
 /// `Due` is an order that is to be sent.
@@ -48,10 +48,9 @@
                 ..
             }
         );
-        let unknown = account.open.iter().filter(|open| {
-            let is_fenced = orders.is_fenced(endpoint, open.sequence);
-            !is_fenced && !is_known(reports.get(endpoint), open)
-        });
+        let reported = reports.get(endpoint);
+        let open = account.open.iter();
+        let unknown = open.filter(|open| !is_known(endpoint, open, orders, reported));
         let most = if one_at_a_time { 1 } else { usize::MAX };
         for open in unknown.take(most) {
             if orders.is_due(endpoint, open.sequence, repeat_ms, now_ms) {
@@ -67,20 +66,21 @@
     due
 }
 
-/// Tells whether an engine shows that it has received an order, so that sending it again is of no use.
-fn is_known(reported: Option<&Reported>, open: &Open) -> bool {
-    let Some(report) = reported.map(|reported| &reported.report) else {
-        return false;
-    };
-    let loads = |artifact: &Artifact, version: Version| {
-        let mut loading = report.loading.iter();
-        loading.any(|copy| copy.artifact == artifact.as_str() && copy.version == version.0)
-    };
-    let is_loading = match &open.operation {
-        Operation::Load(artifact, version) => loads(artifact, *version),
-        Operation::Unload(..) => false,
-    };
-    is_loading || report.refused.contains(&open.fencing.0)
+/// Tells whether an engine shows that sending an order again is of no use.
+fn is_known(
+    endpoint: &Endpoint,
+    open: &Open,
+    orders: &Orders,
+    reported: Option<&Reported>,
+) -> bool {
+    if orders.is_fenced(endpoint, open.sequence) {
+        return true;
+    }
+    let loads = matches!(open.operation, Operation::Load(..));
+    reported.is_some_and(|reported| {
+        let sight = sight(endpoint, open, orders, reported);
+        sight.is_futile() || (loads && sight.loading)
+    })
 }
 
 /// Builds the order of an intent.
