--- a/crates/quetzalpick-core/src/quota/gate.rs
+++ b/crates/quetzalpick-core/src/quota/gate.rs
@@ -212,10 +212,10 @@
         donors.into_iter().map(|(member, _)| member).collect()
     }
 
-    /// Returns the fewest peers whose hints add up to the tokens missing, the one with the most first; none if all
-    /// together have too few.
+    /// Returns the same peers if their hints add up to the tokens missing, and none otherwise.
     ///
-    /// So a workspace beyond its rate is refused without a message, rather than moving crumbs between gates.
+    /// So a workspace beyond its rate is refused without a message, rather than moving crumbs between gates. The caller
+    /// asks one after the other until it has enough, as hints are old and messages are lost.
     pub fn donors_for<'a>(
         &self,
         workspace: &Workspace,
@@ -226,22 +226,11 @@
             return Vec::new();
         };
         let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
-        let mut hints: Vec<_> = hints.collect();
-        hints.sort_by_key(|(_, hint)| std::cmp::Reverse(hint.level_micro));
-        let needed = u128::from(missing) * u128::from(MICRO);
-        let mut found = 0;
-        let mut donors = Vec::new();
-        for (member, hint) in hints {
-            if found >= needed {
-                break;
-            }
-            found += u128::from(hint.level_micro);
-            donors.push(member);
-        }
-        if found < needed {
-            donors.clear();
+        let found: u128 = hints.map(|(_, hint)| u128::from(hint.level_micro)).sum();
+        if found < u128::from(missing) * u128::from(MICRO) {
+            return Vec::new();
         }
-        donors
+        self.donors(workspace, peers)
     }
 
     /// Answers a peer's request with a transfer, which is subtracted at once; `None` if there is nothing to give.
--- a/crates/quetzalpick-core/src/quota/purse.rs
+++ b/crates/quetzalpick-core/src/quota/purse.rs
@@ -7,6 +7,9 @@
 use crate::record::WorkspaceSpec;
 use crate::state::Grant;
 
+/// A gate is idle if its demand is less than the asker's divided by this.
+const IDLE_DIVISOR: u64 = 8;
+
 /// `Purse` is a gate's bucket of one workspace, with its demand and the grants it took.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Purse {
@@ -60,7 +63,8 @@
 
     /// Returns the parts and the level, in micro-tokens, to give to a peer that asks.
     ///
-    /// It gets what it lacks, and half of its part by demand of what is left, so that it need not ask so soon again.
+    /// It gets what it lacks and no more, as parts follow the demand by rebalancing and more would leave this gate short
+    /// in its turn. Only a gate with far less demand than the asker gives half of the rest as well.
     pub(crate) fn offer(
         &mut self,
         now_ms: u64,
@@ -69,23 +73,12 @@
     ) -> Option<(u64, u64)> {
         self.bucket.fill(now_ms);
         let level = self.bucket.level_micro();
-        let parts = self.bucket.parts();
-        if level == 0 || parts == 0 {
-            return None;
-        }
         let own = self.demand.sum(now_ms, half_life_ms);
-        let base = ask.missing_micro.min(level);
-        let extra = half_by_demand(level - base, ask.demand_micro, own);
-        let needed = self.bucket.parts_for(base + extra);
-        let by_demand = half_by_demand(parts, ask.demand_micro, own);
-        Some((needed.max(by_demand).min(parts), base + extra))
+        let is_idle = own.saturating_mul(IDLE_DIVISOR) < ask.demand_micro;
+        let missing = ask.missing_micro.min(level);
+        let extra = if is_idle { (level - missing) / 2 } else { 0 };
+        let given = missing + extra;
+        let parts = self.bucket.parts_for(given).min(self.bucket.parts());
+        (given > 0 && parts > 0).then_some((parts, given))
     }
 }
-
-/// Returns half of the asker's part of an amount that is divided by demand.
-fn half_by_demand(amount: u64, asker: u64, own: u64) -> u64 {
-    let total = u128::from(asker) + u128::from(own) + 1;
-    let part = u128::from(amount) * u128::from(asker) / total / 2;
-    // The part is at most the amount, so it fits.
-    u64::try_from(part).unwrap_or(0)
-}
--- a/crates/quetzalpick-core/tests/quota/main.rs
+++ b/crates/quetzalpick-core/tests/quota/main.rs
@@ -48,9 +48,9 @@
     let variants = [
         (Fault::SubtractLate, 0),
         (Fault::NoDedup, 0),
-        (Fault::NoEpoch, 2),
-        (Fault::RefuseEpoch, 25),
-        (Fault::NoLease, 140),
+        (Fault::NoEpoch, 3),
+        (Fault::RefuseEpoch, 5),
+        (Fault::NoLease, 70),
     ];
     for (fault, seed) in variants {
         assert!(is_caught(fault, seed), "{fault:?} passes with seed {seed}");
--- a/crates/quetzalpick-load/src/compare/escrow.rs
+++ b/crates/quetzalpick-load/src/compare/escrow.rs
@@ -9,7 +9,7 @@
 use crate::compare::scheme::{Request, Scheme};
 
 /// Most peers asked for one request.
-const ASKS_MAX: usize = 3;
+const ASKS_MAX: usize = 5;
 
 /// Share of messages that are lost.
 const LOSS: f64 = 0.01;
