Compare the schemes when a gate is lost

Losses are applied after the ticks that lie before them; the debug build had caught a time that went back.

--- a/crates/quetzalpick-load/src/compare/arrivals.rs
+++ b/crates/quetzalpick-load/src/compare/arrivals.rs
@@ -39,8 +39,19 @@
     Skewed,
     /// A gate gets seven in ten of a workspace's requests, and it changes from time to time.
     Moving,
+    /// All gates get the same, and one gate is lost within the rush.
+    GateLost,
 }
 
+/// The gate that is lost; it owns the large workspace that keeps to its rate.
+pub(crate) const LOST_GATE: usize = 3;
+
+/// Time at which it is lost, in ms; the balancer passes it over from then on.
+pub(crate) const LOST_MS: u64 = 75_000;
+
+/// Time from the loss to the retirement of the gate, in ms: suspicion, and the lease that has to run out.
+pub(crate) const RETIRE_MS: u64 = 15_000;
+
 /// `Arrival` is one request with its time and what it will have used.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Arrival {
@@ -73,6 +84,8 @@
             let moves = usize::try_from(at_ms / MOVE_MS).unwrap_or(0);
             (moves * 3 + workspace) % GATES
         }
+        // The balancer sends what the lost gate would get to its neighbour.
+        Balancer::GateLost if any == LOST_GATE && at_ms >= LOST_MS => LOST_GATE + 1,
         _ => any,
     }
 }
--- a/crates/quetzalpick-load/src/compare/escrow.rs
+++ b/crates/quetzalpick-load/src/compare/escrow.rs
@@ -2,10 +2,12 @@
 
 use quetzalpick_core::id::Member;
 use quetzalpick_core::quota::{Charge, Peer, Quota, Receipt, Transfer};
+use quetzalpick_core::record::{Author, Change, Record};
+use quetzalpick_core::state::State;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::compare::gates::{gates, workspace};
+use crate::compare::gates::{apply, gates, workspace};
 use crate::compare::scheme::{Request, Scheme};
 
 /// Most peers asked for one request.
@@ -16,29 +18,40 @@
 
 /// `Escrow` is a fleet of gates with shares.
 pub(crate) struct Escrow {
+    state: State,
     members: Vec<Member>,
     quotas: Vec<Quota>,
     /// Hints as of the last tick, by gate.
     peers: Vec<Peer>,
     /// Whether gates transfer shares.
     transfers: bool,
+    /// The gate that is lost.
+    lost: Option<usize>,
     messages: u64,
     random: Pcg64Mcg,
 }
 
 impl Escrow {
     pub(crate) fn new(count: usize, transfers: bool, seed: u64) -> Self {
-        let (members, quotas) = gates(count);
+        let (state, members, quotas) = gates(count);
         Self {
+            state,
             members,
             quotas,
             peers: Vec::new(),
             transfers,
+            lost: None,
             messages: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
+    fn sync(&mut self, now_ms: u64) {
+        for quota in &mut self.quotas {
+            quota.sync(now_ms, &self.state);
+        }
+    }
+
     /// Counts a message, and tells whether it arrives.
     fn send(&mut self) -> bool {
         self.messages += 1;
@@ -47,10 +60,10 @@
 
     /// Delivers a transfer and its acknowledgement, either of which may be lost.
     fn deliver(&mut self, now_ms: u64, transfer: &Transfer) {
-        if !self.send() {
+        let to = self.index(&transfer.to);
+        if !self.send() || self.lost == Some(to) {
             return;
         }
-        let to = self.index(&transfer.to);
         let ack = self.quotas[to].take(now_ms, transfer);
         if self.send() {
             let from = self.index(&transfer.from);
@@ -76,7 +89,7 @@
         for donor in donors {
             let ask = self.quotas[request.gate].ask(now_ms, &name, missing)?;
             let from = self.index(&donor);
-            if !self.send() {
+            if !self.send() || self.lost == Some(from) {
                 continue;
             }
             let to = &self.members[request.gate];
@@ -123,7 +136,10 @@
                 hints,
             })
             .collect();
-        for at in 0..self.quotas.len() {
+        for at in (0..self.quotas.len())
+            .filter(|at| self.lost != Some(*at))
+            .collect::<Vec<_>>()
+        {
             let mut pending = self.quotas[at].unacknowledged().to_vec();
             let others = self.peers.iter().filter(|p| p.member != self.members[at]);
             let others: Vec<Peer> = others.cloned().collect();
@@ -134,6 +150,29 @@
         }
     }
 
+    fn lose(&mut self, gate: usize) {
+        self.lost = Some(gate);
+    }
+
+    /// Opens a share epoch: the survivors declare what they hold, and what is missing is given out again.
+    fn retire(&mut self, now_ms: u64, gate: usize) {
+        let vm = self.members[gate].vm.clone();
+        let author = Author::Operator("compare".to_owned());
+        apply(
+            &mut self.state,
+            author,
+            Record::Change(Change::RetireVm(vm)),
+        );
+        self.sync(now_ms);
+        for at in 0..self.quotas.len() {
+            if let Some(declare) = self.quotas[at].declare().cloned() {
+                let author = Author::Member(self.members[at].clone());
+                apply(&mut self.state, author, Record::Declare(declare));
+            }
+        }
+        self.sync(now_ms);
+    }
+
     fn messages(&self) -> u64 {
         self.messages
     }
--- a/crates/quetzalpick-load/src/compare/gates.rs
+++ b/crates/quetzalpick-load/src/compare/gates.rs
@@ -24,7 +24,8 @@
     }
 }
 
-fn apply(state: &mut State, author: Author, record: Record) {
+/// Applies a record to a state.
+pub(crate) fn apply(state: &mut State, author: Author, record: Record) {
     let offset = state.next();
     let entry = Entry {
         command: Command(1, offset.0),
@@ -35,8 +36,8 @@
     state.apply(offset, &entry);
 }
 
-/// Returns the members and shares of a fleet with all workspaces.
-pub(crate) fn gates(count: usize) -> (Vec<Member>, Vec<Quota>) {
+/// Returns the state, the members and the shares of a fleet with all workspaces.
+pub(crate) fn gates(count: usize) -> (State, Vec<Member>, Vec<Quota>) {
     let mut state = State::default();
     let members: Vec<Member> = (0..count).map(member).collect();
     for member in &members {
@@ -69,5 +70,5 @@
         quota
     };
     let quotas = members.iter().map(quota).collect();
-    (members, quotas)
+    (state, members, quotas)
 }
--- a/crates/quetzalpick-load/src/compare/owner.rs
+++ b/crates/quetzalpick-load/src/compare/owner.rs
@@ -32,6 +32,8 @@
 /// `Owner` is a fleet of gates each of which owns some workspaces.
 pub(crate) struct Owner {
     workspaces: Vec<Owned>,
+    /// The gate that is lost and not yet replaced as an owner.
+    lost: Option<usize>,
     messages: u64,
     random: Pcg64Mcg,
 }
@@ -46,6 +48,7 @@
         };
         Self {
             workspaces: (0..RATES.len()).map(owned).collect(),
+            lost: None,
             messages: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -57,9 +60,10 @@
         if from == workspace % GATES {
             return true;
         }
+        let lost = self.lost == Some(workspace % GATES);
         (0..TRIES).any(|_| {
             self.messages += 2;
-            !self.random.random_bool(LOSS) && !self.random.random_bool(LOSS)
+            !lost && !self.random.random_bool(LOSS) && !self.random.random_bool(LOSS)
         })
     }
 
@@ -122,6 +126,22 @@
         }
     }
 
+    fn lose(&mut self, gate: usize) {
+        self.lost = Some(gate);
+    }
+
+    /// Another gate becomes the owner; it does not know what was spent, so its bucket begins empty.
+    fn retire(&mut self, now_ms: u64, gate: usize) {
+        self.lost = None;
+        for (at, owned) in self.workspaces.iter_mut().enumerate() {
+            owned.credits[gate] = 0;
+            if at % GATES == gate {
+                owned.level_micro = 0;
+                owned.filled_ms = now_ms;
+            }
+        }
+    }
+
     fn messages(&self) -> u64 {
         self.messages
     }
--- a/crates/quetzalpick-load/src/compare/report.rs
+++ b/crates/quetzalpick-load/src/compare/report.rs
@@ -66,9 +66,9 @@
 fn run(seed: u64, balancer: Balancer, scheme: Kind) -> Figures {
     let arrivals = arrivals(seed, balancer);
     let mut figures = match scheme {
-        Kind::StaticSplit => simulate(&arrivals, Escrow::new(GATES, false, seed)),
-        Kind::SingleOwner => simulate(&arrivals, Owner::new(seed)),
-        Kind::EscrowShares => simulate(&arrivals, Escrow::new(GATES, true, seed)),
+        Kind::StaticSplit => simulate(&arrivals, balancer, Escrow::new(GATES, false, seed)),
+        Kind::SingleOwner => simulate(&arrivals, balancer, Owner::new(seed)),
+        Kind::EscrowShares => simulate(&arrivals, balancer, Escrow::new(GATES, true, seed)),
     };
     figures.flooder_tokens = figures.flooder_tokens * 1_000 / one_bucket(&arrivals, seed).max(1);
     figures
@@ -80,7 +80,7 @@
     for arrival in &mut arrivals {
         arrival.request.gate = 0;
     }
-    simulate(&arrivals, Escrow::new(1, false, seed)).flooder_tokens
+    simulate(&arrivals, Balancer::Even, Escrow::new(1, false, seed)).flooder_tokens
 }
 
 /// Compares all schemes under all balancers with the seeds `seed` to `seed + runs - 1`.
--- a/crates/quetzalpick-load/src/compare/scheme.rs
+++ b/crates/quetzalpick-load/src/compare/scheme.rs
@@ -41,6 +41,12 @@
     /// Does what is done at regular times.
     fn tick(&mut self, now_ms: u64);
 
+    /// Loses a gate: it neither answers nor gives from now on.
+    fn lose(&mut self, gate: usize);
+
+    /// Retires a lost gate, so that others may have what it had.
+    fn retire(&mut self, now_ms: u64, gate: usize);
+
     /// Returns the messages between gates so far.
     fn messages(&self) -> u64;
 }
--- a/crates/quetzalpick-load/src/compare/simulate.rs
+++ b/crates/quetzalpick-load/src/compare/simulate.rs
@@ -3,7 +3,7 @@
 use quetzalpick_core::quota::{Charge, Quota, Receipt};
 
 use crate::compare::allowance::Allowance;
-use crate::compare::arrivals::{Arrival, FLOODER, RATES};
+use crate::compare::arrivals::{Arrival, Balancer, FLOODER, LOST_GATE, LOST_MS, RATES, RETIRE_MS};
 use crate::compare::gates::{burst, gates, workspace};
 use crate::compare::scheme::Scheme;
 
@@ -46,12 +46,17 @@
 }
 
 /// Runs a scheme over arrivals beside one bucket that is charged with what the scheme admits.
-pub(crate) fn simulate<S: Scheme>(arrivals: &[Arrival], mut scheme: S) -> Figures {
-    let (_, mut references) = gates(1);
+pub(crate) fn simulate<S: Scheme>(
+    arrivals: &[Arrival],
+    balancer: Balancer,
+    mut scheme: S,
+) -> Figures {
+    let (_, _, mut references) = gates(1);
     let reference = &mut references[0];
     let mut counts = vec![Counts::default(); RATES.len()];
     let mut running: Vec<Running<S::Receipt>> = Vec::new();
     let mut next_tick_ms = 0;
+    let mut losses = Losses::new(balancer);
     for arrival in arrivals {
         let now_ms = arrival.at_ms;
         finish(now_ms, &mut running, &mut scheme, reference);
@@ -59,6 +64,7 @@
             scheme.tick(next_tick_ms);
             next_tick_ms += TICK_MS;
         }
+        losses.apply(now_ms, &mut scheme);
         let request = &arrival.request;
         let count = &mut counts[request.workspace];
         count.requests += 1;
@@ -92,6 +98,40 @@
     figures(&counts, scheme.messages())
 }
 
+/// `Losses` are the events of a lost gate that are still to come.
+#[derive(Debug)]
+struct Losses {
+    lost_ms: u64,
+    retired_ms: u64,
+}
+
+impl Losses {
+    fn new(balancer: Balancer) -> Self {
+        if balancer == Balancer::GateLost {
+            Self {
+                lost_ms: LOST_MS,
+                retired_ms: LOST_MS + RETIRE_MS,
+            }
+        } else {
+            Self {
+                lost_ms: u64::MAX,
+                retired_ms: u64::MAX,
+            }
+        }
+    }
+
+    fn apply(&mut self, now_ms: u64, scheme: &mut impl Scheme) {
+        if now_ms >= self.lost_ms {
+            self.lost_ms = u64::MAX;
+            scheme.lose(LOST_GATE);
+        }
+        if now_ms >= self.retired_ms {
+            self.retired_ms = u64::MAX;
+            scheme.retire(now_ms, LOST_GATE);
+        }
+    }
+}
+
 /// Ends the requests that are due, the earliest first.
 fn finish<S: Scheme>(
     now_ms: u64,
