--- a/crates/quetzalpick-core/src/plan/mod.rs
+++ b/crates/quetzalpick-core/src/plan/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod planner;
 mod room;
+mod rules;
 mod step;
 
 pub use demand::Demand;
--- /dev/null
+++ b/crates/quetzalpick-core/src/quota/donors.rs
@@ -0,0 +1,56 @@
+//! Which peers a gate asks for tokens.
+
+use crate::id::{Member, Offset, Workspace};
+use crate::quota::{Hint, MICRO, Peer, Quota};
+
+impl Quota {
+    /// Returns the peers worth asking for a workspace, the one with the most tokens first.
+    ///
+    /// Peers whose hint shows less than one token are left out, so that a workspace beyond its rate causes no storm of
+    /// requests between gates.
+    pub fn donors<'a>(&self, workspace: &Workspace, peers: &'a [Peer]) -> Vec<&'a Member> {
+        let Some(purse) = self.purses.get(workspace) else {
+            return Vec::new();
+        };
+        let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
+        let mut donors: Vec<_> = hints
+            .filter(|(_, hint)| hint.level_micro >= MICRO)
+            .collect();
+        donors.sort_by_key(|(_, hint)| std::cmp::Reverse(hint.level_micro));
+        donors.into_iter().map(|(member, _)| member).collect()
+    }
+
+    /// Returns the same peers if their hints add up to the tokens missing, and none otherwise.
+    ///
+    /// So a workspace beyond its rate is refused without a message, rather than moving crumbs between gates. The caller
+    /// asks one after the other until it has enough, as hints are old and messages are lost.
+    pub fn donors_for<'a>(
+        &self,
+        workspace: &Workspace,
+        missing: u64,
+        peers: &'a [Peer],
+    ) -> Vec<&'a Member> {
+        let Some(purse) = self.purses.get(workspace) else {
+            return Vec::new();
+        };
+        let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
+        let found: u128 = hints.map(|(_, hint)| u128::from(hint.level_micro)).sum();
+        if found < u128::from(missing) * u128::from(MICRO) {
+            return Vec::new();
+        }
+        self.donors(workspace, peers)
+    }
+}
+
+/// Iterates over the peers that are active gates and have a hint about a workspace.
+pub(crate) fn peers_with_hint<'a>(
+    gates: &[Member],
+    workspace: &Workspace,
+    created: Offset,
+    peers: &'a [Peer],
+) -> impl Iterator<Item = (&'a Member, &'a Hint)> {
+    let active = move |peer: &&Peer| gates.binary_search(&peer.member).is_ok();
+    let hint = move |peer: &'a Peer| Some((&peer.member, peer.hint(workspace)?));
+    let hints = peers.iter().filter(active).filter_map(hint);
+    hints.filter(move |(_, hint)| hint.created == created)
+}
--- a/crates/quetzalpick-core/src/quota/gate.rs
+++ b/crates/quetzalpick-core/src/quota/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{Member, Offset, Workspace};
 use crate::quota::bucket::Load;
+use crate::quota::donors::peers_with_hint;
 use crate::quota::outbox::Outbox;
 use crate::quota::purse::Purse;
 use crate::quota::rebalance::gifts;
@@ -48,8 +49,8 @@
     /// What it held on entering the epoch.
     declare: Option<Declare>,
     /// Active gates as of the last sync, sorted.
-    gates: Vec<Member>,
-    purses: Table<Workspace, Purse>,
+    pub(crate) gates: Vec<Member>,
+    pub(crate) purses: Table<Workspace, Purse>,
     outbox: Outbox,
     /// Memory of taken transfers by donor, within the epoch.
     receivers: Table<Member, Receiver>,
@@ -196,43 +197,6 @@
         })
     }
 
-    /// Returns the peers worth asking for a workspace, the one with the most tokens first.
-    ///
-    /// Peers whose hint shows less than one token are left out, so that a workspace beyond its rate causes no storm of
-    /// requests between gates.
-    pub fn donors<'a>(&self, workspace: &Workspace, peers: &'a [Peer]) -> Vec<&'a Member> {
-        let Some(purse) = self.purses.get(workspace) else {
-            return Vec::new();
-        };
-        let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
-        let mut donors: Vec<_> = hints
-            .filter(|(_, hint)| hint.level_micro >= MICRO)
-            .collect();
-        donors.sort_by_key(|(_, hint)| std::cmp::Reverse(hint.level_micro));
-        donors.into_iter().map(|(member, _)| member).collect()
-    }
-
-    /// Returns the same peers if their hints add up to the tokens missing, and none otherwise.
-    ///
-    /// So a workspace beyond its rate is refused without a message, rather than moving crumbs between gates. The caller
-    /// asks one after the other until it has enough, as hints are old and messages are lost.
-    pub fn donors_for<'a>(
-        &self,
-        workspace: &Workspace,
-        missing: u64,
-        peers: &'a [Peer],
-    ) -> Vec<&'a Member> {
-        let Some(purse) = self.purses.get(workspace) else {
-            return Vec::new();
-        };
-        let hints = peers_with_hint(&self.gates, workspace, purse.created, peers);
-        let found: u128 = hints.map(|(_, hint)| u128::from(hint.level_micro)).sum();
-        if found < u128::from(missing) * u128::from(MICRO) {
-            return Vec::new();
-        }
-        self.donors(workspace, peers)
-    }
-
     /// Answers a peer's request with a transfer, which is subtracted at once; `None` if there is nothing to give.
     pub fn donate(&mut self, now_ms: u64, to: &Member, ask: &Ask) -> Option<Transfer> {
         if ask.epoch != self.epoch || !self.may_send(to) {
@@ -394,16 +358,3 @@
         level_micro: transfer.level_micro,
     }
 }
-
-/// Iterates over the peers that are active gates and have a hint about a workspace.
-fn peers_with_hint<'a>(
-    gates: &[Member],
-    workspace: &Workspace,
-    created: Offset,
-    peers: &'a [Peer],
-) -> impl Iterator<Item = (&'a Member, &'a Hint)> {
-    let active = move |peer: &&Peer| gates.binary_search(&peer.member).is_ok();
-    let hint = move |peer: &'a Peer| Some((&peer.member, peer.hint(workspace)?));
-    let hints = peers.iter().filter(active).filter_map(hint);
-    hints.filter(move |(_, hint)| hint.created == created)
-}
--- a/crates/quetzalpick-core/src/quota/mod.rs
+++ b/crates/quetzalpick-core/src/quota/mod.rs
@@ -3,6 +3,7 @@
 mod bucket;
 mod charge;
 mod demand;
+mod donors;
 mod gate;
 mod headroom;
 mod message;
--- a/crates/quetzalpick-core/tests/quota/main.rs
+++ b/crates/quetzalpick-core/tests/quota/main.rs
@@ -1,7 +1,9 @@
 //! Stateful fuzzing of the shares: no window spends more than burst + rate x window, whatever the faults.
 
+mod network;
 mod node;
 mod oracle;
+mod parts;
 mod refund;
 mod world;
 
--- /dev/null
+++ b/crates/quetzalpick-core/tests/quota/network.rs
@@ -0,0 +1,158 @@
+//! The network between gates: it loses, delays, doubles and reorders.
+
+use quetzalpick_core::id::{Incarnation, Member, Offset, Vm};
+use quetzalpick_core::quota::{Ack, Answer, Ask, Peer, Transfer};
+use rand::RngExt;
+
+use crate::node::Phase;
+use crate::world::{Fault, World};
+
+/// `Message` is what gates send each other.
+#[derive(Debug, Clone)]
+pub(crate) enum Message {
+    Ask(Member, Ask),
+    Transfer(Transfer),
+    Ack(Ack),
+    Hints(Peer),
+}
+
+impl World {
+    pub(crate) fn send_transfer(&mut self, transfer: Transfer) {
+        if !self.sent.contains(&transfer) {
+            self.sent.push(transfer.clone());
+        }
+        self.send(&transfer.to.clone(), &Message::Transfer(transfer));
+    }
+
+    /// Sends a message that may be lost, doubled and overtaken.
+    pub(crate) fn send(&mut self, to: &Member, message: &Message) {
+        let Some(to) = self.nodes.iter().position(|n| n.member == *to) else {
+            return;
+        };
+        for copy in 0..2 {
+            let sends = if copy == 0 { 0.8 } else { 0.2 };
+            if self.random.random_bool(sends) {
+                let late = self.random.random_bool(0.1);
+                let delay_ms = self.random.random_range(0..if late { 5_000 } else { 50 });
+                self.network
+                    .push((self.now_ms + delay_ms, to, message.clone()));
+            }
+        }
+    }
+
+    pub(crate) fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let nodes = &self.nodes;
+        let due = |(at_ms, to, _): &(u64, usize, Message)| {
+            *at_ms <= now_ms && !matches!(nodes[*to].phase, Phase::Frozen(_))
+        };
+        let (due, later) = std::mem::take(&mut self.network).into_iter().partition(due);
+        self.network = later;
+        for (_, to, message) in due {
+            self.receive(to, message);
+        }
+    }
+
+    pub(crate) fn deliver_all(&mut self) {
+        for (_, to, message) in std::mem::take(&mut self.network) {
+            self.receive(to, message);
+        }
+    }
+
+    fn receive(&mut self, to: usize, message: Message) {
+        if !self.nodes[to].is_awake() {
+            return;
+        }
+        let time = self.nodes[to].time(self.now_ms);
+        match message {
+            Message::Ask(from, ask) => self.donate(to, &from, &ask),
+            Message::Transfer(transfer) => {
+                let ack = self.take(to, &transfer);
+                if ack.answer == Answer::Taken {
+                    self.taken.push(key(&transfer));
+                }
+                self.send(&ack.from.clone(), &Message::Ack(ack));
+            }
+            Message::Ack(ack) => {
+                self.pay(to, &ack);
+                self.nodes[to].quota.settle(time, &ack);
+            }
+            Message::Hints(peer) => {
+                let node = &mut self.nodes[to];
+                node.peers.retain(|known| known.member != peer.member);
+                node.peers.push(peer);
+            }
+        }
+    }
+
+    fn donate(&mut self, at: usize, to: &Member, ask: &Ask) {
+        if !self.nodes[at].is_leased(self.now_ms) {
+            return;
+        }
+        let node = &mut self.nodes[at];
+        let time = node.time(self.now_ms);
+        let before = node.quota.clone();
+        let Some(transfer) = node.quota.donate(time, to, ask) else {
+            return;
+        };
+        if self.fault == Fault::SubtractLate {
+            node.quota = before;
+            let (from, to, epoch, number) = key(&transfer);
+            self.owed.push((from, to, epoch, number, ask.clone()));
+        }
+        self.send_transfer(transfer);
+    }
+
+    /// Subtracts what the naive donor gave before.
+    fn pay(&mut self, at: usize, ack: &Ack) {
+        let owed = self.owed.iter().position(|(from, to, epoch, number, _)| {
+            (from, to, epoch, number) == (&ack.from, &ack.to, &ack.epoch, &ack.number)
+        });
+        if let Some(owed) = owed.filter(|_| ack.answer == Answer::Taken) {
+            let (_, to, _, _, ask) = self.owed.swap_remove(owed);
+            let node = &mut self.nodes[at];
+            node.quota.donate(node.time(self.now_ms), &to, &ask);
+        }
+    }
+
+    /// Lets a gate take a transfer, or the naive variant what it would take.
+    fn take(&mut self, at: usize, transfer: &Transfer) -> Ack {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[at];
+        let time = node.time(now_ms);
+        let mut altered = transfer.clone();
+        let known = self.taken.contains(&key(transfer));
+        if self.fault == Fault::NoEpoch && !known {
+            let epoch = node.epoch(now_ms, &transfer.workspace);
+            altered.epoch = epoch.unwrap_or(transfer.epoch);
+        }
+        if self.fault == Fault::NoDedup || altered.epoch != transfer.epoch {
+            // A donor that the receiver has not heard of yet has an empty memory.
+            self.aliases += 1;
+            altered.from = alias(self.aliases);
+        }
+        let former = |epoch: Offset| self.fault == Fault::RefuseEpoch && altered.epoch < epoch;
+        let epoch = node.epoch(now_ms, &transfer.workspace);
+        let mut ack = node.quota.take(time, &altered);
+        if epoch.is_some_and(former) {
+            ack.answer = Answer::Refused;
+        }
+        Ack {
+            from: transfer.from.clone(),
+            epoch: transfer.epoch,
+            ..ack
+        }
+    }
+}
+
+pub(crate) fn key(transfer: &Transfer) -> (Member, Member, Offset, u64) {
+    let (from, to) = (transfer.from.clone(), transfer.to.clone());
+    (from, to, transfer.epoch, transfer.number)
+}
+
+fn alias(number: u64) -> Member {
+    Member {
+        vm: Vm::try_new("alias").expect("the name is valid"),
+        incarnation: Incarnation(number),
+    }
+}
--- a/crates/quetzalpick-core/tests/quota/world.rs
+++ b/crates/quetzalpick-core/tests/quota/world.rs
@@ -1,7 +1,7 @@
-//! The simulated fleet: gates, the log, and a network that loses, delays, doubles and reorders.
+//! The simulated fleet: gates, the log, and what happens to them.
 
-use quetzalpick_core::id::{Command, Domain, Incarnation, Member, Offset, Vm, Workspace};
-use quetzalpick_core::quota::{Ack, Answer, Ask, Charge, Peer, Transfer};
+use quetzalpick_core::id::{Command, Domain, Member, Offset, Workspace};
+use quetzalpick_core::quota::{Ask, Charge, Peer, Transfer};
 use quetzalpick_core::record::{
     Author, Change, Entry, Join, PARTS_TOTAL, Record, Retire, Role, WorkspaceSpec,
 };
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::network::Message;
 use crate::node::{LEASE_MS, Node, Phase, Running};
 use crate::oracle::Oracle;
 
@@ -34,33 +35,24 @@
     NoLease,
 }
 
-/// `Message` is what gates send each other.
-#[derive(Debug, Clone)]
-enum Message {
-    Ask(Member, Ask),
-    Transfer(Transfer),
-    Ack(Ack),
-    Hints(Peer),
-}
-
 /// `World` is everything.
 pub(crate) struct World {
-    random: Pcg64Mcg,
-    fault: Fault,
-    now_ms: u64,
-    log: Vec<Entry>,
-    log_down_until_ms: u64,
-    head: State,
-    nodes: Vec<Node>,
-    network: Vec<(u64, usize, Message)>,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) fault: Fault,
+    pub(crate) now_ms: u64,
+    pub(crate) log: Vec<Entry>,
+    pub(crate) log_down_until_ms: u64,
+    pub(crate) head: State,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) network: Vec<(u64, usize, Message)>,
     /// Copies of transfers that were taken, and asks that the naive late subtraction still owes.
-    taken: Vec<(Member, Member, Offset, u64)>,
-    owed: Vec<(Member, Member, Offset, u64, Ask)>,
+    pub(crate) taken: Vec<(Member, Member, Offset, u64)>,
+    pub(crate) owed: Vec<(Member, Member, Offset, u64, Ask)>,
     /// Transfers ever sent.
-    sent: Vec<Transfer>,
-    suspected: Vec<(Member, u64)>,
-    oracles: Vec<(Workspace, Offset, Oracle)>,
-    aliases: u64,
+    pub(crate) sent: Vec<Transfer>,
+    pub(crate) suspected: Vec<(Member, u64)>,
+    pub(crate) oracles: Vec<(Workspace, Offset, Oracle)>,
+    pub(crate) aliases: u64,
     /// Greatest number of parts that existed at once beyond all.
     pub(crate) parts_excess: u64,
 }
@@ -526,201 +518,4 @@
         let row = self.suspected.iter().find(|(m, _)| m == member);
         row.map_or(0, |(_, since_ms)| self.now_ms - since_ms)
     }
-
-    fn send_transfer(&mut self, transfer: Transfer) {
-        if !self.sent.contains(&transfer) {
-            self.sent.push(transfer.clone());
-        }
-        self.send(&transfer.to.clone(), &Message::Transfer(transfer));
-    }
-
-    /// Sends a message that may be lost, doubled and overtaken.
-    fn send(&mut self, to: &Member, message: &Message) {
-        let Some(to) = self.nodes.iter().position(|n| n.member == *to) else {
-            return;
-        };
-        for copy in 0..2 {
-            let sends = if copy == 0 { 0.8 } else { 0.2 };
-            if self.random.random_bool(sends) {
-                let late = self.random.random_bool(0.1);
-                let delay_ms = self.random.random_range(0..if late { 5_000 } else { 50 });
-                self.network
-                    .push((self.now_ms + delay_ms, to, message.clone()));
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
-        let now_ms = self.now_ms;
-        let nodes = &self.nodes;
-        let due = |(at_ms, to, _): &(u64, usize, Message)| {
-            *at_ms <= now_ms && !matches!(nodes[*to].phase, Phase::Frozen(_))
-        };
-        let (due, later) = std::mem::take(&mut self.network).into_iter().partition(due);
-        self.network = later;
-        for (_, to, message) in due {
-            self.receive(to, message);
-        }
-    }
-
-    fn deliver_all(&mut self) {
-        for (_, to, message) in std::mem::take(&mut self.network) {
-            self.receive(to, message);
-        }
-    }
-
-    fn receive(&mut self, to: usize, message: Message) {
-        if !self.nodes[to].is_awake() {
-            return;
-        }
-        let time = self.nodes[to].time(self.now_ms);
-        match message {
-            Message::Ask(from, ask) => self.donate(to, &from, &ask),
-            Message::Transfer(transfer) => {
-                let ack = self.take(to, &transfer);
-                if ack.answer == Answer::Taken {
-                    self.taken.push(key(&transfer));
-                }
-                self.send(&ack.from.clone(), &Message::Ack(ack));
-            }
-            Message::Ack(ack) => {
-                self.pay(to, &ack);
-                self.nodes[to].quota.settle(time, &ack);
-            }
-            Message::Hints(peer) => {
-                let node = &mut self.nodes[to];
-                node.peers.retain(|known| known.member != peer.member);
-                node.peers.push(peer);
-            }
-        }
-    }
-
-    fn donate(&mut self, at: usize, to: &Member, ask: &Ask) {
-        if !self.nodes[at].is_leased(self.now_ms) {
-            return;
-        }
-        let node = &mut self.nodes[at];
-        let time = node.time(self.now_ms);
-        let before = node.quota.clone();
-        let Some(transfer) = node.quota.donate(time, to, ask) else {
-            return;
-        };
-        if self.fault == Fault::SubtractLate {
-            node.quota = before;
-            let (from, to, epoch, number) = key(&transfer);
-            self.owed.push((from, to, epoch, number, ask.clone()));
-        }
-        self.send_transfer(transfer);
-    }
-
-    /// Subtracts what the naive donor gave before.
-    fn pay(&mut self, at: usize, ack: &Ack) {
-        let owed = self.owed.iter().position(|(from, to, epoch, number, _)| {
-            (from, to, epoch, number) == (&ack.from, &ack.to, &ack.epoch, &ack.number)
-        });
-        if let Some(owed) = owed.filter(|_| ack.answer == Answer::Taken) {
-            let (_, to, _, _, ask) = self.owed.swap_remove(owed);
-            let node = &mut self.nodes[at];
-            node.quota.donate(node.time(self.now_ms), &to, &ask);
-        }
-    }
-
-    /// Lets a gate take a transfer, or the naive variant what it would take.
-    fn take(&mut self, at: usize, transfer: &Transfer) -> Ack {
-        let now_ms = self.now_ms;
-        let node = &mut self.nodes[at];
-        let time = node.time(now_ms);
-        let mut altered = transfer.clone();
-        let known = self.taken.contains(&key(transfer));
-        if self.fault == Fault::NoEpoch && !known {
-            let epoch = node.epoch(now_ms, &transfer.workspace);
-            altered.epoch = epoch.unwrap_or(transfer.epoch);
-        }
-        if self.fault == Fault::NoDedup || altered.epoch != transfer.epoch {
-            // A donor that the receiver has not heard of yet has an empty memory.
-            self.aliases += 1;
-            altered.from = alias(self.aliases);
-        }
-        let former = |epoch: Offset| self.fault == Fault::RefuseEpoch && altered.epoch < epoch;
-        let epoch = node.epoch(now_ms, &transfer.workspace);
-        let mut ack = node.quota.take(time, &altered);
-        if epoch.is_some_and(former) {
-            ack.answer = Answer::Refused;
-        }
-        Ack {
-            from: transfer.from.clone(),
-            epoch: transfer.epoch,
-            ..ack
-        }
-    }
-
-    /// Returns the parts that active gates hold or may still take, of one workspace.
-    fn parts(&self, name: &Workspace) -> u64 {
-        let created = self
-            .head
-            .catalog()
-            .workspaces()
-            .get(name)
-            .map(|(at, _)| *at);
-        let active = |node: &&Node| self.head.roster().is_active(&node.member);
-        let held = self.nodes.iter().filter(active).map(|node| {
-            let mut quota = node.quota.clone();
-            quota.sync(node.time(self.now_ms), &self.head);
-            let hints = quota.hints(node.time(self.now_ms));
-            let hint = hints.into_iter().find(|h| h.workspace == *name);
-            hint.map_or(0, |h| h.parts)
-        });
-        held.sum::<u64>() + self.under_way(name, created)
-    }
-
-    /// Returns the parts of transfers that their receivers may still take.
-    fn under_way(&self, name: &Workspace, created: Option<Offset>) -> u64 {
-        let node = |member: &Member| self.nodes.iter().find(|n| n.member == *member);
-        let open = self.sent.iter().filter(|t| {
-            let same = t.workspace == *name && Some(t.created) == created;
-            let unanswered = |n: &Node| n.quota.unacknowledged().contains(t);
-            let stops = |n: &Node| matches!(n.phase, Phase::Stopping(_) | Phase::Gone);
-            let may_take = |n: &Node| match n.epoch(self.now_ms, name) {
-                // A gate that stops or is gone takes nothing any more.
-                _ if stops(n) => false,
-                // The donor has forgotten the transfer, but a receiver that has not entered yet may take it.
-                Some(epoch) => {
-                    epoch == t.epoch || (epoch < t.epoch && node(&t.from).is_some_and(unanswered))
-                }
-                None => false,
-            };
-            let active = self.head.roster().is_active(&t.to);
-            let donor_has_it_back = node(&t.from)
-                .is_some_and(|n| n.epoch(self.now_ms, name) == Some(t.epoch) && !unanswered(n));
-            same && active
-                && !donor_has_it_back
-                && !self.taken.contains(&key(t))
-                && node(&t.to).is_some_and(may_take)
-        });
-        open.map(|t| t.parts).sum()
-    }
-
-    /// Checks now and then that there are no more parts than all.
-    fn check_parts(&mut self) {
-        if !self.random.random_bool(0.1) {
-            return;
-        }
-        let names: Vec<_> = self.head.catalog().workspaces().keys().cloned().collect();
-        for name in names {
-            let excess = self.parts(&name).saturating_sub(PARTS_TOTAL);
-            self.parts_excess = self.parts_excess.max(excess);
-        }
-    }
-}
-
-fn key(transfer: &Transfer) -> (Member, Member, Offset, u64) {
-    let (from, to) = (transfer.from.clone(), transfer.to.clone());
-    (from, to, transfer.epoch, transfer.number)
-}
-
-fn alias(number: u64) -> Member {
-    Member {
-        vm: Vm::try_new("alias").expect("the name is valid"),
-        incarnation: Incarnation(number),
-    }
 }
