Count copies once for all loads in the planner

Cause: each engine's load counted the copies of every item over all engines again, for every offer weighed. The plans are the same (golden file unchanged).

--- a/crates/quetzalpick-core/src/plan/fleet.rs
+++ b/crates/quetzalpick-core/src/plan/fleet.rs
@@ -147,12 +147,26 @@
         sites.filter(outgoing).count()
     }
 
-    /// Returns the load of an engine in tokens per second, if demand spreads evenly over the expected copies.
-    pub(crate) fn load(&self, site: &Site<'_>) -> u64 {
-        let items = 0..self.items.len();
-        let here = items.filter(|item| self.is_expected(site, *item));
-        here.map(|item| self.items[item].demand / self.expected(item) as u64)
-            .sum()
+    /// Iterates over the items with an expected copy at a site.
+    fn expected_at(&self, site: &Site<'_>) -> impl Iterator<Item = usize> {
+        let wanted = site.copies.iter().filter(|copy| copy.wanted);
+        let items = wanted.filter_map(|copy| copy.item);
+        items.filter(|item| self.is_expected(site, *item))
+    }
+
+    /// Returns the loads of all engines in tokens per second, if demand spreads evenly over the expected copies.
+    pub(crate) fn loads(&self) -> Vec<u64> {
+        let mut copies = vec![0_u64; self.items.len()];
+        for item in self.sites.iter().flat_map(|site| self.expected_at(site)) {
+            copies[item] += 1;
+        }
+        let load = |site: &Site<'_>| -> u64 {
+            let items = self.expected_at(site);
+            items
+                .map(|item| self.items[item].demand / copies[item])
+                .sum()
+        };
+        self.sites.iter().map(load).collect()
     }
 
     /// Returns the number of expected copies of an item in a failure domain.
--- a/crates/quetzalpick-core/src/plan/gain.rs
+++ b/crates/quetzalpick-core/src/plan/gain.rs
@@ -17,15 +17,13 @@
 }
 
 impl Fleet<'_> {
-    /// Returns the demand beyond the engines' speed, in tokens per second.
-    fn overload(&self, engine_rate: u64) -> u64 {
-        let sites = self.sites.iter();
-        sites.map(|site| self.overload_at(site, engine_rate)).sum()
-    }
-
-    pub(crate) fn overload_at(&self, site: &Site<'_>, engine_rate: u64) -> u64 {
-        let speed = engine_rate.saturating_mul(u64::from(site.accelerators));
-        self.load(site).saturating_sub(speed)
+    /// Returns the demand beyond the engines' speed, in tokens per second by site.
+    fn overloads(&self, engine_rate: u64) -> Vec<u64> {
+        let overload = |(site, load): (&Site<'_>, u64)| {
+            let speed = engine_rate.saturating_mul(u64::from(site.accelerators));
+            load.saturating_sub(speed)
+        };
+        self.sites.iter().zip(self.loads()).map(overload).collect()
     }
 
     /// Returns the best further copy, by tokens per second gained; `may_change` tells whose copies may change now.
@@ -34,11 +32,11 @@
         engine_rate: u64,
         may_change: impl Fn(usize) -> bool,
     ) -> Option<Offer> {
-        let before = self.overload(engine_rate);
+        let overloads = self.overloads(engine_rate);
+        let before = overloads.iter().sum();
         let is_strained = |item: usize| {
-            let sites = self.sites.iter();
-            let mut holders = sites.filter(|site| self.is_expected(site, item));
-            holders.any(|site| self.overload_at(site, engine_rate) > 0)
+            let mut sites = self.sites.iter().zip(&overloads);
+            sites.any(|(site, overload)| *overload > 0 && self.is_expected(site, item))
         };
         let items = 0..self.items.len();
         let strained = items.filter(|item| {
@@ -77,7 +75,7 @@
         };
         let mut after = self.clone();
         after.imagine(item, site, victims.as_ref());
-        let gain = signed(before) - signed(after.overload(engine_rate));
+        let gain = signed(before) - signed(after.overloads(engine_rate).iter().sum());
         Some(Offer {
             item,
             site,
--- a/crates/quetzalpick-core/src/plan/room.rs
+++ b/crates/quetzalpick-core/src/plan/room.rs
@@ -69,12 +69,13 @@
             let has_base = base.is_none_or(|base| site.has(base, Phase::Serving));
             site.is_usable() && absent && has_base
         };
+        let loads = self.loads();
         let sites = self.sites.iter().enumerate();
         let mut sites: Vec<_> = sites
             .filter(|(_, site)| takes(site))
             .map(|(at, site)| {
                 let crowd = self.in_domain(item, site.domain);
-                let load = self.load(site) / u64::from(site.accelerators);
+                let load = loads[at] / u64::from(site.accelerators);
                 let key = (crowd, load, site.status.requests, Reverse(site.soon_mb), at);
                 (key, at)
             })
