--- a/crates/quetzalpick-load/src/compare/escrow.rs
+++ b/crates/quetzalpick-load/src/compare/escrow.rs
@@ -8,14 +8,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::compare::gates::{apply, gates, workspace};
-use crate::compare::scheme::{Request, Scheme};
+use crate::compare::scheme::{LOSS, Request, Scheme};
 
 /// Most peers asked for one request.
 const ASKS_MAX: usize = 5;
 
-/// Share of messages that are lost.
-const LOSS: f64 = 0.01;
-
 /// `Escrow` is a fleet of gates with shares.
 pub(crate) struct Escrow {
     state: State,
@@ -136,10 +133,10 @@
                 hints,
             })
             .collect();
-        for at in (0..self.quotas.len())
-            .filter(|at| self.lost != Some(*at))
-            .collect::<Vec<_>>()
-        {
+        for at in 0..self.quotas.len() {
+            if self.lost == Some(at) {
+                continue;
+            }
             let mut pending = self.quotas[at].unacknowledged().to_vec();
             let others = self.peers.iter().filter(|p| p.member != self.members[at]);
             let others: Vec<Peer> = others.cloned().collect();
--- a/crates/quetzalpick-load/src/compare/owner.rs
+++ b/crates/quetzalpick-load/src/compare/owner.rs
@@ -6,7 +6,7 @@
 
 use crate::compare::arrivals::{GATES, RATES};
 use crate::compare::gates::burst;
-use crate::compare::scheme::{Request, Scheme};
+use crate::compare::scheme::{LOSS, Request, Scheme};
 
 /// Part of a second's rate that is leased beyond what a request needs.
 const LEASE_DIVISOR: u64 = 4;
@@ -14,9 +14,6 @@
 /// Time after which a gate gives back credits that it did not spend, in ms.
 const RETURN_MS: u64 = 1_000;
 
-/// Share of messages that are lost.
-const LOSS: f64 = 0.01;
-
 /// Tries of one message before a request is refused.
 const TRIES: usize = 3;
 
--- a/crates/quetzalpick-load/src/compare/scheme.rs
+++ b/crates/quetzalpick-load/src/compare/scheme.rs
@@ -3,6 +3,9 @@
 use serde::Serialize;
 use strum::{Display, VariantArray};
 
+/// Share of messages that are lost.
+pub(crate) const LOSS: f64 = 0.01;
+
 /// `Kind` names a scheme.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, VariantArray, Serialize)]
 #[strum(serialize_all = "kebab-case")]
