--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
+use opentelemetry::metrics::Meter;
 
 use quetzalpick_core::id::{Endpoint, Offset, Sequence};
 use quetzalpick_core::plan::{Demand, Planner, Step};
@@ -16,6 +17,7 @@
 use quetzalpick_platform::wire::vms::Status;
 
 use crate::place::engines::{self, Reported};
+use crate::place::meters::Meters;
 use crate::place::options::Options;
 use crate::place::orders::Orders;
 use crate::place::round::{self, Due};
@@ -37,11 +39,18 @@
     orders: Orders,
     reports: Table<Endpoint, Reported>,
     leaving: Vec<Endpoint>,
+    meters: Meters,
 }
 
 impl<L: Log, T: Transport, E: Engine, V: Vms> Leader<L, T, E, V> {
     /// Makes a leader that does not lead yet.
-    pub fn new(replica: Replica<L, T>, engines: E, vms: V, options: Options) -> Self {
+    pub fn new(
+        replica: Replica<L, T>,
+        engines: E,
+        vms: V,
+        options: Options,
+        meter: &Meter,
+    ) -> Self {
         Self {
             planner: Planner::new(options.planner.clone()),
             demand: Demand::new(),
@@ -54,6 +63,7 @@
             orders: Orders::begin(0, 0),
             reports: Table::default(),
             leaving: Vec::new(),
+            meters: Meters::new(meter),
         }
     }
 
@@ -192,6 +202,7 @@
             } = settled;
             log::info!("place: {endpoint} order {sequence} is {settlement}");
             self.orders.settled(endpoint, *sequence);
+            self.meters.settle(*settlement);
         }
         let records = settlements.into_iter().map(Record::Settled);
         join_all(records.map(|record| self.replica.submit(record, None))).await;
@@ -224,6 +235,9 @@
         .await;
         for (step, answer) in steps.iter().zip(answers) {
             note(step, &answer);
+            if matches!(answer, Answer::Accepted { .. }) {
+                self.meters.announce(&step.operation);
+            }
         }
     }
 
--- a/crates/quetzalpick-keeper/src/place/mod.rs
+++ b/crates/quetzalpick-keeper/src/place/mod.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod leader;
+mod meters;
 mod options;
 mod orders;
 mod round;
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -76,7 +76,8 @@
         lifecycle: lifecycle.clone(),
     };
     let admin_stop = CancellationToken::new();
-    let admin_task = tokio::spawn(admin.run(Admin::new(ready, metrics), admin_stop.clone()));
+    let admin_task =
+        tokio::spawn(admin.run(Admin::new(ready, metrics.clone()), admin_stop.clone()));
 
     let operator = Server::try_bind(&settings.operator.listen, Options::default()).await?;
     log::info!("keeper: operator API on {}", operator.address());
@@ -91,6 +92,7 @@
         engines,
         vms,
         settings.place.options.clone(),
+        &metrics.meter("keeper"),
     );
     let leader_task = tokio::spawn(leader.run());
     lifecycle.advance(Phase::Serving);
--- a/crates/quetzalpick-keeper/tests/keeper/world.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/world.rs
@@ -13,6 +13,7 @@
 use quetzalpick_node::http::server::{Options, Server};
 use quetzalpick_node::peer::{Application, Http};
 use quetzalpick_node::replica::{self, Replica};
+use quetzalpick_node::telemetry::metrics::Metrics;
 use quetzalpick_platform::engine;
 use quetzalpick_platform::errors::Result;
 use quetzalpick_platform::http::{Pool, Timeouts};
@@ -100,8 +101,9 @@
             let tokens = [("ada".to_owned(), TOKEN.to_owned())];
             let handler = Api::new(Desk::new(replica.clone()), &tokens);
             tokio::spawn(server.run(handler, CancellationToken::new()));
+            let meter = Metrics::try_new().unwrap().meter("keeper");
             let client = engine::Client::new(Pool::default(), Timeouts::default());
-            tokio::spawn(Leader::new(replica.clone(), client, NoVms, pace()).run());
+            tokio::spawn(Leader::new(replica.clone(), client, NoVms, pace(), &meter).run());
             (replica, api)
         };
         let (replica, api) = runtime.spawn(start).await.unwrap();
