--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -169,7 +169,7 @@
     ) -> Option<(Member, Ask)> {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        let donors = inner.quota.donors(workspace, &inner.peers);
+        let donors = inner.quota.donors_for(workspace, missing, &inner.peers);
         let donor = donors.into_iter().find(|donor| !asked.contains(donor));
         let donor = donor?.clone();
         let ask = inner.quota.ask(now_ms, workspace, missing)?;
