Write the log's answers as sentences

Cause: lines such as 'member: Accepted { offset: Offset(70) .. }' show the code's types, not what happened. Ruled out: shorter debug forms. Before and after: node tests pass; no line of gate, keeper or node prints a debug form of an answer any more.

--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -195,7 +195,7 @@
         let handed = hand_over(replica, &self.context.shares, within).await;
         self.lifecycle.advance(Phase::Leaving);
         let left = replica.leave().await;
-        log::info!("lifecycle: left with {left:?}, claims closed={closed}, shares handed={handed}");
+        log::info!("lifecycle: departure {left}, claims closed={closed}, shares handed={handed}");
         self.background.cancel();
         self.lifecycle.advance(Phase::Stopped);
         finished && closed
--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -65,7 +65,7 @@
 fn log_declaration(answer: &Answer) {
     match answer {
         Answer::Accepted { offset, .. } => log::info!("quota: declared at {offset}"),
-        other => log::warn!("quota: declaration not accepted: {other:?}"),
+        other => log::warn!("quota: declaration not accepted: {other}"),
     }
 }
 
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -109,7 +109,7 @@
     resign(&replica).await;
     lifecycle.advance(Phase::Leaving);
     let answer = replica.leave().await;
-    log::info!("keeper: departure {answer:?}");
+    log::info!("keeper: departure {answer}");
     lifecycle.advance(Phase::Stopped);
     admin_stop.cancel();
     let _ = admin_task.await;
@@ -126,6 +126,6 @@
     });
     if leads {
         let answer = replica.submit(Record::Resign(own), None).await;
-        log::info!("place: gives up the lead, {answer:?}");
+        log::info!("place: gives up the lead, {answer}");
     }
 }
--- a/crates/quetzalpick-node/src/replica/answer.rs
+++ b/crates/quetzalpick-node/src/replica/answer.rs
@@ -9,9 +9,10 @@
 use snafu::Snafu;
 
 /// `Answer` is what became of a submitted entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum Answer {
     /// The fold accepted the entry.
+    #[snafu(display("accepted at {offset}"))]
     Accepted {
         /// Where it was first applied.
         offset: Offset,
@@ -19,6 +20,7 @@
         revision: Revision,
     },
     /// The fold rejected the entry.
+    #[snafu(display("rejected at {offset}: {reason}"))]
     Rejected {
         /// Where it was first applied.
         offset: Offset,
@@ -26,11 +28,13 @@
         reason: Reason,
     },
     /// Nothing was appended.
+    #[snafu(display("not sent, come back in {} ms", retry_after.as_millis()))]
     NotSent {
         /// When to come back.
         retry_after: Duration,
     },
     /// The entry may take effect later; the command's id tells what became of it.
+    #[snafu(display("not known, ask for command {command}"))]
     Unknown {
         /// The command to ask after.
         command: Command,
--- a/crates/quetzalpick-node/src/replica/presence.rs
+++ b/crates/quetzalpick-node/src/replica/presence.rs
@@ -61,7 +61,7 @@
             match answer {
                 Some(Answer::Accepted { .. }) => {}
                 Some(answer) => {
-                    log::warn!("member: not recorded: {answer:?}");
+                    log::warn!("member: not recorded: {answer}");
                     sleep(PAUSE).await;
                 }
                 // Entries and snapshots both count as changes; the sender lives as long as `self`.
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -94,9 +94,9 @@
             let now = self.clock.now();
             self.note_pause(now, &mut watch);
             if let Some((duty, record)) = self.next_duty(now, &mut watch) {
-                log::info!("member: recording {record:?}");
+                let subject = describe(&record);
                 let answer = self.submit(record, None).await;
-                log::info!("member: {answer:?}");
+                log::info!("member: {subject}: {answer}");
                 watch.note_done(self.clock.now(), duty);
             }
         }
@@ -206,3 +206,14 @@
     let suspects = silent.iter().filter(|m| !is_suspected(m));
     suspects.map(duty).collect()
 }
+
+/// Names a duty's record and its member in a log line.
+fn describe(record: &Record) -> String {
+    let kind: &str = record.into();
+    match record {
+        Record::Suspect(member) => format!("{kind} {member}"),
+        Record::Retire(retire) => format!("{kind} {}", retire.member),
+        Record::Seat(seat) => format!("{kind} {}", seat.member),
+        _ => kind.to_owned(),
+    }
+}
