--- a/crates/quetzalpick-core/examples/slopes.rs
+++ b/crates/quetzalpick-core/examples/slopes.rs
@@ -24,6 +24,8 @@
 struct Fold {
     state: State,
     commands: u64,
+    /// Bytes of the entries in the log, counted only while this is set.
+    logged: Option<usize>,
 }
 
 impl Fold {
@@ -39,6 +41,9 @@
     }
 
     fn accept(&mut self, entry: &Entry) {
+        if let Some(logged) = &mut self.logged {
+            *logged += entry.to_bytes().expect("the entry encodes").len();
+        }
         let outcome = self.state.apply(self.state.next(), entry);
         assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome}");
     }
@@ -165,10 +170,19 @@
         let elapsed = start.elapsed();
         let bytes = (size(&mut fold) - before) as f64 / count as f64;
         let micros = elapsed.as_secs_f64() * 1e6 / count as f64;
-        println!("{name:<28} {count:>7} {bytes:>10.1} {micros:>10.2}");
+        let logged = logged(&fold, |fold| add(fold, count + 1));
+        println!("{name:<28} {count:>7} {bytes:>10.1} {micros:>10.2} {logged:>10}");
     }
 }
 
+/// Returns the bytes of the log that one more thing takes.
+fn logged(fold: &Fold, add: impl FnOnce(&mut Fold)) -> usize {
+    let mut fold = fold.clone();
+    fold.logged = Some(0);
+    add(&mut fold);
+    fold.logged.unwrap_or_default()
+}
+
 /// Returns the encoded size of the state without the memory of commands.
 fn size(fold: &mut Fold) -> usize {
     let next = fold.state.next();
@@ -216,8 +230,9 @@
         let micros = start.elapsed().as_secs_f64() * 1e6 / count as f64;
         let claims = rmp_serde::to_vec_named(fold.state.claims()).expect("the claims encode");
         let bytes = claims.len() as f64 / count as f64;
+        let logged = logged(&fold, |fold| claim(fold, count, true));
         println!(
-            "{:<28} {count:>7} {bytes:>10.1} {micros:>10.2}",
+            "{:<28} {count:>7} {bytes:>10.1} {micros:>10.2} {logged:>10}",
             "finished claim, 200 bytes"
         );
     }
@@ -329,8 +344,8 @@
 
 fn main() {
     println!(
-        "{:<28} {:>7} {:>10} {:>10}",
-        "each", "count", "bytes", "us/call"
+        "{:<28} {:>7} {:>10} {:>10} {:>10}",
+        "each", "count", "bytes", "us/call", "log bytes"
     );
     let few = base(8);
     slope("workspace at 8 gates", &few, &[100, 1_000], |f, n| {
