--- a/crates/quetzalpick-gate/src/serve/relay.rs
+++ b/crates/quetzalpick-gate/src/serve/relay.rs
@@ -268,10 +268,10 @@
             End::Refused(refusal) => {
                 log::warn!("stream: request={id} ended: {}", refusal.message);
                 self.relay.meter(&refusal);
-                self.relay.cancel(&self.target).await;
                 let event = sse::error_event(&refusal.to_json());
-                let last = self.relay.events.send(event);
-                let _ = timeout(LAST_EVENT_TIMEOUT, last).await;
+                let last = timeout(LAST_EVENT_TIMEOUT, self.relay.events.send(event));
+                // The caller is told at once, whether or not the engine takes the cancellation.
+                let _ = futures::join!(last, self.relay.cancel(&self.target));
             }
             End::Gone => {
                 log::info!("stream: request={id} left by its caller");
@@ -297,7 +297,8 @@
                 self.text.push_str(chunk.text());
                 true
             }
-            Some(_) => chunk.finishes(),
+            // The caller has this token; an end that comes with it once more is told by the terminal marker.
+            Some(_) => false,
             None => chunk.finishes() || chunk.has_usage() || !self.opened,
         };
         self.opened = true;
