--- a/crates/quetzalpick-core/src/dispatch.rs
+++ b/crates/quetzalpick-core/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! Times are milliseconds on the leader's own monotonic clock.
 
 use crate::id::Endpoint;
-use crate::record::{ORDER_LATENESS_MS, Operation};
+use crate::record::{Operation, Settlement};
 use crate::table::Table;
 
 /// `Dispatch` remembers when the leader last sent each order.
@@ -14,9 +14,30 @@
 #[derive(Debug, Clone)]
 pub struct Dispatch {
     began: u64,
+    lateness_ms: u64,
     sent: Table<Endpoint, Table<Operation, u64>>,
 }
 
+/// `Sight` is what an engine showed of one order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sight {
+    /// The report lists the copy as loaded.
+    pub loaded: bool,
+    /// The report lists the copy as being loaded.
+    pub loading: bool,
+    /// The report lists the order as refused for good.
+    pub refused: bool,
+    /// The engine checks fencing numbers and knows a newer one, by its report or by its answer to the order.
+    pub overtaken: bool,
+}
+
+impl Sight {
+    /// Tells whether sending the order again is useless; it would only put off its settlement.
+    pub fn is_futile(self) -> bool {
+        self.refused || self.overtaken
+    }
+}
+
 /// Returns the order that undoes another.
 fn opposite(operation: &Operation) -> Operation {
     match operation {
@@ -27,9 +48,12 @@
 
 impl Dispatch {
     /// Creates the memory of a leader whose term began at `now`; former leaders may have sent anything until then.
-    pub fn new(now: u64) -> Self {
+    ///
+    /// An order arrives at most `lateness_ms` after it was sent, by default `record::ORDER_LATENESS_MS`.
+    pub fn new(now: u64, lateness_ms: u64) -> Self {
         Self {
             began: now,
+            lateness_ms,
             sent: Table::default(),
         }
     }
@@ -41,7 +65,8 @@
             .get_or_insert_with(endpoint.clone(), Table::default);
         orders.insert(operation.clone(), now);
         // Orders that have arrived or were lost need not be remembered.
-        orders.retain(|_, sent| now.saturating_sub(*sent) <= ORDER_LATENESS_MS);
+        let lateness_ms = self.lateness_ms;
+        orders.retain(|_, sent| now.saturating_sub(*sent) <= lateness_ms);
     }
 
     /// Tells whether an order, as sent by anybody, can no longer arrive after `now`.
@@ -56,7 +81,30 @@
         self.is_past(endpoint, &opposite(operation), now)
     }
 
-    /// Tells whether no order at all can still arrive at an engine, as a report after its restart needs.
+    /// Returns what became of an order as a report shows it that was asked for at `asked`, `None` while that is open.
+    pub fn settlement(
+        &self,
+        endpoint: &Endpoint,
+        operation: &Operation,
+        sight: Sight,
+        asked: u64,
+    ) -> Option<Settlement> {
+        let done = match operation {
+            Operation::Load(..) => sight.loaded,
+            Operation::Unload(..) => !sight.loaded && !sight.loading,
+        };
+        if done {
+            return Some(Settlement::Done);
+        }
+        // A copy of the order that is still on its way could be taken after all, as by an engine that restarts.
+        let refused = sight.is_futile() && !sight.loading;
+        let refused = refused && self.is_past(endpoint, operation, asked);
+        refused.then_some(Settlement::Refused)
+    }
+
+    /// Tells whether no order at all can still arrive at an engine.
+    ///
+    /// A report after its restart needs that, unless `Ledger::was_ordered` rules orders out.
     pub fn is_quiet(&self, endpoint: &Endpoint, now: u64) -> bool {
         let orders = self.sent.get(endpoint);
         let newest = orders.and_then(|orders| orders.values().max());
@@ -66,6 +114,6 @@
     /// Tells whether an order sent last at `sent`, or by a former leader, can no longer arrive.
     fn is_past_since(&self, sent: Option<u64>, now: u64) -> bool {
         let sent = sent.unwrap_or(0).max(self.began);
-        now.saturating_sub(sent) > ORDER_LATENESS_MS
+        now.saturating_sub(sent) > self.lateness_ms
     }
 }
--- a/crates/quetzalpick-keeper/src/place/engines.rs
+++ b/crates/quetzalpick-keeper/src/place/engines.rs
@@ -4,15 +4,15 @@
 
 use futures::future::join_all;
 
+use quetzalpick_core::dispatch::{Dispatch, Sight};
 use quetzalpick_core::id::{Artifact, Boot, Endpoint, Offset, Version};
-use quetzalpick_core::record::{
-    EndpointKind, EndpointSpec, Operation, Report, Settled, Settlement,
-};
-use quetzalpick_core::state::{Account, Open, State};
-use quetzalpick_core::table::Table;
+use quetzalpick_core::record::{EndpointKind, EndpointSpec, Operation, Report, Settled};
+use quetzalpick_core::state::{Account, Ledger, Open, State};
 use quetzalpick_platform::traits::Engine;
 use quetzalpick_platform::wire::engine;
 
+use crate::place::orders::Orders;
+
 /// `Reported` is an engine's newest report.
 #[derive(Debug, Clone)]
 pub(crate) struct Reported {
@@ -20,6 +20,8 @@
     pub(crate) report: engine::Report,
     /// First offset not applied here when the report was asked for.
     pub(crate) asked_at: Offset,
+    /// When it was asked for, in ms.
+    pub(crate) asked_ms: u64,
     /// When it arrived, in ms.
     pub(crate) at_ms: u64,
 }
@@ -35,6 +37,7 @@
     let now_ms = &now_ms;
     let ask_one = |(endpoint, address): &(Endpoint, String)| {
         let (endpoint, address) = (endpoint.clone(), address.clone());
+        let asked_ms = now_ms();
         async move {
             let report = tokio::time::timeout(limit, client.report(&address))
                 .await
@@ -45,6 +48,7 @@
                 Reported {
                     report,
                     asked_at,
+                    asked_ms,
                     at_ms: now_ms(),
                 },
             ))
@@ -67,31 +71,37 @@
         .collect()
 }
 
-/// Returns the copies that a report lists, sorted.
-fn copies(report: &engine::Report) -> Vec<(Artifact, Version)> {
+/// Returns copies that a report lists, sorted.
+fn copies(listed: &[engine::Copy]) -> Vec<(Artifact, Version)> {
     let copy = |copy: &engine::Copy| {
         Some((
             Artifact::try_new(&copy.artifact).ok()?,
             Version(copy.version),
         ))
     };
-    let mut copies: Vec<_> = report.loaded.iter().filter_map(copy).collect();
+    let mut copies: Vec<_> = listed.iter().filter_map(copy).collect();
     copies.sort();
     copies
 }
 
 /// Returns the record that corrects the ledger where an engine restarted, or holds what no open order explains.
+///
+/// While an order may still arrive, or the engine is loading, its report is not yet the last word.
 pub(crate) fn correction(
     endpoint: &Endpoint,
-    account: &Account,
+    ledger: &Ledger,
+    dispatch: &Dispatch,
     reported: &Reported,
 ) -> Option<Report> {
     let boot = Boot(reported.report.boot);
-    let loaded = copies(&reported.report);
-    if account.boot == boot && !differs(account, &loaded) {
+    let loaded = copies(&reported.report.loaded);
+    let account = ledger.accounts().get(endpoint);
+    if account.is_some_and(|account| account.boot == boot && !differs(account, &loaded)) {
         return None;
     }
-    Some(Report {
+    let is_quiet =
+        dispatch.is_quiet(endpoint, reported.asked_ms) && reported.report.loading.is_empty();
+    (is_quiet || !ledger.was_ordered(endpoint)).then(|| Report {
         endpoint: endpoint.clone(),
         boot,
         seen: reported.asked_at,
@@ -120,16 +130,19 @@
 pub(crate) fn settlements(
     endpoint: &Endpoint,
     account: &Account,
+    orders: &Orders,
     reported: &Reported,
 ) -> Vec<Settled> {
     // A report of another boot first corrects the ledger.
-    if account.boot != Boot(reported.report.boot) {
+    let boot = Boot(reported.report.boot);
+    if account.boot != boot {
         return Vec::new();
     }
-    let loaded = copies(&reported.report);
     let settle = |open: &Open| {
-        let settlement = settlement(open, &loaded, reported)?;
-        let boot = Boot(reported.report.boot);
+        let sight = sight(endpoint, open, orders, reported);
+        let asked_ms = reported.asked_ms;
+        let dispatch = &orders.dispatch;
+        let settlement = dispatch.settlement(endpoint, &open.operation, sight, asked_ms)?;
         Some(Settled {
             endpoint: endpoint.clone(),
             sequence: open.sequence,
@@ -138,35 +151,34 @@
             settlement,
         })
     };
-    account.open.iter().filter_map(settle).collect()
+    // A report that was asked for before the order was announced says nothing of it.
+    let since = |open: &&Open| reported.asked_at > open.fencing.max(account.reported);
+    account
+        .open
+        .iter()
+        .filter(since)
+        .filter_map(settle)
+        .collect()
 }
 
-/// Tells whether a report settles an open order.
-fn settlement(
+/// Returns what an engine shows of an order.
+pub(crate) fn sight(
+    endpoint: &Endpoint,
     open: &Open,
-    loaded: &[(Artifact, Version)],
+    orders: &Orders,
     reported: &Reported,
-) -> Option<Settlement> {
-    // A report that was asked for before the order was announced says nothing of it.
-    if reported.asked_at <= open.fencing {
-        return None;
-    }
-    if reported.report.refused.contains(&open.fencing.0) {
-        return Some(Settlement::Refused);
-    }
-    let has = |artifact: &Artifact, version: Version| {
-        loaded.binary_search(&(artifact.clone(), version)).is_ok()
+) -> Sight {
+    let report = &reported.report;
+    let (Operation::Load(artifact, version) | Operation::Unload(artifact, version)) =
+        &open.operation;
+    let lists = |listed: &[engine::Copy]| {
+        let mut copies = listed.iter();
+        copies.any(|copy| copy.artifact == artifact.as_str() && copy.version == version.0)
     };
-    let done = match &open.operation {
-        Operation::Load(artifact, version) => has(artifact, *version),
-        Operation::Unload(artifact, version) => !has(artifact, *version),
-    };
-    done.then_some(Settlement::Done)
-}
-
-/// Returns the newest reports, with those that just arrived.
-pub(crate) fn renew(reports: &mut Table<Endpoint, Reported>, arrived: Vec<(Endpoint, Reported)>) {
-    for (endpoint, reported) in arrived {
-        reports.insert(endpoint, reported);
+    Sight {
+        loaded: lists(&report.loaded),
+        loading: lists(&report.loading),
+        refused: report.refused.contains(&open.fencing.0),
+        overtaken: orders.is_fenced(endpoint, open.sequence),
     }
 }
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -6,7 +6,7 @@
 
 use quetzalpick_core::id::{Endpoint, Offset, Sequence};
 use quetzalpick_core::plan::{Demand, Planner, Step};
-use quetzalpick_core::record::{Intent, Operation, Record};
+use quetzalpick_core::record::{Intent, Operation, Record, Settled};
 use quetzalpick_core::state::{Leadership, State};
 use quetzalpick_core::table::Table;
 use quetzalpick_node::peer::Transport;
@@ -18,7 +18,10 @@
 use crate::place::engines::{self, Reported};
 use crate::place::options::Options;
 use crate::place::orders::Orders;
-use crate::place::round::{self, Due, Limits};
+use crate::place::round::{self, Due};
+
+/// Rounds within an interval while orders are open.
+const BUSY_ROUNDS: u32 = 5;
 
 /// `Leader` runs placement on one keeper.
 #[derive(Debug)]
@@ -48,7 +51,7 @@
             options,
             started: Instant::now(),
             term: None,
-            orders: Orders::default(),
+            orders: Orders::begin(0, 0),
             reports: Table::default(),
             leaving: Vec::new(),
         }
@@ -57,11 +60,27 @@
     /// Runs rounds for ever.
     pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(self.options.interval).await;
+            tokio::time::sleep(self.pause()).await;
             self.round().await;
         }
     }
 
+    /// Returns the time until the next round, which is shorter while orders are open.
+    fn pause(&self) -> Duration {
+        let is_open = |state: &State| {
+            state
+                .ledger()
+                .accounts()
+                .values()
+                .any(|a| !a.open.is_empty())
+        };
+        if self.term.is_some() && self.replica.read(is_open) {
+            self.options.interval / BUSY_ROUNDS
+        } else {
+            self.options.interval
+        }
+    }
+
     /// Does one round: nothing without a lease, and only an attempt to take the lead while nobody has it.
     pub async fn round(&mut self) {
         if !self.replica.is_leased() {
@@ -88,18 +107,19 @@
     async fn lead(&mut self, leadership: &Leadership) {
         if self.term != Some(leadership.term) {
             self.term = Some(leadership.term);
-            self.orders = Orders::begin(self.now_ms());
+            self.orders = Orders::begin(self.now_ms(), millis(self.options.order_lateness));
             self.reports = Table::default();
         }
-        self.look().await;
-        self.settle().await;
+        let arrived = self.look().await;
+        self.correct(&arrived).await;
+        self.settle(&arrived).await;
         self.send_due().await;
         self.plan(leadership).await;
         self.send_due().await;
     }
 
     /// Asks engines and the VM list how things are.
-    async fn look(&mut self) {
+    async fn look(&mut self) -> Vec<(Endpoint, Reported)> {
         let (engines, asked_at) = self
             .replica
             .read(|state| (engines::configured(state), state.next()));
@@ -114,9 +134,12 @@
         );
         let listing = tokio::time::timeout(self.options.report, self.vms.list());
         let (arrived, list) = tokio::join!(asking, listing);
-        engines::renew(&mut self.reports, arrived);
+        for (endpoint, reported) in &arrived {
+            self.reports.insert(endpoint.clone(), reported.clone());
+        }
         // The list lags and may be out; what it last said stands until it answers again.
         if let Ok(Ok(list)) = list {
+            self.replica.hint(&list);
             let rows = list
                 .vms
                 .into_iter()
@@ -126,20 +149,16 @@
                 .collect();
             self.leaving.sort();
         }
+        arrived
     }
 
-    /// Records what the reports show: first what corrects the ledger, then what became of open orders.
-    async fn settle(&mut self) {
-        let reports = &self.reports;
+    /// Records where engines hold something else than the ledger says.
+    async fn correct(&mut self, arrived: &[(Endpoint, Reported)]) {
+        let dispatch = &self.orders.dispatch;
         let corrections = self.replica.read(|state| {
-            let rows = reports.iter().filter_map(|(endpoint, reported)| {
-                let account = state
-                    .ledger()
-                    .accounts()
-                    .get(endpoint)
-                    .cloned()
-                    .unwrap_or_default();
-                engines::correction(endpoint, &account, reported)
+            let rows = arrived.iter();
+            let rows = rows.filter_map(|(endpoint, reported)| {
+                engines::correction(endpoint, state.ledger(), dispatch, reported)
             });
             rows.collect::<Vec<_>>()
         });
@@ -150,34 +169,32 @@
                 correction.boot
             );
         }
-        join_all(
-            corrections
-                .into_iter()
-                .map(|report| self.replica.submit(Record::Report(report), None)),
-        )
-        .await;
+        let records = corrections.into_iter().map(Record::Report);
+        join_all(records.map(|record| self.replica.submit(record, None))).await;
+    }
+
+    /// Records what became of open orders.
+    async fn settle(&mut self, arrived: &[(Endpoint, Reported)]) {
+        let orders = &self.orders;
         let settlements = self.replica.read(|state| {
-            let rows = reports.iter().filter_map(|(endpoint, reported)| {
+            let rows = arrived.iter().filter_map(|(endpoint, reported)| {
                 let account = state.ledger().accounts().get(endpoint)?;
-                Some(engines::settlements(endpoint, account, reported))
+                Some(engines::settlements(endpoint, account, orders, reported))
             });
             rows.flatten().collect::<Vec<_>>()
         });
         for settled in &settlements {
-            log::info!(
-                "place: {} order {} is {}",
-                settled.endpoint,
-                settled.sequence,
-                settled.settlement
-            );
-            self.orders.settled(&settled.endpoint, settled.sequence);
+            let Settled {
+                endpoint,
+                sequence,
+                settlement,
+                ..
+            } = settled;
+            log::info!("place: {endpoint} order {sequence} is {settlement}");
+            self.orders.settled(endpoint, *sequence);
         }
-        join_all(
-            settlements
-                .into_iter()
-                .map(|settled| self.replica.submit(Record::Settled(settled), None)),
-        )
-        .await;
+        let records = settlements.into_iter().map(Record::Settled);
+        join_all(records.map(|record| self.replica.submit(record, None))).await;
     }
 
     /// Plans, and announces each wanted order; the fold has the last word.
@@ -188,16 +205,14 @@
             &round::demand(&self.replica.peers(), interval_ms),
         );
         let now_ms = self.now_ms();
-        let limits = Limits {
-            silence_ms: millis(self.options.silence),
-            lateness_ms: millis(self.options.order_lateness),
-        };
+        let silence_ms = millis(self.options.silence);
         let (replica, planner) = (&self.replica, &mut self.planner);
         let (reports, orders, demand, leaving) =
             (&self.reports, &self.orders, &self.demand, &self.leaving);
         let (steps, intents) = replica.read(|state| {
-            let statuses = round::statuses(state, reports, orders, limits, leaving, now_ms);
-            let steps = planner.plan(now_ms, state, demand, &statuses);
+            let statuses = round::statuses(state, reports, orders, silence_ms, leaving, now_ms);
+            let mut steps = planner.plan(now_ms, state, demand, &statuses);
+            steps.retain(|step| round::may_announce(step, state, orders, now_ms));
             let intents = intents(state, leadership, &steps);
             (steps, intents)
         });
@@ -214,35 +229,36 @@
 
     /// Sends the orders that are due, if the lease still holds.
     async fn send_due(&mut self) {
-        if !self.replica.is_leased() {
-            return;
-        }
         let (now_ms, repeat_ms) = (self.now_ms(), millis(self.options.repeat));
         let due = self
             .replica
-            .read(|state| round::due(state, &self.orders, repeat_ms, now_ms));
+            .read(|state| round::due(state, &self.orders, &self.reports, repeat_ms, now_ms));
+        // An order counts as sent before the lease is checked, so that its lateness is never underrated.
         for Due { endpoint, open, .. } in &due {
-            let is_load = matches!(open.operation, Operation::Load(..));
-            self.orders.sent(endpoint, open.sequence, is_load, now_ms);
+            self.orders
+                .sent(endpoint, open.sequence, &open.operation, now_ms);
+        }
+        if !self.replica.is_leased() {
+            return;
         }
         let engines = &self.engines;
         let send = |due: Due| async move {
-            match engines.order(&due.address, &due.order).await {
-                Ok(()) => {}
-                Err(Error::Fenced { number, seen }) => {
-                    log::warn!(
-                        "place: {} knows fencing number {seen}, {number} is older",
-                        due.endpoint
-                    );
-                }
-                Err(error) => log::warn!(
-                    "place: order {} to {}: {error}",
-                    due.open.sequence,
-                    due.endpoint
-                ),
-            }
+            let answer = engines.order(&due.address, &due.order).await;
+            (due, answer)
         };
-        join_all(due.into_iter().map(send)).await;
+        for (due, answer) in join_all(due.into_iter().map(send)).await {
+            let Err(error) = answer else {
+                continue;
+            };
+            log::warn!(
+                "place: order {} to {}: {error}",
+                due.open.sequence,
+                due.endpoint
+            );
+            if matches!(error, Error::Fenced { .. }) {
+                self.orders.fenced(&due.endpoint, due.open.sequence);
+            }
+        }
     }
 
     /// Returns the time since this leader was made, in ms.
--- a/crates/quetzalpick-keeper/src/place/options.rs
+++ b/crates/quetzalpick-keeper/src/place/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::plan;
+use quetzalpick_core::record::ORDER_LATENESS_MS;
 
 /// `Options` sets the pace of placement.
 #[derive(Debug, Clone)]
@@ -26,7 +27,7 @@
         Self {
             planner: plan::Options::default(),
             interval: Duration::from_millis(500),
-            order_lateness: Duration::from_secs(10),
+            order_lateness: Duration::from_millis(ORDER_LATENESS_MS),
             repeat: Duration::from_secs(2),
             report: Duration::from_secs(1),
             silence: Duration::from_secs(3),
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -2,14 +2,14 @@
 
 use quetzalpick_core::id::{Artifact, Endpoint, Version};
 use quetzalpick_core::payload::Payload;
-use quetzalpick_core::plan::Status;
+use quetzalpick_core::plan::{Reason, Status, Step};
 use quetzalpick_core::record::{EndpointKind, Operation};
 use quetzalpick_core::state::{Open, State};
 use quetzalpick_core::table::Table;
 use quetzalpick_node::replica::Peer;
 use quetzalpick_platform::wire::engine;
 
-use crate::place::engines::Reported;
+use crate::place::engines::{Reported, sight};
 use crate::place::orders::Orders;
 
 /// `Due` is an order that is to be sent.
@@ -26,18 +26,37 @@
 }
 
 /// Returns the open orders that are to be sent now, each engine's in sequence.
-pub(crate) fn due(state: &State, orders: &Orders, repeat_ms: u64, now_ms: u64) -> Vec<Due> {
+///
+/// An engine that checks fencing numbers would refuse an order that arrives after a newer one for good. So it gets one
+/// order at a time, the oldest that it does not show to have received.
+pub(crate) fn due(
+    state: &State,
+    orders: &Orders,
+    reports: &Table<Endpoint, Reported>,
+    repeat_ms: u64,
+    now_ms: u64,
+) -> Vec<Due> {
     let mut due = Vec::new();
     for (endpoint, account) in state.ledger().accounts().iter() {
         let Some(spec) = state.catalog().endpoints().get(endpoint) else {
             continue;
         };
-        for open in &account.open {
+        let one_at_a_time = matches!(
+            spec.kind,
+            EndpointKind::Engine {
+                checks_fencing: true,
+                ..
+            }
+        );
+        let reported = reports.get(endpoint);
+        let open = account.open.iter();
+        let unknown = open.filter(|open| !is_known(endpoint, open, orders, reported));
+        let most = if one_at_a_time { 1 } else { usize::MAX };
+        for open in unknown.take(most) {
             if orders.is_due(endpoint, open.sequence, repeat_ms, now_ms) {
-                let address = spec.address.clone();
                 due.push(Due {
                     endpoint: endpoint.clone(),
-                    address,
+                    address: spec.address.clone(),
                     open: open.clone(),
                     order: order(state, open),
                 });
@@ -47,6 +66,23 @@
     due
 }
 
+/// Tells whether an engine shows that sending an order again is of no use.
+fn is_known(
+    endpoint: &Endpoint,
+    open: &Open,
+    orders: &Orders,
+    reported: Option<&Reported>,
+) -> bool {
+    if orders.is_fenced(endpoint, open.sequence) {
+        return true;
+    }
+    let loads = matches!(open.operation, Operation::Load(..));
+    reported.is_some_and(|reported| {
+        let sight = sight(endpoint, open, orders, reported);
+        sight.is_futile() || (loads && sight.loading)
+    })
+}
+
 /// Builds the order of an intent.
 fn order(state: &State, open: &Open) -> engine::Order {
     let (action, artifact, version) = match &open.operation {
@@ -80,24 +116,24 @@
     state: &State,
     reports: &Table<Endpoint, Reported>,
     orders: &Orders,
-    limits: Limits,
+    silence_ms: u64,
     leaving: &[Endpoint],
     now_ms: u64,
 ) -> Table<Endpoint, Status> {
     let mut statuses = Table::default();
     for (endpoint, spec) in state.catalog().endpoints().iter() {
-        let EndpointKind::Engine { checks_fencing, .. } = spec.kind else {
+        if !matches!(spec.kind, EndpointKind::Engine { .. }) {
             continue;
-        };
+        }
         let reported = reports.get(endpoint);
-        let alive = reported
-            .is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < limits.silence_ms);
+        let alive =
+            reported.is_some_and(|reported| now_ms.saturating_sub(reported.at_ms) < silence_ms);
         let requests = reported.map_or(0, |reported| {
             reported.report.running + reported.report.waiting
         });
         let listed = leaving.binary_search(endpoint).is_ok();
         let leaving = listed || reported.is_some_and(|reported| reported.report.leaving);
-        let unsettled = !checks_fencing && orders.may_arrive(endpoint, limits.lateness_ms, now_ms);
+        let unsettled = !orders.dispatch.is_quiet(endpoint, now_ms);
         statuses.insert(
             endpoint.clone(),
             Status {
@@ -111,13 +147,20 @@
     statuses
 }
 
-/// `Limits` are the times that a status depends on.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Limits {
-    /// Silence after which an engine counts as gone, in ms.
-    pub(crate) silence_ms: u64,
-    /// Longest time that an order is on its way, in ms.
-    pub(crate) lateness_ms: u64,
+/// Tells whether a planned step may be announced now.
+///
+/// The opposite order may still be on its way and would undo the step. A load need not wait where no unload was ever
+/// announced, and one that makes something reachable is worth the risk; the ledger counts its memory either way.
+pub(crate) fn may_announce(step: &Step, state: &State, orders: &Orders, now_ms: u64) -> bool {
+    let is_load = matches!(step.operation, Operation::Load(..));
+    let account = state.ledger().accounts().get(&step.endpoint);
+    let never_unloaded = account.is_some_and(|account| !account.unloads);
+    let is_urgent = step.reason == Reason::Unreachable;
+    let at_once = is_load && (never_unloaded || is_urgent);
+    at_once
+        || orders
+            .dispatch
+            .may_announce(&step.endpoint, &step.operation, now_ms)
 }
 
 /// Adds up the demand that the gates told of, as tokens within an interval.
--- a/crates/quetzalpick-node/src/replica/mod.rs
+++ b/crates/quetzalpick-node/src/replica/mod.rs
@@ -12,13 +12,15 @@
 mod ring;
 mod service;
 mod shared;
+mod silence;
 mod stagger;
 mod submit;
 mod view;
+mod voters;
 mod watch;
 mod writer;
 mod writes;
 
 pub use answer::{Answer, Peer, Unleased};
 pub use handle::Replica;
-pub use options::Options;
+pub use options::{Options, VOTERS_MAX};
--- a/crates/quetzalpick-node/src/replica/shared.rs
+++ b/crates/quetzalpick-node/src/replica/shared.rs
@@ -1,6 +1,6 @@
 //! What the parts of a replica share.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 use crate::replica::view::View;
 use crate::replica::writes::Writes;
 
+/// Long reads in one lease.
+const READS_PER_LEASE: u32 = 5;
+
 /// Locks a mutex; data are whole between any two statements, so that a panic elsewhere does no harm.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -62,8 +65,14 @@
     pub(crate) exchange_now: Notify,
     /// Time of the last read that reached the head, in ms; 0 if there was none.
     pub(crate) read_at: AtomicU64,
+    /// Whether the last read failed.
+    pub(crate) read_failed: AtomicBool,
+    /// Members called so far by turns.
+    pub(crate) exchange_turn: AtomicUsize,
     /// Time until which no quick read is tried for a missing lease, in ms.
     pub(crate) unleased_until: AtomicU64,
+    /// Last change of the voters after which statements of others were forgotten.
+    seats_pruned: AtomicU64,
     /// Digests of peers that differed at the same offset.
     pub(crate) divergences: AtomicU64,
     pub(crate) leaving: AtomicBool,
@@ -92,7 +101,10 @@
             read_now: Notify::new(),
             exchange_now: Notify::new(),
             read_at: AtomicU64::new(0),
+            read_failed: AtomicBool::new(false),
+            exchange_turn: AtomicUsize::new(0),
             unleased_until: AtomicU64::new(0),
+            seats_pruned: AtomicU64::new(0),
             divergences: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             stop: CancellationToken::new(),
@@ -133,10 +145,22 @@
         view.loaded && lock(&self.lease).holds(now, &view.state, member)
     }
 
-    /// Tells whether the log was read to its head within a time.
-    pub(crate) fn reads_within(&self, limit: Duration) -> bool {
+    /// Tells whether the log can be read: the last read succeeded, and not long ago.
+    pub(crate) fn reads(&self) -> bool {
+        let at = self.read_at.load(Ordering::Relaxed);
+        at > 0 && !self.read_failed.load(Ordering::Relaxed) && !self.is_log_out()
+    }
+
+    /// Tells whether no read has reached the head for long; what is submitted then is not sent at all.
+    pub(crate) fn is_log_out(&self) -> bool {
         let at = self.read_at.load(Ordering::Relaxed);
-        at > 0 && self.clock.now().saturating_sub(at) <= millis(limit)
+        let limit = millis(self.long_read() + self.options.exchange_interval * 2);
+        self.clock.now().saturating_sub(at) > limit
+    }
+
+    /// Returns how long a read waits for entries: a lease is renewed well before it ends.
+    pub(crate) fn long_read(&self) -> Duration {
+        self.options.lease / READS_PER_LEASE
     }
 
     /// Takes over a state from a snapshot or a peer, unless the present one is as new.
@@ -174,7 +198,10 @@
         let me = self.me();
         let next = {
             let view = self.view();
-            lock(&self.lease).prune(&view.state);
+            let seats = view.state.roster().seats_changed().0;
+            if self.seats_pruned.swap(seats, Ordering::Relaxed) != seats {
+                lock(&self.lease).prune(&view.state);
+            }
             let mut witness = lock(&self.witness);
             witness.observe(now, &view.state);
             witness.statement(&me, view.state.next(), now);
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -139,10 +139,12 @@
         assert_eq!(fleet.leased(), [true; 3]);
     }
     // Its own writes are answered at once and truly.
+    let began = tokio::time::Instant::now();
     assert_matches!(
         fleet.processes[2].set("abuja", None).await,
         Answer::NotSent { .. }
     );
+    assert_eq!(began.elapsed(), Duration::ZERO);
     fleet.processes[2].log.cut(false);
     sleep(10_000).await;
     assert_eq!(fleet.processes[0].revision(), 1);
@@ -183,6 +185,13 @@
     assert_eq!(fleet.leased(), [true; 3]);
     assert!(!frozen.replica.is_leased_as(&before));
     assert_ne!(frozen.replica.member(), before);
+    // Nobody takes the new member for silent because it was not heard yet.
+    assert_eq!(
+        fleet.story().matches("Suspect(").count(),
+        1,
+        "{}",
+        fleet.story()
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -372,3 +381,63 @@
     wire.call(to, "/peer/exchange", body.into()).await.unwrap();
     assert_eq!(fleet.processes[0].replica.divergences(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn few_voters_in_all_domains_carry_a_sampled_fleet_through_an_outage() {
+    let sampled = |options: &mut Options| {
+        options.voters = 3;
+        options.exchange_sample = Some(2);
+    };
+    let mut fleet = Fleet::start_with(9, sampled).await;
+    let voters = |fleet: &Fleet| {
+        let domains = |state: &State| {
+            let members = state.roster().members();
+            let domain = |voter| members.get(voter).map(|row| row.domain.to_string());
+            let mut domains: Vec<_> = state.roster().voters().iter().map(domain).collect();
+            domains.sort();
+            domains
+        };
+        fleet.processes.last().unwrap().replica.read(domains)
+    };
+    let all = ["d0", "d1", "d2"].map(|domain| Some(domain.to_owned()));
+    assert_eq!(voters(&fleet), all);
+    // A voter dies and another one of its domain takes its seat; nobody else is suspected.
+    let first = fleet.processes[0].replica.member();
+    assert!(
+        fleet.processes[0]
+            .replica
+            .read(|s| s.roster().is_voter(&first))
+    );
+    fleet.kill(0);
+    sleep(40_000).await;
+    assert_eq!(voters(&fleet), all);
+    assert_eq!(
+        fleet.story().matches("Suspect(").count(),
+        1,
+        "{}",
+        fleet.story()
+    );
+    fleet.log.outage(true);
+    for _ in 0..300 {
+        sleep(100).await;
+        assert_eq!(fleet.leased(), [true; 8]);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_has_just_joined_is_given_time_to_be_heard() {
+    let mut fleet = Fleet::start(3).await;
+    sleep(20_000).await;
+    let late = fleet.spawn(3, 0).await;
+    fleet.part(&[late], &[0, 1, 2], true);
+    let joined = fleet.processes[late].replica.member();
+    sleep(2_500).await;
+    assert!(
+        fleet.processes[0]
+            .replica
+            .read(|s| s.roster().is_active(&joined))
+    );
+    assert!(!fleet.story().contains("Suspect("), "{}", fleet.story());
+    sleep(2_000).await;
+    assert!(fleet.story().contains("Suspect("));
+}
--- a/crates/quetzalpick-standin/src/engine/server.rs
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -7,7 +7,6 @@
 use hyper::{Method, StatusCode};
 use quetzalpick_platform::http::Pool;
 use quetzalpick_platform::wire::engine::{Order, Report};
-use serde::Deserialize;
 use serde_json::json as value;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -20,10 +19,10 @@
 use super::order;
 use super::record::{Record, Tally};
 use super::session::{Session, Sessions};
-use crate::errors::Result;
-use crate::fault::Faults;
+use crate::errors::{Result, preload_error};
+use crate::fault::{Fault, Faults};
 use crate::seen::Recorder;
-use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
+use crate::server::{Application, Call, Leaving, Listener, Reply, confirm, error, json, unknown};
 
 /// `Server` is a running engine; dropping it cuts its connections.
 #[derive(Debug)]
@@ -116,11 +115,26 @@
     }
 
     /// Puts a copy into memory at once, as if it had been loaded before the start.
+    ///
+    /// # Panics
+    ///
+    /// If the engine would refuse to load it.
     pub fn preload(&self, order: &Order) {
+        self.try_preload(order)
+            .unwrap_or_else(|error| panic!("{error}"));
+    }
+
+    /// Puts a copy into memory at once, as if it had been loaded before the start.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Preload` if the engine would refuse to load it.
+    pub fn try_preload(&self, order: &Order) -> Result<()> {
         let mut state = self.app.lock();
-        if state.memory.order(order).is_ok() {
-            state.memory.loaded(&order.copy);
-        }
+        let result = state.memory.order(order);
+        result.map_err(|refusal| preload_error(order, refusal))?;
+        state.memory.loaded(&order.copy);
+        Ok(())
     }
 
     /// Refuses new requests from now on, or takes them again.
@@ -256,15 +270,13 @@
     }
 }
 
-/// `Leaving` is the body of the call that makes an engine leave.
-#[derive(Deserialize)]
-struct Leaving {
-    leaving: bool,
-}
-
 impl Application for App {
     const OUTLIVES_CALLER: bool = false;
 
+    fn shows(_: Fault) -> bool {
+        true
+    }
+
     fn faults(&self) -> &Faults {
         &self.faults
     }
@@ -274,20 +286,18 @@
     }
 
     fn admin(self: &Arc<Self>, name: &str, call: &Call) -> Option<Reply> {
-        let done = || json(StatusCode::OK, &value!({"done": true}));
         match (&call.head.method, name) {
             (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
             (&Method::POST, "restart") => {
                 self.restart();
-                Some(done())
+                Some(confirm(Ok(())))
             }
-            (&Method::POST, "leaving") => Some(match call.json::<Leaving>() {
-                Ok(body) => {
+            (&Method::POST, "leaving") => {
+                let body = call.json::<Leaving>();
+                Some(confirm(body.map(|body| {
                     self.leaving.store(body.leaving, Ordering::SeqCst);
-                    done()
-                }
-                Err(reply) => reply,
-            }),
+                })))
+            }
             _ => None,
         }
     }
--- a/crates/quetzalpick-standin/src/fault.rs
+++ b/crates/quetzalpick-standin/src/fault.rs
@@ -1,6 +1,7 @@
 //! Faults that a stand-in can be told to show.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
@@ -10,7 +11,7 @@
 #[serde(tag = "fault", rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Fault {
-    /// Calls get status 503 and do nothing.
+    /// Calls get status 503, without their request id, and do nothing.
     Outage,
     /// Calls are refused with status 429 and `x-not-run: overloaded`, and do nothing.
     Refuse,
@@ -47,6 +48,17 @@
     Crossed,
 }
 
+impl Fault {
+    /// Tells whether every stand-in can show the fault.
+    pub(crate) fn is_common(self) -> bool {
+        use Fault::{AnswerLost, CloseAt, Outage, Refuse, Slow};
+        matches!(
+            self,
+            Outage | Refuse | Slow { .. } | AnswerLost | CloseAt { .. }
+        )
+    }
+}
+
 /// `Switch` turns a fault on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Switch {
@@ -101,6 +113,14 @@
         None
     }
 
+    /// Returns how much later a call takes effect, if it is to be delayed.
+    pub(crate) fn delay(&self, path: &str) -> Option<Duration> {
+        self.take(path, |fault| match fault {
+            Fault::OrderDelayed { ms } => Some(Duration::from_millis(ms)),
+            _ => None,
+        })
+    }
+
     /// Tells whether a call meets exactly this fault.
     pub(crate) fn meets(&self, path: &str, fault: Fault) -> bool {
         let same = |found| (found == fault).then_some(());
--- a/crates/quetzalpick-standin/src/platform/server.rs
+++ b/crates/quetzalpick-standin/src/platform/server.rs
@@ -9,7 +9,6 @@
 use quetzalpick_platform::traits::{Log, Stream};
 use quetzalpick_platform::wire::vms::Vm;
 use serde::{Deserialize, Serialize};
-use serde_json::json as value;
 use tokio::time::sleep;
 
 use super::vms::{Change, Vms};
@@ -19,7 +18,7 @@
 use crate::errors::Result;
 use crate::fault::{Fault, Faults};
 use crate::seen::{Recorder, Seen};
-use crate::server::{Application, Call, Listener, Reply, error, json, unknown};
+use crate::server::{Application, Call, Listener, Reply, confirm, error, invalid, json, unknown};
 
 /// `Options` sets up a platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -84,12 +83,12 @@
     app: Arc<App>,
 }
 
-/// `App` is what the platform knows.
+/// `App` is what the platform knows, and the faults of one of its servers.
 #[derive(Debug)]
 struct App {
     log: memory::Log,
-    vms: Vms,
-    weights: Weights,
+    vms: Arc<Vms>,
+    weights: Arc<Weights>,
     faults: Faults,
     recorder: Recorder,
 }
@@ -107,8 +106,8 @@
         log.limit_rate(Some(options.appends_per_second));
         let app = Arc::new(App {
             log,
-            vms: Vms::new(options.vms, options.vms_lag),
-            weights: Weights::new(options.weights),
+            vms: Arc::new(Vms::new(options.vms, options.vms_lag)),
+            weights: Arc::new(Weights::new(options.weights)),
             faults: Faults::default(),
             recorder: Recorder::default(),
         });
@@ -116,6 +115,25 @@
         Ok(Self { listener, app })
     }
 
+    /// Starts another server of the same platform on a free port, with faults of its own.
+    ///
+    /// So one VM can be cut off from the platform while others are not.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Listen` if no port is free.
+    pub async fn try_start_another(&self) -> Result<Self> {
+        let app = Arc::new(App {
+            log: self.app.log.clone(),
+            vms: Arc::clone(&self.app.vms),
+            weights: Arc::clone(&self.app.weights),
+            faults: Faults::default(),
+            recorder: Recorder::default(),
+        });
+        let listener = Listener::try_start(LOOPBACK, Arc::clone(&app)).await?;
+        Ok(Self { listener, app })
+    }
+
     /// Returns the address listened on.
     pub fn address(&self) -> SocketAddr {
         self.listener.address()
@@ -191,16 +209,12 @@
         if self.faults.meets(path, Fault::OrderLost) {
             return Reply::Close;
         }
-        let delay = self.faults.take(path, |fault| match fault {
-            Fault::OrderDelayed { ms } => Some(ms),
-            _ => None,
-        });
-        let Some(ms) = delay else {
+        let Some(delay) = self.faults.delay(path) else {
             return log::append(&self.log, stream, append).await;
         };
         let log = self.log.clone();
         tokio::spawn(async move {
-            sleep(Duration::from_millis(ms)).await;
+            sleep(delay).await;
             // Beyond the rate the append is lost for good, as its caller must expect.
             let _ = log.append(stream, append.records).await;
         });
@@ -222,17 +236,13 @@
     }
 }
 
-/// Confirms a change made through the administration.
-fn done(result: std::result::Result<(), Reply>) -> Reply {
-    match result {
-        Ok(()) => json(StatusCode::OK, &value!({"done": true})),
-        Err(reply) => reply,
-    }
-}
-
 impl Application for App {
     const OUTLIVES_CALLER: bool = true;
 
+    fn shows(fault: Fault) -> bool {
+        matches!(fault, Fault::OrderLost | Fault::OrderDelayed { .. })
+    }
+
     fn faults(&self) -> &Faults {
         &self.faults
     }
@@ -246,20 +256,16 @@
             (&Method::GET, "record") => Some(json(StatusCode::OK, &self.record())),
             (&Method::POST, "vms") => {
                 let change = call.json::<Change>();
-                Some(done(change.map(|change| self.vms.change(change))))
+                Some(confirm(change.map(|change| self.vms.change(change))))
+            }
+            (&Method::POST, "retention") => {
+                Some(confirm(call.json::<Retention>().and_then(|body| {
+                    let stream = body.stream.parse::<Stream>();
+                    let stream = stream.map_err(|_| invalid("no such stream"))?;
+                    self.log.retain(stream, body.records);
+                    Ok(())
+                })))
             }
-            (&Method::POST, "retention") => Some(done(call.json::<Retention>().and_then(|body| {
-                let stream = body.stream.parse::<Stream>();
-                let stream = stream.map_err(|_| {
-                    error(
-                        StatusCode::BAD_REQUEST,
-                        "invalid_request_error",
-                        "no such stream",
-                    )
-                })?;
-                self.log.retain(stream, body.records);
-                Ok(())
-            }))),
             _ => None,
         }
     }
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -10,11 +10,14 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Duration, sleep};
 
-use super::reply::{Reply, error, json};
+use super::reply::{Reply, confirm, error, invalid};
 use super::socket::Limit;
 use crate::fault::{Fault, Faults, Switch};
 use crate::seen::Recorder;
 
+/// Header with the caller's request id.
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
 /// Beginning of the paths of the administration.
 const ADMIN: &str = "/admin/";
 
@@ -32,6 +35,9 @@
     /// Whether a call goes on after its caller has gone away.
     const OUTLIVES_CALLER: bool;
 
+    /// Tells whether this kind of stand-in can show a fault, besides those that all can show.
+    fn shows(fault: Fault) -> bool;
+
     /// Returns the faults to show.
     fn faults(&self) -> &Faults;
 
@@ -66,13 +72,7 @@
 
     /// Decodes the body as JSON, or makes the answer that says why not.
     pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
-        serde_json::from_slice(&self.body).map_err(|e| {
-            error(
-                StatusCode::BAD_REQUEST,
-                "invalid_request_error",
-                e.to_string(),
-            )
-        })
+        serde_json::from_slice(&self.body).map_err(|e| invalid(e.to_string()))
     }
 }
 
@@ -82,11 +82,23 @@
     error(StatusCode::NOT_FOUND, "not_found", message)
 }
 
+/// Adds the caller's request id to an answer, unless the answer carries another one.
+fn echo(reply: Reply, id: Option<&str>) -> Reply {
+    match (&reply, id) {
+        (Reply::Answer(response), Some(id)) if !response.headers().contains_key(REQUEST_ID) => {
+            reply.with_header(REQUEST_ID, id)
+        }
+        _ => reply,
+    }
+}
+
 /// Answers a call, as the faults that are on let it be answered.
 pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: Limit) -> Reply {
+    let id = call.header(REQUEST_ID).map(str::to_owned);
+    let id = id.as_deref();
     let path = call.path().to_owned();
     if let Some(name) = path.strip_prefix(ADMIN) {
-        return administer(&app, name, &call);
+        return echo(administer(&app, name, &call), id);
     }
     app.recorder().record(&call.head);
     let faults = app.faults();
@@ -97,14 +109,14 @@
     if let Some(ms) = slow {
         sleep(Duration::from_millis(ms)).await;
     }
+    // What answers in place of a system that is out of service knows nothing of request ids.
     if faults.meets(&path, Fault::Outage) {
         return error(StatusCode::SERVICE_UNAVAILABLE, "outage", "out of service");
     }
     if faults.meets(&path, Fault::Refuse) {
         let reply = error(StatusCode::TOO_MANY_REQUESTS, "overloaded", "come back");
-        return reply
-            .with_header("x-not-run", "overloaded")
-            .with_header("retry-after", "1");
+        let reply = reply.with_header("x-not-run", "overloaded");
+        return echo(reply.with_header("retry-after", "1"), id);
     }
     let close_at = faults.take(&path, |fault| match fault {
         Fault::CloseAt { bytes } => Some(bytes),
@@ -118,7 +130,7 @@
     if let Some(bytes) = close_at {
         limit.set(bytes);
     }
-    reply
+    echo(reply, id)
 }
 
 /// Handles a call, in a task of its own if it goes on without its caller.
@@ -130,24 +142,37 @@
     task.await.unwrap_or(Reply::Close)
 }
 
+/// `Leaving` is the body of the call that makes an endpoint leave.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Leaving {
+    /// Whether new calls are refused.
+    pub(crate) leaving: bool,
+}
+
 /// `Nothing` is the body of a call that needs none.
 #[derive(Deserialize)]
 struct Nothing {}
 
+/// Turns a fault on, if this stand-in can show it.
+fn turn_on<A: Application>(app: &Arc<A>, switch: Switch) -> Result<(), Reply> {
+    if !switch.fault.is_common() && !A::shows(switch.fault) {
+        let message = format!("{} cannot be shown here", switch.fault);
+        return Err(invalid(message));
+    }
+    app.faults().add(switch);
+    Ok(())
+}
+
 /// Handles a call of the administration.
 fn administer<A: Application>(app: &Arc<A>, name: &str, call: &Call) -> Reply {
-    let done = |result: Result<(), Reply>| match result {
-        Ok(()) => json(StatusCode::OK, &serde_json::json!({"done": true})),
-        Err(reply) => reply,
-    };
     match (&call.head.method, name) {
         (&Method::POST, "fault") => {
             let switch = call.json::<Switch>();
-            done(switch.map(|switch| app.faults().add(switch)))
+            confirm(switch.and_then(|switch| turn_on(app, switch)))
         }
         (&Method::POST, "clear") => {
             let nothing = call.json::<Nothing>();
-            done(nothing.map(|_| app.faults().clear()))
+            confirm(nothing.map(|_| app.faults().clear()))
         }
         _ => app.admin(name, call).unwrap_or_else(|| unknown(call)),
     }
