Look only at an artifact's holders when a gate chooses

Cause: each choice, and the count of copies for admission, looked at the account of every engine, so that a request cost more with every engine in the configuration.

route::Holders maps artifacts to the engines with a confirmed copy and services to their instances. The gate takes in changes as the replica announces them; an engine without a new record costs one comparison. Versions, open unloads, draining and removals are read from the state of the moment, so they take effect as before. Only a further copy may be found later than before, by the time until the change is taken in; an index that is behind and knows no wanted copy is refreshed at once.

The example now configures 620 models and 3,000 adapters. Keys, catalog and limits are found by binary search; nothing else linear in the configuration was found on the path of a completion.

Also tests that a key withdrawn during an outage of the log opens nothing once the log is back, and that a gate frozen for longer than its lease refuses before it has read the log.

--- /dev/null
+++ b/crates/quetzalpick-core/src/route/holders.rs
@@ -0,0 +1,203 @@
+//! The index from artifacts and services to the endpoints that may serve them.
+
+use crate::id::{Artifact, Endpoint, Offset, Revision, Service, Version};
+use crate::record::{EndpointKind, EndpointSpec};
+use crate::state::{Account, State};
+use crate::table::Table;
+
+/// `Noted` is what the index has taken in of one engine.
+#[derive(Debug, Clone, Default)]
+struct Noted {
+    /// Offset of the last record about the engine.
+    changed: Offset,
+    /// Artifacts of which it holds a copy of any version, sorted.
+    artifacts: Vec<Artifact>,
+}
+
+/// `Holders` finds the endpoints that serve an artifact or a service without looking at all of them.
+///
+/// It only says where to look: versions, open unloads and removals are checked in the state of the moment, so an index
+/// that is behind the state may lack a new holder and never offers a former one.
+#[derive(Debug, Clone, Default)]
+pub struct Holders {
+    /// First offset not taken in.
+    next: Offset,
+    /// Revision of the configuration that `instances` was made from.
+    revision: Revision,
+    engines: Table<Endpoint, Noted>,
+    /// Engines with a confirmed copy of any version, sorted.
+    copies: Table<Artifact, Vec<Endpoint>>,
+    /// Instances of each service, sorted.
+    instances: Table<Service, Vec<Endpoint>>,
+}
+
+impl Holders {
+    /// Tells whether entries were applied that the index has not taken in.
+    pub fn is_behind(&self, state: &State) -> bool {
+        self.next != state.next()
+    }
+
+    /// Takes in what has changed in the state; engines without a new record cost one comparison each.
+    pub fn refresh(&mut self, state: &State) {
+        if !self.is_behind(state) {
+            return;
+        }
+        self.next = state.next();
+        self.forget_closed(state);
+        for (endpoint, account) in state.ledger().accounts().iter() {
+            self.note(endpoint, account);
+        }
+        if self.revision != state.revision() {
+            self.revision = state.revision();
+            self.instances = instances(state);
+        }
+    }
+
+    /// Returns the engines that serve all wanted versions or, where there are none, any versions of them.
+    pub fn engines<'a>(
+        &self,
+        state: &'a State,
+        copies: &[(Artifact, Version)],
+    ) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
+        let found = self.select(state, copies, |account| serves_wanted(account, copies));
+        if !found.is_empty() {
+            return found;
+        }
+        self.select(state, copies, |account| {
+            copies.iter().all(|(name, _)| account.serves_any(name))
+        })
+    }
+
+    /// Counts the engines that serve all wanted versions.
+    pub fn count_wanted(&self, state: &State, copies: &[(Artifact, Version)]) -> usize {
+        let accounts = state.ledger().accounts();
+        let holders = self.fewest(copies).iter();
+        let held = holders.filter_map(|endpoint| accounts.get(endpoint));
+        held.filter(|account| serves_wanted(account, copies))
+            .count()
+    }
+
+    /// Returns the instances of a service.
+    pub fn instances<'a>(
+        &self,
+        state: &'a State,
+        service: &Service,
+    ) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
+        let named = self.instances.get(service).map_or(&[][..], Vec::as_slice);
+        let endpoints = state.catalog().endpoints();
+        let rows = named
+            .iter()
+            .filter_map(|name| endpoints.get_key_value(name));
+        rows.filter(|(_, spec)| service_of(spec) == Some(service))
+            .collect()
+    }
+
+    /// Returns the holders of the artifact that has the fewest, as no other engine can serve all of them.
+    fn fewest(&self, copies: &[(Artifact, Version)]) -> &[Endpoint] {
+        let holders = |(name, _): &(Artifact, Version)| {
+            let holders = self.copies.get(name);
+            holders.map_or(&[][..], Vec::as_slice)
+        };
+        let holders = copies.iter().map(holders);
+        holders.min_by_key(|held| held.len()).unwrap_or_default()
+    }
+
+    /// Returns the possible holders whose account meets a condition.
+    fn select<'a>(
+        &self,
+        state: &'a State,
+        copies: &[(Artifact, Version)],
+        serves: impl Fn(&Account) -> bool,
+    ) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
+        let accounts = state.ledger().accounts();
+        let endpoints = state.catalog().endpoints();
+        let holders = self.fewest(copies).iter();
+        let serving = holders.filter(|name| accounts.get(*name).is_some_and(&serves));
+        serving
+            .filter_map(|name| endpoints.get_key_value(name))
+            .collect()
+    }
+
+    /// Takes in the account of an engine if there is a new record about it.
+    fn note(&mut self, endpoint: &Endpoint, account: &Account) {
+        let noted = self.engines.get(endpoint);
+        if noted.is_some_and(|noted| noted.changed == account.changed) {
+            return;
+        }
+        // The versions of an artifact stand side by side.
+        let mut artifacts: Vec<_> = account.loaded.keys().map(|(name, _)| name).collect();
+        artifacts.dedup();
+        let artifacts: Vec<_> = artifacts.into_iter().cloned().collect();
+        let changed = account.changed;
+        let noted = Noted { changed, artifacts };
+        let former = self.engines.insert(endpoint.clone(), noted.clone());
+        let former = former.unwrap_or_default().artifacts;
+        let lost = former
+            .iter()
+            .filter(|name| noted.artifacts.binary_search(name).is_err());
+        lost.for_each(|name| self.remove(name, endpoint));
+        let gained = noted.artifacts.iter();
+        gained
+            .filter(|name| former.binary_search(name).is_err())
+            .for_each(|name| self.add(name, endpoint));
+    }
+
+    /// Forgets the engines whose account was closed.
+    fn forget_closed(&mut self, state: &State) {
+        let accounts = state.ledger().accounts();
+        let names = self.engines.keys();
+        let closed = names.filter(|name| !accounts.contains(*name)).cloned();
+        for endpoint in closed.collect::<Vec<_>>() {
+            let noted = self.engines.remove(&endpoint).unwrap_or_default();
+            let artifacts = noted.artifacts.iter();
+            artifacts.for_each(|name| self.remove(name, &endpoint));
+        }
+    }
+
+    /// Adds a holder of an artifact.
+    fn add(&mut self, artifact: &Artifact, endpoint: &Endpoint) {
+        let holders = self.copies.get_or_insert_with(artifact.clone(), Vec::new);
+        if let Err(at) = holders.binary_search(endpoint) {
+            holders.insert(at, endpoint.clone());
+        }
+    }
+
+    /// Removes a holder of an artifact.
+    fn remove(&mut self, artifact: &Artifact, endpoint: &Endpoint) {
+        let Some(holders) = self.copies.get_mut(artifact) else {
+            return;
+        };
+        if let Ok(at) = holders.binary_search(endpoint) {
+            holders.remove(at);
+        }
+        if holders.is_empty() {
+            self.copies.remove(artifact);
+        }
+    }
+}
+
+/// Tells whether an engine serves the wanted versions of all copies.
+fn serves_wanted(account: &Account, copies: &[(Artifact, Version)]) -> bool {
+    let mut copies = copies.iter();
+    copies.all(|(name, version)| account.serves(name, *version))
+}
+
+/// Returns the service that an endpoint is an instance of.
+fn service_of(spec: &EndpointSpec) -> Option<&Service> {
+    match &spec.kind {
+        EndpointKind::Service { service } => Some(service),
+        EndpointKind::Engine { .. } => None,
+    }
+}
+
+/// Lists the instances of each service.
+fn instances(state: &State) -> Table<Service, Vec<Endpoint>> {
+    let mut instances = Table::default();
+    for (name, spec) in state.catalog().endpoints().iter() {
+        if let Some(service) = service_of(spec) {
+            let named = instances.get_or_insert_with(service.clone(), Vec::new);
+            named.push(name.clone());
+        }
+    }
+    instances
+}
--- a/crates/quetzalpick-core/tests/state/main.rs
+++ b/crates/quetzalpick-core/tests/state/main.rs
@@ -5,6 +5,7 @@
 
 mod claims;
 mod golden;
+mod holders;
 mod lease;
 mod ledger;
 mod paths;
--- a/crates/quetzalpick-gate/examples/overhead.rs
+++ b/crates/quetzalpick-gate/examples/overhead.rs
@@ -17,8 +17,43 @@
 
 const CALLS: usize = 2_000;
 const WARM_UP: usize = 200;
-/// Engines that hold the model and take no work, so that they are looked at and never chosen.
-const OTHERS: [usize; 3] = [0, 100, 1_000];
+/// Models that other engines hold.
+const MODELS: usize = 620;
+/// Adapters that other engines hold.
+const ADAPTERS: usize = 3_000;
+/// Other engines, which are never chosen.
+const OTHERS: [Others; 4] = [
+    Others::Foreign(0),
+    Others::Foreign(100),
+    Others::Foreign(1_000),
+    Others::Draining(1_000),
+];
+
+/// `Others` is a number of other engines and what they hold.
+#[derive(Debug, Clone, Copy)]
+enum Others {
+    /// Engines of other models and adapters, all of which are configured.
+    Foreign(usize),
+    /// Engines that hold the same model and are draining; no more models are configured.
+    Draining(usize),
+}
+
+impl Others {
+    /// Adds the engines and returns their number.
+    async fn add(self, world: &World) -> usize {
+        match self {
+            Self::Foreign(count) => {
+                world.add_other_engines(count, MODELS, ADAPTERS).await;
+                count
+            }
+            Self::Draining(count) => {
+                world.add_idle_engines(count).await;
+                count
+            }
+        }
+    }
+}
+
 const BODY: &str = r#"{"model":"menu","prompt":"Draft a menu for forty guests","max_tokens":1}"#;
 
 /// Times one call, in microseconds.
@@ -51,9 +86,9 @@
             ..quick_engine()
         };
         let world = World::with_engines(vec![engine]).await;
-        world.add_idle_engines(others).await;
+        let count = others.add(&world).await;
         let gate = world.gate_with("vm-1", Options::default()).await;
-        let engines = others + world.engines.len();
+        let engines = count + world.engines.len();
         gate.until(|state| state.ledger().accounts().len() == engines)
             .await;
         let direct = Client::new(world.engines[0].address());
@@ -69,6 +104,6 @@
         let ratio = g50 as f64 / d50 as f64;
         let added = g50.saturating_sub(d50);
         let resident = resident_kb();
-        println!("{others}  {d50} {d99}  {g50} {g99}  {added}  {ratio:.2}  {resident}");
+        println!("{others:?}  {d50} {d99}  {g50} {g99}  {added}  {ratio:.2}  {resident}");
     }
 }
--- a/crates/quetzalpick-gate/src/fleet/need.rs
+++ b/crates/quetzalpick-gate/src/fleet/need.rs
@@ -1,8 +1,9 @@
 //! What a request needs of an endpoint.
 
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Version};
-use quetzalpick_core::record::{EndpointKind, EndpointSpec};
-use quetzalpick_core::state::{Account, State, Target};
+use quetzalpick_core::record::EndpointSpec;
+use quetzalpick_core::route::Holders;
+use quetzalpick_core::state::{State, Target};
 use quetzalpick_platform::wire::engine::{PREFIX_BLOCK_BYTES, prefix_hash};
 
 /// Most blocks of a prompt that are compared with caches.
@@ -51,60 +52,30 @@
     /// Returns the endpoints that meet the need, by the agreed state.
     ///
     /// Endpoints with the wanted versions come alone; where there are none, other versions serve.
-    pub(crate) fn endpoints<'a>(&self, state: &'a State) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
+    pub(crate) fn endpoints<'a>(
+        &self,
+        state: &'a State,
+        holders: &Holders,
+    ) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
         match self {
-            Self::Service(service) => instances(state, service),
-            Self::Copies { copies, .. } => {
-                let found = engines(state, |account| serves_wanted(account, copies));
-                if !found.is_empty() {
-                    return found;
-                }
-                engines(state, |account| serves_any(account, copies))
-            }
+            Self::Service(service) => holders.instances(state, service),
+            Self::Copies { copies, .. } => holders.engines(state, copies),
         }
     }
 
     /// Counts the engines that hold the wanted versions, by the agreed state; 0 for a service.
-    pub(crate) fn count_copies(&self, state: &State) -> usize {
-        let Self::Copies { copies, .. } = self else {
-            return 0;
-        };
-        let accounts = state.ledger().accounts().values();
-        accounts
-            .filter(|account| serves_wanted(account, copies))
-            .count()
+    pub(crate) fn count_copies(&self, state: &State, holders: &Holders) -> usize {
+        match self {
+            Self::Copies { copies, .. } => holders.count_wanted(state, copies),
+            Self::Service(_) => 0,
+        }
     }
-}
-
-/// Tells whether an engine serves the wanted versions of all copies.
-fn serves_wanted(account: &Account, copies: &[(Artifact, Version)]) -> bool {
-    copies
-        .iter()
-        .all(|(name, version)| account.serves(name, *version))
-}
-
-/// Tells whether an engine serves any versions of all copies.
-fn serves_any(account: &Account, copies: &[(Artifact, Version)]) -> bool {
-    let serves = |artifact: &Artifact| {
-        let mut held = account.loaded.keys().filter(|(name, _)| name == artifact);
-        held.any(|(name, version)| account.serves(name, *version))
-    };
-    copies.iter().all(|(name, _)| serves(name))
-}
-
-/// Returns the engines whose account meets a condition.
-fn engines(state: &State, serves: impl Fn(&Account) -> bool) -> Vec<(&Endpoint, &EndpointSpec)> {
-    let accounts = state.ledger().accounts().iter();
-    let serving = accounts.filter(|(_, account)| serves(account));
-    let endpoints = state.catalog().endpoints();
-    serving
-        .filter_map(|(name, _)| Some((name, endpoints.get(name)?)))
-        .collect()
-}
 
-/// Returns the instances of a service.
-fn instances<'a>(state: &'a State, service: &Service) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
-    let serves = |spec: &EndpointSpec| matches!(&spec.kind, EndpointKind::Service { service: s } if s == service);
-    let endpoints = state.catalog().endpoints().iter();
-    endpoints.filter(|(_, spec)| serves(spec)).collect()
+    /// Tells whether an endpoint serves the service, or the wanted versions.
+    pub(crate) fn is_met(&self, state: &State, holders: &Holders) -> bool {
+        match self {
+            Self::Copies { copies, .. } => holders.count_wanted(state, copies) > 0,
+            Self::Service(service) => !holders.instances(state, service).is_empty(),
+        }
+    }
 }
--- a/crates/quetzalpick-gate/src/fleet/table.rs
+++ b/crates/quetzalpick-gate/src/fleet/table.rs
@@ -4,7 +4,7 @@
 
 use quetzalpick_core::id::{Domain, Endpoint};
 use quetzalpick_core::record::EndpointSpec;
-use quetzalpick_core::route::{Candidate, Options, Prefixes, Reason, choose};
+use quetzalpick_core::route::{Candidate, Holders, Options, Prefixes, Reason, choose};
 use quetzalpick_core::state::State;
 use quetzalpick_core::table::Table;
 use quetzalpick_platform::wire::engine::{Events, Report};
@@ -31,6 +31,8 @@
     clock: Clock,
     domain: Domain,
     options: Options,
+    /// Where to look for an artifact or a service.
+    holders: Mutex<Holders>,
     inner: Mutex<Inner>,
 }
 
@@ -59,10 +61,32 @@
             clock,
             domain,
             options,
+            holders: Mutex::default(),
             inner,
         }
     }
 
+    /// Takes in what has changed in the state.
+    pub(crate) fn refresh(&self, state: &State) {
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        holders.refresh(state);
+    }
+
+    /// Locks the index of a need's endpoints, brought up to date first if it knows of none.
+    fn holders(&self, state: &State, need: &Need) -> MutexGuard<'_, Holders> {
+        let mut holders = self.holders.lock().unwrap_or_else(PoisonError::into_inner);
+        // The first holder may have come with a record that was applied a moment ago.
+        if holders.is_behind(state) && !need.is_met(state, &holders) {
+            holders.refresh(state);
+        }
+        holders
+    }
+
+    /// Counts the engines that hold the wanted versions, by the agreed state; 0 for a service.
+    pub(crate) fn count_copies(&self, state: &State, need: &Need) -> usize {
+        need.count_copies(state, &self.holders(state, need))
+    }
+
     /// Locks the view; a panic elsewhere leaves it usable, as each change is complete in itself.
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
@@ -77,8 +101,9 @@
         random: u64,
     ) -> Option<Target> {
         let now_ms = self.clock.now_ms();
+        let endpoints = need.endpoints(state, &self.holders(state, need));
         let mut inner = self.lock();
-        let views = inner.views(need.endpoints(state));
+        let views = inner.views(endpoints);
         let views = unless_all(views, |view| view.contradicts(need));
         let candidates = views.iter().map(|view| view.candidate(now_ms, need, tried));
         let candidates: Vec<Candidate<'_>> = candidates.collect();
--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -23,7 +23,7 @@
 use crate::context::Context;
 use crate::demand::Recorder;
 use crate::errors::Result;
-use crate::fleet::{Fleet, probe_engines, probe_vms};
+use crate::fleet::{Fleet, follow, probe_engines, probe_vms};
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::serve::Handler;
@@ -223,6 +223,8 @@
     let closer = Arc::clone(&context.closer);
     let closing = replica();
     spawn(stop, async move { closer.run(closing).await });
+    let (fleet, following) = (Arc::clone(&context.fleet), replica());
+    spawn(stop, async move { follow(&fleet, following).await });
     let (fleet, interval) = (Arc::clone(&context.fleet), options.vms_interval);
     spawn(stop, async move { probe_vms(&fleet, vms, interval).await });
     let (fleet, interval) = (Arc::clone(&context.fleet), options.report_interval);
--- a/crates/quetzalpick-gate/src/serve/completion.rs
+++ b/crates/quetzalpick-gate/src/serve/completion.rs
@@ -134,7 +134,7 @@
         let need = Need::copies(artifact, &target, &completion.prompt);
         let stated = completion.max_output;
         Ok(Plan {
-            copies: need.count_copies(state),
+            copies: context.fleet.count_copies(state, &need),
             model: target.model.clone(),
             max_output: stated.unwrap_or(target.max_output),
             need,
--- a/crates/quetzalpick-gate/tests/gate/load.rs
+++ b/crates/quetzalpick-gate/tests/gate/load.rs
@@ -60,3 +60,25 @@
     assert_eq!(world.engines[0].record().executed, 0);
     assert_eq!(world.engines[1].record().executed, 20);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_among_others_is_found_and_left_by_its_draining() {
+    let world = World::start().await;
+    world.add_other_engines(12, 4, 8).await;
+    let gate = world.gate("vm-1").await;
+    for draining in [false, true, false] {
+        world
+            .change(Change::Drain(endpoint("engine-0"), draining))
+            .await;
+        gate.until(|state| {
+            let spec = state.catalog().endpoints().get(&endpoint("engine-0"));
+            spec.is_some_and(|spec| spec.draining == draining)
+        })
+        .await;
+        // The state of the moment counts, so not one request more arrives.
+        let answer = gate.client.post(CHAT, LAGOS, BODY).await;
+        let status = if draining { 503 } else { 200 };
+        assert_eq!(answer.status, status, "{}", answer.body);
+    }
+    assert_eq!(world.engines[0].record().executed, 2);
+}
--- a/crates/quetzalpick-gate/tests/gate/outage.rs
+++ b/crates/quetzalpick-gate/tests/gate/outage.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use quetzalpick_core::record::{Author, Record};
+use quetzalpick_platform::traits::{Log, Stream};
+
 use crate::once::repeat;
-use crate::world::{LAGOS, World};
+use crate::world::{LAGOS, World, withdraw_key};
 
 /// Longer than the lease of the gates under test, which is 2 s.
 const OUTAGE: Duration = Duration::from_secs(4);
@@ -59,3 +62,68 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_withdrawn_during_an_outage_opens_nothing_once_the_log_is_back() {
+    let world = World::start().await;
+    let mut gates = Vec::new();
+    for vm in ["vm-1", "vm-2", "vm-3"] {
+        gates.push(world.gate(vm).await);
+    }
+    for gate in &gates {
+        gate.until(|state| state.roster().voters().len() == 3).await;
+    }
+    // The operator gets no answer, and the withdrawal takes effect in the log while nobody can read it.
+    let operator = world.log.handle("operator");
+    operator.hold_appends(1);
+    let author = Author::Operator("test".to_owned());
+    let withdrawal = world.entry(author, Record::Change(withdraw_key("lagos-1")));
+    let answer = operator.append(Stream::Control, vec![withdrawal]);
+    assert!(answer.await.is_err());
+    world.log.outage(true);
+    operator.release();
+    let body = r#"{"model":"menu","prompt":"Outage","max_tokens":2}"#;
+    for gate in &gates {
+        let answer = gate.client.post("/v1/completions", LAGOS, body).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    world.log.outage(false);
+    for gate in &gates {
+        gate.until(|state| state.catalog().keys().len() == 1).await;
+        for _ in 0..5 {
+            let answer = gate.client.post("/v1/completions", LAGOS, body).await;
+            assert_eq!((answer.status, answer.verdict()), (401, "not-run"));
+        }
+    }
+    let executed = world.engines[0].record().executed;
+    assert_eq!(executed, gates.len() as u64);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_frozen_for_longer_than_its_lease_refuses_before_it_has_read_the_log() {
+    let world = World::start().await;
+    let gate = world.gate("vm-1").await;
+    // Two further voters, so that one alone is no majority.
+    let mut others = vec![world.gate("vm-2").await, world.gate("vm-3").await];
+    gate.until(|state| state.roster().voters().len() == 3).await;
+    let body = r#"{"model":"menu","prompt":"Pause","max_tokens":2}"#;
+    let served = gate.client.post("/v1/completions", LAGOS, body).await;
+    assert_eq!(served.status, 200, "{}", served.body);
+
+    let thaw = gate.freeze().await;
+    world.change(withdraw_key("lagos-1")).await;
+    // On waking the gate cannot learn of the withdrawal, neither from the log nor from the others.
+    gate.log.cut(true);
+    others.iter_mut().for_each(crate::world::Process::kill);
+    tokio::time::sleep(OUTAGE).await;
+    let asked = gate.client.post("/v1/completions", LAGOS, body);
+    let (answer, ()) = tokio::join!(asked, async { drop(thaw) });
+    assert_eq!((answer.status, answer.verdict()), (503, "not-run"));
+    gate.log.cut(false);
+    gate.until(|state| state.catalog().keys().len() == 1).await;
+    // The gate may have been retired meanwhile; the key opens nothing before and after it has joined again.
+    let answer = gate.client.post("/v1/completions", LAGOS, body).await;
+    assert!(matches!(answer.status, 401 | 503), "{}", answer.body);
+    assert_eq!(answer.verdict(), "not-run");
+    assert_eq!(world.engines[0].record().executed, 1);
+}
--- a/crates/quetzalpick-gate/tests/gate/world.rs
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -34,6 +34,9 @@
 /// Key of workspace `pasto`, which may use model `menu` only.
 pub(crate) const PASTO: &str = "sk-pasto-fedcba9876543210";
 
+/// Threads of a gate's runtime.
+const WORKERS: usize = 2;
+
 /// Longest wait for something that is to happen, far beyond what it takes.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -98,6 +101,25 @@
         self.runtime.as_ref().unwrap().spawn(gate.stop())
     }
 
+    /// Stops the whole process, as when its VM is paused, until the returned sender is dropped.
+    pub(crate) async fn freeze(&self) -> std::sync::mpsc::Sender<()> {
+        let (thaw, frozen) = std::sync::mpsc::channel();
+        let frozen = Arc::new(Mutex::new(frozen));
+        let stopped = Arc::new(std::sync::Barrier::new(WORKERS + 1));
+        let runtime = self.runtime.as_ref().unwrap();
+        for _ in 0..WORKERS {
+            let (frozen, stopped) = (Arc::clone(&frozen), Arc::clone(&stopped));
+            // Each of these tasks holds one of the runtime's threads, so that nothing else is polled.
+            runtime.spawn(async move {
+                stopped.wait();
+                let _ = frozen.lock().unwrap().recv();
+            });
+        }
+        let all = tokio::task::spawn_blocking(move || stopped.wait());
+        all.await.unwrap();
+        thaw
+    }
+
     /// Waits until the gate's view meets a condition.
     pub(crate) async fn until(&self, met: impl Fn(&quetzalpick_core::state::State) -> bool) {
         let replica = self.gate.as_ref().unwrap().replica();
@@ -294,6 +316,47 @@
 
     /// Adds engines that hold model `menu` and are draining.
     pub(crate) async fn add_idle_engines(&self, count: usize) {
+        let held = |_| vec![(artifact("menu"), Version(1))];
+        self.add_engines(count, true, held).await;
+    }
+
+    /// Configures `models` models and `adapters` adapters, and adds engines that hold a model each with its adapters.
+    pub(crate) async fn add_other_engines(&self, count: usize, models: usize, adapters: usize) {
+        for at in 0..models {
+            let model = Model {
+                version: Version(1),
+                memory_mb: 1_000,
+                max_output: 8,
+            };
+            let name = artifact(&format!("model-{at}"));
+            self.change(Change::SetModel(name, model)).await;
+        }
+        for at in 0..adapters {
+            let adapter = Adapter {
+                base: artifact(&format!("model-{}", at % models)),
+                version: Version(1),
+                memory_mb: 1_000,
+            };
+            let name = artifact(&format!("adapter-{at}"));
+            self.change(Change::SetAdapter(name, adapter)).await;
+        }
+        let held = |at: usize| {
+            let own = (at % models..adapters).step_by(models);
+            let own = own.map(|adapter| artifact(&format!("adapter-{adapter}")));
+            let model = artifact(&format!("model-{}", at % models));
+            let held = std::iter::once(model).chain(own);
+            held.map(|name| (name, Version(1))).collect()
+        };
+        self.add_engines(count, false, held).await;
+    }
+
+    /// Adds engines that nothing listens for, and reports what they hold.
+    async fn add_engines(
+        &self,
+        count: usize,
+        draining: bool,
+        held: impl Fn(usize) -> Vec<(Artifact, Version)>,
+    ) {
         let mut loaded = Vec::new();
         for at in 0..count {
             let name = endpoint(&format!("idle-{at}"));
@@ -306,10 +369,10 @@
                     memory_mb: 80_000,
                     checks_fencing: true,
                 },
-                draining: true,
+                draining,
             };
             self.change(Change::SetEndpoint(name.clone(), spec)).await;
-            loaded.push((name, Boot(1), vec![(artifact("menu"), Version(1))]));
+            loaded.push((name, Boot(1), held(at)));
         }
         self.report(2, loaded).await;
     }
@@ -361,6 +424,12 @@
 
     /// Appends a record.
     pub(crate) async fn append(&self, author: Author, record: Record) {
+        let bytes = self.entry(author, record);
+        self.log.append(Stream::Control, vec![bytes]).await.unwrap();
+    }
+
+    /// Encodes a record as an entry with a new command id.
+    pub(crate) fn entry(&self, author: Author, record: Record) -> Bytes {
         let number = {
             let mut commands = self.commands.lock().unwrap();
             *commands += 1;
@@ -372,8 +441,7 @@
             expect: None,
             record,
         };
-        let bytes = Bytes::from(entry.to_bytes().unwrap());
-        self.log.append(Stream::Control, vec![bytes]).await.unwrap();
+        Bytes::from(entry.to_bytes().unwrap())
     }
 
     /// Starts a gate and waits until it is ready.
@@ -384,7 +452,7 @@
     /// Starts a gate with options and waits until it is ready.
     pub(crate) async fn gate_with(&self, vm: &str, options: Options) -> Process {
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKERS)
             .enable_all()
             .build()
             .unwrap();
