--- a/crates/quetzalpick-core/src/plan/mod.rs
+++ b/crates/quetzalpick-core/src/plan/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod planner;
 mod room;
+mod rules;
 mod spare;
 mod step;
 
--- a/crates/quetzalpick-core/src/plan/spare.rs
+++ b/crates/quetzalpick-core/src/plan/spare.rs
@@ -25,12 +25,8 @@
     /// copies may change now: what went for room does not come back at once.
     pub(crate) fn spare(&mut self, engine_rate: u64, may_change: impl Fn(usize) -> bool) {
         // Memory is not spent on spare copies while engines are overloaded.
-        let fleet = &self.fleet;
-        if fleet
-            .sites
-            .iter()
-            .any(|site| fleet.overload_at(site, engine_rate) > 0)
-        {
+        let overloads = self.fleet.overloads(engine_rate);
+        if overloads.iter().any(|overload| *overload > 0) {
             return;
         }
         let items = 0..self.fleet.items.len();
--- a/crates/quetzalpick-core/tests/quota/main.rs
+++ b/crates/quetzalpick-core/tests/quota/main.rs
@@ -1,7 +1,9 @@
 //! Stateful fuzzing of the shares: no window spends more than burst + rate x window, whatever the faults.
 
+mod network;
 mod node;
 mod oracle;
+mod parts;
 mod refund;
 mod world;
 
@@ -48,9 +50,9 @@
     let variants = [
         (Fault::SubtractLate, 0),
         (Fault::NoDedup, 0),
-        (Fault::NoEpoch, 2),
-        (Fault::RefuseEpoch, 25),
-        (Fault::NoLease, 140),
+        (Fault::NoEpoch, 3),
+        (Fault::RefuseEpoch, 5),
+        (Fault::NoLease, 70),
     ];
     for (fault, seed) in variants {
         assert!(is_caught(fault, seed), "{fault:?} passes with seed {seed}");
