Exchange with peers once a second, and ask engines for their load twice a second

Cause: an idle node (gate and keeper) among 8 cost 2.8% of a core, above the budget of 1.8%. Ruled out: calling a sample of the peers; it puts suspicion off by two turns at today's size. Tests of the replica keep the former interval.

--- a/crates/quetzalpick-gate/src/options.rs
+++ b/crates/quetzalpick-gate/src/options.rs
@@ -78,7 +78,7 @@
             gather_tries: 3,
             share_interval: Duration::from_millis(250),
             lease: Duration::from_secs(5),
-            report_interval: Duration::from_millis(300),
+            report_interval: Duration::from_millis(500),
             vms_interval: Duration::from_secs(1),
             repeat_wait: Duration::from_secs(1),
             grace: Duration::from_secs(2),
--- a/crates/quetzalpick-node/src/replica/options.rs
+++ b/crates/quetzalpick-node/src/replica/options.rs
@@ -67,7 +67,7 @@
             secret: String::new(),
             seeds: Vec::new(),
             lease: Duration::from_secs(5),
-            exchange_interval: Duration::from_millis(500),
+            exchange_interval: Duration::from_secs(1),
             exchange_sample: None,
             voters: VOTERS_MAX,
             suspicion: Duration::from_secs(3),
--- a/crates/quetzalpick-node/src/settings/sections.rs
+++ b/crates/quetzalpick-node/src/settings/sections.rs
@@ -117,7 +117,7 @@
             secret: reader.required("secret", "change-this-secret", &secret_allowed, secret),
             seeds: reader.list("seeds", ADDRESS, address_text),
             lease: reader.millis("lease_ms", 5_000, 1_000..=60_000),
-            exchange_interval: reader.millis("exchange_interval_ms", 500, 50..=10_000),
+            exchange_interval: reader.millis("exchange_interval_ms", 1_000, 50..=10_000),
             exchange_sample: reader.number("exchange_sample", 0, 0..=1_000, "peers, 0 for all")
                 as usize,
             voters: reader.number("voters", replica::VOTERS_MAX as u64, 1..=101, "members")
--- a/crates/quetzalpick-node/tests/support/mod.rs
+++ b/crates/quetzalpick-node/tests/support/mod.rs
@@ -270,6 +270,7 @@
         let address = format!("127.0.0.1:{}", 7000 + number);
         let domain = Domain::try_new(format!("d{}", number % 3)).unwrap();
         let mut options = Options::new(member, role, domain, &address);
+        options.exchange_interval = Duration::from_millis(500);
         options.seed = number * 1_000 + start;
         options.seeds = self.processes.iter().map(|p| p.address.clone()).collect();
         options
