Walk through the accounts when most engines hold an artifact

Cause: with the index, a model that every engine holds cost more than before, as each holder is found by binary search. The accounts are now walked in order when more than half of them hold it.

--- a/crates/quetzalpick-core/src/route/holders.rs
+++ b/crates/quetzalpick-core/src/route/holders.rs
@@ -70,10 +70,9 @@
 
     /// Counts the engines that serve all wanted versions.
     pub fn count_wanted(&self, state: &State, copies: &[(Artifact, Version)]) -> usize {
-        let accounts = state.ledger().accounts();
-        let holders = self.fewest(copies).iter();
-        let held = holders.filter_map(|endpoint| accounts.get(endpoint));
-        held.filter(|account| serves_wanted(account, copies))
+        let accounts = self.accounts(state, copies);
+        accounts
+            .filter(|(_, account)| serves_wanted(account, copies))
             .count()
     }
 
@@ -109,15 +108,30 @@
         copies: &[(Artifact, Version)],
         serves: impl Fn(&Account) -> bool,
     ) -> Vec<(&'a Endpoint, &'a EndpointSpec)> {
-        let accounts = state.ledger().accounts();
         let endpoints = state.catalog().endpoints();
-        let holders = self.fewest(copies).iter();
-        let serving = holders.filter(|name| accounts.get(*name).is_some_and(&serves));
+        let accounts = self.accounts(state, copies);
+        let serving = accounts.filter(|(_, account)| serves(account));
         serving
-            .filter_map(|name| endpoints.get_key_value(name))
+            .filter_map(|(name, _)| endpoints.get_key_value(name))
             .collect()
     }
 
+    /// Returns the accounts of all engines that may serve all copies, in order.
+    fn accounts<'a>(
+        &self,
+        state: &'a State,
+        copies: &[(Artifact, Version)],
+    ) -> impl Iterator<Item = (&'a Endpoint, &'a Account)> {
+        let accounts = state.ledger().accounts();
+        let holders = self.fewest(copies);
+        // Walking through all accounts costs less than finding more than half of them one by one.
+        let walks = holders.len() > accounts.len() / 2;
+        let walked = walks.then(|| accounts.iter()).into_iter().flatten();
+        let sought = if walks { &[] } else { holders };
+        let found = sought.iter();
+        walked.chain(found.filter_map(|name| accounts.get_key_value(name)))
+    }
+
     /// Takes in the account of an engine if there is a new record about it.
     fn note(&mut self, endpoint: &Endpoint, account: &Account) {
         let noted = self.engines.get(endpoint);
--- a/crates/quetzalpick-gate/tests/gate/outage.rs
+++ b/crates/quetzalpick-gate/tests/gate/outage.rs
@@ -104,7 +104,7 @@
     let world = World::start().await;
     let gate = world.gate("vm-1").await;
     // Two further voters, so that one alone is no majority.
-    let mut others = vec![world.gate("vm-2").await, world.gate("vm-3").await];
+    let mut others = [world.gate("vm-2").await, world.gate("vm-3").await];
     gate.until(|state| state.roster().voters().len() == 3).await;
     let body = r#"{"model":"menu","prompt":"Pause","max_tokens":2}"#;
     let served = gate.client.post("/v1/completions", LAGOS, body).await;
