Show that a dead gate's shares are not to be had before they are reissued

Cause: the test of the killed gate passed as well if the burst had been to be had at once.

Conclusion: the burst is refused as not run at first, and is to be had within the bound.

--- a/tests/system/crash.rs
+++ b/tests/system/crash.rs
@@ -134,6 +134,7 @@
     let burst = chat("Burst", BURST * 9 / 10, false);
     let deadline = Instant::now() + REISSUED;
     let path = "/v1/chat/completions";
+    let mut refused = 0;
     loop {
         let answer = abuja
             .post(&system.gates[1].address, path, &burst)
@@ -148,9 +149,12 @@
             "{}",
             answer.body
         );
+        refused += 1;
         assert!(Instant::now() < deadline, "the shares are not reissued");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    // The shares of the dead gate are not to be had before it is retired.
+    assert!(refused > 0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
