Tell of a command that stands against itself what became of it

Cause: a command sent again may be applied between the look at its outcome and its resolution, and a 'create' would then be called invalid although it took effect. Found by reading; no run provoked it. Ruled out: holding the state locked. Before and after: keeper tests pass.

--- a/crates/quetzalpick-keeper/src/operator/desk.rs
+++ b/crates/quetzalpick-keeper/src/operator/desk.rs
@@ -70,7 +70,12 @@
         }
         let resolution = match self.replica.read(|state| resolve(change, state)) {
             Ok(resolution) => resolution,
-            Err(error) => return invalid(&error),
+            // The command may have been applied a moment ago, and then it stands against itself.
+            Err(error) => {
+                let asked = self.replica.ask(command);
+                let reply = |(offset, outcome)| settled(command, offset, &outcome);
+                return asked.map_or_else(|| invalid(&error), reply);
+            }
         };
         let author = Author::Operator(operator.to_owned());
         let record = Record::Change(resolution.change);
