Put reports side by side, and start processes by one function

Cause: baselines need medians over runs in one table; the two programs' starts stood twice. Ruled out: a script in another language for the table. Before and after: golden file of three runs side by side.

--- a/crates/quetzalpick-gate/src/main.rs
+++ b/crates/quetzalpick-gate/src/main.rs
@@ -3,9 +3,8 @@
 use std::process::ExitCode;
 
 use clap::Command;
-use quetzalpick_gate::{Settings, run};
-use quetzalpick_node::settings::command::{Start, start};
-use quetzalpick_node::telemetry::logs;
+use quetzalpick_gate::run;
+use quetzalpick_node::process;
 
 /// What the process does, for its help.
 const ABOUT: &str = "Serves callers: keys, limits, routing, retries and streams";
@@ -15,19 +14,5 @@
     let command = Command::new("quetzalpick-gate")
         .version(env!("CARGO_PKG_VERSION"))
         .about(ABOUT);
-    let settings: Settings = match start(command, std::env::args_os()) {
-        Start::Run(settings) => settings,
-        Start::Exit(code) => return ExitCode::from(code),
-    };
-    if let Err(error) = logs::try_start(&settings.log) {
-        eprintln!("quetzalpick-gate: {error}");
-        return ExitCode::FAILURE;
-    }
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("gate: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    process::main(command, run).await
 }
--- a/crates/quetzalpick-gate/src/settings.rs
+++ b/crates/quetzalpick-gate/src/settings.rs
@@ -5,6 +5,7 @@
 use quetzalpick_core::retry;
 use quetzalpick_core::route::Policy;
 use quetzalpick_node::http::server;
+use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{Log, Metrics, Peers, Platform, Vm, address};
 use quetzalpick_node::settings::{Reader, Section};
 
@@ -33,6 +34,12 @@
     pub requests: Requests,
 }
 
+impl process::Settings for Settings {
+    fn log(&self) -> &Log {
+        &self.log
+    }
+}
+
 impl Section for Settings {
     fn read(reader: &mut Reader<'_>) -> Self {
         Self {
--- a/crates/quetzalpick-keeper/src/settings.rs
+++ b/crates/quetzalpick-keeper/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::plan::Policy;
+use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{self, address};
 use quetzalpick_node::settings::{Reader, Section};
 
@@ -59,6 +60,12 @@
     pub options: place::Options,
 }
 
+impl process::Settings for Settings {
+    fn log(&self) -> &sections::Log {
+        &self.log
+    }
+}
+
 impl Section for Settings {
     fn read(reader: &mut Reader<'_>) -> Self {
         Self {
--- a/crates/quetzalpick-load/src/command.rs
+++ b/crates/quetzalpick-load/src/command.rs
@@ -5,7 +5,9 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::report::{Meter, Report, plot, read_records, render, summarize, verdict_line};
+use crate::report::{
+    Group, Meter, Report, compare, plot, read_records, render, summarize, verdict_line,
+};
 use crate::run::{Scenario, drive, schedule};
 
 /// Exit code for wrong usage or a bad scenario.
@@ -102,3 +104,47 @@
     }
     Ok(())
 }
+
+/// Returns the sub-command that puts reports side by side.
+pub fn summary_command() -> Command {
+    let files = Arg::new("files")
+        .value_name("NAME=FILE")
+        .help(
+            "Reports as `run --report` writes them; those with one name are runs of one experiment",
+        )
+        .num_args(1..)
+        .required(true);
+    Command::new("summary")
+        .about("Puts reports side by side: median, least and greatest")
+        .arg(files)
+}
+
+/// Puts reports side by side as the arguments say.
+pub fn summary(matches: &ArgMatches) -> ExitCode {
+    let mut groups: Vec<Group> = Vec::new();
+    for argument in matches.get_many::<String>("files").into_iter().flatten() {
+        if let Err(message) = add_report(&mut groups, argument) {
+            eprintln!("quetzalpick-load: {message}");
+            return ExitCode::from(BAD_SCENARIO);
+        }
+    }
+    println!("{}", compare(&groups));
+    ExitCode::SUCCESS
+}
+
+/// Reads a report into the group that its name says.
+fn add_report(groups: &mut Vec<Group>, argument: &str) -> Result<(), String> {
+    let (name, path) = argument
+        .split_once('=')
+        .ok_or_else(|| format!("{argument}: must be NAME=FILE"))?;
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+    let report = serde_json::from_str(&text).map_err(|error| format!("{path}: {error}"))?;
+    match groups.iter_mut().find(|group| group.name == name) {
+        Some(group) => group.reports.push(report),
+        None => groups.push(Group {
+            name: name.to_owned(),
+            reports: vec![report],
+        }),
+    }
+    Ok(())
+}
--- a/crates/quetzalpick-load/tests/report.rs
+++ b/crates/quetzalpick-load/tests/report.rs
@@ -1,7 +1,7 @@
 //! Arrivals are fixed by the seed, and the report judges outcomes by their own allowance.
 
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_load::report::{Records, render, summarize, verdict_line};
+use quetzalpick_load::report::{Group, Records, compare, render, summarize, verdict_line};
 use quetzalpick_load::run::{End, Kind, Outcome, Scenario, schedule};
 
 const SCENARIO: &str = r#"
@@ -95,6 +95,17 @@
     let (line, good) = verdict_line("demo", &report);
     assert!(!good);
     insta::assert_snapshot!(format!("{}\n\n{line}", render(&report)));
+    // Side by side: three runs that differ in one figure show their median, least and greatest.
+    let run = |worst_workspace: f64| {
+        let mut run = report.clone();
+        run.worst_workspace = worst_workspace;
+        serde_json::to_value(run).expect("the report serializes")
+    };
+    let group = Group {
+        name: "lunch".to_owned(),
+        reports: vec![run(0.5), run(0.9), run(0.7)],
+    };
+    insta::assert_snapshot!("side_by_side", compare(&[group]));
 }
 
 /// Every seventh request is refused, the others are answered.
--- a/crates/quetzalpick-node/src/lib.rs
+++ b/crates/quetzalpick-node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod lifecycle;
 pub mod peer;
+pub mod process;
 pub mod replica;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/crates/quetzalpick-node/src/process.rs
@@ -0,0 +1,43 @@
+//! A whole process with settings: command line, logger, work, exit code.
+
+use std::fmt::Display;
+use std::future::Future;
+use std::process::ExitCode;
+
+use clap::Command;
+
+use crate::settings::Section;
+use crate::settings::command::{EXIT_FAILURE, Start, start};
+use crate::settings::sections::Log;
+use crate::telemetry::logs;
+
+/// `Settings` is the whole settings file of a process.
+pub trait Settings: Section {
+    /// Returns how the process logs.
+    fn log(&self) -> &Log;
+}
+
+/// Reads the command line and the settings, starts the logger, and does the work until it ends.
+pub async fn main<S, E, W>(command: Command, work: impl FnOnce(S) -> W) -> ExitCode
+where
+    S: Settings,
+    E: Display,
+    W: Future<Output = Result<(), E>>,
+{
+    let name = command.get_name().to_owned();
+    let settings: S = match start(command, std::env::args_os()) {
+        Start::Run(settings) => settings,
+        Start::Exit(code) => return ExitCode::from(code),
+    };
+    if let Err(error) = logs::try_start(settings.log()) {
+        eprintln!("{name}: {error}");
+        return ExitCode::from(EXIT_FAILURE);
+    }
+    match work(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{name}: {error}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/scripts/matrix.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Runs the experiments of docs/MEASUREMENTS.md one after the other and prints their table: scripts/matrix.sh DIRECTORY [SEEDS]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+out=${1:?directory for the reports}
+seeds=${2:-"1 2 3"}
+export SECONDS_PER_RUN=${SECONDS_PER_RUN:-12} REQUESTS_PER_S=${REQUESTS_PER_S:-120}
+reports=()
+
+# Runs an experiment with each seed; its row has the given name.
+row() {
+  local name=$1 experiment=$2 seed
+  for seed in $seeds; do
+    REPORT_DIR="$out/$name" ./experiment "$experiment" "$seed" >"$out/$name-$seed.log" 2>&1 || true
+    reports+=("$name=$out/$name/$experiment-$seed.json")
+  done
+}
+
+mkdir -p "$out"
+row steady steady
+row skewed skewed
+row routing-affinity shift
+REQUEST_SETTINGS='policy = "least-requests"' row routing-least-requests shift
+REQUEST_SETTINGS='policy = "random"' row routing-random shift
+limits='loads_per_s = 20
+loads_in_flight = 8'
+PLACE_SETTINGS="$limits
+policy = \"least-recently-used\"" row placement-least-recently-used shift
+PLACE_SETTINGS="$limits
+policy = \"static\"" row placement-static shift
+for fault in gate-kill gate-freeze keeper-kill engine-kill log-outage; do row "$fault" "$fault"; done
+target/release/quetzalpick-load summary "${reports[@]}"
