--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
-# Runs the experiments of docs/MEASUREMENTS.md one after the other and prints their table: scripts/matrix.sh DIRECTORY [SEEDS]
+# Runs the experiments of docs/MEASUREMENTS.md one after the other and prints their table:
+# scripts/matrix.sh DIRECTORY [SEEDS]. Runs with a fault are longer and have the first seed only.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 out=${1:?directory for the reports}
 seeds=${2:-"1 2 3"}
-export SECONDS_PER_RUN=${SECONDS_PER_RUN:-12} REQUESTS_PER_S=${REQUESTS_PER_S:-120}
+export REQUESTS_PER_S=${REQUESTS_PER_S:-120}
+export SECONDS_PER_RUN=${SECONDS_PER_RUN:-9}
 reports=()
 
 # Runs an experiment with each seed; its row has the given name.
@@ -28,5 +30,7 @@
 policy = \"least-recently-used\"" row placement-least-recently-used shift
 PLACE_SETTINGS="$limits
 policy = \"static\"" row placement-static shift
+export SECONDS_PER_RUN=${FAULT_SECONDS_PER_RUN:-21}
+seeds=${seeds%% *}
 for fault in gate-kill gate-freeze keeper-kill engine-kill log-outage; do row "$fault" "$fault"; done
 target/release/quetzalpick-load summary "${reports[@]}"
