Send nothing to an engine that restarted until the ledger knows

Cause: an engine that restarts under an open order was reported only once no order could arrive any more, but the order was sent again every 2 s, so that it never was. Ruled out: reporting at once; a late order could then load what nobody counts.

--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -49,6 +49,10 @@
             }
         );
         let reported = reports.get(endpoint);
+        // An engine that restarted gets nothing until the ledger knows, which its report can say only when it is quiet.
+        if reported.is_some_and(|reported| reported.report.boot != account.boot.0) {
+            continue;
+        }
         let open = account.open.iter();
         let unknown = open.filter(|open| !is_known(endpoint, open, orders, reported));
         let most = if one_at_a_time { 1 } else { usize::MAX };
@@ -79,7 +83,7 @@
     let loads = matches!(open.operation, Operation::Load(..));
     reported.is_some_and(|reported| {
         let sight = sight(endpoint, open, orders, reported);
-        sight.is_futile() || (loads && sight.loading)
+        sight.is_futile() || (loads && (sight.loading || sight.loaded))
     })
 }
 
--- a/crates/quetzalpick-keeper/tests/keeper/placement.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/placement.rs
@@ -219,3 +219,35 @@
         .await;
     assert_never_overcommitted(&[&engine]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_restarts_under_an_open_order_is_filled_again() {
+    let keeper = Keeper::start(&memory::Log::new(), "vm-1").await;
+    let engine = start_engine(false).await;
+    keeper.accept(&[create_engine("e1", &engine, false)]).await;
+    keeper.accept(&configuration()).await;
+    keeper
+        .until("reachable", |state| {
+            all_reachable(state, 1, &[]) && is_settled(state)
+        })
+        .await;
+    // The engine gets none of the orders for another model, and restarts before it does.
+    engine.faults().set(Fault::OrderLost, None);
+    let more = "create model more version 1 memory 50".to_owned();
+    keeper.accept(&[more]).await;
+    keeper.until("open", |state| !is_settled(state)).await;
+    engine.restart();
+    engine.faults().clear();
+    let boot = engine.report().boot;
+    let noticed = |state: &State| {
+        let mut accounts = state.ledger().accounts().values();
+        accounts.any(|account| account.boot.0 == boot)
+    };
+    keeper.until("noticed", noticed).await;
+    keeper
+        .until("filled again", |state| {
+            all_reachable(state, 1, &[]) && is_settled(state)
+        })
+        .await;
+    assert_never_overcommitted(&[&engine]);
+}
