Rename the crate of traits and clients to quetzalpick-client

Cause: the users ask for a folder platform/ that translates for their platform; a crate of nearly the same name beside it would mislead. The crate holds traits and clients of outside systems, so it is named for that. No behaviour changes.

--- a/crates/quetzalpick-platform/tests/memory_log.rs
+++ b/crates/quetzalpick-client/tests/memory_log.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quetzalpick_client::memory;
+use quetzalpick_client::traits::{Log, Stream};
 use quetzalpick_core::id::Offset;
-use quetzalpick_platform::memory;
-use quetzalpick_platform::traits::{Log, Stream};
 
 /// Appends one record and writes down what came of it.
 async fn append(session: &mut String, log: &memory::Log, record: &'static str) {
--- a/crates/quetzalpick-platform/tests/pool.rs
+++ b/crates/quetzalpick-client/tests/pool.rs
@@ -7,9 +7,9 @@
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use http_body_util::Full;
+use quetzalpick_client::errors::{Error, Result};
+use quetzalpick_client::http::{Body, Options, Pool, Request, Timeouts};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::{Error, Result};
-use quetzalpick_platform::http::{Body, Options, Pool, Request, Timeouts};
 
 use peer::{Peer, Script, answer};
 
--- a/crates/quetzalpick-ctl/src/client.rs
+++ b/crates/quetzalpick-ctl/src/client.rs
@@ -6,10 +6,10 @@
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http_body_util::Full;
 
+use quetzalpick_client::http::{Pool, Timeouts};
 use quetzalpick_core::id::Command;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_language::{Reply, Request};
-use quetzalpick_platform::http::{Pool, Timeouts};
 
 use crate::errors::{Error, Result};
 
@@ -157,7 +157,7 @@
 
 impl Failure {
     /// Sorts an error of the pool by its verdict.
-    fn of(error: quetzalpick_platform::errors::Error) -> Self {
+    fn of(error: quetzalpick_client::errors::Error) -> Self {
         match error.verdict() {
             Verdict::NotRun => Self::NotSent(error.to_string()),
             _ => Self::Lost(error.to_string()),
--- a/crates/quetzalpick-gate/src/api/completion.rs
+++ b/crates/quetzalpick-gate/src/api/completion.rs
@@ -1,8 +1,8 @@
 //! Requests to models: chat and text completions.
 
 use bytes::Bytes;
+use quetzalpick_client::wire::completion::Request;
 use quetzalpick_core::id::Artifact;
-use quetzalpick_platform::wire::completion::Request;
 use serde_json::{Map, Value};
 
 use crate::api::refusal::{Kind, Refusal};
--- a/crates/quetzalpick-gate/src/claim/closer.rs
+++ b/crates/quetzalpick-gate/src/claim/closer.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Command;
 use quetzalpick_core::record::{ClaimKey, ClaimResult, Finish, Record};
 use quetzalpick_core::state::Outcome;
 use quetzalpick_node::replica::{Answer, Replica};
-use quetzalpick_platform::traits::Log;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
--- a/crates/quetzalpick-gate/src/context.rs
+++ b/crates/quetzalpick-gate/src/context.rs
@@ -3,11 +3,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use quetzalpick_client::http::Pool;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Member, Workspace};
 use quetzalpick_core::retry;
 use quetzalpick_node::replica::Replica;
-use quetzalpick_platform::http::Pool;
-use quetzalpick_platform::traits::Log;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
--- a/crates/quetzalpick-gate/src/fleet/follow.rs
+++ b/crates/quetzalpick-gate/src/fleet/follow.rs
@@ -1,7 +1,7 @@
 //! Keeping the index of copies up to date with the agreed state.
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_node::replica::Replica;
-use quetzalpick_platform::traits::Log;
 
 use crate::fleet::Fleet;
 
--- a/crates/quetzalpick-gate/src/fleet/need.rs
+++ b/crates/quetzalpick-gate/src/fleet/need.rs
@@ -1,10 +1,10 @@
 //! What a request needs of an endpoint.
 
+use quetzalpick_client::wire::engine::{PREFIX_BLOCK_BYTES, prefix_hash};
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Version};
 use quetzalpick_core::record::EndpointSpec;
 use quetzalpick_core::route::Holders;
 use quetzalpick_core::state::{State, Target};
-use quetzalpick_platform::wire::engine::{PREFIX_BLOCK_BYTES, prefix_hash};
 
 /// Most blocks of a prompt that are compared with caches.
 const PREFIX_BLOCKS_MAX: usize = 32;
--- a/crates/quetzalpick-gate/src/fleet/probe.rs
+++ b/crates/quetzalpick-gate/src/fleet/probe.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use quetzalpick_client::traits::{Engine, Vms};
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::record::EndpointKind;
 use quetzalpick_core::state::State;
-use quetzalpick_platform::traits::{Engine, Vms};
 
 use crate::fleet::Fleet;
 
--- a/crates/quetzalpick-gate/src/fleet/seen.rs
+++ b/crates/quetzalpick-gate/src/fleet/seen.rs
@@ -1,8 +1,8 @@
 //! What this gate has seen of one endpoint.
 
+use quetzalpick_client::wire::engine::{Events, Report};
 use quetzalpick_core::id::{Artifact, Endpoint};
 use quetzalpick_core::route::{Health, Load, Prefixes};
-use quetzalpick_platform::wire::engine::{Events, Report};
 
 /// Dispatches remembered between two reports.
 const DISPATCHES_MAX: usize = 1_024;
--- a/crates/quetzalpick-gate/src/fleet/table.rs
+++ b/crates/quetzalpick-gate/src/fleet/table.rs
@@ -2,13 +2,13 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use quetzalpick_client::wire::engine::{Events, Report};
+use quetzalpick_client::wire::vms::{List, Status};
 use quetzalpick_core::id::{Domain, Endpoint};
 use quetzalpick_core::record::EndpointSpec;
 use quetzalpick_core::route::{Candidate, Holders, Options, Prefixes, Reason, choose};
 use quetzalpick_core::state::State;
 use quetzalpick_core::table::Table;
-use quetzalpick_platform::wire::engine::{Events, Report};
-use quetzalpick_platform::wire::vms::{List, Status};
 
 use crate::clock::Clock;
 use crate::fleet::Need;
--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use quetzalpick_client::http::Pool;
+use quetzalpick_client::traits::{Engine, Log, Vms};
 use quetzalpick_core::retry::Budget;
 use quetzalpick_core::route::Prefixes;
 use quetzalpick_node::http::admin::{Admin, Readiness};
@@ -10,8 +12,6 @@
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
 use quetzalpick_node::replica::{self, Replica};
 use quetzalpick_node::telemetry::metrics::Metrics;
-use quetzalpick_platform::http::Pool;
-use quetzalpick_platform::traits::{Engine, Log, Vms};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
--- a/crates/quetzalpick-gate/src/run.rs
+++ b/crates/quetzalpick-gate/src/run.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::{engine, log as log_service, vms};
 use quetzalpick_core::record::Role;
 use quetzalpick_node::lifecycle::stop_signal;
-use quetzalpick_platform::http::{Pool, Timeouts};
-use quetzalpick_platform::{engine, log as log_service, vms};
 use snafu::{ResultExt, ensure};
 
 use crate::errors::{Result, SignalSnafu, UnfinishedSnafu};
--- a/crates/quetzalpick-gate/src/serve/call.rs
+++ b/crates/quetzalpick-gate/src/serve/call.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::Full;
+use quetzalpick_client::http::Request;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::http::Request;
 
 use crate::api::header::REQUEST_ID;
 use crate::fleet::Need;
--- a/crates/quetzalpick-gate/src/serve/completion.rs
+++ b/crates/quetzalpick-gate/src/serve/completion.rs
@@ -4,9 +4,9 @@
 
 use http::header::{ACCEPT, CACHE_CONTROL, CONTENT_TYPE, HeaderName};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::traits::Log;
 use serde::Deserialize;
 
 use crate::admission::{Demand, Permit};
--- a/crates/quetzalpick-gate/src/serve/handler.rs
+++ b/crates/quetzalpick-gate/src/serve/handler.rs
@@ -6,8 +6,8 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
+use quetzalpick_client::traits::Log;
 use quetzalpick_node::http::server;
-use quetzalpick_platform::traits::Log;
 use tokio::time::Instant;
 
 use crate::api::body::{self, Reply};
--- a/crates/quetzalpick-gate/src/serve/once.rs
+++ b/crates/quetzalpick-gate/src/serve/once.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{Response, StatusCode};
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Member, Offset};
 use quetzalpick_core::record::{
     CLAIM_BODY_MAX_BYTES, Claim, ClaimKey, ClaimResult, Finish, Record,
@@ -13,7 +14,6 @@
 use quetzalpick_core::state::Reason;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::replica::Answer;
-use quetzalpick_platform::traits::Log;
 
 use crate::api::body::Reply;
 use crate::api::refusal::{Kind, Refusal};
--- a/crates/quetzalpick-gate/src/serve/relay.rs
+++ b/crates/quetzalpick-gate/src/serve/relay.rs
@@ -7,10 +7,10 @@
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::BodyExt;
+use quetzalpick_client::http::Timeouts;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::http::Timeouts;
-use quetzalpick_platform::traits::Log;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
--- a/crates/quetzalpick-gate/src/serve/service.rs
+++ b/crates/quetzalpick-gate/src/serve/service.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Method, Response};
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Service, Workspace};
 use quetzalpick_core::record::ClaimKey;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::state::State;
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::traits::Log;
 
 use crate::api::body::Reply;
 use crate::api::refusal::{Kind, Refusal};
--- a/crates/quetzalpick-gate/src/serve/tries.rs
+++ b/crates/quetzalpick-gate/src/serve/tries.rs
@@ -7,12 +7,12 @@
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Body as _;
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::http::{Body, Response, Timeouts};
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::retry::{self, Attempt, Step};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::Error;
-use quetzalpick_platform::http::{Body, Response, Timeouts};
-use quetzalpick_platform::traits::Log;
 
 use crate::api::header::REQUEST_ID;
 use crate::api::refusal::{Kind, Refusal};
--- a/crates/quetzalpick-gate/src/share/keep.rs
+++ b/crates/quetzalpick-gate/src/share/keep.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::payload::Payload;
 use quetzalpick_core::quota::{Peer, Transfer};
 use quetzalpick_core::record::{Record, Role};
 use quetzalpick_node::replica::{Answer, Replica};
-use quetzalpick_platform::traits::Log;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::demand::Recorder;
--- a/crates/quetzalpick-gate/src/share/peer.rs
+++ b/crates/quetzalpick-gate/src/share/peer.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Member;
 use quetzalpick_core::quota::{Ack, Ask, Transfer};
 use quetzalpick_node::peer::Application;
 use quetzalpick_node::replica::Replica;
-use quetzalpick_platform::traits::Log;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/quetzalpick-gate/src/standing.rs
+++ b/crates/quetzalpick-gate/src/standing.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Revision;
 use quetzalpick_node::replica::Replica;
-use quetzalpick_platform::traits::Log;
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
--- a/crates/quetzalpick-gate/tests/gate/client.rs
+++ b/crates/quetzalpick-gate/tests/gate/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
-use quetzalpick_platform::http::{Body, Pool, Timeouts};
+use quetzalpick_client::http::{Body, Pool, Timeouts};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -56,7 +56,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: String,
-    ) -> Result<http::Response<Body>, quetzalpick_platform::errors::Error> {
+    ) -> Result<http::Response<Body>, quetzalpick_client::errors::Error> {
         let mut request = Request::builder().method(method).uri(path);
         for (name, value) in headers {
             request = request.header(*name, *value);
--- a/crates/quetzalpick-gate/tests/gate/outage.rs
+++ b/crates/quetzalpick-gate/tests/gate/outage.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use quetzalpick_client::traits::{Log, Stream};
 use quetzalpick_core::record::{Author, Record};
-use quetzalpick_platform::traits::{Log, Stream};
 
 use crate::once::repeat;
 use crate::world::{LAGOS, World, withdraw_key};
--- a/crates/quetzalpick-gate/tests/gate/world.rs
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -5,6 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quetzalpick_client::engine;
+use quetzalpick_client::errors::Result as CallResult;
+use quetzalpick_client::memory;
+use quetzalpick_client::traits::{Log, Stream, Vms};
+use quetzalpick_client::wire::engine::{Action, Copy, Order};
+use quetzalpick_client::wire::vms;
 use quetzalpick_core::id::{
     Artifact, Boot, Command, Domain, Endpoint, Incarnation, KeyName, Member, Offset, Service,
     Version, Vm, Workspace,
@@ -16,12 +22,6 @@
 use quetzalpick_gate::{Gate, Listeners, Options, Platform};
 use quetzalpick_node::http::server;
 use quetzalpick_node::replica;
-use quetzalpick_platform::engine;
-use quetzalpick_platform::errors::Result as CallResult;
-use quetzalpick_platform::memory;
-use quetzalpick_platform::traits::{Log, Stream, Vms};
-use quetzalpick_platform::wire::engine::{Action, Copy, Order};
-use quetzalpick_platform::wire::vms;
 use quetzalpick_standin::{engine as engines, service as services};
 use sha2::{Digest as _, Sha256};
 use tokio::runtime::Runtime;
--- a/crates/quetzalpick-keeper/src/operator/api.rs
+++ b/crates/quetzalpick-keeper/src/operator/api.rs
@@ -12,12 +12,12 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Command;
 use quetzalpick_language::{Reply, Request as Line};
 use quetzalpick_node::http::body;
 use quetzalpick_node::http::server::Handler;
 use quetzalpick_node::peer::Transport;
-use quetzalpick_platform::traits::Log;
 
 use crate::operator::Desk;
 
--- a/crates/quetzalpick-keeper/src/operator/desk.rs
+++ b/crates/quetzalpick-keeper/src/operator/desk.rs
@@ -1,12 +1,12 @@
 //! Carries out lines of the operators' language.
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Command, Offset};
 use quetzalpick_core::record::{Author, Record};
 use quetzalpick_core::state::{Outcome, State};
 use quetzalpick_language::{Command as Change, Error, Query, Reply, Statement, resolve};
 use quetzalpick_node::peer::Transport;
 use quetzalpick_node::replica::{Answer, Replica};
-use quetzalpick_platform::traits::Log;
 
 use crate::operator::query;
 
--- a/crates/quetzalpick-keeper/src/place/engines.rs
+++ b/crates/quetzalpick-keeper/src/place/engines.rs
@@ -4,12 +4,12 @@
 
 use futures::future::join_all;
 
+use quetzalpick_client::traits::Engine;
+use quetzalpick_client::wire::engine;
 use quetzalpick_core::dispatch::{Dispatch, Sight};
 use quetzalpick_core::id::{Artifact, Boot, Endpoint, Offset, Version};
 use quetzalpick_core::record::{EndpointKind, EndpointSpec, Operation, Report, Settled};
 use quetzalpick_core::state::{Account, Ledger, Open, State};
-use quetzalpick_platform::traits::Engine;
-use quetzalpick_platform::wire::engine;
 
 use crate::place::orders::Orders;
 
--- a/crates/quetzalpick-keeper/src/place/leader.rs
+++ b/crates/quetzalpick-keeper/src/place/leader.rs
@@ -5,6 +5,9 @@
 use futures::future::join_all;
 use opentelemetry::metrics::Meter;
 
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::traits::{Engine, Log, Vms};
+use quetzalpick_client::wire::vms::Status;
 use quetzalpick_core::id::{Endpoint, Offset, Sequence};
 use quetzalpick_core::plan::{Demand, Planner, Step};
 use quetzalpick_core::record::{Intent, Operation, Record, Settled};
@@ -12,9 +15,6 @@
 use quetzalpick_core::table::Table;
 use quetzalpick_node::peer::Transport;
 use quetzalpick_node::replica::{Answer, Replica};
-use quetzalpick_platform::errors::Error;
-use quetzalpick_platform::traits::{Engine, Log, Vms};
-use quetzalpick_platform::wire::vms::Status;
 
 use crate::place::engines::{self, Reported};
 use crate::place::meters::Meters;
--- a/crates/quetzalpick-keeper/src/place/round.rs
+++ b/crates/quetzalpick-keeper/src/place/round.rs
@@ -1,5 +1,6 @@
 //! What the leader does with a state: orders to send, and what the planner is told.
 
+use quetzalpick_client::wire::engine;
 use quetzalpick_core::id::{Artifact, Endpoint, Version};
 use quetzalpick_core::payload::Payload;
 use quetzalpick_core::plan::{Reason, Status, Step};
@@ -7,7 +8,6 @@
 use quetzalpick_core::state::{Open, State};
 use quetzalpick_core::table::Table;
 use quetzalpick_node::replica::Peer;
-use quetzalpick_platform::wire::engine;
 
 use crate::place::engines::{Reported, sight};
 use crate::place::orders::Orders;
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -4,6 +4,8 @@
 use snafu::ResultExt;
 use tokio_util::sync::CancellationToken;
 
+use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::{engine, log as log_service, vms};
 use quetzalpick_core::id::Member;
 use quetzalpick_core::record::{Record, Role};
 use quetzalpick_node::http::admin::{Admin, Readiness};
@@ -12,8 +14,6 @@
 use quetzalpick_node::peer::Application;
 use quetzalpick_node::replica::Replica;
 use quetzalpick_node::telemetry::metrics::Metrics;
-use quetzalpick_platform::http::{Pool, Timeouts};
-use quetzalpick_platform::{engine, log as log_service, vms};
 
 use crate::errors::{Result, SignalSnafu};
 use crate::operator::{Api, Desk};
--- a/crates/quetzalpick-keeper/tests/keeper/placement.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/placement.rs
@@ -1,8 +1,8 @@
 //! Placement against engines that lose, delay and double orders, restart and die, and leaders that die.
 
+use quetzalpick_client::memory;
 use quetzalpick_core::id::{Artifact, Version};
 use quetzalpick_core::state::State;
-use quetzalpick_platform::memory;
 use quetzalpick_standin::engine::Server;
 use quetzalpick_standin::fault::Fault;
 
--- a/crates/quetzalpick-keeper/tests/keeper/session.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/session.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use quetzalpick_client::memory;
 use quetzalpick_core::id::Command;
 use quetzalpick_language::Reply;
-use quetzalpick_platform::memory;
 
 use crate::world::{Keeper, TOKEN};
 
--- a/crates/quetzalpick-load/src/report/records.rs
+++ b/crates/quetzalpick-load/src/report/records.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_client::http::{Pool, Timeouts};
 
 use crate::run::Scenario;
 
--- a/crates/quetzalpick-load/src/run/call.rs
+++ b/crates/quetzalpick-load/src/run/call.rs
@@ -9,9 +9,9 @@
 use serde_json::{Value, json};
 use strum::{Display, IntoStaticStr};
 
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::Error;
-use quetzalpick_platform::http::{Pool, Request, Response, Timeouts};
 
 use crate::run::arrivals::{Arrival, Kind};
 use crate::run::balancer::Balancer;
@@ -249,7 +249,7 @@
 
 /// Reads a stream to its terminal marker and judges it.
 async fn read_stream(
-    body: &mut quetzalpick_platform::http::Body,
+    body: &mut quetzalpick_client::http::Body,
     sent: &Sent,
     started: Instant,
     outcome: &mut Outcome,
--- a/crates/quetzalpick-load/src/run/drive.rs
+++ b/crates/quetzalpick-load/src/run/drive.rs
@@ -7,8 +7,8 @@
 use futures::stream::FuturesUnordered;
 use tokio::time::{Instant, sleep_until};
 
+use quetzalpick_client::http::{Options, Pool};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::http::{Options, Pool};
 
 use crate::run::arrivals::Arrival;
 use crate::run::balancer::Balancer;
--- a/crates/quetzalpick-load/src/run/token.rs
+++ b/crates/quetzalpick-load/src/run/token.rs
@@ -1,6 +1,6 @@
 //! The answer that an engine stand-in gives to a request.
 
-use quetzalpick_platform::wire::completion::Request;
+use quetzalpick_client::wire::completion::Request;
 use quetzalpick_standin::engine::token::text;
 
 /// Bytes of prompt text that an engine stand-in counts as one token.
--- a/crates/quetzalpick-node/examples/slopes.rs
+++ b/crates/quetzalpick-node/examples/slopes.rs
@@ -7,13 +7,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use quetzalpick_client::memory::Log;
+use quetzalpick_client::traits::{Log as _, Stream};
 use quetzalpick_core::id::{Command, Domain, Incarnation, Member, Offset, Vm};
 use quetzalpick_core::record::{Author, Entry, Join, Record, Role, Seat};
 use quetzalpick_core::state::State;
 use quetzalpick_node::peer::{Application, Blob, Exchange, Http, Statement, Transport};
 use quetzalpick_node::replica::{Options, Replica};
-use quetzalpick_platform::memory::Log;
-use quetzalpick_platform::traits::{Log as _, Stream};
 
 /// Members in the roster, in each run.
 const MEMBERS: [u64; 4] = [16, 64, 256, 740];
--- a/crates/quetzalpick-node/src/peer/transport.rs
+++ b/crates/quetzalpick-node/src/peer/transport.rs
@@ -3,8 +3,8 @@
 use std::future::Future;
 
 use bytes::Bytes;
+use quetzalpick_client::errors::Result as CallResult;
 use quetzalpick_core::id::Member;
-use quetzalpick_platform::errors::Result as CallResult;
 use tokio_util::sync::CancellationToken;
 
 use crate::errors::Result;
--- a/crates/quetzalpick-node/src/peer/wire.rs
+++ b/crates/quetzalpick-node/src/peer/wire.rs
@@ -1,9 +1,9 @@
 //! Bodies of the calls between peers, in MessagePack.
 
 use bytes::Bytes;
+use quetzalpick_client::errors::{Result as CallResult, garbled};
 use quetzalpick_core::id::{Domain, Member, Offset};
 use quetzalpick_core::record::Role;
-use quetzalpick_platform::errors::{Result as CallResult, garbled};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/crates/quetzalpick-node/src/replica/exchange.rs
+++ b/crates/quetzalpick-node/src/replica/exchange.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
+use quetzalpick_client::errors::{Result as CallResult, garbled};
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Member, Offset};
 use quetzalpick_core::state::{Snapshot, State};
-use quetzalpick_platform::errors::{Result as CallResult, garbled};
-use quetzalpick_platform::traits::Log;
 use tokio::time::{sleep, timeout};
 
 use crate::peer::{Blob, Exchange, Fetch, Run, Statement, Transport, decode, encode, path};
--- a/crates/quetzalpick-node/src/replica/follower.rs
+++ b/crates/quetzalpick-node/src/replica/follower.rs
@@ -3,10 +3,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use quetzalpick_client::errors::{Error as CallError, Result as CallResult};
+use quetzalpick_client::traits::{Batch, Log, Stream};
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::state::{Snapshot, State};
-use quetzalpick_platform::errors::{Error as CallError, Result as CallResult};
-use quetzalpick_platform::traits::{Batch, Log, Stream};
 use tokio::time::{sleep, timeout};
 
 use crate::peer::Transport;
@@ -172,6 +172,6 @@
     pub(crate) fn late(&self, target: &str, limit: Duration) -> CallError {
         let verdict = quetzalpick_core::verdict::Verdict::MayHaveRun;
         let reason = format!("no answer within {} ms", millis(limit));
-        quetzalpick_platform::errors::unanswered(target, verdict, reason)
+        quetzalpick_client::errors::unanswered(target, verdict, reason)
     }
 }
--- a/crates/quetzalpick-node/src/replica/handle.rs
+++ b/crates/quetzalpick-node/src/replica/handle.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use opentelemetry::metrics::Meter;
+use quetzalpick_client::errors::{Result as CallResult, unanswered};
+use quetzalpick_client::traits::Log;
+use quetzalpick_client::wire::vms;
 use quetzalpick_core::id::{Command, Member, Offset, Revision};
 use quetzalpick_core::record::{Author, Record};
 use quetzalpick_core::state::{Outcome, State};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::{Result as CallResult, unanswered};
-use quetzalpick_platform::traits::Log;
-use quetzalpick_platform::wire::vms;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
--- a/crates/quetzalpick-node/src/replica/presence.rs
+++ b/crates/quetzalpick-node/src/replica/presence.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Incarnation, Member, Offset};
 use quetzalpick_core::record::{Join, Record};
-use quetzalpick_platform::traits::Log;
 use tokio::time::{sleep, timeout};
 
 use crate::peer::Transport;
--- a/crates/quetzalpick-node/src/replica/publisher.rs
+++ b/crates/quetzalpick-node/src/replica/publisher.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quetzalpick_client::errors::{Error as CallError, Result as CallResult};
+use quetzalpick_client::traits::{Log, Stream};
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::state::Snapshot;
-use quetzalpick_platform::errors::{Error as CallError, Result as CallResult};
-use quetzalpick_platform::traits::{Log, Stream};
 use tokio::time::{sleep, timeout};
 
 use crate::peer::Transport;
--- a/crates/quetzalpick-node/src/replica/service.rs
+++ b/crates/quetzalpick-node/src/replica/service.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::state::Snapshot;
-use quetzalpick_platform::traits::Log;
 use serde::de::DeserializeOwned;
 
 use crate::peer::{
--- a/crates/quetzalpick-node/src/replica/submit.rs
+++ b/crates/quetzalpick-node/src/replica/submit.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Command, Revision};
 use quetzalpick_core::record::{Author, Entry, Record};
-use quetzalpick_platform::traits::Log;
 use tokio::time::timeout;
 
 use crate::peer::Transport;
--- a/crates/quetzalpick-node/src/replica/watch.rs
+++ b/crates/quetzalpick-node/src/replica/watch.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::{Member, Offset};
 use quetzalpick_core::record::{Record, Retire, Role};
 use quetzalpick_core::state::State;
-use quetzalpick_platform::traits::Log;
 use tokio::time::sleep;
 
 use crate::peer::Transport;
--- a/crates/quetzalpick-node/src/replica/writer.rs
+++ b/crates/quetzalpick-node/src/replica/writer.rs
@@ -4,9 +4,9 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use quetzalpick_client::errors::{Error as CallError, Result as CallResult};
+use quetzalpick_client::traits::{Log, Stream};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::{Error as CallError, Result as CallResult};
-use quetzalpick_platform::traits::{Log, Stream};
 use tokio::time::{sleep, timeout};
 
 use crate::peer::Transport;
--- a/crates/quetzalpick-node/tests/faults.rs
+++ b/crates/quetzalpick-node/tests/faults.rs
@@ -6,11 +6,11 @@
 mod support;
 
 use assert_matches::assert_matches;
+use quetzalpick_client::traits::{Log as _, Stream};
 use quetzalpick_core::id::{Command, Member, Offset};
 use quetzalpick_core::record::{Author, Entry, Record, Retire};
 use quetzalpick_core::state::{Outcome, State};
 use quetzalpick_node::replica::Answer;
-use quetzalpick_platform::traits::{Log as _, Stream};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use support::{Fleet, sleep};
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -6,13 +6,13 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use quetzalpick_client::traits::Stream;
+use quetzalpick_client::wire::vms;
 use quetzalpick_core::id::{Domain, Offset, Revision};
 use quetzalpick_core::record::{Author, Entry, Role};
 use quetzalpick_core::state::{Reason, Snapshot, State};
 use quetzalpick_node::peer::{Blob, Exchange, Statement, Transport};
 use quetzalpick_node::replica::{Answer, Options};
-use quetzalpick_platform::traits::Stream;
-use quetzalpick_platform::wire::vms;
 use support::{Fleet, command, sleep, workspace};
 
 /// Default lease, in ms.
--- a/crates/quetzalpick-standin/src/command/arguments.rs
+++ b/crates/quetzalpick-standin/src/command/arguments.rs
@@ -4,8 +4,8 @@
 
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, Command, value_parser};
-use quetzalpick_platform::wire::engine::Order;
-use quetzalpick_platform::wire::vms::{Status, Vm};
+use quetzalpick_client::wire::engine::Order;
+use quetzalpick_client::wire::vms::{Status, Vm};
 
 use super::parse::{parse_copy, parse_vm};
 use crate::{engine, platform, service};
--- a/crates/quetzalpick-standin/src/command/parse.rs
+++ b/crates/quetzalpick-standin/src/command/parse.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use quetzalpick_platform::wire::engine::{Action, Copy, Order};
-use quetzalpick_platform::wire::vms::{Status, Vm};
+use quetzalpick_client::wire::engine::{Action, Copy, Order};
+use quetzalpick_client::wire::vms::{Status, Vm};
 
 /// Parses `NAME,DOMAIN,ADDRESS`.
 pub(crate) fn parse_vm(text: &str, status: Status) -> Result<Vm, String> {
--- a/crates/quetzalpick-standin/src/command/run.rs
+++ b/crates/quetzalpick-standin/src/command/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
-use quetzalpick_platform::wire::engine::Order;
-use quetzalpick_platform::wire::vms::Vm;
+use quetzalpick_client::wire::engine::Order;
+use quetzalpick_client::wire::vms::Vm;
 use snafu::ResultExt;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
--- a/crates/quetzalpick-standin/src/engine/cache.rs
+++ b/crates/quetzalpick-standin/src/engine/cache.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use quetzalpick_client::wire::engine::{Event, Events, PREFIX_BLOCK_BYTES, prefix_hash};
 use quetzalpick_core::table::Table;
-use quetzalpick_platform::wire::engine::{Event, Events, PREFIX_BLOCK_BYTES, prefix_hash};
 use tokio::time::Instant;
 
 /// Most events kept.
--- a/crates/quetzalpick-standin/src/engine/completion.rs
+++ b/crates/quetzalpick-standin/src/engine/completion.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyper::StatusCode;
-use quetzalpick_platform::wire::completion::Request;
+use quetzalpick_client::wire::completion::Request;
 use serde_json::{Value, json as value};
 
 use super::pace::Pace;
--- a/crates/quetzalpick-standin/src/engine/memory.rs
+++ b/crates/quetzalpick-standin/src/engine/memory.rs
@@ -1,7 +1,7 @@
 //! The copies that an engine holds.
 
+use quetzalpick_client::wire::engine::{Action, Copy, Order, Report};
 use quetzalpick_core::table::Table;
-use quetzalpick_platform::wire::engine::{Action, Copy, Order, Report};
 use snafu::Snafu;
 
 use super::record::Overcommit;
--- a/crates/quetzalpick-standin/src/engine/mod.rs
+++ b/crates/quetzalpick-standin/src/engine/mod.rs
@@ -1,6 +1,6 @@
 //! The stand-in of a model engine.
 //!
-//! It answers the calls of `quetzalpick_platform::wire::engine` with tokens that depend on nothing but the prompt, see
+//! It answers the calls of `quetzalpick_client::wire::engine` with tokens that depend on nothing but the prompt, see
 //! `token`. The administration takes `POST /admin/leaving` with `{"leaving": true}`, `POST /admin/restart` with `{}` (new
 //! boot, empty memory, every running request breaks off) and `GET /admin/record`, which answers `Record`.
 
--- a/crates/quetzalpick-standin/src/engine/order.rs
+++ b/crates/quetzalpick-standin/src/engine/order.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, StatusCode};
-use quetzalpick_platform::http::Timeouts;
-use quetzalpick_platform::wire::engine::{Fenced, Order};
+use quetzalpick_client::http::Timeouts;
+use quetzalpick_client::wire::engine::{Fenced, Order};
 use serde_json::json as value;
 use tokio::time::sleep;
 
--- a/crates/quetzalpick-standin/src/engine/record.rs
+++ b/crates/quetzalpick-standin/src/engine/record.rs
@@ -1,7 +1,7 @@
 //! What an engine recorded.
 
+use quetzalpick_client::wire::engine::Order;
 use quetzalpick_core::table::Table;
-use quetzalpick_platform::wire::engine::Order;
 use serde::Serialize;
 
 use crate::seen::Seen;
--- a/crates/quetzalpick-standin/src/engine/server.rs
+++ b/crates/quetzalpick-standin/src/engine/server.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use hyper::{Method, StatusCode};
-use quetzalpick_platform::http::Pool;
-use quetzalpick_platform::wire::engine::{Order, Report};
+use quetzalpick_client::http::Pool;
+use quetzalpick_client::wire::engine::{Order, Report};
 use serde_json::json as value;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
--- a/crates/quetzalpick-standin/src/engine/token.rs
+++ b/crates/quetzalpick-standin/src/engine/token.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use quetzalpick_platform::wire::engine::{PREFIX_BLOCK_BYTES, prefix_hash};
+use quetzalpick_client::wire::engine::{PREFIX_BLOCK_BYTES, prefix_hash};
 
 /// Consonants of the generated words.
 const CONSONANTS: &[u8; 16] = b"bcdfghjklmnprstv";
--- a/crates/quetzalpick-standin/src/errors.rs
+++ b/crates/quetzalpick-standin/src/errors.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use quetzalpick_platform::wire::engine::Order;
+use quetzalpick_client::wire::engine::Order;
 use snafu::Snafu;
 
 /// `Result` is the result of the crate's fallible functions.
--- a/crates/quetzalpick-standin/src/platform/log.rs
+++ b/crates/quetzalpick-standin/src/platform/log.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::memory;
+use quetzalpick_client::traits::{Batch, Log, Stream};
+use quetzalpick_client::wire::log::{Append, Appended, Gone, Page};
 use quetzalpick_core::id::Offset;
-use quetzalpick_platform::errors::Error;
-use quetzalpick_platform::memory;
-use quetzalpick_platform::traits::{Batch, Log, Stream};
-use quetzalpick_platform::wire::log::{Append, Appended, Gone, Page};
 
 use crate::server::{Call, Reply, error, invalid, message_pack};
 
--- a/crates/quetzalpick-standin/src/platform/mod.rs
+++ b/crates/quetzalpick-standin/src/platform/mod.rs
@@ -1,6 +1,6 @@
 //! The stand-in of the platform: log service, VM list and weight store.
 //!
-//! Besides the calls of `quetzalpick_platform::wire`, the weight store takes `POST /weights/fetch` and
+//! Besides the calls of `quetzalpick_client::wire`, the weight store takes `POST /weights/fetch` and
 //! `POST /weights/adapter` with `weights::Fetch` and answers when the weights are there. The administration takes
 //! `POST /admin/vms` with `vms::Change`, `POST /admin/retention` with `server::Retention` and
 //! `GET /admin/record`, which answers `Record`.
--- a/crates/quetzalpick-standin/src/platform/server.rs
+++ b/crates/quetzalpick-standin/src/platform/server.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use quetzalpick_platform::memory;
-use quetzalpick_platform::traits::{Log, Stream};
-use quetzalpick_platform::wire::vms::Vm;
+use quetzalpick_client::memory;
+use quetzalpick_client::traits::{Log, Stream};
+use quetzalpick_client::wire::vms::Vm;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
--- a/crates/quetzalpick-standin/src/platform/vms.rs
+++ b/crates/quetzalpick-standin/src/platform/vms.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use quetzalpick_platform::wire::vms::{List, Status, Vm};
+use quetzalpick_client::wire::vms::{List, Status, Vm};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
--- a/crates/quetzalpick-standin/tests/at_most_once.rs
+++ b/crates/quetzalpick-standin/tests/at_most_once.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use futures::stream::{self, StreamExt};
 use http_body_util::Full;
+use quetzalpick_client::errors::Result;
+use quetzalpick_client::http::{Pool, Request, Timeouts};
 use quetzalpick_core::verdict::Verdict;
-use quetzalpick_platform::errors::Result;
-use quetzalpick_platform::http::{Pool, Request, Timeouts};
 use quetzalpick_standin::fault::Fault;
 use quetzalpick_standin::service::{Options, Server};
 use rand::{RngExt, SeedableRng};
--- a/crates/quetzalpick-standin/tests/bad_input.rs
+++ b/crates/quetzalpick-standin/tests/bad_input.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_client::http::{Pool, Timeouts};
 use quetzalpick_standin::service::{Options, Server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/crates/quetzalpick-standin/tests/caller/mod.rs
+++ b/crates/quetzalpick-standin/tests/caller/mod.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_client::http::{Pool, Timeouts};
 
 /// Headers that sessions show; the others are the library's.
 const SHOWN: [&str; 4] = ["x-request-id", "x-not-run", "retry-after", "content-type"];
--- a/crates/quetzalpick-standin/tests/engine.rs
+++ b/crates/quetzalpick-standin/tests/engine.rs
@@ -6,11 +6,11 @@
 
 use assert_matches::assert_matches;
 use caller::Caller;
-use quetzalpick_platform::engine::Client;
-use quetzalpick_platform::errors::Error;
-use quetzalpick_platform::http::{Pool, Timeouts};
-use quetzalpick_platform::traits::Engine;
-use quetzalpick_platform::wire::engine::{Action, Copy, Order, prefix_hash};
+use quetzalpick_client::engine::Client;
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::traits::Engine;
+use quetzalpick_client::wire::engine::{Action, Copy, Order, prefix_hash};
 use quetzalpick_standin::engine::{Options, Server, token};
 use quetzalpick_standin::fault::Fault;
 use quetzalpick_standin::platform;
--- a/crates/quetzalpick-standin/tests/platform.rs
+++ b/crates/quetzalpick-standin/tests/platform.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use caller::Caller;
+use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::traits::{Log, Stream, Vms};
+use quetzalpick_client::{log, vms};
 use quetzalpick_core::id::Offset;
-use quetzalpick_platform::http::{Pool, Timeouts};
-use quetzalpick_platform::traits::{Log, Stream, Vms};
-use quetzalpick_platform::{log, vms};
 use quetzalpick_standin::fault::{Fault, Switch};
 use quetzalpick_standin::platform::{Options, Server};
 
--- a/tests/system/harness/caller.rs
+++ b/tests/system/harness/caller.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
-use quetzalpick_platform::http::{Pool, Timeouts};
+use quetzalpick_client::http::{Pool, Timeouts};
 use quetzalpick_standin::engine::token::text;
 use serde_json::{Value, json};
 
