Serve callers on the platform: adapter, entry, deploy file

Cause: the users' platform settles how services, operators and VMs speak; the product had no way onto it. What: crate quetzalpick-entry (configuration, fleet, freshness of keys, forwarding, streams), folder platform/ (store framing, records, headers), deploy file with settings rendered into the product's own TOML, one process a VM. Ruled out: translating the platform into the gate's own control stream; the platform holds configuration, endpoints and newest records itself, so that a fold of our own would repeat it.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -13,7 +13,7 @@
 use crate::http::{Pool, Request, Timeouts};
 
 /// Header with the time after which to come back, in ms.
-pub(crate) const RETRY_AFTER_MS: &str = "retry-after-ms";
+pub const RETRY_AFTER_MS: &str = "retry-after-ms";
 
 /// Time after which to come back if the answer does not say.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
@@ -23,19 +23,23 @@
 
 /// `Answer` is a whole answer.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub struct Answer {
     /// Address that answered.
-    pub(crate) target: String,
+    pub target: String,
     /// HTTP status.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// Headers.
-    pub(crate) headers: HeaderMap,
+    pub headers: HeaderMap,
     /// Body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 /// Builds a request; its parts are known to be valid but for the path.
-pub(crate) fn request(
+///
+/// # Errors
+///
+/// `Error::Unanswered` that did not run if the path is not valid.
+pub fn request(
     target: &str,
     method: Method,
     path: &str,
@@ -51,7 +55,11 @@
 }
 
 /// Sends a request and reads the whole answer, at most `max` bytes.
-pub(crate) async fn send(
+///
+/// # Errors
+///
+/// Whatever the pool meets, and `Error::Garbled` if the answer is longer.
+pub async fn send(
     pool: &Pool,
     target: &str,
     request: Request,
@@ -71,7 +79,11 @@
 
 impl Answer {
     /// Returns the answer if its status means success, and what it means otherwise.
-    pub(crate) fn success(self) -> Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// What the status means.
+    pub fn success(self) -> Result<Self> {
         match self.status {
             status if status.is_success() => Ok(self),
             StatusCode::TOO_MANY_REQUESTS => Err(busy(&self.target, self.retry_after())),
@@ -85,12 +97,20 @@
     }
 
     /// Decodes the body as JSON.
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T> {
+    ///
+    /// # Errors
+    ///
+    /// `Error::Garbled` if it does not decode.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
         serde_json::from_slice(&self.body).map_err(|e| garbled(&self.target, e))
     }
 
     /// Decodes the body as MessagePack.
-    pub(crate) fn message_pack<T: DeserializeOwned>(&self) -> Result<T> {
+    ///
+    /// # Errors
+    ///
+    /// `Error::Garbled` if it does not decode.
+    pub fn message_pack<T: DeserializeOwned>(&self) -> Result<T> {
         rmp_serde::from_slice(&self.body).map_err(|e| garbled(&self.target, e))
     }
 
--- a/crates/quetzalpick-client/src/errors.rs
+++ b/crates/quetzalpick-client/src/errors.rs
@@ -45,6 +45,12 @@
         /// Number that the engine has seen.
         seen: u64,
     },
+    /// An append named an offset at which the topic does not end; nothing was done.
+    #[snafu(display("the topic ends at {end}, not where the append expects"))]
+    Conflict {
+        /// Where the topic ends.
+        end: u64,
+    },
     /// The system refused for good; nothing was done.
     #[snafu(display("{target} refused with status {status}: {message}"))]
     Refused {
@@ -74,6 +80,7 @@
             Self::Busy { .. }
             | Self::Trimmed { .. }
             | Self::Fenced { .. }
+            | Self::Conflict { .. }
             | Self::Refused { .. } => Verdict::NotRun,
         }
     }
--- a/crates/quetzalpick-client/src/lib.rs
+++ b/crates/quetzalpick-client/src/lib.rs
@@ -5,12 +5,13 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
-mod call;
+pub mod call;
 pub mod engine;
 pub mod errors;
 pub mod http;
 pub mod log;
 pub mod memory;
+pub mod topic;
 pub mod traits;
 pub mod vms;
 pub mod wire;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -0,0 +1,225 @@
+//! A running entry: its parts, their start, and the planned stop.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use quetzalpick_client::http::Pool;
+use quetzalpick_client::topic::Topics;
+use quetzalpick_core::retry::Budget;
+use quetzalpick_node::http::admin::{Admin, Readiness};
+use quetzalpick_node::http::server::{self, Server};
+use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
+use quetzalpick_node::telemetry::metrics::Metrics;
+use snafu::{ResultExt, ensure};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::edge::{Codec, Edge};
+use crate::errors::{Result, SignalSnafu, UnfinishedSnafu};
+use crate::fleet::Fleet;
+use crate::meters::Meters;
+use crate::options::Options;
+use crate::serve::{Context, Handler};
+use crate::view::{ConfigFollower, EndpointFollower, View};
+
+/// `Outside` is how an entry reaches the outside, and how that looks on the wire.
+#[derive(Debug, Clone)]
+pub struct Outside<T, E, C> {
+    /// The log service.
+    pub topics: T,
+    /// Heads of requests and answers.
+    pub edge: E,
+    /// Records of operators and endpoints.
+    pub codec: C,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// The clock.
+    pub clock: Clock,
+}
+
+/// `Listeners` is where an entry listens.
+#[derive(Debug, Clone)]
+pub struct Listeners {
+    /// IP address and port for callers.
+    pub callers: String,
+    /// IP address and port for health, readiness and metrics.
+    pub admin: String,
+    /// Limits of the callers' listener.
+    pub limits: server::Options,
+}
+
+/// `Entry` is a running entry.
+#[derive(Debug)]
+pub struct Entry<E> {
+    context: Arc<Context<E>>,
+    callers: JoinHandle<bool>,
+    callers_stop: CancellationToken,
+    background: CancellationToken,
+    addresses: [std::net::SocketAddr; 2],
+}
+
+/// `Ready` tells whether an entry takes requests.
+#[derive(Debug)]
+struct Ready<E> {
+    context: Arc<Context<E>>,
+}
+
+impl<E> Clone for Ready<E> {
+    fn clone(&self) -> Self {
+        let context = Arc::clone(&self.context);
+        Self { context }
+    }
+}
+
+impl<E: Edge> Readiness for Ready<E> {
+    fn lacks(&self) -> Option<String> {
+        let phase = self.context.lifecycle.phase();
+        if phase != Phase::Serving {
+            return Some(format!("the process is {phase}"));
+        }
+        if self.context.view.config().is_none() {
+            return Some("no configuration was read".to_owned());
+        }
+        let age_ms = self.context.view.age_ms(self.context.clock.now_ms());
+        let fresh = age_ms.is_some_and(|age| age <= self.context.options.key_age_max_ms());
+        (!fresh).then(|| format!("the view is {age_ms:?} ms old"))
+    }
+}
+
+impl<E: Edge> Entry<E> {
+    /// Starts an entry; it is ready once it has read a configuration.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Node` if a listener cannot be bound or the metrics cannot be set up.
+    pub async fn try_start<T: Topics, C: Codec>(
+        outside: Outside<T, E, C>,
+        listeners: Listeners,
+        options: Options,
+    ) -> Result<Self> {
+        let metrics = Metrics::try_new()?;
+        let callers = Server::try_bind(&listeners.callers, listeners.limits).await?;
+        let admin = Server::try_bind(&listeners.admin, server::Options::default()).await?;
+        let addresses = [callers.address(), admin.address()];
+        let clock = outside.clock;
+        let context = Arc::new(Context {
+            edge: outside.edge.clone(),
+            clock,
+            pool: outside.pool.clone(),
+            view: Arc::new(View::default()),
+            fleet: Arc::new(Fleet::new(options.domain.clone(), options.route.clone())),
+            budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.clone())),
+            lifecycle: Lifecycle::default(),
+            meters: Meters::new(&metrics.meter("quetzalpick-entry")),
+            options,
+        });
+        let background = CancellationToken::new();
+        follow(&context, outside, &background);
+        let ready = Ready {
+            context: Arc::clone(&context),
+        };
+        tokio::spawn(admin.run(Admin::new(ready, metrics), background.clone()));
+        let callers_stop = CancellationToken::new();
+        let handler = Handler::new(Arc::clone(&context));
+        let callers = tokio::spawn(callers.run(handler, callers_stop.clone()));
+        context.lifecycle.advance(Phase::Serving);
+        let (vm, [address, admin]) = (&context.options.vm, addresses);
+        log::info!("entry: started vm={vm} callers={address} admin={admin}");
+        Ok(Self {
+            context,
+            callers,
+            callers_stop,
+            background,
+            addresses,
+        })
+    }
+
+    /// Returns the address of the callers' listener.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.addresses[0]
+    }
+
+    /// Returns the address of the admin listener.
+    pub fn admin_address(&self) -> std::net::SocketAddr {
+        self.addresses[1]
+    }
+
+    /// Serves until the process is asked to stop, and stops as planned.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Signal` if signals cannot be awaited, `Error::Unfinished` if the stop gave up on a request.
+    pub async fn run(self) -> Result<()> {
+        let reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
+        let reloads = tokio::spawn(log_reloads(reload));
+        let stop = stop_signal().await.context(SignalSnafu)?;
+        log::info!("entry: stops signal={stop}");
+        let finished = self.stop().await;
+        reloads.abort();
+        ensure!(finished, UnfinishedSnafu);
+        Ok(())
+    }
+
+    /// Stops as planned: finishes requests under way; tells whether all of them ended in time.
+    pub async fn stop(self) -> bool {
+        let options = &self.context.options;
+        // The balancer takes notice while requests are still served.
+        self.context.lifecycle.advance(Phase::Unready);
+        tokio::time::sleep(options.unready).await;
+        self.context.lifecycle.advance(Phase::Draining);
+        self.callers_stop.cancel();
+        let left = options.stop.saturating_sub(options.unready);
+        let finished = wait(self.callers, left).await;
+        self.background.cancel();
+        self.context.lifecycle.advance(Phase::Stopped);
+        log::info!("entry: stopped finished={finished}");
+        finished
+    }
+}
+
+/// Logs each request to reload; the settings that may change while the process runs concern nothing that it holds.
+async fn log_reloads(mut reload: Signal) {
+    while reload.recv().await.is_some() {
+        log::info!("entry: reload signal=SIGHUP");
+    }
+}
+
+/// Waits for the callers' listener to finish.
+async fn wait(callers: JoinHandle<bool>, limit: Duration) -> bool {
+    let ended = tokio::time::timeout(limit, callers).await;
+    matches!(ended, Ok(Ok(true)))
+}
+
+/// Follows the published topics for as long as the entry runs.
+fn follow<T: Topics, E: Edge, C: Codec>(
+    context: &Arc<Context<E>>,
+    outside: Outside<T, E, C>,
+    stop: &CancellationToken,
+) {
+    let options = &context.options;
+    let config = ConfigFollower {
+        topics: outside.topics.clone(),
+        codec: outside.codec.clone(),
+        view: Arc::clone(&context.view),
+        clock: outside.clock,
+        wait: options.config_wait,
+    };
+    let endpoints = EndpointFollower {
+        topics: outside.topics,
+        codec: outside.codec,
+        fleet: Arc::clone(&context.fleet),
+        clock: outside.clock,
+        interval: options.endpoints_interval,
+        grace: options.lapse_grace,
+    };
+    spawn(stop, config.run());
+    spawn(stop, endpoints.run());
+}
+
+/// Runs a task until the token is cancelled.
+fn spawn(stop: &CancellationToken, task: impl Future<Output = ()> + Send + 'static) {
+    let stop = stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled(task).await });
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -0,0 +1,150 @@
+//! The table of endpoints.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
+use quetzalpick_core::route::{self, Candidate, choose};
+use quetzalpick_core::table::Table;
+
+use crate::fleet::row::Row;
+use crate::fleet::{Pick, Spec};
+
+/// `Wanted` is what a request needs of an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a Service,
+    /// Models and adapters that it must hold.
+    pub artifacts: &'a [&'a Artifact],
+    /// Endpoints that were tried before.
+    pub tried: &'a [Endpoint],
+}
+
+/// `Fleet` is all endpoints as this VM sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    here: Domain,
+    options: route::Options,
+    rows: Mutex<Table<Endpoint, Row>>,
+}
+
+impl Fleet {
+    /// Makes a fleet without endpoints, for a VM in the failure domain `here`.
+    pub fn new(here: Domain, options: route::Options) -> Self {
+        Self {
+            here,
+            options,
+            rows: Mutex::default(),
+        }
+    }
+
+    fn rows(&self) -> MutexGuard<'_, Table<Endpoint, Row>> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in what an endpoint says of itself; tells whether it was not known, or says that it leaves.
+    pub fn update(&self, endpoint: Endpoint, spec: Spec) -> bool {
+        let mut rows = self.rows();
+        match rows.get_mut(&endpoint) {
+            Some(row) => {
+                let news = row.spec.state != spec.state || !row.spec.is_same_start(&spec);
+                row.update(spec);
+                news
+            }
+            None => {
+                rows.insert(endpoint, Row::new(spec));
+                true
+            }
+        }
+    }
+
+    /// Returns the endpoints that are known, but not among those given.
+    pub fn others(&self, named: &[Endpoint]) -> Vec<Endpoint> {
+        let rows = self.rows();
+        let others = rows.keys().filter(|endpoint| !named.contains(endpoint));
+        others.cloned().collect()
+    }
+
+    /// Notes that an endpoint's entry lapsed; tells whether it was known.
+    pub fn lapse(&self, now_ms: u64, endpoint: &Endpoint) -> bool {
+        let mut rows = self.rows();
+        let Some(row) = rows.get_mut(endpoint) else {
+            return false;
+        };
+        row.lapsed_ms.get_or_insert(now_ms);
+        true
+    }
+
+    /// Forgets the endpoints whose entries lapsed before a time and that have no requests of this VM.
+    pub fn forget_lapsed(&self, before_ms: u64) {
+        let lapsed = |row: &Row| row.lapsed_ms.is_some_and(|at| at < before_ms);
+        self.rows()
+            .retain(|_, row| !lapsed(row) || row.in_flight > 0);
+    }
+
+    /// Picks an endpoint for a request; `None` if none that stays holds what it needs.
+    pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
+        let mut rows = self.rows();
+        let serving = rows.iter().filter(|(_, row)| row.serves(wanted));
+        let candidates: Vec<Candidate<'_>> = serving
+            .map(|(name, row)| row.candidate(name, wanted.tried.contains(name)))
+            .collect();
+        let choice = choose(now_ms, &self.here, &candidates, &self.options, random)?;
+        let endpoint = candidates[choice.index].endpoint.clone();
+        let row = rows.get_mut(&endpoint)?;
+        let load = row.in_flight + row.others;
+        row.in_flight += 1;
+        Some(Pick {
+            endpoint,
+            address: row.spec.address,
+            reason: choice.reason,
+            load,
+            fleet: Arc::clone(self),
+        })
+    }
+
+    /// Tells whether an endpoint of a service is known that stays.
+    pub fn has(&self, service: &Service) -> bool {
+        let rows = self.rows();
+        rows.values().any(|row| row.spec.service == *service)
+    }
+
+    /// Returns the number of endpoints.
+    pub fn len(&self) -> usize {
+        self.rows().len()
+    }
+
+    /// Tells whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows().is_empty()
+    }
+
+    /// Notes that an endpoint answered a request.
+    pub fn succeed(&self, now_ms: u64, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.health.succeed(now_ms);
+        }
+    }
+
+    /// Notes that a request failed by the endpoint's doing; tells whether it is ejected for that.
+    pub fn fail(&self, now_ms: u64, endpoint: &Endpoint) -> bool {
+        let mut rows = self.rows();
+        let row = rows.get_mut(endpoint);
+        row.is_some_and(|row| row.health.fail(now_ms, &self.options.health))
+    }
+
+    /// Notes that an endpoint refused a request as it lacks what it was thought to hold.
+    pub fn misses(&self, endpoint: &Endpoint, artifacts: &[&Artifact]) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.missing_at = row.spec.orders;
+            row.missing.extend(artifacts.last().map(|a| (*a).clone()));
+        }
+    }
+
+    /// Ends a request of this VM at an endpoint.
+    pub(crate) fn release(&self, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.in_flight = row.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/meters.rs
@@ -0,0 +1,77 @@
+//! Counters and latency histograms of an entry.
+
+use http::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+use crate::serve::Cause;
+
+/// `Meters` counts what an entry does.
+#[derive(Debug, Clone)]
+pub(crate) struct Meters {
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    sends: Counter<u64>,
+    streams: Counter<u64>,
+    answer_ms: Histogram<f64>,
+    stream_ms: Histogram<f64>,
+}
+
+impl Meters {
+    /// Registers the metrics.
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            meter.f64_histogram(name).with_description(text).build()
+        };
+        Self {
+            answers: counter(
+                "quetzalpick_entry_answers",
+                "Answers to callers, by status.",
+            ),
+            refusals: counter("quetzalpick_entry_refusals", "Refused requests, by cause."),
+            sends: counter(
+                "quetzalpick_entry_sends",
+                "Requests sent to endpoints, repeats included.",
+            ),
+            streams: counter(
+                "quetzalpick_entry_streams",
+                "Relayed answers, by their end.",
+            ),
+            answer_ms: histogram(
+                "quetzalpick_entry_answer_ms",
+                "Time from a request's head to the head of its answer, in ms.",
+            ),
+            stream_ms: histogram(
+                "quetzalpick_entry_stream_ms",
+                "Time from a request's head to the end of its relayed answer, in ms.",
+            ),
+        }
+    }
+
+    /// Counts an answer.
+    pub(crate) fn answered(&self, status: StatusCode, took_ms: u64) {
+        let status = [KeyValue::new("status", i64::from(status.as_u16()))];
+        self.answers.add(1, &status);
+        self.answer_ms.record(took_ms as f64, &[]);
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refused(&self, cause: Cause) {
+        let cause: &'static str = cause.into();
+        self.refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a request sent to an endpoint.
+    pub(crate) fn sent(&self) {
+        self.sends.add(1, &[]);
+    }
+
+    /// Counts a relayed answer.
+    pub(crate) fn relayed(&self, end: &'static str, took_ms: u64) {
+        self.streams.add(1, &[KeyValue::new("end", end)]);
+        self.stream_ms.record(took_ms as f64, &[]);
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -0,0 +1,55 @@
+//! How an entry works.
+
+use std::time::Duration;
+
+use quetzalpick_core::id::{Domain, Vm};
+use quetzalpick_core::{retry, route};
+
+/// `Options` set how an entry works.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the VM.
+    pub vm: Vm,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Longest time between the withdrawal of a key and its end.
+    pub revocation: Duration,
+    /// Time in which a read of the configuration waits for news; it bounds how old a fresh view is.
+    pub config_wait: Duration,
+    /// Pause between two reads of the endpoints.
+    pub endpoints_interval: Duration,
+    /// Time after an outage in which lapsed endpoints may come back.
+    pub lapse_grace: Duration,
+    /// Time between becoming unready and refusing new connections.
+    pub unready: Duration,
+    /// Longest time that a stop waits for requests under way, from its begin.
+    pub stop: Duration,
+    /// Routing.
+    pub route: route::Options,
+    /// Retry budget of this VM.
+    pub retry: retry::Options,
+}
+
+impl Options {
+    /// Returns the options of a VM with everything else at its default.
+    pub fn new(vm: Vm, domain: Domain) -> Self {
+        Self {
+            vm,
+            domain,
+            revocation: Duration::from_secs(5),
+            config_wait: Duration::from_secs(1),
+            endpoints_interval: Duration::from_millis(700),
+            lapse_grace: Duration::from_secs(2),
+            unready: Duration::from_millis(2_500),
+            stop: Duration::from_secs(7),
+            route: route::Options::default(),
+            retry: retry::Options::default(),
+        }
+    }
+
+    /// Returns the age up to which a view of the configuration vouches for keys, in ms.
+    pub fn key_age_max_ms(&self) -> u64 {
+        // A tenth is left for the time from reading a request to sending it on.
+        u64::try_from(self.revocation.as_millis() * 9 / 10).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -0,0 +1,49 @@
+//! What the requests of an entry share.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use quetzalpick_client::http::Pool;
+use quetzalpick_core::retry::Budget;
+use quetzalpick_node::lifecycle::{Lifecycle, Phase};
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::meters::Meters;
+use crate::options::Options;
+use crate::view::View;
+
+/// `Context` is what the requests of an entry share.
+#[derive(Debug)]
+pub(crate) struct Context<E> {
+    pub(crate) edge: E,
+    pub(crate) clock: Clock,
+    pub(crate) options: Options,
+    pub(crate) pool: Pool,
+    pub(crate) view: Arc<View>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) meters: Meters,
+}
+
+impl<E> Context<E> {
+    /// Tells whether the process is stopping, so that connections are not to be kept.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.lifecycle.phase() > Phase::Serving
+    }
+
+    /// Notes a request, which earns a part of a retry.
+    pub(crate) fn deposit(&self) {
+        self.with_budget(Budget::deposit);
+    }
+
+    /// Takes a retry from the budget if it holds one.
+    pub(crate) fn withdraw(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        self.with_budget(|budget| budget.withdraw(now_ms))
+    }
+
+    fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
+        act(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -0,0 +1,373 @@
+//! The callers' listener: admission, tries, and the answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use quetzalpick_client::http::Body as Answer;
+use quetzalpick_core::retry::Deadline;
+use quetzalpick_core::verdict::Verdict;
+use quetzalpick_node::http::body::{self, collect};
+use quetzalpick_node::http::server;
+use rand::random;
+
+use crate::ask::Ask;
+use crate::config::Config;
+use crate::edge::{Edge, strip_connection_headers};
+use crate::fleet::{Pick, Wanted};
+use crate::serve::Context;
+use crate::serve::attempt::{Failure, send};
+use crate::serve::body::Body;
+use crate::serve::refusal::{Cause, Refusal};
+use crate::serve::relay::Relay;
+use crate::serve::request::Admitted;
+
+/// Longest time in which a body must arrive.
+const BODY_TIME_MAX: Duration = Duration::from_secs(10);
+
+/// Longest answer that is read as a whole before it is passed on, in bytes, so that one that breaks off can be replaced.
+const WHOLE_MAX_BYTES: u64 = 64 * 1024;
+
+/// Most endpoints that a request is sent to, those that decline it included.
+const SENDS_MAX: usize = 4;
+
+/// When to come back if an endpoint may be there soon.
+const SOON: Duration = Duration::from_millis(250);
+
+/// When to come back after this VM lost the log service.
+const AFTER_STALE: Duration = Duration::from_millis(600);
+
+/// `Handler` answers callers; its clones share one entry.
+#[derive(Debug)]
+pub(crate) struct Handler<E> {
+    context: Arc<Context<E>>,
+}
+
+impl<E> Clone for Handler<E> {
+    fn clone(&self) -> Self {
+        let context = Arc::clone(&self.context);
+        Self { context }
+    }
+}
+
+impl<E: Edge> server::Handler for Handler<E> {
+    type Body = Body;
+
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
+        let arrived_ms = self.context.clock.now_ms();
+        let (head, incoming) = request.into_parts();
+        let ask = self.context.edge.ask(&head);
+        let attempt = ask.as_ref().ok().and_then(|ask| ask.attempt.clone());
+        let served = match ask {
+            Ok(ask) => self.serve(head, incoming, ask, arrived_ms).await,
+            Err(error) => Err(Refusal::new(Cause::Malformed, error)),
+        };
+        let mut response =
+            served.unwrap_or_else(|refusal| self.refuse(attempt.as_deref(), &refusal));
+        if self.context.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        let took_ms = self.context.clock.now_ms() - arrived_ms;
+        self.context.meters.answered(response.status(), took_ms);
+        response
+    }
+}
+
+impl<E: Edge> Handler<E> {
+    /// Makes a handler.
+    pub(crate) fn new(context: Arc<Context<E>>) -> Self {
+        Self { context }
+    }
+
+    /// Reads, admits and forwards a request.
+    async fn serve(
+        &self,
+        head: Parts,
+        incoming: Incoming,
+        ask: Ask,
+        arrived_ms: u64,
+    ) -> Result<Response<Body>, Refusal> {
+        let config = self.context.view.config();
+        let limits = config.as_ref().map(|config| config.limits());
+        let body_max = limits.map_or(0, |limits| limits.body_bytes);
+        // The body is read whatever becomes of the request, so that the connection serves further ones.
+        let body = collect(incoming, body_max, BODY_TIME_MAX).await;
+        let Some(config) = config else {
+            return Err(Refusal::new(Cause::NoConfig, "").after(SOON));
+        };
+        let body = body.map_err(|error| unread(&error))?;
+        let admitted = self.admit(&config, head, body, ask, arrived_ms)?;
+        self.forward(admitted).await
+    }
+
+    /// Decides whether a request may go on, and to which service.
+    fn admit(
+        &self,
+        config: &Config,
+        head: Parts,
+        body: Bytes,
+        ask: Ask,
+        arrived_ms: u64,
+    ) -> Result<Admitted, Refusal> {
+        let host = host(&head);
+        let route = config.route(host, head.uri.path());
+        let route = route.ok_or_else(|| {
+            let detail = format!("host={host} version={}", config.version());
+            Refusal::new(Cause::NoRoute, detail)
+        })?;
+        let mut priority = route.priority;
+        let mut workspace = None;
+        if config.needs_keys() && !route.open {
+            self.check_freshness(arrived_ms)?;
+            let key = ask.key.as_deref().unwrap_or_default();
+            let holder = config.workspace_of(key).ok_or_else(|| {
+                let detail = format!("version={}", config.version());
+                Refusal::new(Cause::UnknownKey, detail)
+            })?;
+            priority = holder.priority.unwrap_or(priority);
+            workspace = Some(holder.name.clone());
+        }
+        let service = route
+            .service(random())
+            .ok_or_else(|| Refusal::new(Cause::NoEndpoint, "the route has no service"))?
+            .clone();
+        self.context.deposit();
+        Ok(Admitted {
+            patience: ask.patience_ms.map(|ms| Deadline::after(arrived_ms, ms)),
+            timeout: route.timeout_ms.map(|ms| Deadline::after(arrived_ms, ms)),
+            route: route.clone(),
+            version: config.version(),
+            tried: Vec::new(),
+            runs: 0,
+            head,
+            body,
+            ask,
+            service,
+            workspace,
+            priority,
+            arrived_ms,
+        })
+    }
+
+    /// Checks that this VM's view is fresh enough to vouch for keys.
+    fn check_freshness(&self, now_ms: u64) -> Result<(), Refusal> {
+        let age_ms = self.context.view.age_ms(now_ms);
+        let max_ms = self.context.options.key_age_max_ms();
+        if age_ms.is_some_and(|age_ms| age_ms <= max_ms) {
+            return Ok(());
+        }
+        let detail = format!("view_age_ms={age_ms:?} max_ms={max_ms}");
+        Err(Refusal::new(Cause::StaleView, detail).after(AFTER_STALE))
+    }
+
+    /// Sends a request to endpoints until one answers it or no other may be tried.
+    async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
+        loop {
+            let pick = self.pick(&admitted)?;
+            admitted.tried.push(pick.endpoint.clone());
+            let failure = match self.attempt(&admitted, &pick).await {
+                Ok(answer) => return Ok(self.finish(admitted, pick, answer)),
+                Err(failure) => failure,
+            };
+            self.note(&admitted, &pick, &failure);
+            if failure.verdict != Verdict::NotRun {
+                admitted.runs += 1;
+            }
+            if !self.may_try_again(&admitted, &failure) {
+                return Err(self.give_up(&admitted, &failure));
+            }
+        }
+    }
+
+    /// Picks an endpoint.
+    fn pick(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
+        let artifacts = admitted.artifacts();
+        let wanted = Wanted {
+            service: &admitted.service,
+            artifacts: &artifacts,
+            tried: &admitted.tried,
+        };
+        let now_ms = self.context.clock.now_ms();
+        let pick = self.context.fleet.pick(now_ms, &wanted, random());
+        pick.ok_or_else(|| {
+            let cause = if admitted.runs > 0 {
+                Cause::EndpointFailed
+            } else {
+                Cause::NoEndpoint
+            };
+            let detail = format!("service={} artifacts={artifacts:?}", admitted.service);
+            Refusal::new(cause, detail).after(SOON)
+        })
+    }
+
+    /// Sends a request to an endpoint; a short plain answer is read to its end.
+    async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<Received, Failure> {
+        let resumes_after = admitted.ask.resumes_after;
+        let answer = send(&self.context, admitted, pick, resumes_after).await?;
+        let (head, mut body) = answer.into_parts();
+        let length = hyper::body::Body::size_hint(&body).exact();
+        let is_short = length.is_some_and(|length| length <= WHOLE_MAX_BYTES);
+        if admitted.route.kind.is_stream() || !is_short {
+            let length = length.filter(|_| !admitted.route.kind.is_stream());
+            return Ok(Received::Parts(head, body, length));
+        }
+        let bytes = body.collect_up_to(WHOLE_MAX_BYTES as usize).await;
+        let bytes = bytes.map_err(Failure::may_have_run)?;
+        if head.status.is_server_error() && self.prefers_another(admitted) {
+            let reason = format!("the endpoint failed with status {}", head.status);
+            return Err(Failure::may_have_run(reason));
+        }
+        Ok(Received::Whole(head, bytes))
+    }
+
+    /// Tells whether a failed answer is better replaced by that of another endpoint.
+    fn prefers_another(&self, admitted: &Admitted) -> bool {
+        admitted.route.kind.may_repeat() && admitted.runs + 1 < admitted.route.attempts
+    }
+
+    /// Notes what a failure says of the endpoint.
+    fn note(&self, admitted: &Admitted, pick: &Pick, failure: &Failure) {
+        let fleet = &self.context.fleet;
+        let now_ms = self.context.clock.now_ms();
+        if failure.misdirected {
+            fleet.misses(&pick.endpoint, &admitted.artifacts());
+        } else if !failure.declined && fleet.fail(now_ms, &pick.endpoint) {
+            log::warn!("entry: endpoint={} ejected", pick.endpoint);
+        }
+        log::info!(
+            "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
+            admitted.id(),
+            pick.endpoint,
+            failure.verdict,
+            failure.reason
+        );
+    }
+
+    /// Tells whether a request may be sent once more, and takes that from the retry budget.
+    fn may_try_again(&self, admitted: &Admitted, failure: &Failure) -> bool {
+        let left_ms = admitted.left_ms(self.context.clock.now_ms());
+        let allowed = failure
+            .verdict
+            .allows_retry(admitted.route.kind.may_repeat());
+        allowed
+            && admitted.has_runs_left()
+            && admitted.tried.len() < SENDS_MAX
+            && left_ms.is_none_or(|left_ms| left_ms > 0)
+            && self.context.withdraw()
+    }
+
+    /// Makes the refusal of a request that is not sent any more.
+    fn give_up(&self, admitted: &Admitted, failure: &Failure) -> Refusal {
+        let left_ms = admitted.left_ms(self.context.clock.now_ms());
+        let cause = if admitted.runs == 0 {
+            Cause::EndpointsRefused
+        } else if left_ms == Some(0) {
+            Cause::TimedOut
+        } else {
+            Cause::EndpointFailed
+        };
+        let refusal = Refusal::new(cause, &failure.reason);
+        match cause {
+            Cause::EndpointsRefused => refusal.after(SOON),
+            _ => refusal,
+        }
+    }
+
+    /// Makes the answer to the caller of that of the endpoint.
+    fn finish(&self, admitted: Admitted, pick: Pick, received: Received) -> Response<Body> {
+        match received {
+            Received::Whole(head, bytes) => {
+                let now_ms = self.context.clock.now_ms();
+                self.context.fleet.succeed(now_ms, &pick.endpoint);
+                self.log_answer(&admitted, &pick, &head);
+                respond(head, Body::whole(bytes))
+            }
+            Received::Parts(head, answer, length) => {
+                let (caller, body) = Body::parts(length);
+                self.log_answer(&admitted, &pick, &head);
+                let relay = Relay {
+                    context: Arc::clone(&self.context),
+                    admitted,
+                    pick,
+                    answer,
+                    caller,
+                };
+                tokio::spawn(relay.run());
+                respond(head, body)
+            }
+        }
+    }
+
+    /// Logs the choice of an endpoint and what it was decided by.
+    fn log_answer(&self, admitted: &Admitted, pick: &Pick, head: &http::response::Parts) {
+        let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
+        log::info!(
+            "entry: request={} status={} route={} endpoint={} reason={} load={} tries={} version={} took_ms={took_ms}",
+            admitted.id(),
+            head.status.as_u16(),
+            admitted.route.name,
+            pick.endpoint,
+            pick.reason,
+            pick.load,
+            admitted.tried.len(),
+            admitted.version,
+        );
+    }
+
+    /// Logs and counts a refusal, and makes its answer.
+    fn refuse(&self, attempt: Option<&str>, refusal: &Refusal) -> Response<Body> {
+        let Refusal {
+            cause,
+            retry_after,
+            detail,
+        } = refusal;
+        let verdict = cause.verdict();
+        log::info!(
+            "entry: request={} refused cause={cause} verdict={verdict} retry_after={retry_after:?} {detail}",
+            attempt.unwrap_or("-")
+        );
+        self.context.meters.refused(*cause);
+        let mut response = Response::new(Body::whole(format!("{cause}\n")));
+        *response.status_mut() = cause.status();
+        let headers = response.headers_mut();
+        self.context.edge.sign(headers, attempt, *retry_after);
+        response
+    }
+}
+
+/// `Received` is an endpoint's answer.
+enum Received {
+    /// It is there as a whole.
+    Whole(http::response::Parts, Bytes),
+    /// Its body is to be relayed; the length is known for some.
+    Parts(http::response::Parts, Answer, Option<u64>),
+}
+
+/// Makes an answer of its head and body.
+fn respond(mut head: http::response::Parts, body: Body) -> Response<Body> {
+    strip_connection_headers(&mut head.headers);
+    Response::from_parts(head, body)
+}
+
+/// Returns the host that a request names, without a port.
+fn host(head: &Parts) -> &str {
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or(head.uri.host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
+/// Makes the refusal of a request whose body could not be read.
+fn unread(error: &body::Error) -> Refusal {
+    let cause = match error {
+        body::Error::TooLong { .. } => Cause::TooLarge,
+        body::Error::TooSlow { .. } => Cause::TooSlow,
+        body::Error::Broken { .. } => Cause::Malformed,
+    };
+    Refusal::new(cause, error)
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -0,0 +1,137 @@
+//! Settings of an entry.
+
+use std::time::Duration;
+
+use quetzalpick_node::http::server;
+use quetzalpick_node::process;
+use quetzalpick_node::settings::sections::{Log, Metrics, Vm, address};
+use quetzalpick_node::settings::{Reader, Section};
+
+use crate::entry::Listeners;
+use crate::options::Options;
+
+const ADDRESS: &str = "an IP address and port";
+const MINUTE_MS: u64 = 60_000;
+
+/// Time between the end of the stop and the moment at which the process would be killed.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Longest time for a request's head; it also bounds how long a connection may be idle.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+
+/// Parses an IP address and port, and returns it as text.
+fn address_text(text: &str) -> Option<String> {
+    address(text).map(|address| address.to_string())
+}
+
+/// `Settings` is the whole settings file of an entry.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The VM.
+    pub vm: Vm,
+    /// The log service.
+    pub topics: Topics,
+    /// The callers' listener.
+    pub callers: Callers,
+    /// The admin listener.
+    pub metrics: Metrics,
+    /// Logs.
+    pub log: Log,
+    /// What operators may rely on.
+    pub bounds: Bounds,
+}
+
+impl process::Settings for Settings {
+    fn log(&self) -> &Log {
+        &self.log
+    }
+}
+
+impl Section for Settings {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            vm: reader.section("vm"),
+            topics: reader.section("topics"),
+            callers: reader.section("callers"),
+            metrics: reader.section("metrics"),
+            log: reader.section("log"),
+            bounds: reader.section("bounds"),
+        }
+    }
+}
+
+/// `Topics` tells where the log service is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Topics {
+    /// IP address and port.
+    pub address: String,
+}
+
+impl Section for Topics {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let address = reader.required("address", "127.0.0.1:7000", ADDRESS, address_text);
+        Self { address }
+    }
+}
+
+/// `Callers` sets the callers' listener.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Callers {
+    /// Address to listen on.
+    pub listen: String,
+    /// Most connections at a time.
+    pub connections_max: usize,
+}
+
+impl Section for Callers {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            listen: reader.required("listen", "127.0.0.1:7301", ADDRESS, address_text),
+            connections_max: reader.number("connections_max", 2_048, 1..=1 << 20, "connections")
+                as usize,
+        }
+    }
+}
+
+/// `Bounds` are the times that operators may rely on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// From the withdrawal of a key to its end.
+    pub revocation: Duration,
+    /// From the request to stop to the kill.
+    pub stop: Duration,
+}
+
+impl Section for Bounds {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            revocation: reader.millis("revocation_ms", 5_000, 1_000..=10 * MINUTE_MS),
+            stop: reader.millis("stop_ms", 8_000, 3_000..=10 * MINUTE_MS),
+        }
+    }
+}
+
+impl Settings {
+    /// Returns where an entry with these settings listens.
+    pub fn listeners(&self) -> Listeners {
+        Listeners {
+            callers: self.callers.listen.clone(),
+            admin: self.metrics.listen.clone(),
+            limits: server::Options {
+                head_timeout: HEAD_TIME,
+                connections: self.callers.connections_max,
+                drain: self.bounds.stop,
+                ..server::Options::default()
+            },
+        }
+    }
+
+    /// Returns the options of an entry with these settings.
+    pub fn options(&self) -> Options {
+        Options {
+            revocation: self.bounds.revocation,
+            stop: self.bounds.stop.saturating_sub(STOP_MARGIN),
+            ..Options::new(self.vm.name.clone(), self.vm.domain.clone())
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/view/mod.rs
@@ -0,0 +1,9 @@
+//! What this VM has read of the published topics, and how old that is.
+
+mod config;
+mod endpoints;
+mod freshness;
+
+pub(crate) use config::{ConfigFollower, View};
+pub(crate) use endpoints::EndpointFollower;
+pub(crate) use freshness::Contact;
--- a/crates/quetzalpick-node/src/http/server.rs
+++ b/crates/quetzalpick-node/src/http/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP listener with limits and a shutdown that finishes what is under way.
 
 use std::convert::Infallible;
+use std::error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,8 +26,8 @@
 
 /// `Handler` answers requests; a clone is used for each connection.
 pub trait Handler: Clone + Send + Sync + 'static {
-    /// Body of the answers.
-    type Body: Body<Data = Bytes, Error = Infallible> + Send + 'static;
+    /// Body of the answers; an error closes the connection before the answer's end.
+    type Body: Body<Data = Bytes, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + 'static;
 
     /// Answers one request.
     fn handle(
--- a/crates/quetzalpick-node/src/process.rs
+++ b/crates/quetzalpick-node/src/process.rs
@@ -1,5 +1,6 @@
 //! A whole process with settings: command line, logger, work, exit code.
 
+use std::ffi::OsString;
 use std::fmt::Display;
 use std::future::Future;
 use std::process::ExitCode;
@@ -19,13 +20,27 @@
 
 /// Reads the command line and the settings, starts the logger, and does the work until it ends.
 pub async fn main<S, E, W>(command: Command, work: impl FnOnce(S) -> W) -> ExitCode
+where
+    S: Settings,
+    E: Display,
+    W: Future<Output = Result<(), E>>,
+{
+    main_with(command, std::env::args_os(), work).await
+}
+
+/// Does the same with a command line that the caller gives.
+pub async fn main_with<S, E, W>(
+    command: Command,
+    arguments: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+    work: impl FnOnce(S) -> W,
+) -> ExitCode
 where
     S: Settings,
     E: Display,
     W: Future<Output = Result<(), E>>,
 {
     let name = command.get_name().to_owned();
-    let settings: S = match start(command, std::env::args_os()) {
+    let settings: S = match start(command, arguments) {
         Start::Run(settings) => settings,
         Start::Exit(code) => return ExitCode::from(code),
     };
