Elect a leader through a conditional log, and divide rates over VMs

Cause: placement needs one leader with a fencing number, and a workspace's rate must hold over all VMs while VMs die and the leader changes; the platform's log appends under a condition, so that the fold of our own is not needed for it. Ruled out: the log's groups for leadership, since all partitions may be dealt anew without a request; a static split of rates only, which refuses within rate when callers are uneven.

--- /dev/null
+++ b/crates/quetzalpick-core/src/election.rs
@@ -0,0 +1,385 @@
+//! The election of one leader through a log that appends under a condition.
+//!
+//! A claim or a renewal is appended only where the log is known to end, so that of two claims one fails, and a leader that was
+//! replaced learns it from its next renewal. Times are milliseconds on the VM's own clock, which counts suspension.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Incarnation, Offset, Vm};
+
+/// `Options` set the times of an election; all VMs use the same.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Pause between two renewals, in ms.
+    pub renew_ms: u64,
+    /// Time after the send of its last renewal for which a leader acts, in ms.
+    pub hold_ms: u64,
+    /// Time without a renewal after which another VM claims, in ms; longer than `hold_ms`.
+    pub lapse_ms: u64,
+    /// Time without word of the leader after which the log is read, in ms.
+    pub silence_ms: u64,
+    /// Time that must pass between the acts of two leaders on different VMs, in ms.
+    pub handover_ms: u64,
+    /// Pause between two reads while there is no leader, in ms.
+    pub read_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            renew_ms: 900,
+            hold_ms: 2_000,
+            lapse_ms: 2_500,
+            silence_ms: 1_000,
+            handover_ms: 3_200,
+            read_ms: 400,
+        }
+    }
+}
+
+/// `Candidate` is one start of one VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The VM.
+    pub vm: Vm,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// IP address and port at which the other VMs reach it.
+    pub address: String,
+}
+
+/// `Claim` is one record of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Who claims or renews.
+    pub candidate: Candidate,
+    /// Offset of the first record of the term; `None` in that record itself.
+    pub term: Option<Offset>,
+    /// Set when the leader resigns: time since its last act, in ms.
+    pub resigned_after_ms: Option<u64>,
+}
+
+/// `Tail` is what a read of the log showed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tail {
+    /// Where the log ends.
+    pub end: Offset,
+    /// Newest record that could be read, and its offset; `None` if none was read.
+    pub newest: Option<(Offset, Claim)>,
+}
+
+/// `Appended` is what became of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Appended {
+    /// The record has this offset.
+    At(Offset),
+    /// The log ends elsewhere, and nothing was appended.
+    Conflict,
+    /// It is not known whether the record was appended or will be.
+    Unknown,
+    /// Nothing was appended.
+    Failed,
+}
+
+/// `Step` is what to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing for this long, in ms.
+    Wait(u64),
+    /// Read the log from an offset on.
+    Read(Offset),
+    /// Append a claim where the log ends at an offset.
+    Append(Claim, Offset),
+}
+
+/// `Seen` is the newest state of the log that was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Seen {
+    end: Offset,
+    newest: Option<(Offset, Claim)>,
+    /// When the log was first seen to end there, in ms.
+    since_ms: u64,
+}
+
+/// `Term` is the own leadership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Term {
+    first: Offset,
+    /// Send time of the last renewal that was accepted, in ms.
+    renewed_ms: u64,
+    /// When the term may begin to act, in ms.
+    acts_from_ms: u64,
+    /// Where the log ends after the last renewal.
+    end: Offset,
+    /// Send time of an append of which it is not known whether it took effect, in ms.
+    doubt_ms: Option<u64>,
+    /// The next renewal is not sent before, in ms.
+    next_ms: u64,
+}
+
+/// `Election` follows the log for one VM, claims when nobody leads, and renews.
+#[derive(Debug, Clone)]
+pub struct Election {
+    me: Candidate,
+    options: Options,
+    seen: Option<Seen>,
+    term: Option<Term>,
+    heard_ms: Option<u64>,
+    next_read_ms: u64,
+    acted_ms: Option<u64>,
+}
+
+/// Longest pause between two steps, in ms.
+const WAIT_MAX_MS: u64 = 100;
+
+/// A renewal that failed is repeated after one of this many parts of the usual pause.
+const RETRY_PART: u64 = 4;
+
+impl Election {
+    /// Begins without any knowledge of the log.
+    pub fn new(me: Candidate, options: Options) -> Self {
+        Self {
+            me,
+            options,
+            seen: None,
+            term: None,
+            heard_ms: None,
+            next_read_ms: 0,
+            acted_ms: None,
+        }
+    }
+
+    /// Returns what to do next.
+    pub fn step(&self, now_ms: u64) -> Step {
+        if let Some(term) = &self.term {
+            if term.doubt_ms.is_some() && now_ms >= self.next_read_ms {
+                return Step::Read(term.end);
+            }
+            if term.doubt_ms.is_some() || now_ms < term.next_ms {
+                return Step::Wait(WAIT_MAX_MS);
+            }
+            return Step::Append(self.claim(Some(term.first)), term.end);
+        }
+        if let Some(at) = self.claimable(now_ms) {
+            return Step::Append(self.claim(None), at);
+        }
+        let heard = self.heard_ms.map(|at| at + self.options.silence_ms);
+        let due_ms = self.next_read_ms.max(heard.unwrap_or_default());
+        if now_ms < due_ms {
+            return Step::Wait((due_ms - now_ms).min(WAIT_MAX_MS));
+        }
+        Step::Read(self.seen.as_ref().map_or(Offset(0), |seen| seen.end))
+    }
+
+    /// Takes in what a read sent at `sent_ms` showed.
+    pub fn read(&mut self, sent_ms: u64, now_ms: u64, tail: Tail) {
+        self.next_read_ms = now_ms + self.options.read_ms;
+        if self.settles_doubt(&tail) {
+            return;
+        }
+        let former = self.seen.take();
+        let unchanged = former.filter(|seen| seen.end == tail.end);
+        let seen = unchanged.unwrap_or_else(|| Seen {
+            end: tail.end,
+            newest: tail.newest,
+            since_ms: now_ms,
+        });
+        if let Some((offset, claim)) = &seen.newest
+            && claim.candidate == self.me
+            && claim.resigned_after_ms.is_none()
+        {
+            // A claim whose answer was lost took effect; nobody else claimed up to this read.
+            self.term = Some(Term {
+                first: claim.term.unwrap_or(*offset),
+                renewed_ms: sent_ms,
+                acts_from_ms: now_ms + self.options.hold_ms + self.options.handover_ms,
+                end: seen.end,
+                doubt_ms: None,
+                next_ms: now_ms,
+            });
+        }
+        self.seen = Some(seen);
+    }
+
+    /// Ends the doubt about a renewal by what a read showed; tells whether the own term goes on.
+    fn settles_doubt(&mut self, tail: &Tail) -> bool {
+        let Some(term) = &mut self.term else {
+            return false;
+        };
+        let is_mine = |(_, claim): &(Offset, Claim)| claim.candidate == self.me;
+        let goes_on = match &tail.newest {
+            None => tail.end == term.end,
+            Some(newest) => is_mine(newest),
+        };
+        if !goes_on {
+            self.term = None;
+            self.seen = None;
+            return false;
+        }
+        if tail.newest.is_some() {
+            term.renewed_ms = term
+                .doubt_ms
+                .unwrap_or(term.renewed_ms)
+                .max(term.renewed_ms);
+        }
+        term.end = tail.end;
+        term.doubt_ms = None;
+        true
+    }
+
+    /// Takes in that a read failed.
+    pub fn read_failed(&mut self, now_ms: u64) {
+        self.next_read_ms = now_ms + self.options.read_ms;
+    }
+
+    /// Takes in what became of an append sent at `sent_ms`.
+    pub fn appended(&mut self, sent_ms: u64, now_ms: u64, result: Appended) {
+        let renew_ms = self.options.renew_ms;
+        let Some(term) = &mut self.term else {
+            return self.claimed(sent_ms, now_ms, result);
+        };
+        match result {
+            Appended::At(offset) => {
+                term.renewed_ms = sent_ms;
+                term.end = Offset(offset.0 + 1);
+                term.next_ms = sent_ms + renew_ms;
+            }
+            // Only a read tells whether the record, or another one, is there.
+            Appended::Conflict | Appended::Unknown => {
+                term.doubt_ms = Some(sent_ms);
+                self.next_read_ms = now_ms;
+            }
+            Appended::Failed if now_ms < term.renewed_ms + self.options.lapse_ms => {
+                term.next_ms = now_ms + renew_ms / RETRY_PART;
+            }
+            Appended::Failed => self.forget(now_ms),
+        }
+    }
+
+    /// Takes in what became of a claim.
+    fn claimed(&mut self, sent_ms: u64, now_ms: u64, result: Appended) {
+        let Appended::At(offset) = result else {
+            return self.forget(now_ms);
+        };
+        self.term = Some(Term {
+            first: offset,
+            renewed_ms: sent_ms,
+            acts_from_ms: now_ms + self.wait_before_acts_ms(now_ms),
+            end: Offset(offset.0 + 1),
+            doubt_ms: None,
+            next_ms: sent_ms + self.options.renew_ms,
+        });
+    }
+
+    /// Notes that the leader of a term answered.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.heard_ms = Some(now_ms);
+    }
+
+    /// Notes that the VM thought to lead says that it does not, or cannot be reached.
+    pub fn unheard(&mut self) {
+        self.heard_ms = None;
+    }
+
+    /// Notes an act, such as an order, at its send time.
+    pub fn acted(&mut self, now_ms: u64) {
+        self.acted_ms = self.acted_ms.max(Some(now_ms));
+    }
+
+    /// Gives the own leadership up, as when an endpoint knows a newer one.
+    pub fn resign(&mut self, now_ms: u64) {
+        self.forget(now_ms);
+    }
+
+    /// Returns the record that tells others of a planned resignation, and where the log ends; `None` without a term.
+    pub fn resignation(&self, now_ms: u64) -> Option<(Claim, Offset)> {
+        let term = self.term.as_ref()?;
+        let last_ms = self.acted_ms.unwrap_or_default();
+        let since_ms = now_ms.saturating_sub(last_ms);
+        let claim = Claim {
+            resigned_after_ms: Some(since_ms),
+            ..self.claim(Some(term.first))
+        };
+        Some((claim, term.end))
+    }
+
+    /// Returns the number that fences the own acts, if this VM may act now.
+    pub fn fence(&self, now_ms: u64) -> Option<u64> {
+        let term = self.term.as_ref()?;
+        let held = now_ms < term.renewed_ms + self.options.hold_ms;
+        (held && now_ms >= term.acts_from_ms).then_some(term.first.0 + 1)
+    }
+
+    /// Tells whether this VM leads, though it may not act yet.
+    pub fn is_leading(&self, now_ms: u64) -> bool {
+        let term = self.term.as_ref();
+        term.is_some_and(|term| now_ms < term.renewed_ms + self.options.hold_ms)
+    }
+
+    /// Returns the VM that is thought to lead, this one included.
+    pub fn leader(&self) -> Option<&Candidate> {
+        if self.term.is_some() {
+            return Some(&self.me);
+        }
+        let (_, claim) = self.seen.as_ref()?.newest.as_ref()?;
+        (claim.resigned_after_ms.is_none()).then_some(&claim.candidate)
+    }
+
+    fn claim(&self, term: Option<Offset>) -> Claim {
+        Claim {
+            candidate: self.me.clone(),
+            term,
+            resigned_after_ms: None,
+        }
+    }
+
+    /// Gives up the own term, and reads the log at once.
+    fn forget(&mut self, now_ms: u64) {
+        self.term = None;
+        self.heard_ms = None;
+        self.seen = None;
+        self.next_read_ms = now_ms;
+    }
+
+    /// Returns where to append a claim, if nobody leads.
+    fn claimable(&self, now_ms: u64) -> Option<Offset> {
+        let seen = self.seen.as_ref()?;
+        let lapsed = now_ms >= seen.since_ms + self.options.lapse_ms && !self.hears(now_ms);
+        let free = match &seen.newest {
+            None => seen.end == Offset(0) || lapsed,
+            Some((_, claim)) => {
+                claim.resigned_after_ms.is_some() || self.is_former_self(claim) || lapsed
+            }
+        };
+        free.then_some(seen.end)
+    }
+
+    /// Tells whether a claim is of a former start of this VM, which has ended.
+    fn is_former_self(&self, claim: &Claim) -> bool {
+        let candidate = &claim.candidate;
+        candidate.vm == self.me.vm && candidate.incarnation != self.me.incarnation
+    }
+
+    fn hears(&self, now_ms: u64) -> bool {
+        let heard = self.heard_ms.map(|at| at + self.options.silence_ms);
+        heard.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
+    /// Returns how long a new term waits until the former leader's last act is long enough past, in ms.
+    fn wait_before_acts_ms(&self, now_ms: u64) -> u64 {
+        let Some(seen) = &self.seen else {
+            return self.options.hold_ms + self.options.handover_ms;
+        };
+        let Some((_, claim)) = &seen.newest else {
+            return 0;
+        };
+        if self.is_former_self(claim) {
+            return 0;
+        }
+        let last_ms = match claim.resigned_after_ms {
+            Some(after_ms) => seen.since_ms.saturating_sub(after_ms),
+            None => seen.since_ms + self.options.hold_ms,
+        };
+        (last_ms + self.options.handover_ms).saturating_sub(now_ms)
+    }
+}
--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -7,12 +7,14 @@
 
 pub mod admit;
 pub mod dispatch;
+pub mod election;
 pub mod errors;
 pub mod id;
 pub mod lease;
 pub mod payload;
 pub mod plan;
 pub mod quota;
+pub mod rate;
 pub mod record;
 pub mod retry;
 pub mod route;
--- a/crates/quetzalpick-core/src/quota/bucket.rs
+++ b/crates/quetzalpick-core/src/quota/bucket.rs
@@ -79,6 +79,20 @@
         self.clip();
     }
 
+    /// Sets the parts; a level that they cannot hold is lost.
+    pub(crate) fn set_parts(&mut self, now_ms: u64, parts: u64) {
+        self.fill(now_ms);
+        self.parts = parts;
+        self.clip();
+    }
+
+    /// Puts tokens in as far as there is room.
+    pub(crate) fn put(&mut self, now_ms: u64, tokens: u64) {
+        self.fill(now_ms);
+        self.level = self.level.saturating_add(fine(tokens));
+        self.clip();
+    }
+
     /// Adds parts that the fold granted, `full` of which come with a full bucket.
     pub(crate) fn grant(&mut self, now_ms: u64, parts: u64, full: u64) {
         self.fill(now_ms);
--- a/crates/quetzalpick-core/src/quota/mod.rs
+++ b/crates/quetzalpick-core/src/quota/mod.rs
@@ -12,6 +12,7 @@
 mod rebalance;
 mod receiver;
 
+pub(crate) use bucket::Bucket;
 pub use charge::{Charge, Receipt};
 pub use gate::{Options, Quota};
 pub use message::{Ack, Answer, Ask, Hint, Peer, Transfer};
--- /dev/null
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -0,0 +1,227 @@
+//! Elections against a log that appends under a condition, with lost and late answers, pauses and restarts.
+//!
+//! The oracle checks that acts of leaders on different VMs are never closer than the handover time, and that fencing
+//! numbers grow. A naive leader that acts without a bound on the age of its renewal is caught by it.
+
+use quetzalpick_core::election::{Appended, Candidate, Claim, Election, Options, Step, Tail};
+use quetzalpick_core::id::{Incarnation, Offset, Vm};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const VMS: usize = 4;
+const STEP_MS: u64 = 20;
+
+struct Log {
+    records: Vec<Claim>,
+    late: Vec<(u64, Claim, u64)>,
+}
+
+impl Log {
+    fn append(&mut self, claim: Claim, at: Offset) -> Option<Offset> {
+        let end = self.records.len() as u64;
+        (at.0 == end).then(|| {
+            self.records.push(claim);
+            Offset(end)
+        })
+    }
+
+    fn settle(&mut self, now_ms: u64) {
+        let due: Vec<_> = self
+            .late
+            .extract_if(.., |(at, _, _)| *at <= now_ms)
+            .collect();
+        for (_, claim, at) in due {
+            self.append(claim, Offset(at));
+        }
+    }
+
+    fn tail(&self, from: Offset) -> Tail {
+        let from = usize::try_from(from.0).unwrap_or(usize::MAX);
+        let newest = self.records.iter().enumerate().skip(from).last();
+        Tail {
+            end: Offset(self.records.len() as u64),
+            newest: newest.map(|(at, claim)| (Offset(at as u64), claim.clone())),
+        }
+    }
+}
+
+fn start(vm: usize, incarnation: u64) -> Election {
+    let me = Candidate {
+        vm: Vm::try_new(format!("vm-{vm}")).unwrap(),
+        incarnation: Incarnation(incarnation),
+        address: format!("10.0.0.{vm}:1"),
+    };
+    Election::new(me, Options::default())
+}
+
+/// Acts seen: time, VM, fencing number.
+type Acts = Vec<(u64, usize, u64)>;
+
+fn play(seed: u64, ms: u64, faults: bool, naive: bool) -> Acts {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut log = Log {
+        records: Vec::new(),
+        late: Vec::new(),
+    };
+    let mut vms: Vec<Election> = (0..VMS).map(|vm| start(vm, vm as u64)).collect();
+    let mut paused_until = [0_u64; VMS];
+    let mut cut_until = [0_u64; VMS];
+    let mut stuck_fence = [None; VMS];
+    let mut acts = Acts::new();
+    let mut now_ms = 0;
+    while now_ms < ms {
+        now_ms += STEP_MS;
+        log.settle(now_ms);
+        for vm in 0..VMS {
+            if faults && random.random_range(0..2_000) == 0 {
+                paused_until[vm] = now_ms + random.random_range(500..6_000);
+            }
+            if faults && random.random_range(0..2_000) == 0 {
+                cut_until[vm] = now_ms + random.random_range(500..6_000);
+            }
+            if faults && random.random_range(0..4_000) == 0 {
+                vms[vm] = start(vm, now_ms * 10 + vm as u64);
+                stuck_fence[vm] = None;
+                paused_until[vm] = now_ms + random.random_range(0..1_500);
+            }
+            if now_ms < paused_until[vm] {
+                continue;
+            }
+            let leader = vms.iter().position(|vm| vm.is_leading(now_ms));
+            let hears = leader.is_some_and(|leader| now_ms >= paused_until[leader]);
+            let cut = now_ms < cut_until[vm];
+            let election = &mut vms[vm];
+            if hears {
+                election.heard(now_ms);
+            }
+            match election.step(now_ms) {
+                Step::Wait(_) => {}
+                Step::Read(_) if cut => election.read_failed(now_ms),
+                Step::Read(from) => {
+                    let tail = log.tail(from);
+                    election.read(now_ms, now_ms, tail);
+                }
+                Step::Append(..) if cut => election.appended(now_ms, now_ms, Appended::Failed),
+                Step::Append(claim, at) => {
+                    let fate = if faults {
+                        random.random_range(0..10)
+                    } else {
+                        9
+                    };
+                    let result = match fate {
+                        0 => {
+                            log.append(claim, at);
+                            Appended::Unknown
+                        }
+                        1 => {
+                            let late_ms = now_ms + random.random_range(500..6_000);
+                            log.late.push((late_ms, claim, at.0));
+                            Appended::Unknown
+                        }
+                        _ => log
+                            .append(claim, at)
+                            .map_or(Appended::Conflict, Appended::At),
+                    };
+                    election.appended(now_ms, now_ms, result);
+                }
+            }
+            let fence = election.fence(now_ms);
+            stuck_fence[vm] = fence.or(stuck_fence[vm]);
+            if let Some(fence) = if naive { stuck_fence[vm] } else { fence } {
+                vms[vm].acted(now_ms);
+                acts.push((now_ms, vm, fence));
+            }
+        }
+    }
+    acts
+}
+
+/// Returns what is wrong with acts, if anything.
+fn fault(acts: &Acts) -> Option<String> {
+    let handover_ms = Options::default().handover_ms;
+    let mut newest = 0;
+    for pair in acts.windows(2) {
+        let ((before_ms, before, _), (now_ms, now, fence)) = (pair[0], pair[1]);
+        if before != now && now_ms - before_ms < handover_ms {
+            return Some(format!(
+                "vm {now} acts {} ms after vm {before}",
+                now_ms - before_ms
+            ));
+        }
+        if fence < newest {
+            return Some(format!("number {fence} after {newest}"));
+        }
+        newest = fence;
+    }
+    None
+}
+
+#[test]
+fn one_leader_acts_from_the_begin() {
+    let acts = play(1, 5_000, false, false);
+    assert_eq!(fault(&acts), None);
+    assert!(acts.len() > 200, "acts: {}", acts.len());
+}
+
+#[test]
+fn leaders_on_different_vms_keep_the_handover_time() {
+    for seed in 0..60 {
+        let acts = play(seed, 60_000, true, false);
+        assert_eq!(fault(&acts), None, "seed {seed}");
+        assert!(acts.len() > 300, "seed {seed}: acts: {}", acts.len());
+    }
+}
+
+#[test]
+fn a_leader_that_acts_without_a_bound_is_caught() {
+    let caught = (0..20).filter(|seed| fault(&play(*seed, 60_000, true, true)).is_some());
+    assert!(caught.count() > 10);
+}
+
+#[test]
+fn a_restarted_leader_goes_on_at_once() {
+    let mut log = Log {
+        records: Vec::new(),
+        late: Vec::new(),
+    };
+    let mut first = start(0, 1);
+    first.read(0, 0, log.tail(Offset(0)));
+    let Step::Append(claim, at) = first.step(1) else {
+        panic!("no claim")
+    };
+    first.appended(1, 1, Appended::At(log.append(claim, at).unwrap()));
+    assert!(first.fence(2).is_some());
+    let mut second = start(0, 2);
+    second.read(3, 3, log.tail(Offset(0)));
+    let Step::Append(claim, at) = second.step(3) else {
+        panic!("no claim")
+    };
+    second.appended(4, 4, Appended::At(log.append(claim, at).unwrap()));
+    assert!(second.fence(5) > first.fence(5));
+}
+
+#[test]
+fn a_resigned_leader_is_followed_once_its_last_act_is_long_enough_past() {
+    let mut log = Log {
+        records: Vec::new(),
+        late: Vec::new(),
+    };
+    let mut first = start(0, 1);
+    first.read(0, 0, log.tail(Offset(0)));
+    let Step::Append(claim, at) = first.step(1) else {
+        panic!("no claim")
+    };
+    first.appended(1, 1, Appended::At(log.append(claim, at).unwrap()));
+    first.acted(10);
+    let (claim, at) = first.resignation(1_010).unwrap();
+    log.append(claim, at).unwrap();
+    let mut second = start(1, 2);
+    second.read(1_010, 1_010, log.tail(Offset(0)));
+    let Step::Append(claim, at) = second.step(1_010) else {
+        panic!("no claim")
+    };
+    second.appended(1_010, 1_010, Appended::At(log.append(claim, at).unwrap()));
+    let acts_from = 10 + Options::default().handover_ms;
+    assert_eq!(second.fence(acts_from - 1), None);
+    assert!(second.is_leading(1_011));
+}
