--- a/crates/quetzalpick-core/src/rate/allocator.rs
+++ b/crates/quetzalpick-core/src/rate/allocator.rs
@@ -1,5 +1,7 @@
 //! The leader's division of what is lent.
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{Vm, Workspace};
 use crate::rate::Parts;
 use crate::record::PARTS_TOTAL;
@@ -20,8 +22,8 @@
     fn default() -> Self {
         Self {
             floor_permille: 500,
-            loan_ms: 2_000,
-            count_ms: 2_100,
+            loan_ms: 6_000,
+            count_ms: 6_200,
         }
     }
 }
@@ -39,10 +41,12 @@
     pub wanted: u64,
     /// Number of the newest loan of this leader that it has received; it uses no older one.
     pub received: u64,
+    /// Parts that it may use of loans, whichever leader they are from.
+    pub held: Parts,
 }
 
 /// `Loan` is what was lent to a VM with one answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loan {
     /// Number of the loan; it grows.
     pub number: u64,
@@ -90,11 +94,14 @@
 
 /// `Allocator` lends the part of each rate that is not divided evenly.
 ///
-/// A new leader begins only when the loans of the former one are over.
+/// A new leader first renews what VMs hold of the former one, and lends more once all VMs have told what
+/// they hold, or all of that is over.
 #[derive(Debug, Clone)]
 pub struct Allocator {
     options: Options,
     workspaces: Table<Workspace, Table<Vm, Borrower>>,
+    /// Until this time loans of a former leader may be in use, in ms.
+    inherits_until_ms: u64,
     /// Number of the last loan.
     last: u64,
 }
@@ -103,9 +110,10 @@
 const HEADROOM_PERCENT: u64 = 130;
 
 impl Allocator {
-    /// Makes an allocator that has lent nothing.
-    pub fn new(options: Options) -> Self {
+    /// Makes the allocator of a leader that begins now.
+    pub fn new(now_ms: u64, options: Options) -> Self {
         Self {
+            inherits_until_ms: now_ms + options.count_ms,
             options,
             workspaces: Table::default(),
             last: 0,
@@ -120,6 +128,7 @@
             rate,
             wanted,
             received,
+            held,
         } = question;
         let whole = PARTS_TOTAL - PARTS_TOTAL / 1_000 * self.options.floor_permille.min(1_000);
         let floor = super::floor(members, self.options.floor_permille);
@@ -128,12 +137,23 @@
         let borrowers = self
             .workspaces
             .get_or_insert_with(workspace.clone(), Table::default);
-        let borrower = borrowers.get_or_insert_with(vm.clone(), Borrower::default);
+        let inherited = Counted {
+            loan: Loan {
+                number: 0,
+                parts: held,
+            },
+            until_ms: self.inherits_until_ms,
+        };
+        let borrower = borrowers.get_or_insert_with(vm.clone(), || Borrower {
+            loans: vec![inherited],
+            ..Borrower::default()
+        });
         borrower.wanted = wanted;
         borrower.asked_ms = now_ms;
         borrower.received(received);
         borrowers.iter_mut().for_each(|(_, b)| b.tidy(now_ms));
-        borrowers.retain(|_, b| b.asked_ms >= fresh_ms || !b.loans.is_empty());
+        let inherits = now_ms < self.inherits_until_ms;
+        borrowers.retain(|_, b| inherits || b.asked_ms >= fresh_ms || !b.loans.is_empty());
         let asking = || borrowers.values().filter(|b| b.asked_ms >= fresh_ms);
         let needs = asking().map(|b| need(b.wanted, rate, floor));
         let share = share(
@@ -145,9 +165,15 @@
         let others = borrowers.iter().filter(|(name, _)| *name != vm);
         let lent: Parts = others.map(|(_, b)| b.held(now_ms)).sum();
         self.last += 1;
+        let mut parts = share.min(whole.saturating_sub(lent));
+        let all_known = borrowers.len() >= members;
+        if now_ms < self.inherits_until_ms && !all_known {
+            // What a VM holds of a former leader may be renewed, and no more: others may hold the rest.
+            parts = parts.min(held);
+        }
         let loan = Loan {
             number: self.last,
-            parts: share.min(whole.saturating_sub(lent)),
+            parts,
         };
         if let Some(borrower) = borrowers.get_mut(vm) {
             borrower.loans.push(Counted { loan, until_ms });
--- a/crates/quetzalpick-core/src/rate/slice.rs
+++ b/crates/quetzalpick-core/src/rate/slice.rs
@@ -31,6 +31,11 @@
         self.bucket.set_parts(now_ms, parts);
     }
 
+    /// Returns the part of the workspace that is this slice.
+    pub fn parts(&self) -> Parts {
+        self.bucket.parts()
+    }
+
     /// Takes units for a request.
     ///
     /// # Errors
--- a/crates/quetzalpick-core/tests/rate.rs
+++ b/crates/quetzalpick-core/tests/rate.rs
@@ -41,15 +41,14 @@
         .map(|n| Vm::try_new(format!("vm-{n}")).unwrap())
         .collect();
     let options = Options::default();
-    let mut allocator = Allocator::new(options.clone());
+    let mut allocator = Allocator::new(0, options.clone());
     let mut leader_from_ms = 0;
     let mut nodes: Vec<Node> = (0..VMS).map(|_| Node::new(0)).collect();
     let mut passed = Vec::new();
     for now_ms in (0..ms).step_by(STEP_MS as usize) {
         if faults && random.random_range(0..700) == 0 {
-            allocator = Allocator::new(options.clone());
-            // The next leader waits for what the former one has lent.
-            leader_from_ms = now_ms + options.count_ms;
+            allocator = Allocator::new(now_ms, options.clone());
+            leader_from_ms = now_ms + 3_000;
             nodes.iter_mut().for_each(|node| node.loan.number = 0);
         }
         for (n, node) in nodes.iter_mut().enumerate() {
@@ -65,7 +64,8 @@
             if now_ms % ASK_EVERY_MS == 0 && now_ms >= leader_from_ms {
                 let lost = faults && random.random_range(0..4) == 0;
                 if naive {
-                    allocator = Allocator::new(options.clone());
+                    let long_ago = 0;
+                    allocator = Allocator::new(long_ago, options.clone());
                 }
                 let question = Question {
                     vm: &names[n],
@@ -73,6 +73,11 @@
                     rate: RATE,
                     wanted: part,
                     received: node.loan.number,
+                    held: if now_ms < node.loan_until_ms {
+                        node.loan.parts
+                    } else {
+                        0
+                    },
                 };
                 let loan = allocator.lend(now_ms, question, VMS);
                 if !lost {
@@ -120,7 +125,7 @@
 fn no_window_exceeds_rate_and_burst() {
     let bound = RATE * WINDOW_MS / 1_000 + BURST + OVERDRAFT * VMS as u64;
     for seed in 0..20 {
-        let passed = play(seed, 40_000, RATE * 5, true, false);
+        let passed = play(seed, 60_000, RATE * 5, true, false);
         assert!(
             most(&passed) <= bound,
             "seed {seed}: {} > {bound}",
@@ -132,7 +137,7 @@
 #[test]
 fn a_leader_that_forgets_its_loans_is_caught() {
     let bound = RATE * WINDOW_MS / 1_000 + BURST + OVERDRAFT * VMS as u64;
-    let exceeds = |seed: &u64| most(&play(*seed, 40_000, RATE * 5, true, true)) > bound;
+    let exceeds = |seed: &u64| most(&play(*seed, 60_000, RATE * 5, true, true)) > bound;
     assert!((0..20).any(|seed| exceeds(&seed)));
 }
 
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -1,14 +1,20 @@
 //! A running entry: its parts, their start, and the planned stop.
 
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use quetzalpick_client::http::Pool;
 use quetzalpick_client::topic::Topics;
+use quetzalpick_core::election::{Candidate, Election};
+use quetzalpick_core::id::Incarnation;
 use quetzalpick_core::retry::Budget;
 use quetzalpick_node::http::admin::{Admin, Readiness};
 use quetzalpick_node::http::server::{self, Server};
 use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
+use quetzalpick_node::peer::Transport;
 use quetzalpick_node::telemetry::metrics::Metrics;
 use snafu::{ResultExt, ensure};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -18,21 +24,29 @@
 use crate::clock::Clock;
 use crate::edge::{Codec, Edge};
 use crate::errors::{Result, SignalSnafu, UnfinishedSnafu};
+use crate::exchange::{Client, Desk};
 use crate::fleet::Fleet;
+use crate::lead::{Elector, Foreman, Lead};
 use crate::meters::Meters;
 use crate::options::Options;
-use crate::serve::{Context, Handler};
-use crate::view::{ConfigFollower, EndpointFollower, View};
+use crate::place::Engines;
+use crate::rate::Rates;
+use crate::serve::{Context, Handler, Supply};
+use crate::view::{ConfigFollower, EndpointFollower, Registry, View};
 
 /// `Outside` is how an entry reaches the outside, and how that looks on the wire.
 #[derive(Debug, Clone)]
-pub struct Outside<T, E, C> {
+pub struct Outside<T, E, C, N, P> {
     /// The log service.
     pub topics: T,
     /// Heads of requests and answers.
     pub edge: E,
     /// Records of operators and endpoints.
     pub codec: C,
+    /// The administration side of model engines.
+    pub engines: N,
+    /// Calls between VMs.
+    pub transport: P,
     /// Connections to endpoints.
     pub pool: Pool,
     /// The clock.
@@ -46,34 +60,39 @@
     pub callers: String,
     /// IP address and port for health, readiness and metrics.
     pub admin: String,
+    /// IP address and port for the other VMs.
+    pub peers: String,
     /// Limits of the callers' listener.
     pub limits: server::Options,
 }
 
 /// `Entry` is a running entry.
 #[derive(Debug)]
-pub struct Entry<E> {
-    context: Arc<Context<E>>,
+pub struct Entry<T, E, N, P> {
+    context: Arc<Context<E, Client<N, P>>>,
+    elector: Elector<T, N>,
+    /// Ends the part in the election.
+    electing: CancellationToken,
     callers: JoinHandle<bool>,
     callers_stop: CancellationToken,
     background: CancellationToken,
-    addresses: [std::net::SocketAddr; 2],
+    addresses: [SocketAddr; 2],
 }
 
 /// `Ready` tells whether an entry takes requests.
 #[derive(Debug)]
-struct Ready<E> {
-    context: Arc<Context<E>>,
+struct Ready<E, S> {
+    context: Arc<Context<E, S>>,
 }
 
-impl<E> Clone for Ready<E> {
+impl<E, S> Clone for Ready<E, S> {
     fn clone(&self) -> Self {
         let context = Arc::clone(&self.context);
         Self { context }
     }
 }
 
-impl<E: Edge> Readiness for Ready<E> {
+impl<E: Edge, S: Supply> Readiness for Ready<E, S> {
     fn lacks(&self) -> Option<String> {
         let phase = self.context.lifecycle.phase();
         if phase != Phase::Serving {
@@ -88,35 +107,66 @@
     }
 }
 
-impl<E: Edge> Entry<E> {
+impl<T: Topics, E: Edge, N: Engines, P: Transport + Debug> Entry<T, E, N, P> {
     /// Starts an entry; it is ready once it has read a configuration.
     ///
     /// # Errors
     ///
     /// `Error::Node` if a listener cannot be bound or the metrics cannot be set up.
-    pub async fn try_start<T: Topics, C: Codec>(
-        outside: Outside<T, E, C>,
+    pub async fn try_start<C: Codec>(
+        outside: Outside<T, E, C, N, P>,
         listeners: Listeners,
         options: Options,
     ) -> Result<Self> {
         let metrics = Metrics::try_new()?;
         let callers = Server::try_bind(&listeners.callers, listeners.limits).await?;
         let admin = Server::try_bind(&listeners.admin, server::Options::default()).await?;
+        let (peers, peer_address) = outside.transport.bind(&listeners.peers).await?;
         let addresses = [callers.address(), admin.address()];
         let clock = outside.clock;
+        let view = Arc::new(View::default());
+        let fleet = Arc::new(Fleet::new(options.domain.clone(), options.route.clone()));
+        let rates = Arc::new(Rates::new(options.rate.clone(), options.overdraft));
+        let lead = Arc::new(lead(&outside, &view, &options, peer_address));
+        let client = Arc::new(Client {
+            lead: Arc::clone(&lead),
+            transport: outside.transport.clone(),
+            fleet: Arc::clone(&fleet),
+            rates: Arc::clone(&rates),
+            view: Arc::clone(&view),
+            clock,
+            fence: AtomicU64::default(),
+            copies: AtomicU64::default(),
+        });
         let context = Arc::new(Context {
             edge: outside.edge.clone(),
             clock,
             pool: outside.pool.clone(),
-            view: Arc::new(View::default()),
-            fleet: Arc::new(Fleet::new(options.domain.clone(), options.route.clone())),
+            view,
+            fleet,
+            rates,
+            supply: client,
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.clone())),
             lifecycle: Lifecycle::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
             options,
         });
         let background = CancellationToken::new();
-        follow(&context, outside, &background);
+        let desk = Desk {
+            lead: Arc::clone(&lead),
+        };
+        let transport = outside.transport.clone();
+        let stop = background.clone();
+        tokio::spawn(async move { transport.serve(peers, desk, stop).await });
+        let elector = || Elector {
+            topics: outside.topics.clone(),
+            lead: Arc::clone(&lead),
+            clock,
+        };
+        let resigning = elector();
+        let electing = background.child_token();
+        spawn(&electing, elector().run());
+        follow(&context, &lead, outside, &background);
         let ready = Ready {
             context: Arc::clone(&context),
         };
@@ -129,6 +179,8 @@
         log::info!("entry: started vm={vm} callers={address} admin={admin}");
         Ok(Self {
             context,
+            elector: resigning,
+            electing,
             callers,
             callers_stop,
             background,
@@ -137,12 +189,12 @@
     }
 
     /// Returns the address of the callers' listener.
-    pub fn address(&self) -> std::net::SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.addresses[0]
     }
 
     /// Returns the address of the admin listener.
-    pub fn admin_address(&self) -> std::net::SocketAddr {
+    pub fn admin_address(&self) -> SocketAddr {
         self.addresses[1]
     }
 
@@ -167,6 +219,8 @@
         let options = &self.context.options;
         // The balancer takes notice while requests are still served.
         self.context.lifecycle.advance(Phase::Unready);
+        self.electing.cancel();
+        self.elector.resign().await;
         tokio::time::sleep(options.unready).await;
         self.context.lifecycle.advance(Phase::Draining);
         self.callers_stop.cancel();
@@ -192,30 +246,70 @@
     matches!(ended, Ok(Ok(true)))
 }
 
-/// Follows the published topics for as long as the entry runs.
-fn follow<T: Topics, E: Edge, C: Codec>(
-    context: &Arc<Context<E>>,
-    outside: Outside<T, E, C>,
+/// Makes this VM's part in leadership.
+fn lead<T, E, C, N: Engines, P>(
+    outside: &Outside<T, E, C, N, P>,
+    view: &Arc<View>,
+    options: &Options,
+    address: String,
+) -> Lead<N> {
+    let me = Candidate {
+        vm: options.vm.clone(),
+        incarnation: Incarnation(rand::random()),
+        address,
+    };
+    Lead::new(
+        Election::new(me.clone(), options.election.clone()),
+        me,
+        outside.clock,
+        Arc::clone(view),
+        options.rate.clone(),
+        outside.engines.clone(),
+    )
+}
+
+/// Starts what runs for as long as the entry does.
+fn follow<T: Topics, E: Edge, C: Codec, N: Engines, P: Transport + Debug>(
+    context: &Arc<Context<E, Client<N, P>>>,
+    lead: &Arc<Lead<N>>,
+    outside: Outside<T, E, C, N, P>,
     stop: &CancellationToken,
 ) {
     let options = &context.options;
+    let clock = outside.clock;
     let config = ConfigFollower {
         topics: outside.topics.clone(),
         codec: outside.codec.clone(),
         view: Arc::clone(&context.view),
-        clock: outside.clock,
+        clock,
         wait: options.config_wait,
     };
     let endpoints = EndpointFollower {
-        topics: outside.topics,
+        topics: outside.topics.clone(),
         codec: outside.codec,
         fleet: Arc::clone(&context.fleet),
-        clock: outside.clock,
+        clock,
         interval: options.endpoints_interval,
         grace: options.lapse_grace,
     };
+    let registry = Registry {
+        topics: outside.topics,
+        rates: Arc::clone(&context.rates),
+        lead: Arc::clone(lead),
+        clock,
+        known: options.known,
+    };
+    let foreman = Foreman {
+        lead: Arc::clone(lead),
+        fleet: Arc::clone(&context.fleet),
+        view: Arc::clone(&context.view),
+        clock,
+    };
     spawn(stop, config.run());
     spawn(stop, endpoints.run());
+    spawn(stop, registry.run());
+    spawn(stop, foreman.run());
+    spawn(stop, Arc::clone(&context.supply).run());
 }
 
 /// Runs a task until the token is cancelled.
--- /dev/null
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -0,0 +1,151 @@
+//! Tells the leader what this VM sees, and takes in its answer.
+
+use std::fmt::Debug;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use quetzalpick_core::id::Artifact;
+use quetzalpick_node::peer::Transport;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::Clock;
+use crate::exchange::message::{Copies, Reply, Status, Want, Wanted, path};
+use crate::exchange::service::{decode, encode};
+use crate::fleet::Fleet;
+use crate::lead::Lead;
+use crate::place::Engines;
+use crate::rate::Rates;
+use crate::serve::Supply;
+use crate::view::View;
+
+/// Pause between two statuses.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time for the leader's answer to a status.
+const STATUS_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for the leader's answer to a want.
+const WANT_TIME: Duration = Duration::from_millis(250);
+
+/// `Client` exchanges with the leader.
+#[derive(Debug)]
+pub(crate) struct Client<N, P> {
+    pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) transport: P,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) rates: Arc<Rates>,
+    pub(crate) view: Arc<View>,
+    pub(crate) clock: Clock,
+    /// Fencing number of the leader that was last heard.
+    pub(crate) fence: AtomicU64,
+    /// Version of the copies known from it.
+    pub(crate) copies: AtomicU64,
+}
+
+impl<N: Engines, P: Transport> Client<N, P> {
+    /// Exchanges for as long as it is polled.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            self.exchange().await;
+            sleep(INTERVAL).await;
+        }
+    }
+
+    /// Tells the leader this VM's status, and takes in the answer.
+    async fn exchange(&self) {
+        let sent_ms = self.clock.now_ms();
+        if let Some(config) = self.view.config() {
+            self.rates.refresh(sent_ms, &config);
+        }
+        let status = self.status(sent_ms);
+        let reply: Option<Reply> = if self.lead.is_leading() {
+            Some(self.lead.status(status))
+        } else {
+            self.call(path::STATUS, &status, STATUS_TIME).await
+        };
+        match reply {
+            Some(reply) if reply.leading => self.take(sent_ms, reply),
+            _ => self.lead.unheard(),
+        }
+    }
+
+    fn status(&self, now_ms: u64) -> Status {
+        Status {
+            vm: self.lead.vm().clone(),
+            fence: self.fence.load(Ordering::Relaxed),
+            copies: self.copies.load(Ordering::Relaxed),
+            loads: self.fleet.loads(),
+            work: self.fleet.work(now_ms),
+            spending: self.rates.spending(now_ms),
+        }
+    }
+
+    /// Takes in the leader's answer.
+    fn take(&self, sent_ms: u64, reply: Reply) {
+        let now_ms = self.clock.now_ms();
+        self.lead.heard(now_ms);
+        self.fleet.leader_heard(now_ms);
+        self.fleet.others_told(now_ms, &reply.loads);
+        let Some(fence) = reply.fence else { return };
+        let former = self.fence.swap(fence, Ordering::Relaxed);
+        if former != fence {
+            self.copies.store(0, Ordering::Relaxed);
+            self.rates.forget_numbers();
+            log::info!("exchange: leader fence={fence} former={former}");
+        }
+        if let Some(copies) = reply.copies {
+            self.learn(copies);
+        }
+        self.rates.lent(sent_ms, former == fence, &reply.loans);
+    }
+
+    fn learn(&self, copies: Copies) {
+        let now_ms = self.clock.now_ms();
+        self.copies.store(copies.version, Ordering::Relaxed);
+        for (endpoint, held) in copies.rows {
+            self.fleet.learn(now_ms, &endpoint, &held);
+        }
+    }
+
+    /// Calls the VM that is thought to lead; `None` if there is none or it does not answer in time.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &impl Serialize,
+        limit: Duration,
+    ) -> Option<T> {
+        let address = self.lead.leader_address()?;
+        let body = encode(message)?;
+        let answer = timeout(limit, self.transport.call(&address, path, body)).await;
+        match answer {
+            Ok(Ok(body)) => decode(&body),
+            Ok(Err(error)) => {
+                log::debug!("exchange: leader={address} path={path} reason=\"{error}\"");
+                None
+            }
+            Err(_) => {
+                log::debug!("exchange: leader={address} path={path} reason=\"no answer in time\"");
+                None
+            }
+        }
+    }
+}
+
+impl<N: Engines, P: Transport + Debug> Supply for Client<N, P> {
+    async fn want(&self, adapter: &Artifact) {
+        let want = Want {
+            adapter: adapter.clone(),
+        };
+        let wanted: Option<Wanted> = if self.lead.is_leading() {
+            Some(self.lead.want(want).await)
+        } else {
+            self.call(path::WANT, &want, WANT_TIME).await
+        };
+        if let Some(copies) = wanted.and_then(|wanted| wanted.copies) {
+            self.learn(copies);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -0,0 +1,77 @@
+//! Messages between VMs, in MessagePack.
+
+use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
+use quetzalpick_core::rate::{Loan, Parts};
+use serde::{Deserialize, Serialize};
+
+use crate::place::Work;
+
+/// Paths of the peer listener.
+pub(crate) mod path {
+    /// Takes a `Status` and answers a `Reply`.
+    pub(crate) const STATUS: &str = "/entry/status";
+    /// Takes a `Want` and answers a `Wanted`.
+    pub(crate) const WANT: &str = "/entry/want";
+}
+
+/// `Spending` is what a VM is asked to spend of a workspace's rate.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Spending {
+    pub(crate) workspace: Workspace,
+    /// Units a second.
+    pub(crate) wanted: u64,
+    /// Number of the newest loan received from the leader of `Status::fence`.
+    pub(crate) received: u64,
+    /// Parts that may be used of loans, whichever leader they are from.
+    pub(crate) held: Parts,
+}
+
+/// `Status` is what a VM tells the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Status {
+    pub(crate) vm: Vm,
+    /// Fencing number of the leader that it last took word from.
+    pub(crate) fence: u64,
+    /// Version of the copies that it knows from that leader.
+    pub(crate) copies: u64,
+    /// Requests under way, by endpoint.
+    pub(crate) loads: Vec<(Endpoint, u32)>,
+    /// Demand, by model and adapter.
+    pub(crate) work: Vec<(Artifact, Work)>,
+    pub(crate) spending: Vec<Spending>,
+}
+
+/// `Copies` is what each engine holds, by the leader's account.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Copies {
+    pub(crate) version: u64,
+    /// What serves at each engine.
+    pub(crate) rows: Vec<(Endpoint, Vec<Artifact>)>,
+}
+
+/// `Reply` is what the leader answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Reply {
+    /// Whether the VM asked leads.
+    pub(crate) leading: bool,
+    /// Its fencing number, if it may act.
+    pub(crate) fence: Option<u64>,
+    /// Requests of the other VMs under way, by endpoint.
+    pub(crate) loads: Vec<(Endpoint, u32)>,
+    /// What engines hold, if that changed.
+    pub(crate) copies: Option<Copies>,
+    pub(crate) loans: Vec<(Workspace, Loan)>,
+}
+
+/// `Want` asks for an adapter that no engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Want {
+    pub(crate) adapter: Artifact,
+}
+
+/// `Wanted` answers once an engine holds the adapter, or none will soon.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Wanted {
+    /// What engines hold now.
+    pub(crate) copies: Option<Copies>,
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -0,0 +1,9 @@
+//! What VMs tell the leader several times a second, and what it answers.
+
+mod client;
+mod message;
+mod service;
+
+pub(crate) use client::Client;
+pub(crate) use message::{Copies, Reply, Spending, Status, Want, Wanted};
+pub(crate) use service::{Desk, decode as decode_claim, encode as encode_claim};
--- /dev/null
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -0,0 +1,52 @@
+//! Answers the other VMs' calls.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use quetzalpick_node::peer::Service;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::exchange::message::path;
+use crate::lead::Lead;
+use crate::place::Engines;
+
+/// `Desk` answers the calls that reach the peer listener; its clones are one desk.
+#[derive(Debug)]
+pub(crate) struct Desk<N> {
+    pub(crate) lead: Arc<Lead<N>>,
+}
+
+impl<N> Clone for Desk<N> {
+    fn clone(&self) -> Self {
+        let lead = Arc::clone(&self.lead);
+        Self { lead }
+    }
+}
+
+impl<N: Engines> Service for Desk<N> {
+    async fn answer(&self, path: &str, body: Bytes) -> Option<Bytes> {
+        match path {
+            path::STATUS => encode(&self.lead.status(decode(&body)?)),
+            path::WANT => encode(&self.lead.want(decode(&body)?).await),
+            _ => None,
+        }
+    }
+}
+
+/// Decodes a call; `None` if it cannot be read, which the caller is told.
+pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    let message = rmp_serde::from_slice(body);
+    message
+        .inspect_err(|error| log::warn!("exchange: message passed over reason=\"{error}\""))
+        .ok()
+}
+
+/// Encodes a message; `None` if the codec refuses, which no message of ours provokes.
+pub(crate) fn encode(message: &impl Serialize) -> Option<Bytes> {
+    let bytes = rmp_serde::to_vec(message);
+    bytes
+        .inspect_err(|error| log::error!("exchange: message not encoded reason=\"{error}\""))
+        .ok()
+        .map(Bytes::from)
+}
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -17,16 +17,20 @@
     pub(crate) others_ms: u64,
     /// When its entry lapsed, in ms; it may come back after an outage of the log service.
     pub(crate) lapsed_ms: Option<u64>,
-    /// Copies that it refused to have, until it says anew what it holds.
+    /// Models and adapters that it holds, by the leader's word or, without that, by its own; sorted.
+    copies: Vec<Artifact>,
+    /// Whether the copies are by the leader's word.
+    is_learned: bool,
+    /// Copies that it refused to have, until there is newer word of what it holds.
     pub(crate) missing: Vec<Artifact>,
-    /// Orders that it had accepted when copies were found missing.
-    pub(crate) missing_at: u64,
 }
 
 impl Row {
     /// Takes in an endpoint that was not known.
     pub(crate) fn new(spec: Spec) -> Self {
         Self {
+            copies: spec.copies.clone(),
+            is_learned: false,
             spec,
             health: Health::default(),
             in_flight: 0,
@@ -34,29 +38,48 @@
             others_ms: 0,
             lapsed_ms: None,
             missing: Vec::new(),
-            missing_at: 0,
         }
     }
 
     /// Takes in what the endpoint says now; a new start begins with nothing known.
-    pub(crate) fn update(&mut self, spec: Spec) {
+    pub(crate) fn update(&mut self, leader_is_heard: bool, spec: Spec) {
         if !self.spec.is_same_start(&spec) {
             let in_flight = self.in_flight;
             *self = Self::new(spec);
             self.in_flight = in_flight;
             return;
         }
-        if spec.orders > self.missing_at {
-            self.missing.clear();
+        if !leader_is_heard || !self.is_learned {
+            self.is_learned = false;
+            self.hold(&spec.copies);
         }
         self.lapsed_ms = None;
         self.spec = spec;
     }
 
+    /// Takes in what the leader says that the endpoint holds.
+    pub(crate) fn learn(&mut self, copies: &[Artifact]) {
+        self.is_learned = true;
+        self.hold(copies);
+    }
+
+    fn hold(&mut self, copies: &[Artifact]) {
+        if self.copies != copies {
+            self.copies = copies.to_vec();
+            self.missing.clear();
+        }
+    }
+
+    /// Tells whether it takes new requests, as far as its entry goes.
+    pub(crate) fn is_staying(&self) -> bool {
+        self.spec.state == State::Ready && self.lapsed_ms.is_none()
+    }
+
     /// Tells whether it serves a service and holds what a request needs.
     pub(crate) fn serves(&self, wanted: &Wanted<'_>) -> bool {
-        let holds =
-            |artifact: &&Artifact| self.spec.holds(artifact) && !self.missing.contains(artifact);
+        let holds = |artifact: &&Artifact| {
+            self.copies.binary_search(artifact).is_ok() && !self.missing.contains(artifact)
+        };
         self.spec.service == *wanted.service && wanted.artifacts.iter().all(holds)
     }
 
@@ -65,7 +88,7 @@
         Candidate {
             endpoint: name,
             domain: &self.spec.domain,
-            leaving: self.spec.state == State::Draining || self.lapsed_ms.is_some(),
+            leaving: !self.is_staying(),
             load: Load {
                 in_flight: self.in_flight,
                 reported: self.others,
--- a/crates/quetzalpick-entry/src/fleet/spec.rs
+++ b/crates/quetzalpick-entry/src/fleet/spec.rs
@@ -30,8 +30,6 @@
     pub slots: u32,
     /// Wall-clock time of its start, in ms since 1970; only compared for equality.
     pub born_ms: Option<u64>,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
     /// Models and adapters that it holds; sorted.
     pub copies: Vec<Artifact>,
     /// Models whose weights are in its main memory; sorted.
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -1,5 +1,6 @@
 //! The table of endpoints.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
@@ -8,6 +9,7 @@
 
 use crate::fleet::row::Row;
 use crate::fleet::{Pick, Spec};
+use crate::place::{Demand, Work};
 
 /// `Wanted` is what a request needs of an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -26,8 +28,14 @@
     here: Domain,
     options: route::Options,
     rows: Mutex<Table<Endpoint, Row>>,
+    demand: Mutex<Demand>,
+    /// When the leader was last heard, in ms.
+    leader_ms: AtomicU64,
 }
 
+/// Time for which the leader's word counts, in ms.
+const LEADER_AGE_MS: u64 = 2_000;
+
 impl Fleet {
     /// Makes a fleet without endpoints, for a VM in the failure domain `here`.
     pub fn new(here: Domain, options: route::Options) -> Self {
@@ -35,6 +43,8 @@
             here,
             options,
             rows: Mutex::default(),
+            demand: Mutex::default(),
+            leader_ms: AtomicU64::default(),
         }
     }
 
@@ -43,12 +53,13 @@
     }
 
     /// Takes in what an endpoint says of itself; tells whether it was not known, or says that it leaves.
-    pub fn update(&self, endpoint: Endpoint, spec: Spec) -> bool {
+    pub fn update(&self, now_ms: u64, endpoint: Endpoint, spec: Spec) -> bool {
+        let heard = self.leader_is_heard(now_ms);
         let mut rows = self.rows();
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let news = row.spec.state != spec.state || !row.spec.is_same_start(&spec);
-                row.update(spec);
+                row.update(heard, spec);
                 news
             }
             None => {
@@ -103,10 +114,65 @@
         })
     }
 
-    /// Tells whether an endpoint of a service is known that stays.
-    pub fn has(&self, service: &Service) -> bool {
+    /// Takes in what the leader says that an endpoint holds.
+    pub fn learn(&self, now_ms: u64, endpoint: &Endpoint, copies: &[Artifact]) {
+        self.leader_heard(now_ms);
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.learn(copies);
+        }
+    }
+
+    /// Notes that the leader's word was heard.
+    pub fn leader_heard(&self, now_ms: u64) {
+        self.leader_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Tells whether the leader's word goes before the endpoints' own entries, which are older.
+    fn leader_is_heard(&self, now_ms: u64) -> bool {
+        now_ms < self.leader_ms.load(Ordering::Relaxed) + LEADER_AGE_MS
+    }
+
+    /// Takes in how many requests of the other VMs are under way.
+    pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, u32)]) {
+        let mut rows = self.rows();
+        rows.iter_mut().for_each(|(_, row)| row.others = 0);
+        for (endpoint, load) in loads {
+            if let Some(row) = rows.get_mut(endpoint) {
+                row.others = *load;
+                row.others_ms = now_ms;
+            }
+        }
+    }
+
+    /// Returns the requests of this VM under way, by endpoint.
+    pub fn loads(&self) -> Vec<(Endpoint, u32)> {
+        let rows = self.rows();
+        let busy = rows.iter().filter(|(_, row)| row.in_flight > 0);
+        busy.map(|(name, row)| (name.clone(), row.in_flight))
+            .collect()
+    }
+
+    /// Returns what the endpoints that are not gone say of themselves.
+    pub fn specs(&self) -> Vec<(Endpoint, Spec)> {
         let rows = self.rows();
-        rows.values().any(|row| row.spec.service == *service)
+        let present = rows.iter().filter(|(_, row)| row.lapsed_ms.is_none());
+        present
+            .map(|(name, row)| (name.clone(), row.spec.clone()))
+            .collect()
+    }
+
+    /// Notes that a model, and its adapter if one is named, is asked for.
+    pub fn ask(&self, artifacts: &[&Artifact], answer_tokens: u64) {
+        let mut demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        artifacts
+            .iter()
+            .for_each(|artifact| demand.note(artifact, answer_tokens));
+    }
+
+    /// Returns the demand for models and adapters that this VM sees.
+    pub fn work(&self, now_ms: u64) -> Vec<(Artifact, Work)> {
+        let mut demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        demand.turn(now_ms)
     }
 
     /// Returns the number of endpoints.
@@ -136,7 +202,6 @@
     /// Notes that an endpoint refused a request as it lacks what it was thought to hold.
     pub fn misses(&self, endpoint: &Endpoint, artifacts: &[&Artifact]) {
         if let Some(row) = self.rows().get_mut(endpoint) {
-            row.missing_at = row.spec.orders;
             row.missing.extend(artifacts.last().map(|a| (*a).clone()));
         }
     }
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/elector.rs
@@ -0,0 +1,127 @@
+//! Takes part in the election through the log service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalpick_client::errors::Error;
+use quetzalpick_client::topic::{Record, Records, Topic, Topics};
+use quetzalpick_core::election::{Appended, Claim, Step, Tail};
+use quetzalpick_core::id::Offset;
+use quetzalpick_core::verdict::Verdict;
+use tokio::time::sleep;
+
+use crate::clock::Clock;
+use crate::exchange::{decode_claim, encode_claim};
+use crate::lead::Lead;
+
+/// `Elector` takes part in the election.
+#[derive(Debug)]
+pub(crate) struct Elector<T, N> {
+    pub(crate) topics: T,
+    pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) clock: Clock,
+}
+
+impl<T: Topics, N> Elector<T, N> {
+    /// Takes part for as long as it is polled.
+    pub(crate) async fn run(self) {
+        loop {
+            let step = self.lead.election(|election, now_ms| election.step(now_ms));
+            match step {
+                Step::Wait(ms) => sleep(Duration::from_millis(ms)).await,
+                Step::Read(from) => self.read(from).await,
+                Step::Append(claim, at) => self.append(&claim, at).await,
+            }
+            self.lead.note_change();
+        }
+    }
+
+    /// Reads the log from an offset on.
+    async fn read(&self, from: Offset) {
+        let sent_ms = self.clock.now_ms();
+        let mut read = self
+            .topics
+            .read(Topic::Leadership, from, Duration::ZERO)
+            .await;
+        if let Err(Error::Trimmed { oldest }) = read {
+            let from = Offset(oldest);
+            read = self
+                .topics
+                .read(Topic::Leadership, from, Duration::ZERO)
+                .await;
+        }
+        self.lead.election(|election, now_ms| match &read {
+            Ok(records) => election.read(sent_ms, now_ms, tail(records)),
+            Err(error) => {
+                log::debug!("lead: log not read reason=\"{error}\"");
+                election.read_failed(now_ms);
+            }
+        });
+    }
+
+    /// Appends a claim where the log is thought to end.
+    async fn append(&self, claim: &Claim, at: Offset) {
+        let Some(value) = encode_claim(claim) else {
+            return;
+        };
+        let record = Record {
+            key: String::new(),
+            value: Some(value),
+        };
+        let sent_ms = self.clock.now_ms();
+        let result = self
+            .topics
+            .append(Topic::Leadership, &record, Some(at))
+            .await;
+        let appended = match &result {
+            Ok(offset) => Appended::At(*offset),
+            Err(Error::Conflict { .. }) => Appended::Conflict,
+            Err(error) if error.verdict() == Verdict::NotRun => Appended::Failed,
+            Err(_) => Appended::Unknown,
+        };
+        if claim.term.is_none() || result.is_err() {
+            log::info!(
+                "lead: claim at={} renewal={} result={appended:?}",
+                at.0,
+                claim.term.is_some()
+            );
+        }
+        self.lead
+            .election(|election, now_ms| election.appended(sent_ms, now_ms, appended));
+    }
+
+    /// Tells the others that this VM gives its leadership up, as before a planned stop.
+    pub(crate) async fn resign(&self) {
+        let resignation = self.lead.election(|election, now_ms| {
+            let resignation = election.resignation(now_ms);
+            election.resign(now_ms);
+            resignation
+        });
+        let Some((claim, at)) = resignation else {
+            return;
+        };
+        let record = Record {
+            key: String::new(),
+            value: encode_claim(&claim),
+        };
+        let result = self
+            .topics
+            .append(Topic::Leadership, &record, Some(at))
+            .await;
+        log::info!("lead: resigned told={}", result.is_ok());
+    }
+}
+
+/// Returns what a read shows; a record that cannot be read is passed over.
+fn tail(records: &Records) -> Tail {
+    let first = records.next.0 - records.records.len() as u64;
+    let claims = records.records.iter().enumerate().rev();
+    let mut claims = claims.filter_map(|(at, record)| {
+        let claim = decode_claim(record.value.as_deref()?)?;
+        Some((Offset(first + at as u64), claim))
+    });
+    Tail {
+        end: records.end,
+        newest: claims.next(),
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -0,0 +1,9 @@
+//! Leadership of this VM: the election, and the duties of the leader.
+
+mod elector;
+mod office;
+mod orders;
+
+pub(crate) use elector::Elector;
+pub(crate) use office::Lead;
+pub(crate) use orders::Foreman;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -0,0 +1,292 @@
+//! What the leader knows, and how it answers the other VMs.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use quetzalpick_core::election::{Candidate, Election};
+use quetzalpick_core::id::{Artifact, Endpoint, Vm};
+use quetzalpick_core::rate::{Allocator, Options as RateOptions, Question};
+use quetzalpick_core::table::Table;
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::exchange::{Copies, Reply, Status, Want, Wanted};
+use crate::place::{Planner, Work};
+use crate::view::View;
+
+/// Statuses count for this time, in ms.
+const STATUS_AGE_MS: u64 = 1_500;
+
+/// Longest time for which a want is waited for.
+const WANT_TIME: Duration = Duration::from_millis(200);
+
+/// `Office` is what a leader that may act holds.
+#[derive(Debug)]
+pub(crate) struct Office {
+    pub(crate) fence: u64,
+    pub(crate) planner: Planner,
+    allocator: Allocator,
+    copies: Copies,
+}
+
+/// `Lead` is this VM's part in leadership.
+#[derive(Debug)]
+pub(crate) struct Lead<N> {
+    me: Candidate,
+    clock: Clock,
+    view: Arc<View>,
+    rate: RateOptions,
+    pub(crate) engines: N,
+    election: Mutex<Election>,
+    statuses: Mutex<Table<Vm, (u64, Status)>>,
+    office: Mutex<Option<Office>>,
+    members: Mutex<usize>,
+    /// Wakes the planner.
+    pub(crate) wake: Notify,
+    /// Version of the copies, for those who wait for one.
+    changed: watch::Sender<u64>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<N> Lead<N> {
+    /// Makes the part of a VM that leads nobody.
+    pub(crate) fn new(
+        election: Election,
+        me: Candidate,
+        clock: Clock,
+        view: Arc<View>,
+        rate: RateOptions,
+        engines: N,
+    ) -> Self {
+        Self {
+            me,
+            clock,
+            view,
+            rate,
+            engines,
+            election: Mutex::new(election),
+            statuses: Mutex::default(),
+            office: Mutex::default(),
+            members: Mutex::new(1),
+            wake: Notify::new(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns the name of this VM.
+    pub(crate) fn vm(&self) -> &Vm {
+        &self.me.vm
+    }
+
+    /// Returns the name under which this start gives orders.
+    pub(crate) fn holder(&self) -> String {
+        format!("{}.{:016x}", self.me.vm, self.me.incarnation.0)
+    }
+
+    /// Acts on the election at the present time.
+    pub(crate) fn election<T>(&self, act: impl FnOnce(&mut Election, u64) -> T) -> T {
+        let now_ms = self.clock.now_ms();
+        act(&mut lock(&self.election), now_ms)
+    }
+
+    /// Returns the own fencing number if this VM may act now.
+    pub(crate) fn fence(&self) -> Option<u64> {
+        self.election(|election, now_ms| election.fence(now_ms))
+    }
+
+    /// Tells whether this VM leads, though it may not act yet.
+    pub(crate) fn is_leading(&self) -> bool {
+        self.election(|election, now_ms| election.is_leading(now_ms))
+    }
+
+    /// Returns the address of the VM that is thought to lead, if it is another one.
+    pub(crate) fn leader_address(&self) -> Option<String> {
+        let election = lock(&self.election);
+        let leader = election.leader().filter(|leader| **leader != self.me)?;
+        Some(leader.address.clone())
+    }
+
+    /// Notes that the leader answered.
+    pub(crate) fn heard(&self, now_ms: u64) {
+        lock(&self.election).heard(now_ms);
+    }
+
+    /// Notes that no leader answered.
+    pub(crate) fn unheard(&self) {
+        lock(&self.election).unheard();
+    }
+
+    /// Notes how many VMs divide the floors of rates.
+    pub(crate) fn divide(&self, members: usize) {
+        *lock(&self.members) = members;
+    }
+
+    /// Opens the office when this VM may act, and closes it when it may not any more.
+    pub(crate) fn note_change(&self) {
+        let now_ms = self.clock.now_ms();
+        let fence = self.fence();
+        let mut office = lock(&self.office);
+        let held = office.as_ref().map(|office| office.fence);
+        if held == fence {
+            return;
+        }
+        log::info!("lead: fence={fence:?} former={held:?}");
+        *office = fence.map(|fence| Office {
+            fence,
+            planner: Planner::new(now_ms, crate::place::Options::default()),
+            allocator: Allocator::new(now_ms, self.rate.clone()),
+            copies: Copies::default(),
+        });
+        self.wake.notify_one();
+    }
+
+    /// Acts on the office, if this VM may act now.
+    pub(crate) fn office<T>(&self, act: impl FnOnce(&mut Office, u64) -> T) -> Option<T> {
+        let fence = self.fence()?;
+        let now_ms = self.clock.now_ms();
+        let mut office = lock(&self.office);
+        let office = office.as_mut().filter(|office| office.fence == fence)?;
+        Some(act(office, now_ms))
+    }
+
+    /// Returns the demand that all VMs see together.
+    pub(crate) fn work(&self, now_ms: u64) -> Table<Artifact, Work> {
+        let statuses = lock(&self.statuses);
+        let mut work: Table<Artifact, Work> = Table::default();
+        let fresh = statuses
+            .values()
+            .filter(|(at, _)| at + STATUS_AGE_MS > now_ms);
+        for (artifact, part) in fresh.flat_map(|(_, status)| &status.work) {
+            *work.get_or_insert_with(artifact.clone(), || 0) += part;
+        }
+        work
+    }
+
+    /// Takes in a VM's status and answers it.
+    pub(crate) fn status(&self, status: Status) -> Reply {
+        let now_ms = self.clock.now_ms();
+        if !self.is_leading() {
+            return Reply::default();
+        }
+        let loads = self.loads(now_ms, &status.vm);
+        let members = *lock(&self.members);
+        let answer = self.office(|office, now_ms| {
+            let same = status.fence == office.fence;
+            let known = if same { status.copies } else { 0 };
+            let copies = (known != office.copies.version).then(|| office.copies.clone());
+            let loans = self.lend(office, now_ms, &status, same, members);
+            (office.fence, copies, loans)
+        });
+        let vm = status.vm.clone();
+        lock(&self.statuses).insert(vm, (now_ms, status));
+        let (fence, copies, loans) = match answer {
+            Some((fence, copies, loans)) => (Some(fence), copies, loans),
+            None => (None, None, Vec::new()),
+        };
+        if !loans.is_empty() {
+            self.election(|election, now_ms| election.acted(now_ms));
+        }
+        Reply {
+            leading: true,
+            fence,
+            loads,
+            copies,
+            loans,
+        }
+    }
+
+    /// Lends a VM what it asks for.
+    fn lend(
+        &self,
+        office: &mut Office,
+        now_ms: u64,
+        status: &Status,
+        same: bool,
+        members: usize,
+    ) -> Vec<(
+        quetzalpick_core::id::Workspace,
+        quetzalpick_core::rate::Loan,
+    )> {
+        let Some(config) = self.view.config() else {
+            return Vec::new();
+        };
+        let mut loans = Vec::new();
+        for spending in &status.spending {
+            let workspace = config.workspaces().get(&spending.workspace);
+            let Some(allowance) = workspace.and_then(|workspace| workspace.allowance) else {
+                continue;
+            };
+            let question = Question {
+                vm: &status.vm,
+                workspace: &spending.workspace,
+                rate: allowance.rate,
+                wanted: spending.wanted,
+                received: if same { spending.received } else { 0 },
+                held: spending.held,
+            };
+            let loan = office.allocator.lend(now_ms, question, members);
+            loans.push((spending.workspace.clone(), loan));
+        }
+        loans
+    }
+
+    /// Adds up the requests of the other VMs under way, by endpoint.
+    fn loads(&self, now_ms: u64, asker: &Vm) -> Vec<(Endpoint, u32)> {
+        let statuses = lock(&self.statuses);
+        let mut loads: Table<Endpoint, u32> = Table::default();
+        let others = statuses.iter().filter(|(vm, _)| *vm != asker);
+        let fresh = others.filter(|(_, (at, _))| at + STATUS_AGE_MS > now_ms);
+        for (endpoint, load) in fresh.flat_map(|(_, (_, status))| &status.loads) {
+            *loads.get_or_insert_with(endpoint.clone(), || 0) += load;
+        }
+        loads.iter().map(|(e, load)| (e.clone(), *load)).collect()
+    }
+
+    /// Takes in that an adapter is wanted, and answers once it is held or the time is over.
+    pub(crate) async fn want(&self, want: Want) -> Wanted {
+        let mut changes = self.changed.subscribe();
+        let noted = self.office(|office, now_ms| {
+            if !office.planner.is_held(&want.adapter) {
+                office.planner.want(now_ms, want.adapter.clone());
+            }
+        });
+        if noted.is_none() {
+            return Wanted::default();
+        }
+        self.wake.notify_one();
+        let held = || self.office(|office, _| office.planner.is_held(&want.adapter));
+        let wait = changes.wait_for(|_| held() != Some(false));
+        // Whatever came of it, the asker learns what is held now.
+        let _ = timeout(WANT_TIME, wait).await;
+        let copies = self.office(|office, _| office.copies.clone());
+        Wanted { copies }
+    }
+
+    /// Publishes what engines hold, if that changed.
+    pub(crate) fn publish(&self) {
+        let version = self.office(|office, _| office.publish());
+        if let Some(Some(version)) = version {
+            self.changed.send_replace(version);
+        }
+    }
+}
+
+impl Office {
+    /// Takes over what the planner knows of copies; returns the new version if that changed.
+    fn publish(&mut self) -> Option<u64> {
+        let sites = self.planner.sites().iter();
+        let rows: Vec<_> = sites
+            .map(|(endpoint, site)| (endpoint.clone(), site.held()))
+            .collect();
+        if rows == self.copies.rows {
+            return None;
+        }
+        let version = self.copies.version + 1;
+        self.copies = Copies { version, rows };
+        Some(version)
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -0,0 +1,132 @@
+//! Carries the plan out: orders and reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalpick_core::id::Endpoint;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::lead::Lead;
+use crate::place::{Engines, Ordered, Send};
+use crate::view::View;
+
+/// Longest pause between two rounds of planning.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// Pause between two rounds while an adapter is on its way.
+const SHORT_ROUND: Duration = Duration::from_millis(5);
+
+/// `Foreman` plans for as long as this VM leads.
+#[derive(Debug)]
+pub(crate) struct Foreman<N> {
+    pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) view: Arc<View>,
+    pub(crate) clock: Clock,
+}
+
+impl<N: Engines> Foreman<N> {
+    /// Plans for as long as it is polled.
+    pub(crate) async fn run(self) {
+        loop {
+            self.lead.note_change();
+            let round = if self.round() { SHORT_ROUND } else { ROUND };
+            // A wake-up only shortens the pause.
+            let _ = timeout(round, self.lead.wake.notified()).await;
+        }
+    }
+
+    /// Plans once; tells whether adapters are on their way.
+    fn round(&self) -> bool {
+        let Some(config) = self.view.config() else {
+            return false;
+        };
+        let work = self.lead.work(self.clock.now_ms());
+        let planned = self.lead.office(|office, now_ms| {
+            let planner = &mut office.planner;
+            planner.observe(now_ms, &config, self.fleet.specs());
+            planner.demand(now_ms, work);
+            planner.finish_adapters(now_ms);
+            let reports = planner.asks_reports(now_ms);
+            let sends = planner.plan(now_ms, &config);
+            (
+                office.fence,
+                reports,
+                sends,
+                office.planner.loads_adapters(),
+            )
+        });
+        let Some((fence, reports, sends, short)) = planned else {
+            return false;
+        };
+        self.lead.publish();
+        for (endpoint, address) in reports {
+            self.ask(endpoint, address);
+        }
+        let sent = !sends.is_empty();
+        sends.into_iter().for_each(|send| self.order(fence, send));
+        short || sent
+    }
+
+    /// Asks an engine for its report.
+    fn ask(&self, endpoint: Endpoint, address: std::net::SocketAddr) {
+        let lead = Arc::clone(&self.lead);
+        lead.office(|office, now_ms| office.planner.report_asked(now_ms, &endpoint));
+        tokio::spawn(async move {
+            match lead.engines.report(address, &endpoint).await {
+                Ok(report) => {
+                    lead.office(|o, now_ms| o.planner.reported(now_ms, &endpoint, &report));
+                    lead.wake.notify_one();
+                }
+                Err(error) => {
+                    log::info!("place: endpoint={endpoint} no report reason=\"{error}\"");
+                }
+            }
+        });
+    }
+
+    /// Sends an order and takes in its outcome.
+    fn order(&self, fence: u64, send: Send) {
+        let lead = Arc::clone(&self.lead);
+        let view = Arc::clone(&self.view);
+        tokio::spawn(async move {
+            let Send {
+                endpoint,
+                address,
+                order,
+                reason,
+            } = send;
+            // The time may have passed since the plan.
+            if lead.fence() != Some(fence) {
+                return;
+            }
+            lead.election(|election, now_ms| election.acted(now_ms));
+            let holder = lead.holder();
+            let answer = lead
+                .engines
+                .order(address, &endpoint, &holder, fence, &order);
+            let answer = answer.await;
+            let outcome = match &answer {
+                Ok(ordered) => ordered.to_string(),
+                Err(error) => error.to_string(),
+            };
+            log::info!(
+                "place: endpoint={endpoint} {} {} expected={} fence={fence} reason={reason} outcome=\"{outcome}\"",
+                order.action,
+                order.artifact(),
+                order.expected_orders,
+            );
+            let ordered = answer.ok();
+            if ordered == Some(Ordered::Fenced) {
+                log::warn!("lead: resigns fence={fence} reason=\"a newer leader is known\"");
+                lead.election(|election, now_ms| election.resign(now_ms));
+            }
+            if let Some(config) = view.config() {
+                lead.office(|o, now_ms| o.planner.settle(now_ms, &config, &endpoint, ordered));
+            }
+            lead.wake.notify_one();
+        });
+    }
+}
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::id::{Domain, Vm};
-use quetzalpick_core::{retry, route};
+use quetzalpick_core::{election, rate, retry, route};
 
 /// `Options` set how an entry works.
 #[derive(Debug, Clone)]
@@ -24,6 +24,14 @@
     pub unready: Duration,
     /// Longest time that a stop waits for requests under way, from its begin.
     pub stop: Duration,
+    /// Time after which other VMs know of one that has joined.
+    pub known: Duration,
+    /// Units that all VMs together may overdraw of a workspace.
+    pub overdraft: u64,
+    /// How rates are divided.
+    pub rate: rate::Options,
+    /// The election of the leader.
+    pub election: election::Options,
     /// Routing.
     pub route: route::Options,
     /// Retry budget of this VM.
@@ -42,6 +50,10 @@
             lapse_grace: Duration::from_secs(2),
             unready: Duration::from_millis(2_500),
             stop: Duration::from_secs(7),
+            known: Duration::from_secs(5),
+            overdraft: 0,
+            rate: rate::Options::default(),
+            election: election::Options::default(),
             route: route::Options::default(),
             retry: retry::Options::default(),
         }
--- /dev/null
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -0,0 +1,507 @@
+//! The leader's plan: which order goes to which engine next.
+
+use std::net::SocketAddr;
+
+use quetzalpick_core::id::{Artifact, Endpoint, Service};
+use quetzalpick_core::table::Table;
+
+use crate::config::{Config, Engine, Model};
+use crate::fleet::Spec;
+use crate::place::copy::{is_adapter, model_of};
+use crate::place::model::{Need, needs};
+use crate::place::room::{free_mb, has_place, memory_mb};
+use crate::place::{Action, Order, Ordered, Report, Site, Work};
+
+/// `Options` set when copies move.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Least gain of a further copy where there is room, in work.
+    pub fill_gain: Work,
+    /// Least gain of a further copy that takes another one's room, in work.
+    pub move_gain: Work,
+    /// A move must gain this many times what it loses, in percent.
+    pub move_ratio_percent: u64,
+    /// Loads from the weight store under way at once.
+    pub loads_at_once: usize,
+    /// Loads from the weight store that may begin at once beyond its rate.
+    pub loads_burst: u64,
+    /// Time for which an adapter that was asked for is loaded, in ms.
+    pub wanted_ms: u64,
+    /// Time from the first engine on in which further ones may appear before models are moved, in ms.
+    pub settle_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            fill_gain: 300,
+            move_gain: 3_000,
+            move_ratio_percent: 200,
+            loads_at_once: 2,
+            loads_burst: 2,
+            wanted_ms: 1_000,
+            settle_ms: 3_000,
+        }
+    }
+}
+
+/// `Send` is an order to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    /// The engine.
+    pub endpoint: Endpoint,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The order.
+    pub order: Order,
+    /// Why it is sent.
+    pub reason: &'static str,
+}
+
+/// Thousandths of a load in one load.
+const LOAD: u64 = 1_000;
+
+/// Milliseconds in one second.
+const MS_PER_S: u64 = 1_000;
+
+/// `Planner` knows the engines of all services, and plans one order for each engine at a time.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    options: Options,
+    sites: Table<Endpoint, Site>,
+    work: Table<Artifact, Work>,
+    /// Adapters asked for that no engine held, and when that was last, in ms.
+    wanted: Table<Artifact, u64>,
+    /// Loads from the weight store that may begin, in thousandths.
+    loads: u64,
+    filled_ms: u64,
+    /// Before this time no model is moved, in ms: the engines may not be known yet; `None` before the first observation.
+    settled_ms: Option<u64>,
+    /// Ends of the loads from the weight store under way, in ms.
+    loading: Vec<u64>,
+}
+
+impl Planner {
+    /// Makes a planner that knows no engine; it begins no load from the weight store before the rate allows one.
+    pub fn new(now_ms: u64, options: Options) -> Self {
+        Self {
+            options,
+            sites: Table::default(),
+            work: Table::default(),
+            wanted: Table::default(),
+            loads: 0,
+            filled_ms: now_ms,
+            settled_ms: None,
+            loading: Vec::new(),
+        }
+    }
+
+    /// Returns the engines.
+    pub fn sites(&self) -> &Table<Endpoint, Site> {
+        &self.sites
+    }
+
+    /// Takes in what all engines say of themselves in their entries; those not named are gone.
+    pub fn observe(&mut self, now_ms: u64, config: &Config, specs: Vec<(Endpoint, Spec)>) {
+        if self.sites.is_empty() {
+            // A planner that begins among engines that are known needs no time to know them.
+            let known = self.settled_ms.is_none() && !specs.is_empty();
+            let wait_ms = if known { 0 } else { self.options.settle_ms };
+            self.settled_ms = Some(now_ms + wait_ms);
+        }
+        for (_, site) in self.sites.iter_mut() {
+            site.present = false;
+        }
+        let is_engine = |(_, spec): &(Endpoint, Spec)| engine(config, &spec.service).is_some();
+        for (endpoint, spec) in specs.into_iter().filter(is_engine) {
+            match self.sites.get_mut(&endpoint) {
+                Some(site) if site.spec == spec => site.present = true,
+                Some(site) => site.observe(now_ms, spec),
+                None => drop(self.sites.insert(endpoint, Site::new(now_ms, spec))),
+            }
+        }
+        self.sites
+            .retain(|_, site| site.present || site.open.is_some());
+    }
+
+    /// Takes in a report of an engine.
+    pub fn reported(&mut self, now_ms: u64, endpoint: &Endpoint, report: &Report) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.reported(now_ms, report);
+        }
+    }
+
+    /// Takes in the demand that all VMs see together.
+    pub fn demand(&mut self, now_ms: u64, work: Table<Artifact, Work>) {
+        for (_, site) in self.sites.iter_mut() {
+            let asked = |artifact: &Artifact| work.contains(artifact);
+            let used = site.copies.iter_mut().filter(|copy| asked(&copy.artifact));
+            used.for_each(|copy| copy.used_ms = now_ms);
+        }
+        self.work = work;
+    }
+
+    /// Notes that an adapter is asked for and no engine holds it.
+    pub fn want(&mut self, now_ms: u64, adapter: Artifact) {
+        self.wanted.insert(adapter, now_ms);
+    }
+
+    /// Tells whether an engine that takes requests holds an artifact.
+    pub fn is_held(&self, artifact: &Artifact) -> bool {
+        let mut usable = self.sites.values().filter(|site| site.is_usable());
+        usable.any(|site| site.holds(artifact))
+    }
+
+    /// Takes in the answer to an order; `None` if there was none. Tells what the order was.
+    pub fn settle(
+        &mut self,
+        now_ms: u64,
+        config: &Config,
+        endpoint: &Endpoint,
+        ordered: Option<Ordered>,
+    ) -> Option<Order> {
+        let site = self.sites.get_mut(endpoint)?;
+        let order = site.open.as_ref()?.order.clone();
+        let engine = engine(config, &site.spec.service);
+        let model = engine.and_then(|e| e.models.iter().find(|m| m.name == order.model));
+        let took_ms = model.map_or(MS_PER_S, |model| load_ms(site, model).0);
+        site.settle(now_ms, ordered, took_ms);
+        if let Some(adapter) = order.adapter.as_ref().filter(|a| site.expects(a)) {
+            self.wanted.remove(adapter);
+        }
+        Some(order)
+    }
+
+    /// Ends adapter loads whose time is over; tells whether any ended.
+    pub fn finish_adapters(&mut self, now_ms: u64) -> bool {
+        let sites = self.sites.iter_mut();
+        sites.fold(false, |any, (_, site)| site.finish_adapters(now_ms) || any)
+    }
+
+    /// Tells whether adapters are being loaded.
+    pub fn loads_adapters(&self) -> bool {
+        let loads = |site: &Site| site.adapters().any(|copy| !copy.is_held());
+        self.sites.values().any(loads)
+    }
+
+    /// Notes that an engine is asked for its report.
+    pub fn report_asked(&mut self, now_ms: u64, endpoint: &Endpoint) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.report_asked(now_ms);
+        }
+    }
+
+    /// Returns the engines whose report is wanted.
+    pub fn asks_reports(&self, now_ms: u64) -> Vec<(Endpoint, SocketAddr)> {
+        let asks = |site: &Site| site.present && site.wants_report(now_ms);
+        let sites = self.sites.iter().filter(|(_, site)| asks(site));
+        sites
+            .map(|(e, site)| (e.clone(), site.spec.address))
+            .collect()
+    }
+
+    /// Plans the orders to be sent now, and marks them as being on their way.
+    pub fn plan(&mut self, now_ms: u64, config: &Config) -> Vec<Send> {
+        let oldest_ms = now_ms.saturating_sub(self.options.wanted_ms);
+        self.wanted.retain(|_, at| *at >= oldest_ms);
+        self.loading.retain(|until_ms| *until_ms > now_ms);
+        let mut sends = self.resend(now_ms);
+        for service in config.services().values() {
+            if let Some(engine) = &service.engine {
+                self.fill(now_ms, engine);
+                self.plan_adapters(now_ms, &service.name, engine, &mut sends);
+                if self.settled_ms.is_some_and(|at| now_ms >= at) {
+                    self.plan_models(now_ms, &service.name, engine, &mut sends);
+                }
+            }
+        }
+        sends
+    }
+
+    /// Sends orders again that were not answered.
+    fn resend(&mut self, now_ms: u64) -> Vec<Send> {
+        let mut sends = Vec::new();
+        for (endpoint, site) in self.sites.iter_mut().filter(|(_, site)| site.present) {
+            if let Some(order) = site.resend(now_ms) {
+                sends.push(Send {
+                    endpoint: endpoint.clone(),
+                    address: site.spec.address,
+                    order,
+                    reason: "unanswered",
+                });
+            }
+        }
+        sends
+    }
+
+    /// Adds the loads that the weight store has allowed since the last time.
+    fn fill(&mut self, now_ms: u64, engine: &Engine) {
+        let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
+        let added = elapsed_ms * engine.loads_per_1000_s / MS_PER_S;
+        if added > 0 {
+            self.filled_ms = now_ms;
+            let most = self.options.loads_burst * LOAD;
+            self.loads = (self.loads + added).min(most);
+        }
+    }
+
+    /// Plans adapters that were asked for and that no engine holds or loads.
+    fn plan_adapters(
+        &mut self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        sends: &mut Vec<Send>,
+    ) {
+        let wanted: Vec<Artifact> = self.wanted.keys().cloned().collect();
+        for adapter in wanted {
+            let usable = self.sites.values().filter(|site| site.is_usable());
+            if usable.into_iter().any(|site| site.expects(&adapter)) {
+                continue;
+            }
+            let model = model_of(&adapter);
+            let Some((endpoint, action, artifact)) =
+                self.adapter_step(now_ms, service, engine, &model, &adapter)
+            else {
+                continue;
+            };
+            let order = Order {
+                action,
+                model: model_of(&artifact),
+                adapter: Some(artifact),
+                expected_orders: 0,
+            };
+            self.send(&endpoint, order, "wanted", sends);
+        }
+    }
+
+    /// Picks the engine for an adapter: one with a free place, or else the one whose adapter was used least recently.
+    fn adapter_step(
+        &self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        model: &Artifact,
+        adapter: &Artifact,
+    ) -> Option<(Endpoint, Action, Artifact)> {
+        let idle = |site: &Site| {
+            site.spec.service == *service && site.is_idle(now_ms) && site.holds(model)
+        };
+        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| idle(site)).collect();
+        let roomy = sites
+            .iter()
+            .filter(|(_, site)| has_place(engine, site, adapter));
+        let least = roomy.min_by_key(|(_, site)| (site.adapters().count(), self.load_of(site)));
+        if let Some((endpoint, _)) = least {
+            return Some(((*endpoint).clone(), Action::Load, adapter.clone()));
+        }
+        let held = |(endpoint, site): &(&Endpoint, &Site)| {
+            let held = site.adapters().filter(|copy| copy.is_held());
+            let oldest = held.min_by_key(|copy| copy.used_ms)?;
+            Some((oldest.used_ms, (*endpoint).clone(), oldest.artifact.clone()))
+        };
+        let (_, endpoint, oldest) = sites.iter().filter_map(held).min()?;
+        Some((endpoint, Action::Unload, oldest))
+    }
+
+    /// Returns the work at an engine if demand spreads evenly over copies.
+    fn load_of(&self, site: &Site) -> Work {
+        let models = site
+            .copies
+            .iter()
+            .filter(|copy| !is_adapter(&copy.artifact));
+        let share = |artifact: &Artifact| {
+            let holders = self
+                .sites
+                .values()
+                .filter(|s| s.is_usable() && s.holds(artifact));
+            let work = self.work.get(artifact).copied().unwrap_or_default();
+            work / (holders.count() as u64).max(1)
+        };
+        models.map(|copy| share(&copy.artifact)).sum()
+    }
+
+    /// Plans loads of the models that gain most, and makes room for them.
+    fn plan_models(
+        &mut self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        sends: &mut Vec<Send>,
+    ) {
+        self.keep_promises(now_ms, engine, sends);
+        // Each step changes what the others gain.
+        for _ in 0..engine.models.len() {
+            let needs = needs(engine, &self.sites, &self.work);
+            let steps = needs
+                .iter()
+                .filter(|need| need.gain() >= self.options.fill_gain);
+            let step = steps
+                .into_iter()
+                .find_map(|need| self.model_step(now_ms, service, engine, need, &needs));
+            let Some((endpoint, action, artifact, promised)) = step else {
+                return;
+            };
+            let order = Order {
+                action,
+                model: artifact,
+                adapter: None,
+                expected_orders: 0,
+            };
+            let reason = if promised.is_some() { "room" } else { "demand" };
+            if let (Some(model), Some(site)) = (promised, self.sites.get_mut(&endpoint)) {
+                site.promised = Some(model);
+            }
+            self.begin_load(now_ms, engine, &endpoint, &order);
+            self.send(&endpoint, order, reason, sends);
+        }
+    }
+
+    /// Loads what room was made for.
+    fn keep_promises(&mut self, now_ms: u64, engine: &Engine, sends: &mut Vec<Send>) {
+        let promised = |(endpoint, site): (&Endpoint, &Site)| {
+            let model = site.promised.clone()?;
+            let fits = free_mb(engine, site) >= memory_mb(engine, &model);
+            let ready = site.is_idle(now_ms) && fits && self.may_load(engine, site, &model);
+            ready.then(|| (endpoint.clone(), model))
+        };
+        let due: Vec<_> = self.sites.iter().filter_map(promised).collect();
+        for (endpoint, model) in due {
+            let order = Order {
+                action: Action::Load,
+                model,
+                adapter: None,
+                expected_orders: 0,
+            };
+            self.begin_load(now_ms, engine, &endpoint, &order);
+            self.send(&endpoint, order, "promised", sends);
+        }
+    }
+
+    /// Finds how a model gets one more copy: a load where there is room, or an unload that makes room.
+    fn model_step(
+        &self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        need: &Need<'_>,
+        needs: &[Need<'_>],
+    ) -> Option<(Endpoint, Action, Artifact, Option<Artifact>)> {
+        let model = &need.model.name;
+        let open = |site: &Site| {
+            let takes = site.is_idle(now_ms) && site.promised.is_none();
+            site.spec.service == *service
+                && takes
+                && !site.copies.iter().any(|c| c.artifact == *model)
+        };
+        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| open(site)).collect();
+        let cost = |site: &Site| load_ms(site, need.model).0 + self.load_of(site) / LOAD_COST;
+        let roomy = sites.iter().filter(|(_, site)| {
+            free_mb(engine, site) >= need.model.memory_mb && self.may_load(engine, site, model)
+        });
+        if let Some((endpoint, _)) = roomy.min_by_key(|(_, site)| cost(site)) {
+            return Some(((*endpoint).clone(), Action::Load, model.clone(), None));
+        }
+        if need.gain() < self.options.move_gain {
+            return None;
+        }
+        let victim = |(endpoint, site): &(&Endpoint, &Site)| {
+            let (loss, victim) = self.victim(engine, site, need, needs)?;
+            let ratio = self.options.move_ratio_percent;
+            let gains = need.gain() * 100 >= loss * ratio && self.may_load(engine, site, model);
+            gains.then(|| ((loss, cost(site)), (*endpoint).clone(), victim))
+        };
+        let (_, endpoint, victim) = sites.iter().filter_map(victim).min()?;
+        Some((endpoint, Action::Unload, victim, Some(model.clone())))
+    }
+
+    /// Finds the model at an engine whose copy is missed least, if its room suffices.
+    fn victim(
+        &self,
+        engine: &Engine,
+        site: &Site,
+        need: &Need<'_>,
+        needs: &[Need<'_>],
+    ) -> Option<(Work, Artifact)> {
+        let free = free_mb(engine, site);
+        let held = site.copies.iter().filter(|copy| copy.is_held());
+        let loss = |artifact: &Artifact| match needs.iter().find(|n| n.model.name == *artifact) {
+            Some(need) => need.loss(),
+            None => Some(0),
+        };
+        held.filter(|copy| !is_adapter(&copy.artifact))
+            .filter(|copy| free + memory_mb(engine, &copy.artifact) >= need.model.memory_mb)
+            .filter_map(|copy| Some((loss(&copy.artifact)?, copy.artifact.clone())))
+            .min()
+    }
+
+    /// Tells whether a model may be loaded now, as far as the weight store goes.
+    fn may_load(&self, engine: &Engine, site: &Site, model: &Artifact) -> bool {
+        let model = engine.models.iter().find(|m| m.name == *model);
+        let from_store = model.is_none_or(|model| load_ms(site, model).1);
+        !from_store || (self.loads >= LOAD && self.loading.len() < self.loads_at_once(engine))
+    }
+
+    /// Returns how many loads from the weight store may be under way.
+    fn loads_at_once(&self, engine: &Engine) -> usize {
+        let slowest_ms = engine.models.iter().map(|model| model.load_ms).max();
+        let under_way = engine.loads_per_1000_s * slowest_ms.unwrap_or_default();
+        let steady = usize::try_from(under_way / (LOAD * MS_PER_S)).unwrap_or_default();
+        steady.max(self.options.loads_at_once)
+    }
+
+    /// Notes that a load from the weight store begins.
+    fn begin_load(&mut self, now_ms: u64, engine: &Engine, endpoint: &Endpoint, order: &Order) {
+        let model = engine.models.iter().find(|m| m.name == order.model);
+        let (Some(model), Some(site)) = (model, self.sites.get(endpoint)) else {
+            return;
+        };
+        let (took_ms, from_store) = load_ms(site, model);
+        if order.action == Action::Load && from_store {
+            self.loads = self.loads.saturating_sub(LOAD);
+            self.loading.push(now_ms + took_ms);
+        }
+    }
+
+    /// Marks an order as being on its way and adds it to those to be sent.
+    fn send(
+        &mut self,
+        endpoint: &Endpoint,
+        mut order: Order,
+        reason: &'static str,
+        sends: &mut Vec<Send>,
+    ) {
+        let Some(site) = self.sites.get_mut(endpoint) else {
+            return;
+        };
+        let Some(orders) = site.orders else { return };
+        order.expected_orders = orders;
+        site.send(order.clone());
+        sends.push(Send {
+            endpoint: endpoint.clone(),
+            address: site.spec.address,
+            order,
+            reason,
+        });
+    }
+}
+
+/// Work at an engine that counts as much as a millisecond of loading.
+const LOAD_COST: Work = 100;
+
+/// Returns the model engines of a service.
+fn engine<'a>(config: &'a Config, service: &Service) -> Option<&'a Engine> {
+    config.services().get(service)?.engine.as_ref()
+}
+
+/// Returns how long a load takes at an engine, in ms, and whether it is from the weight store.
+fn load_ms(site: &Site, model: &Model) -> (u64, bool) {
+    let holds = |list: &[Artifact]| list.binary_search(&model.name).is_ok();
+    if holds(&site.spec.in_memory) {
+        (model.host_load_ms, false)
+    } else if holds(&site.spec.on_disk) {
+        (model.disk_load_ms, false)
+    } else {
+        (model.load_ms, true)
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -0,0 +1,323 @@
+//! One engine as the leader sees it: what it holds, and the order that is open there.
+
+use quetzalpick_core::id::Artifact;
+
+use crate::fleet::{Spec, State};
+use crate::place::copy::{is_adapter, model_of};
+use crate::place::{Action, Copy, Order, Ordered, Phase, Report};
+
+/// Time by which an engine's list of what it holds may be older than its last order, in ms.
+const LAG_MS: u64 = 2_500;
+
+/// Time that an adapter takes to be there once its order is accepted, in ms.
+const ADAPTER_LOAD_MS: u64 = 12;
+
+/// Pause before an order that was not answered, or that met another one, is sent again, in ms.
+const AGAIN_MS: u64 = 150;
+
+/// Pause between two reports of one engine, in ms.
+const REPORT_PAUSE_MS: u64 = 200;
+
+/// `Open` is an order whose outcome is not known yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Open {
+    pub(crate) order: Order,
+    /// It is sent again after this time, in ms; `None` while it is on its way.
+    pub(crate) again_ms: Option<u64>,
+}
+
+/// `Site` is one engine.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// What it last said of itself.
+    pub(crate) spec: Spec,
+    /// Orders that it has accepted; `None` before its first report.
+    pub(crate) orders: Option<u64>,
+    pub(crate) copies: Vec<Copy>,
+    /// What was unloaded of late, and when, in ms: its entry may still name it.
+    dropped: Vec<(Artifact, u64)>,
+    pub(crate) open: Option<Open>,
+    /// No order for a model is sent before, in ms.
+    pub(crate) busy_until_ms: u64,
+    /// Model for which room is being made.
+    pub(crate) promised: Option<Artifact>,
+    /// Whether its own account of itself is wanted.
+    pub(crate) asks_report: bool,
+    /// It is not asked again before, in ms.
+    pub(crate) next_report_ms: u64,
+    /// Whether its entry is there.
+    pub(crate) present: bool,
+}
+
+impl Site {
+    /// Takes in an engine that was not known.
+    pub(crate) fn new(now_ms: u64, spec: Spec) -> Self {
+        let mut site = Self {
+            orders: None,
+            copies: Vec::new(),
+            dropped: Vec::new(),
+            open: None,
+            busy_until_ms: 0,
+            promised: None,
+            asks_report: true,
+            next_report_ms: 0,
+            present: true,
+            spec,
+        };
+        let held = site.spec.copies.clone();
+        site.adopt(now_ms, &held);
+        site
+    }
+
+    /// Returns the models and adapters that serve, sorted.
+    pub fn held(&self) -> Vec<Artifact> {
+        let held = self.copies.iter().filter(|copy| copy.is_held());
+        held.map(|copy| copy.artifact.clone()).collect()
+    }
+
+    /// Tells whether it takes new requests.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.present && self.spec.state == State::Ready
+    }
+
+    /// Tells whether an order may be sent to it now.
+    pub(crate) fn is_idle(&self, now_ms: u64) -> bool {
+        let free = self.open.is_none() && now_ms >= self.busy_until_ms;
+        self.is_usable() && free && self.orders.is_some() && !self.asks_report
+    }
+
+    pub(crate) fn copy(&self, artifact: &Artifact) -> Option<&Copy> {
+        self.copies.iter().find(|copy| copy.artifact == *artifact)
+    }
+
+    pub(crate) fn holds(&self, artifact: &Artifact) -> bool {
+        self.copy(artifact).is_some_and(Copy::is_held)
+    }
+
+    /// Tells whether an artifact serves here, or will.
+    pub(crate) fn expects(&self, artifact: &Artifact) -> bool {
+        let open = self.open.as_ref().is_some_and(|open| {
+            open.order.action == Action::Load && open.order.artifact() == artifact
+        });
+        let promised = self.promised.as_ref() == Some(artifact);
+        open || promised || self.copy(artifact).is_some_and(Copy::is_expected)
+    }
+
+    /// Returns the adapters that take places, those being loaded or unloaded included.
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = &Copy> {
+        self.copies.iter().filter(|copy| is_adapter(&copy.artifact))
+    }
+
+    /// Takes in what the engine says of itself in its entry.
+    pub(crate) fn observe(&mut self, now_ms: u64, spec: Spec) {
+        if !self.spec.is_same_start(&spec) {
+            *self = Self::new(now_ms, spec);
+            return;
+        }
+        self.present = true;
+        self.adopt(now_ms, &spec.copies);
+        self.spec = spec;
+    }
+
+    /// Takes in a report.
+    pub(crate) fn reported(&mut self, now_ms: u64, report: &Report) {
+        self.asks_report = false;
+        // Reports lag, so that one may be older than an order that was accepted.
+        if self.orders.is_some_and(|orders| report.orders < orders) {
+            return;
+        }
+        self.advance(now_ms, report.orders);
+        self.adopt(now_ms, &report.copies);
+        if report.busy {
+            self.busy_until_ms = self.busy_until_ms.max(now_ms + AGAIN_MS);
+        }
+    }
+
+    /// Marks an order as being on its way.
+    pub(crate) fn send(&mut self, order: Order) {
+        if self.promised.as_ref() == Some(&order.model) && order.action == Action::Load {
+            self.promised = None;
+        }
+        let again_ms = None;
+        self.open = Some(Open { order, again_ms });
+    }
+
+    /// Takes in the engine's answer to the open order; `took_ms` is how long its effect takes.
+    pub(crate) fn settle(&mut self, now_ms: u64, ordered: Option<Ordered>, took_ms: u64) {
+        let Some(open) = &mut self.open else { return };
+        match ordered {
+            Some(Ordered::Accepted) => {
+                let order = open.order.clone();
+                self.open = None;
+                self.orders = self.orders.max(Some(order.expected_orders + 1));
+                self.take_effect(now_ms, &order, took_ms);
+            }
+            Some(Ordered::Holds) => {
+                let order = open.order.clone();
+                self.open = None;
+                self.hold(now_ms, &order);
+            }
+            Some(Ordered::Conflict | Ordered::Misdirected | Ordered::Refused) => {
+                self.open = None;
+                self.asks_report = true;
+                self.promised = None;
+                self.next_report_ms = now_ms + AGAIN_MS;
+            }
+            Some(Ordered::Fenced) => self.open = None,
+            // The same order is sent again: whichever arrives second is void.
+            None => open.again_ms = Some(now_ms + AGAIN_MS),
+        }
+    }
+
+    /// Returns the open order if it is due to be sent again, and marks it as sent.
+    pub(crate) fn resend(&mut self, now_ms: u64) -> Option<Order> {
+        let open = self.open.as_mut()?;
+        open.again_ms.take_if(|at| now_ms >= *at)?;
+        Some(open.order.clone())
+    }
+
+    /// Notes what an accepted order does.
+    fn take_effect(&mut self, now_ms: u64, order: &Order, took_ms: u64) {
+        let artifact = order.artifact().clone();
+        match (order.action, &order.adapter) {
+            (Action::Load, Some(_)) => {
+                let until_ms = now_ms + ADAPTER_LOAD_MS;
+                self.put(now_ms, artifact, Phase::Loading { until_ms });
+            }
+            (Action::Load, None) => {
+                let until_ms = now_ms + took_ms;
+                self.busy_until_ms = until_ms;
+                self.put(now_ms, artifact, Phase::Loading { until_ms });
+            }
+            (Action::Unload, Some(_)) => self.put(now_ms, artifact, Phase::Unloading),
+            (Action::Unload, None) => {
+                self.busy_until_ms = now_ms + AGAIN_MS;
+                let is_of_model = |copy: &Copy| {
+                    is_adapter(&copy.artifact) && model_of(&copy.artifact) == artifact
+                };
+                self.copies.retain(|copy| !is_of_model(copy));
+                self.put(now_ms, artifact, Phase::Unloading);
+            }
+        }
+    }
+
+    /// Notes that what an order asks for holds already.
+    fn hold(&mut self, now_ms: u64, order: &Order) {
+        let artifact = order.artifact().clone();
+        match order.action {
+            Action::Load => {
+                self.put(now_ms, artifact, Phase::Held);
+                self.asks_report = true;
+            }
+            // An adapter without requests is unloaded at once, which counts as an order.
+            Action::Unload => {
+                self.drop_copy(now_ms, &artifact);
+                self.orders = self.orders.max(Some(order.expected_orders + 1));
+            }
+        }
+    }
+
+    /// Forgets a copy that is gone.
+    fn drop_copy(&mut self, now_ms: u64, artifact: &Artifact) {
+        self.copies.retain(|copy| copy.artifact != *artifact);
+        self.dropped.push((artifact.clone(), now_ms));
+    }
+
+    /// Ends adapter loads whose time is over; tells whether any ended.
+    pub(crate) fn finish_adapters(&mut self, now_ms: u64) -> bool {
+        let mut ended = false;
+        for copy in &mut self.copies {
+            let due = matches!(copy.phase, Phase::Loading { until_ms } if now_ms >= until_ms);
+            if due && is_adapter(&copy.artifact) {
+                copy.phase = Phase::Held;
+                copy.since_ms = now_ms;
+                ended = true;
+            }
+        }
+        ended
+    }
+
+    /// Tells whether a report is wanted: after an order that was not understood, or as a model should be there or gone.
+    pub(crate) fn wants_report(&self, now_ms: u64) -> bool {
+        let due = |copy: &Copy| match copy.phase {
+            Phase::Loading { until_ms } => now_ms >= until_ms,
+            Phase::Unloading => now_ms >= copy.since_ms + AGAIN_MS,
+            Phase::Held => false,
+        };
+        let mut models = self
+            .copies
+            .iter()
+            .filter(|copy| !is_adapter(&copy.artifact));
+        let wanted = self.asks_report || (self.open.is_none() && models.any(due));
+        wanted && now_ms >= self.next_report_ms
+    }
+
+    /// Notes that it is asked for its report.
+    pub(crate) fn report_asked(&mut self, now_ms: u64) {
+        self.next_report_ms = now_ms + REPORT_PAUSE_MS;
+    }
+
+    /// Sets the phase of a copy.
+    fn put(&mut self, now_ms: u64, artifact: Artifact, phase: Phase) {
+        let at = self
+            .copies
+            .binary_search_by(|copy| copy.artifact.cmp(&artifact));
+        match at {
+            Ok(at) if self.copies[at].phase == phase => {}
+            Ok(at) => {
+                self.copies[at].phase = phase;
+                self.copies[at].since_ms = now_ms;
+            }
+            Err(at) => {
+                let copy = Copy {
+                    artifact,
+                    phase,
+                    since_ms: now_ms,
+                    used_ms: now_ms,
+                };
+                self.copies.insert(at, copy);
+            }
+        }
+    }
+
+    /// Takes in how many orders the engine has accepted.
+    fn advance(&mut self, now_ms: u64, orders: u64) {
+        self.orders = Some(orders);
+        let overtaken = |open: &mut Open| open.order.expected_orders < orders;
+        let Some(open) = self.open.take_if(overtaken) else {
+            return;
+        };
+        // It is this order that took effect, or one of a former leader; the engine's own list tells which.
+        if open.order.action == Action::Load && open.order.expected_orders + 1 == orders {
+            let artifact = open.order.artifact().clone();
+            let until_ms = now_ms + AGAIN_MS;
+            self.put(now_ms, artifact, Phase::Loading { until_ms });
+        }
+    }
+
+    /// Takes in the engine's own list of what it holds, which may be a little older than its last order.
+    fn adopt(&mut self, now_ms: u64, held: &[Artifact]) {
+        let is_named = |artifact: &Artifact| held.binary_search(artifact).is_ok();
+        let is_recent = |copy: &Copy| match copy.phase {
+            Phase::Loading { until_ms } => now_ms < until_ms + LAG_MS,
+            Phase::Held => now_ms < copy.since_ms + LAG_MS,
+            Phase::Unloading => false,
+        };
+        let gone = self
+            .copies
+            .iter()
+            .filter(|copy| !is_named(&copy.artifact) && !is_recent(copy));
+        let gone: Vec<Artifact> = gone.map(|copy| copy.artifact.clone()).collect();
+        gone.iter()
+            .for_each(|artifact| self.drop_copy(now_ms, artifact));
+        self.dropped.retain(|(_, at)| now_ms < at + LAG_MS);
+        for artifact in held {
+            let unloading = |copy: &Copy| copy.phase == Phase::Unloading;
+            let ignored = self.copy(artifact).is_some_and(unloading)
+                || self.dropped.iter().any(|(name, _)| name == artifact);
+            if !ignored {
+                self.put(now_ms, artifact.clone(), Phase::Held);
+            }
+        }
+    }
+}
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -62,8 +62,8 @@
 /// # Errors
 ///
 /// `Failure` if there is no answer of the endpoint to this request.
-pub(crate) async fn send<E: Edge>(
-    context: &Context<E>,
+pub(crate) async fn send<E: Edge, S>(
+    context: &Context<E, S>,
     admitted: &Admitted,
     pick: &Pick,
     resumes_after: Option<u64>,
@@ -97,8 +97,8 @@
 }
 
 /// Builds the request that goes to the endpoint.
-fn request<E: Edge>(
-    context: &Context<E>,
+fn request<E: Edge, S>(
+    context: &Context<E, S>,
     admitted: &Admitted,
     pick: &Pick,
     left_ms: Option<u64>,
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -1,8 +1,10 @@
 //! What the requests of an entry share.
 
+use std::fmt::Debug;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use quetzalpick_client::http::Pool;
+use quetzalpick_core::id::Artifact;
 use quetzalpick_core::retry::Budget;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
 
@@ -10,23 +12,32 @@
 use crate::fleet::Fleet;
 use crate::meters::Meters;
 use crate::options::Options;
+use crate::rate::Rates;
 use crate::view::View;
 
+/// `Supply` gets an adapter loaded that no endpoint holds.
+pub(crate) trait Supply: Debug + Send + Sync + 'static {
+    /// Asks for the adapter, and waits until an endpoint holds it or that will not be soon.
+    fn want(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
+}
+
 /// `Context` is what the requests of an entry share.
 #[derive(Debug)]
-pub(crate) struct Context<E> {
+pub(crate) struct Context<E, S> {
     pub(crate) edge: E,
     pub(crate) clock: Clock,
     pub(crate) options: Options,
     pub(crate) pool: Pool,
     pub(crate) view: Arc<View>,
     pub(crate) fleet: Arc<Fleet>,
+    pub(crate) rates: Arc<Rates>,
+    pub(crate) supply: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) meters: Meters,
 }
 
-impl<E> Context<E> {
+impl<E, S> Context<E, S> {
     /// Tells whether the process is stopping, so that connections are not to be kept.
     pub(crate) fn is_stopping(&self) -> bool {
         self.lifecycle.phase() > Phase::Serving
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -16,16 +16,16 @@
 use quetzalpick_node::http::server;
 use rand::random;
 
-use crate::ask::Ask;
+use crate::ask::{Ask, Tokens};
 use crate::config::Config;
 use crate::edge::{Edge, strip_connection_headers};
 use crate::fleet::{Pick, Wanted};
-use crate::serve::Context;
 use crate::serve::attempt::{Failure, send};
 use crate::serve::body::Body;
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::Relay;
 use crate::serve::request::Admitted;
+use crate::serve::{Context, Supply};
 
 /// Longest time in which a body must arrive.
 const BODY_TIME_MAX: Duration = Duration::from_secs(10);
@@ -39,23 +39,26 @@
 /// When to come back if an endpoint may be there soon.
 const SOON: Duration = Duration::from_millis(250);
 
+/// When to come back if no endpoint holds what a request needs: a load takes about as long.
+const AFTER_NO_ENDPOINT: Duration = Duration::from_millis(1_000);
+
 /// When to come back after this VM lost the log service.
 const AFTER_STALE: Duration = Duration::from_millis(600);
 
 /// `Handler` answers callers; its clones share one entry.
 #[derive(Debug)]
-pub(crate) struct Handler<E> {
-    context: Arc<Context<E>>,
+pub(crate) struct Handler<E, S> {
+    context: Arc<Context<E, S>>,
 }
 
-impl<E> Clone for Handler<E> {
+impl<E, S> Clone for Handler<E, S> {
     fn clone(&self) -> Self {
         let context = Arc::clone(&self.context);
         Self { context }
     }
 }
 
-impl<E: Edge> server::Handler for Handler<E> {
+impl<E: Edge, S: Supply> server::Handler for Handler<E, S> {
     type Body = Body;
 
     async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
@@ -79,9 +82,9 @@
     }
 }
 
-impl<E: Edge> Handler<E> {
+impl<E: Edge, S: Supply> Handler<E, S> {
     /// Makes a handler.
-    pub(crate) fn new(context: Arc<Context<E>>) -> Self {
+    pub(crate) fn new(context: Arc<Context<E, S>>) -> Self {
         Self { context }
     }
 
@@ -102,8 +105,44 @@
             return Err(Refusal::new(Cause::NoConfig, "").after(SOON));
         };
         let body = body.map_err(|error| unread(&error))?;
+        let head_bytes = head_bytes(&head);
+        if head_bytes > config.limits().head_bytes {
+            return Err(Refusal::new(
+                Cause::HeadTooLarge,
+                format!("bytes={head_bytes}"),
+            ));
+        }
         let admitted = self.admit(&config, head, body, ask, arrived_ms)?;
-        self.forward(admitted).await
+        let artifacts = admitted.artifacts();
+        let tokens = admitted.ask.tokens.unwrap_or_default();
+        self.context.fleet.ask(&artifacts, tokens.answer);
+        self.charge(&config, &admitted)?;
+        let charged = (admitted.workspace.clone(), admitted.units);
+        let served = self.forward(admitted).await;
+        if let (Err(refusal), (Some(workspace), units)) = (&served, charged)
+            && refusal.cause.verdict() == Verdict::NotRun
+        {
+            let now_ms = self.context.clock.now_ms();
+            self.context.rates.refund(now_ms, &workspace, units);
+        }
+        served
+    }
+
+    /// Charges a request to its workspace.
+    fn charge(&self, config: &Config, admitted: &Admitted) -> Result<(), Refusal> {
+        let workspace = admitted.workspace.as_ref();
+        let Some(workspace) = workspace.and_then(|name| config.workspaces().get(name)) else {
+            return Ok(());
+        };
+        let now_ms = self.context.clock.now_ms();
+        let charged = self.context.rates.charge(now_ms, workspace, admitted.units);
+        charged.map_err(|short| {
+            let detail = format!(
+                "workspace={} units={} rate={:?} parts={} lent={}",
+                workspace.name, admitted.units, workspace.allowance, short.parts, short.lent
+            );
+            Refusal::new(Cause::OverRate, detail).after(short.after)
+        })
     }
 
     /// Decides whether a request may go on, and to which service.
@@ -123,6 +162,7 @@
         })?;
         let mut priority = route.priority;
         let mut workspace = None;
+        let mut units = 0;
         if config.needs_keys() && !route.open {
             self.check_freshness(arrived_ms)?;
             let key = ask.key.as_deref().unwrap_or_default();
@@ -132,6 +172,7 @@
             })?;
             priority = holder.priority.unwrap_or(priority);
             workspace = Some(holder.name.clone());
+            units = holder.units(ask.tokens.map(Tokens::total));
         }
         let service = route
             .service(random())
@@ -150,6 +191,7 @@
             ask,
             service,
             workspace,
+            units,
             priority,
             arrived_ms,
         })
@@ -169,7 +211,10 @@
     /// Sends a request to endpoints until one answers it or no other may be tried.
     async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
         loop {
-            let pick = self.pick(&admitted)?;
+            let pick = match self.pick(&admitted) {
+                Some(pick) => pick,
+                None => self.pick_supplied(&admitted).await?,
+            };
             admitted.tried.push(pick.endpoint.clone());
             let failure = match self.attempt(&admitted, &pick).await {
                 Ok(answer) => return Ok(self.finish(admitted, pick, answer)),
@@ -186,7 +231,7 @@
     }
 
     /// Picks an endpoint.
-    fn pick(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
+    fn pick(&self, admitted: &Admitted) -> Option<Pick> {
         let artifacts = admitted.artifacts();
         let wanted = Wanted {
             service: &admitted.service,
@@ -194,16 +239,25 @@
             tried: &admitted.tried,
         };
         let now_ms = self.context.clock.now_ms();
-        let pick = self.context.fleet.pick(now_ms, &wanted, random());
-        pick.ok_or_else(|| {
-            let cause = if admitted.runs > 0 {
-                Cause::EndpointFailed
-            } else {
-                Cause::NoEndpoint
-            };
-            let detail = format!("service={} artifacts={artifacts:?}", admitted.service);
-            Refusal::new(cause, detail).after(SOON)
-        })
+        self.context.fleet.pick(now_ms, &wanted, random())
+    }
+
+    /// Picks an endpoint once the adapter that a request needs was asked for.
+    async fn pick_supplied(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
+        if let Some(adapter) = &admitted.ask.adapter {
+            self.context.supply.want(adapter).await;
+            if let Some(pick) = self.pick(admitted) {
+                return Ok(pick);
+            }
+        }
+        let cause = if admitted.runs > 0 {
+            Cause::EndpointFailed
+        } else {
+            Cause::NoEndpoint
+        };
+        let artifacts = admitted.artifacts();
+        let detail = format!("service={} artifacts={artifacts:?}", admitted.service);
+        Err(Refusal::new(cause, detail).after(AFTER_NO_ENDPOINT))
     }
 
     /// Sends a request to an endpoint; a short plain answer is read to its end.
@@ -371,3 +425,15 @@
     };
     Refusal::new(cause, error)
 }
+
+/// Returns the bytes that the path and the headers of a request take.
+fn head_bytes(head: &Parts) -> usize {
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter();
+    fields.fold(path, |sum, (name, value)| {
+        sum + name.as_str().len() + value.len()
+    })
+}
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -9,6 +9,6 @@
 mod request;
 mod sse;
 
-pub(crate) use context::Context;
+pub(crate) use context::{Context, Supply};
 pub(crate) use handler::Handler;
 pub(crate) use refusal::Cause;
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use quetzalpick_client::http::Body as Answer;
 use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::verdict::Verdict;
 use rand::random;
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
@@ -14,11 +15,11 @@
 use crate::config::Kind;
 use crate::edge::Edge;
 use crate::fleet::{Pick, Wanted};
-use crate::serve::Context;
 use crate::serve::attempt::{Failure, send};
 use crate::serve::body::Broken;
 use crate::serve::request::Admitted;
 use crate::serve::sse::Events;
+use crate::serve::{Context, Supply};
 
 /// Time by which the last part of an answer may arrive after the deadline, in ms.
 const LATE_MS: u64 = 120;
@@ -41,15 +42,15 @@
 
 /// `Relay` is an answer on its way to the caller.
 #[derive(Debug)]
-pub(crate) struct Relay<E> {
-    pub(crate) context: Arc<Context<E>>,
+pub(crate) struct Relay<E, S> {
+    pub(crate) context: Arc<Context<E, S>>,
     pub(crate) admitted: Admitted,
     pub(crate) pick: Pick,
     pub(crate) answer: Answer,
     pub(crate) caller: Sender<Result<Bytes, Broken>>,
 }
 
-impl<E: Edge> Relay<E> {
+impl<E: Edge, S: Supply> Relay<E, S> {
     /// Relays until the answer ends.
     pub(crate) async fn run(mut self) {
         let resumable = matches!(self.admitted.route.kind, Kind::Stream { resumable: true });
@@ -167,7 +168,7 @@
         } else if !failure.declined {
             self.context.fleet.fail(now_ms, endpoint);
         }
-        if failure.verdict != quetzalpick_core::verdict::Verdict::NotRun {
+        if failure.verdict != Verdict::NotRun {
             self.admitted.runs += 1;
         }
         log::info!(
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -17,6 +17,8 @@
     pub(crate) route: Route,
     pub(crate) service: Service,
     pub(crate) workspace: Option<Workspace>,
+    /// Units that the workspace is charged.
+    pub(crate) units: u64,
     /// Rank among the requests of its endpoint.
     pub(crate) priority: u8,
     /// When its head had arrived, in ms.
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of an entry.
 
+use std::fmt;
 use std::time::Duration;
 
 use quetzalpick_node::http::server;
 use quetzalpick_node::process;
-use quetzalpick_node::settings::sections::{Log, Metrics, Vm, address};
+use quetzalpick_node::settings::sections::{Log, Metrics, SECRET_MIN_CHARS, Vm, address, secret};
 use quetzalpick_node::settings::{Reader, Section};
 
 use crate::entry::Listeners;
@@ -37,6 +38,8 @@
     pub metrics: Metrics,
     /// Logs.
     pub log: Log,
+    /// The other VMs.
+    pub peers: Peers,
     /// What operators may rely on.
     pub bounds: Bounds,
 }
@@ -55,6 +58,7 @@
             callers: reader.section("callers"),
             metrics: reader.section("metrics"),
             log: reader.section("log"),
+            peers: reader.section("peers"),
             bounds: reader.section("bounds"),
         }
     }
@@ -93,6 +97,33 @@
     }
 }
 
+/// `Peers` tells how the VMs reach each other.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Peers {
+    /// Address to listen on, at which the other VMs reach this one.
+    pub listen: String,
+    /// Secret that all VMs share.
+    pub secret: String,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The secret is left out, as settings are logged.
+        let mut peers = f.debug_struct("Peers");
+        peers.field("listen", &self.listen).finish_non_exhaustive()
+    }
+}
+
+impl Section for Peers {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let allowed = format!("{SECRET_MIN_CHARS} or more of the visible ASCII characters");
+        Self {
+            listen: reader.required("listen", "127.0.0.1:7101", ADDRESS, address_text),
+            secret: reader.required("secret", "change-this-secret", &allowed, secret),
+        }
+    }
+}
+
 /// `Bounds` are the times that operators may rely on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -100,6 +131,8 @@
     pub revocation: Duration,
     /// From the request to stop to the kill.
     pub stop: Duration,
+    /// Units that all VMs together may overdraw of a workspace that is too small for its requests.
+    pub overdraft: u64,
 }
 
 impl Section for Bounds {
@@ -107,6 +140,7 @@
         Self {
             revocation: reader.millis("revocation_ms", 5_000, 1_000..=10 * MINUTE_MS),
             stop: reader.millis("stop_ms", 8_000, 3_000..=10 * MINUTE_MS),
+            overdraft: reader.number("overdraft_units", 0, 0..=1 << 40, "units"),
         }
     }
 }
@@ -117,6 +151,7 @@
         Listeners {
             callers: self.callers.listen.clone(),
             admin: self.metrics.listen.clone(),
+            peers: self.peers.listen.clone(),
             limits: server::Options {
                 head_timeout: HEAD_TIME,
                 connections: self.callers.connections_max,
@@ -130,6 +165,7 @@
     pub fn options(&self) -> Options {
         Options {
             revocation: self.bounds.revocation,
+            overdraft: self.bounds.overdraft,
             stop: self.bounds.stop.saturating_sub(STOP_MARGIN),
             ..Options::new(self.vm.name.clone(), self.vm.domain.clone())
         }
--- a/crates/quetzalpick-entry/src/view/endpoints.rs
+++ b/crates/quetzalpick-entry/src/view/endpoints.rs
@@ -124,9 +124,12 @@
 
     /// Takes in an entry.
     fn update(&self, endpoint: Endpoint, spec: Spec) {
-        let (state, orders) = (spec.state, spec.orders);
-        if self.fleet.update(endpoint.clone(), spec) {
-            log::info!("view: endpoint={endpoint} state={state} orders={orders}");
+        let state = spec.state;
+        if self
+            .fleet
+            .update(self.clock.now_ms(), endpoint.clone(), spec)
+        {
+            log::info!("view: endpoint={endpoint} state={state}");
         }
     }
 
--- /dev/null
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -0,0 +1,114 @@
+//! The VMs that divide the floors of rates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quetzalpick_client::errors::{Error, Result};
+use quetzalpick_client::topic::{Record, Records, Topic, Topics};
+use quetzalpick_core::id::{Offset, Vm};
+use quetzalpick_core::table::Table;
+use tokio::time::sleep;
+
+use crate::clock::Clock;
+use crate::lead::Lead;
+use crate::rate::Rates;
+
+/// Pause between two reads; a VM that has joined is known to all after this time and that of a read.
+const INTERVAL: Duration = Duration::from_secs(4);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Value of a VM's record; the key says all there is to say.
+const VALUE: &[u8] = b"1";
+
+/// `Registry` enters this VM into the list of members and follows that list.
+#[derive(Debug)]
+pub(crate) struct Registry<T, N> {
+    pub(crate) topics: T,
+    pub(crate) rates: Arc<Rates>,
+    pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) clock: Clock,
+    /// Time after which the others know of a VM that has joined.
+    pub(crate) known: Duration,
+}
+
+impl<T: Topics, N> Registry<T, N> {
+    /// Follows for as long as it is polled.
+    pub(crate) async fn run(self) {
+        let mut members = Table::default();
+        let mut next = None;
+        let mut entered = false;
+        loop {
+            let read = match next {
+                Some(from) => self.topics.read(Topic::Members, from, Duration::ZERO).await,
+                None => self.topics.newest(Topic::Members).await,
+            };
+            let begins = next.is_none();
+            let Some(from) = take(read, &mut members) else {
+                next = None;
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            next = Some(from);
+            let known = members.contains(self.lead.vm());
+            if begins && !entered {
+                self.admit_floors(known);
+            }
+            if !known && self.enter().await.is_err() {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            entered = true;
+            let count = members.len() + usize::from(!known);
+            self.rates.divide(count);
+            self.lead.divide(count);
+            sleep(INTERVAL).await;
+        }
+    }
+
+    /// Decides from when on this VM uses its floors: one that was entered before is counted by all others.
+    fn admit_floors(&self, known: bool) {
+        let wait_ms = if known {
+            0
+        } else {
+            u64::try_from(self.known.as_millis()).unwrap_or(u64::MAX)
+        };
+        self.rates.admit_floors(self.clock.now_ms() + wait_ms);
+        log::info!("rate: floors in wait_ms={wait_ms} entered_before={known}");
+    }
+
+    /// Enters this VM.
+    async fn enter(&self) -> Result<Offset> {
+        let record = Record {
+            key: self.lead.vm().as_str().to_owned(),
+            value: Some(Bytes::from_static(VALUE)),
+        };
+        let entered = self.topics.append(Topic::Members, &record, None).await;
+        log::info!("view: member entered={}", entered.is_ok());
+        entered
+    }
+}
+
+/// Takes in what a read brought and returns where to read on; `None` if the list must be read anew.
+fn take(read: Result<Records>, members: &mut Table<Vm, ()>) -> Option<Offset> {
+    let records = match read {
+        Ok(records) => records,
+        Err(Error::Trimmed { .. }) => return None,
+        Err(error) => {
+            log::debug!("view: members not read reason=\"{error}\"");
+            return None;
+        }
+    };
+    for record in records.records {
+        let Ok(vm) = Vm::try_new(&record.key) else {
+            continue;
+        };
+        match record.value {
+            Some(_) => drop(members.insert(vm, ())),
+            None => drop(members.remove(&vm)),
+        }
+    }
+    Some(records.next)
+}
--- a/crates/quetzalpick-entry/src/view/mod.rs
+++ b/crates/quetzalpick-entry/src/view/mod.rs
@@ -3,7 +3,9 @@
 mod config;
 mod endpoints;
 mod freshness;
+mod members;
 
 pub(crate) use config::{ConfigFollower, View};
 pub(crate) use endpoints::EndpointFollower;
 pub(crate) use freshness::Contact;
+pub(crate) use members::Registry;
--- a/crates/quetzalpick-node/src/settings/sections.rs
+++ b/crates/quetzalpick-node/src/settings/sections.rs
@@ -13,7 +13,8 @@
 
 const NAME: &str = "a name of 1 to 100 of A-Z a-z 0-9 . _ : / @ -";
 const ADDRESS: &str = "an IP address and port";
-const SECRET_MIN_CHARS: usize = 16;
+/// Fewest characters of a secret.
+pub const SECRET_MIN_CHARS: usize = 16;
 const HOUR_MS: u64 = 3_600_000;
 
 /// Parses an IP address and port.
@@ -27,7 +28,7 @@
 }
 
 /// Parses the secret, which travels in a header.
-fn secret(text: &str) -> Option<String> {
+pub fn secret(text: &str) -> Option<String> {
     let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
     (visible && text.len() >= SECRET_MIN_CHARS).then(|| text.to_owned())
 }
