Draw units of a rate from the leader in place of loans of rate

Cause: loans moved parts of a rate from VM to VM and lost the level that came with them, so that requests within the rate were refused; a new leader had to wait for the former one's loans. What: the leader keeps half of each rate, a VM draws what its slice lacks; what was drawn is spent once, slices begin empty.

--- a/crates/quetzalpick-core/src/rate/mod.rs
+++ b/crates/quetzalpick-core/src/rate/mod.rs
@@ -1,12 +1,11 @@
-//! A workspace's rate and burst, divided over VMs that ask a leader.
+//! A workspace's rate and burst, divided over VMs and a leader.
 //!
-//! A part of each rate is divided evenly over all VMs that may be alive, and needs nobody's word: the floor. The leader lends
-//! the rest for short times to the VMs that are asked for more. Whatever is lent at a time adds up to no more than that rest.
+//! A part of each rate is divided evenly over all VMs that may be alive, and needs nobody's word: the floors. The rest is kept
+//! by the leader, from whom a VM draws when its own slice is short. What was drawn is spent once, and every slice begins
+//! empty, so that a VM that restarts, or a new leader, never adds to what the workspace may spend.
 
-mod allocator;
 mod slice;
 
-pub use allocator::{Allocator, Loan, Options, Question};
 pub use slice::Slice;
 
 use crate::record::PARTS_TOTAL;
@@ -17,5 +16,14 @@
 /// Returns the floor of one of `members` VMs, where floors take `floor_permille` of the whole.
 pub fn floor(members: usize, floor_permille: u64) -> Parts {
     let members = u64::try_from(members.max(1)).unwrap_or(u64::MAX);
-    PARTS_TOTAL / 1_000 * floor_permille.min(1_000) / members
+    floors(floor_permille) / members
+}
+
+/// Returns what the leader keeps, where floors take `floor_permille` of the whole.
+pub fn kept(floor_permille: u64) -> Parts {
+    PARTS_TOTAL - floors(floor_permille)
+}
+
+fn floors(floor_permille: u64) -> Parts {
+    PARTS_TOTAL / 1_000 * floor_permille.min(1_000)
 }
--- a/crates/quetzalpick-core/src/rate/slice.rs
+++ b/crates/quetzalpick-core/src/rate/slice.rs
@@ -1,4 +1,4 @@
-//! One VM's slice of a workspace's rate and burst.
+//! A slice of a workspace's rate and burst.
 
 use crate::quota::{Bucket, MICRO};
 use crate::rate::Parts;
@@ -31,11 +31,6 @@
         self.bucket.set_parts(now_ms, parts);
     }
 
-    /// Returns the part of the workspace that is this slice.
-    pub fn parts(&self) -> Parts {
-        self.bucket.parts()
-    }
-
     /// Takes units for a request.
     ///
     /// # Errors
@@ -59,6 +54,21 @@
         Err(self.wait_ms(units))
     }
 
+    /// Returns the units that are missing for a charge.
+    pub fn missing(&mut self, now_ms: u64, units: u64) -> u64 {
+        self.bucket.fill(now_ms);
+        self.repay(now_ms);
+        let level = self.bucket.level_micro() / MICRO;
+        units.saturating_add(self.owed).saturating_sub(level)
+    }
+
+    /// Takes units that were promised; what is not there is owed.
+    pub fn spend(&mut self, now_ms: u64, units: u64) {
+        self.bucket.fill(now_ms);
+        self.owed = self.owed.saturating_add(units);
+        self.repay(now_ms);
+    }
+
     /// Gives back the units of a request that did not run.
     pub fn refund(&mut self, now_ms: u64, units: u64) {
         let repaid = units.min(self.owed);
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -126,7 +126,7 @@
         let clock = outside.clock;
         let view = Arc::new(View::default());
         let fleet = Arc::new(Fleet::new(options.domain.clone(), options.route.clone()));
-        let rates = Arc::new(Rates::new(options.rate.clone(), options.overdraft));
+        let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
         let lead = Arc::new(lead(&outside, &view, &options, peer_address));
         let client = Arc::new(Client {
             lead: Arc::clone(&lead),
@@ -263,7 +263,7 @@
         me,
         outside.clock,
         Arc::clone(view),
-        options.rate.clone(),
+        options.floor_permille,
         outside.engines.clone(),
     )
 }
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -5,14 +5,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use quetzalpick_core::id::Artifact;
+use quetzalpick_core::id::{Artifact, Workspace};
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
-use crate::exchange::message::{Copies, Reply, Status, Want, Wanted, path};
+use crate::exchange::message::{Copies, Draw, Drawn, Reply, Status, Want, Wanted, path};
 use crate::exchange::service::{decode, encode};
 use crate::fleet::Fleet;
 use crate::lead::Lead;
@@ -30,6 +30,9 @@
 /// Longest time for the leader's answer to a want.
 const WANT_TIME: Duration = Duration::from_millis(250);
 
+/// Longest time for the leader's answer to a draw.
+const DRAW_TIME: Duration = Duration::from_millis(60);
+
 /// `Client` exchanges with the leader.
 #[derive(Debug)]
 pub(crate) struct Client<N, P> {
@@ -56,18 +59,18 @@
 
     /// Tells the leader this VM's status, and takes in the answer.
     async fn exchange(&self) {
-        let sent_ms = self.clock.now_ms();
+        let now_ms = self.clock.now_ms();
         if let Some(config) = self.view.config() {
-            self.rates.refresh(sent_ms, &config);
+            self.rates.refresh(now_ms, &config);
         }
-        let status = self.status(sent_ms);
+        let status = self.status(now_ms);
         let reply: Option<Reply> = if self.lead.is_leading() {
             Some(self.lead.status(status))
         } else {
             self.call(path::STATUS, &status, STATUS_TIME).await
         };
         match reply {
-            Some(reply) if reply.leading => self.take(sent_ms, reply),
+            Some(reply) if reply.leading => self.take(reply),
             _ => self.lead.unheard(),
         }
     }
@@ -79,12 +82,11 @@
             copies: self.copies.load(Ordering::Relaxed),
             loads: self.fleet.loads(),
             work: self.fleet.work(now_ms),
-            spending: self.rates.spending(now_ms),
         }
     }
 
     /// Takes in the leader's answer.
-    fn take(&self, sent_ms: u64, reply: Reply) {
+    fn take(&self, reply: Reply) {
         let now_ms = self.clock.now_ms();
         self.lead.heard(now_ms);
         self.fleet.leader_heard(now_ms);
@@ -93,13 +95,11 @@
         let former = self.fence.swap(fence, Ordering::Relaxed);
         if former != fence {
             self.copies.store(0, Ordering::Relaxed);
-            self.rates.forget_numbers();
             log::info!("exchange: leader fence={fence} former={former}");
         }
         if let Some(copies) = reply.copies {
             self.learn(copies);
         }
-        self.rates.lent(sent_ms, former == fence, &reply.loans);
     }
 
     fn learn(&self, copies: Copies) {
@@ -135,6 +135,18 @@
 }
 
 impl<N: Engines, P: Transport + Debug> Supply for Client<N, P> {
+    async fn draw(&self, workspace: &Workspace, units: u64) -> Drawn {
+        let draw = Draw {
+            workspace: workspace.clone(),
+            units,
+        };
+        if self.lead.is_leading() {
+            return self.lead.draw(&draw);
+        }
+        let drawn = self.call(path::DRAW, &draw, DRAW_TIME).await;
+        drawn.unwrap_or(Drawn::NotLeading)
+    }
+
     async fn want(&self, adapter: &Artifact) {
         let want = Want {
             adapter: adapter.clone(),
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -1,7 +1,6 @@
 //! Messages between VMs, in MessagePack.
 
 use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
-use quetzalpick_core::rate::{Loan, Parts};
 use serde::{Deserialize, Serialize};
 
 use crate::place::Work;
@@ -10,20 +9,28 @@
 pub(crate) mod path {
     /// Takes a `Status` and answers a `Reply`.
     pub(crate) const STATUS: &str = "/entry/status";
+    /// Takes a `Draw` and answers a `Drawn`.
+    pub(crate) const DRAW: &str = "/entry/draw";
     /// Takes a `Want` and answers a `Wanted`.
     pub(crate) const WANT: &str = "/entry/want";
 }
 
-/// `Spending` is what a VM is asked to spend of a workspace's rate.
+/// `Draw` asks for units of a workspace's rate that the leader keeps.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Spending {
+pub(crate) struct Draw {
     pub(crate) workspace: Workspace,
-    /// Units a second.
-    pub(crate) wanted: u64,
-    /// Number of the newest loan received from the leader of `Status::fence`.
-    pub(crate) received: u64,
-    /// Parts that may be used of loans, whichever leader they are from.
-    pub(crate) held: Parts,
+    pub(crate) units: u64,
+}
+
+/// `Drawn` answers a `Draw`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Drawn {
+    /// The units are the asker's, to be spent once.
+    Taken,
+    /// They may be there after this time, in ms.
+    Short(u64),
+    /// The VM asked does not lead, or may not act yet.
+    NotLeading,
 }
 
 /// `Status` is what a VM tells the leader.
@@ -38,7 +45,6 @@
     pub(crate) loads: Vec<(Endpoint, u32)>,
     /// Demand, by model and adapter.
     pub(crate) work: Vec<(Artifact, Work)>,
-    pub(crate) spending: Vec<Spending>,
 }
 
 /// `Copies` is what each engine holds, by the leader's account.
@@ -60,7 +66,6 @@
     pub(crate) loads: Vec<(Endpoint, u32)>,
     /// What engines hold, if that changed.
     pub(crate) copies: Option<Copies>,
-    pub(crate) loans: Vec<(Workspace, Loan)>,
 }
 
 /// `Want` asks for an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -28,6 +28,7 @@
     async fn answer(&self, path: &str, body: Bytes) -> Option<Bytes> {
         match path {
             path::STATUS => encode(&self.lead.status(decode(&body)?)),
+            path::DRAW => encode(&self.lead.draw(&decode(&body)?)),
             path::WANT => encode(&self.lead.want(decode(&body)?).await),
             _ => None,
         }
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use quetzalpick_core::election::{Candidate, Election};
-use quetzalpick_core::id::{Artifact, Endpoint, Vm};
-use quetzalpick_core::rate::{Allocator, Options as RateOptions, Question};
+use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
+use quetzalpick_core::rate::{Slice, kept};
 use quetzalpick_core::table::Table;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::exchange::{Copies, Reply, Status, Want, Wanted};
+use crate::config::{Allowance, Config};
+use crate::exchange::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
 use crate::place::{Planner, Work};
 use crate::view::View;
 
@@ -26,7 +27,8 @@
 pub(crate) struct Office {
     pub(crate) fence: u64,
     pub(crate) planner: Planner,
-    allocator: Allocator,
+    /// What the leader keeps of each workspace's rate.
+    slices: Table<Workspace, Slice>,
     copies: Copies,
 }
 
@@ -36,12 +38,11 @@
     me: Candidate,
     clock: Clock,
     view: Arc<View>,
-    rate: RateOptions,
+    floor_permille: u64,
     pub(crate) engines: N,
     election: Mutex<Election>,
     statuses: Mutex<Table<Vm, (u64, Status)>>,
     office: Mutex<Option<Office>>,
-    members: Mutex<usize>,
     /// Wakes the planner.
     pub(crate) wake: Notify,
     /// Version of the copies, for those who wait for one.
@@ -59,19 +60,18 @@
         me: Candidate,
         clock: Clock,
         view: Arc<View>,
-        rate: RateOptions,
+        floor_permille: u64,
         engines: N,
     ) -> Self {
         Self {
             me,
             clock,
             view,
-            rate,
+            floor_permille,
             engines,
             election: Mutex::new(election),
             statuses: Mutex::default(),
             office: Mutex::default(),
-            members: Mutex::new(1),
             wake: Notify::new(),
             changed: watch::Sender::new(0),
         }
@@ -120,11 +120,6 @@
         lock(&self.election).unheard();
     }
 
-    /// Notes how many VMs divide the floors of rates.
-    pub(crate) fn divide(&self, members: usize) {
-        *lock(&self.members) = members;
-    }
-
     /// Opens the office when this VM may act, and closes it when it may not any more.
     pub(crate) fn note_change(&self) {
         let now_ms = self.clock.now_ms();
@@ -138,7 +133,7 @@
         *office = fence.map(|fence| Office {
             fence,
             planner: Planner::new(now_ms, crate::place::Options::default()),
-            allocator: Allocator::new(now_ms, self.rate.clone()),
+            slices: Table::default(),
             copies: Copies::default(),
         });
         self.wake.notify_one();
@@ -173,65 +168,53 @@
             return Reply::default();
         }
         let loads = self.loads(now_ms, &status.vm);
-        let members = *lock(&self.members);
-        let answer = self.office(|office, now_ms| {
+        let answer = self.office(|office, _| {
             let same = status.fence == office.fence;
             let known = if same { status.copies } else { 0 };
             let copies = (known != office.copies.version).then(|| office.copies.clone());
-            let loans = self.lend(office, now_ms, &status, same, members);
-            (office.fence, copies, loans)
+            (office.fence, copies)
         });
         let vm = status.vm.clone();
         lock(&self.statuses).insert(vm, (now_ms, status));
-        let (fence, copies, loans) = match answer {
-            Some((fence, copies, loans)) => (Some(fence), copies, loans),
-            None => (None, None, Vec::new()),
+        let (fence, copies) = match answer {
+            Some((fence, copies)) => (Some(fence), copies),
+            None => (None, None),
         };
-        if !loans.is_empty() {
-            self.election(|election, now_ms| election.acted(now_ms));
-        }
         Reply {
             leading: true,
             fence,
             loads,
             copies,
-            loans,
         }
     }
 
-    /// Lends a VM what it asks for.
-    fn lend(
-        &self,
-        office: &mut Office,
-        now_ms: u64,
-        status: &Status,
-        same: bool,
-        members: usize,
-    ) -> Vec<(
-        quetzalpick_core::id::Workspace,
-        quetzalpick_core::rate::Loan,
-    )> {
-        let Some(config) = self.view.config() else {
-            return Vec::new();
+    /// Takes units of a workspace's rate that the leader keeps.
+    pub(crate) fn draw(&self, draw: &Draw) -> Drawn {
+        let config = self.view.config();
+        let workspaces = config.as_ref().map(|config| config.workspaces());
+        let workspace = workspaces.and_then(|all| all.get(&draw.workspace));
+        let Some(allowance) = workspace.and_then(|workspace| workspace.allowance) else {
+            return Drawn::NotLeading;
         };
-        let mut loans = Vec::new();
-        for spending in &status.spending {
-            let workspace = config.workspaces().get(&spending.workspace);
-            let Some(allowance) = workspace.and_then(|workspace| workspace.allowance) else {
-                continue;
-            };
-            let question = Question {
-                vm: &status.vm,
-                workspace: &spending.workspace,
-                rate: allowance.rate,
-                wanted: spending.wanted,
-                received: if same { spending.received } else { 0 },
-                held: spending.held,
-            };
-            let loan = office.allocator.lend(now_ms, question, members);
-            loans.push((spending.workspace.clone(), loan));
-        }
-        loans
+        let drawn = self.office(|office, now_ms| {
+            let slice = office.slice(now_ms, &draw.workspace, allowance, self.floor_permille);
+            match slice.charge(now_ms, draw.units, 0) {
+                Ok(()) => Drawn::Taken,
+                Err(after_ms) => Drawn::Short(after_ms),
+            }
+        });
+        drawn.unwrap_or(Drawn::NotLeading)
+    }
+
+    /// Lets the slices that the leader keeps fill, also those that nobody has drawn from yet.
+    pub(crate) fn fill(&self, config: &Config) {
+        self.office(|office, now_ms| {
+            for (name, workspace) in config.workspaces().iter() {
+                if let Some(allowance) = workspace.allowance {
+                    office.slice(now_ms, name, allowance, self.floor_permille);
+                }
+            }
+        });
     }
 
     /// Adds up the requests of the other VMs under way, by endpoint.
@@ -276,6 +259,21 @@
 }
 
 impl Office {
+    /// Returns the slice that the leader keeps of a workspace, filled up to now.
+    fn slice(
+        &mut self,
+        now_ms: u64,
+        workspace: &Workspace,
+        allowance: Allowance,
+        floor_permille: u64,
+    ) -> &mut Slice {
+        let Allowance { rate, burst } = allowance;
+        let begin = || Slice::new(now_ms);
+        let slice = self.slices.get_or_insert_with(workspace.clone(), begin);
+        slice.set(now_ms, rate, burst, kept(floor_permille));
+        slice
+    }
+
     /// Takes over what the planner knows of copies; returns the new version if that changed.
     fn publish(&mut self) -> Option<u64> {
         let sites = self.planner.sites().iter();
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -43,6 +43,7 @@
         let Some(config) = self.view.config() else {
             return false;
         };
+        self.lead.fill(&config);
         let work = self.lead.work(self.clock.now_ms());
         let planned = self.lead.office(|office, now_ms| {
             let planner = &mut office.planner;
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::id::{Domain, Vm};
-use quetzalpick_core::{election, rate, retry, route};
+use quetzalpick_core::{election, retry, route};
 
 /// `Options` set how an entry works.
 #[derive(Debug, Clone)]
@@ -28,8 +28,8 @@
     pub known: Duration,
     /// Units that all VMs together may overdraw of a workspace.
     pub overdraft: u64,
-    /// How rates are divided.
-    pub rate: rate::Options,
+    /// Part of each rate that is divided evenly over VMs and needs no leader, in thousandths.
+    pub floor_permille: u64,
     /// The election of the leader.
     pub election: election::Options,
     /// Routing.
@@ -52,7 +52,7 @@
             stop: Duration::from_secs(7),
             known: Duration::from_secs(5),
             overdraft: 0,
-            rate: rate::Options::default(),
+            floor_permille: 500,
             election: election::Options::default(),
             route: route::Options::default(),
             retry: retry::Options::default(),
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -4,20 +4,24 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use quetzalpick_client::http::Pool;
-use quetzalpick_core::id::Artifact;
+use quetzalpick_core::id::{Artifact, Workspace};
 use quetzalpick_core::retry::Budget;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
 
 use crate::clock::Clock;
+use crate::exchange::Drawn;
 use crate::fleet::Fleet;
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::rate::Rates;
 use crate::view::View;
 
-/// `Supply` gets an adapter loaded that no endpoint holds.
+/// `Supply` gets from the leader what this VM lacks.
 pub(crate) trait Supply: Debug + Send + Sync + 'static {
-    /// Asks for the adapter, and waits until an endpoint holds it or that will not be soon.
+    /// Draws units of a workspace's rate.
+    fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = Drawn> + Send;
+
+    /// Asks for an adapter that no endpoint holds, and waits until an endpoint holds it or that will not be soon.
     fn want(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
 }
 
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -19,6 +19,7 @@
 use crate::ask::{Ask, Tokens};
 use crate::config::Config;
 use crate::edge::{Edge, strip_connection_headers};
+use crate::exchange::Drawn;
 use crate::fleet::{Pick, Wanted};
 use crate::serve::attempt::{Failure, send};
 use crate::serve::body::Body;
@@ -45,6 +46,12 @@
 /// When to come back after this VM lost the log service.
 const AFTER_STALE: Duration = Duration::from_millis(600);
 
+/// Longest time for which the leader's word that it has nothing to draw counts, in ms.
+const DRY_MAX_MS: u64 = 300;
+
+/// Time after which the leader is asked again that did not answer, in ms.
+const LEADERLESS_MS: u64 = 200;
+
 /// `Handler` answers callers; its clones share one entry.
 #[derive(Debug)]
 pub(crate) struct Handler<E, S> {
@@ -116,7 +123,7 @@
         let artifacts = admitted.artifacts();
         let tokens = admitted.ask.tokens.unwrap_or_default();
         self.context.fleet.ask(&artifacts, tokens.answer);
-        self.charge(&config, &admitted)?;
+        self.charge(&config, &admitted).await?;
         let charged = (admitted.workspace.clone(), admitted.units);
         let served = self.forward(admitted).await;
         if let (Err(refusal), (Some(workspace), units)) = (&served, charged)
@@ -128,21 +135,47 @@
         served
     }
 
-    /// Charges a request to its workspace.
-    fn charge(&self, config: &Config, admitted: &Admitted) -> Result<(), Refusal> {
+    /// Charges a request to its workspace; what this VM's slice lacks is drawn from the leader.
+    async fn charge(&self, config: &Config, admitted: &Admitted) -> Result<(), Refusal> {
         let workspace = admitted.workspace.as_ref();
         let Some(workspace) = workspace.and_then(|name| config.workspaces().get(name)) else {
             return Ok(());
         };
-        let now_ms = self.context.clock.now_ms();
-        let charged = self.context.rates.charge(now_ms, workspace, admitted.units);
-        charged.map_err(|short| {
-            let detail = format!(
-                "workspace={} units={} rate={:?} parts={} lent={}",
-                workspace.name, admitted.units, workspace.allowance, short.parts, short.lent
-            );
-            Refusal::new(Cause::OverRate, detail).after(short.after)
-        })
+        let rates = &self.context.rates;
+        let now_ms = || self.context.clock.now_ms();
+        let units = admitted.units;
+        let Err(mut short) = rates.charge(now_ms(), workspace, units) else {
+            return Ok(());
+        };
+        let mut leader = "dry";
+        if short.may_draw {
+            let name = &workspace.name;
+            leader = match self.context.supply.draw(name, short.missing).await {
+                Drawn::Taken => {
+                    rates.spend(now_ms(), name, units.saturating_sub(short.missing));
+                    return Ok(());
+                }
+                Drawn::Short(after_ms) => {
+                    rates.dry(now_ms() + after_ms.min(DRY_MAX_MS), name);
+                    short.after = short.after.min(Duration::from_millis(after_ms));
+                    "short"
+                }
+                Drawn::NotLeading => {
+                    rates.dry(now_ms() + LEADERLESS_MS, name);
+                    "away"
+                }
+            };
+            // A slice that is full may be overdrawn once the leader has nothing.
+            match rates.charge(now_ms(), workspace, units) {
+                Ok(()) => return Ok(()),
+                Err(again) => short.after = short.after.min(again.after),
+            }
+        }
+        let detail = format!(
+            "workspace={} units={units} missing={} leader={leader} rate={:?}",
+            workspace.name, short.missing, workspace.allowance
+        );
+        Err(Refusal::new(Cause::OverRate, detail).after(short.after))
     }
 
     /// Decides whether a request may go on, and to which service.
--- a/crates/quetzalpick-entry/src/view/members.rs
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -63,7 +63,6 @@
             entered = true;
             let count = members.len() + usize::from(!known);
             self.rates.divide(count);
-            self.lead.divide(count);
             sleep(INTERVAL).await;
         }
     }
