Let only reports take copies from the leader's account of an engine

The same fuzz found that two copies of one model could be unloaded in one round, and a last copy given up for a promised one. Ruled out: waiting longer before an entry counts; it may be older than any bound while the store is away.

--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -75,10 +75,13 @@
     fn ask(&self, endpoint: Endpoint, address: std::net::SocketAddr) {
         let lead = Arc::clone(&self.lead);
         lead.office(|office, now_ms| office.planner.report_asked(now_ms, &endpoint));
+        let asked_ms = self.clock.now_ms();
         tokio::spawn(async move {
             match lead.engines.report(address, &endpoint).await {
                 Ok(report) => {
-                    lead.office(|o, now_ms| o.planner.reported(now_ms, &endpoint, &report));
+                    lead.office(|o, now_ms| {
+                        o.planner.reported(asked_ms, now_ms, &endpoint, &report)
+                    });
                     lead.wake.notify_one();
                 }
                 Err(error) => {
--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -10,7 +10,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Need<'a> {
     pub(crate) model: &'a config::Model,
+    /// Copies that serve or will.
     pub(crate) copies: u64,
+    /// Copies that serve and that no order takes away.
+    pub(crate) kept: u64,
     pub(crate) work: Work,
 }
 
@@ -26,9 +29,10 @@
         }
     }
 
-    /// Returns how much work more each engine has with one copy less; `None` if it is the last.
+    /// Returns how much work more each engine has with one copy less; `None` if none would serve then.
     pub(crate) fn loss(&self) -> Option<Work> {
-        (self.copies > 1).then(|| self.work / (self.copies - 1) - self.work / self.copies)
+        (self.kept > 1 && self.copies > 1)
+            .then(|| self.work / (self.copies - 1) - self.work / self.copies)
     }
 }
 
@@ -39,11 +43,13 @@
     work: &Table<Artifact, Work>,
 ) -> Vec<Need<'a>> {
     let need = |model: &'a config::Model| {
-        let usable = sites.values().filter(|site| site.is_usable());
-        let copies = usable.filter(|site| site.expects(&model.name)).count();
+        let usable = || sites.values().filter(|site| site.is_usable());
+        let copies = usable().filter(|site| site.expects(&model.name)).count();
+        let kept = usable().filter(|site| site.keeps(&model.name)).count();
         Need {
             model,
             copies: copies as u64,
+            kept: kept as u64,
             work: work.get(&model.name).copied().unwrap_or_default(),
         }
     };
--- a/crates/quetzalpick-entry/src/place/order.rs
+++ b/crates/quetzalpick-entry/src/place/order.rs
@@ -65,6 +65,8 @@
     pub busy: bool,
     /// Models and adapters held; sorted.
     pub copies: Vec<Artifact>,
+    /// Adapters that are on their way.
+    pub coming: Vec<Artifact>,
 }
 
 /// `Engines` is the administration side of model engines.
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -124,10 +124,10 @@
             .retain(|_, site| site.present || site.open.is_some());
     }
 
-    /// Takes in a report of an engine.
-    pub fn reported(&mut self, now_ms: u64, endpoint: &Endpoint, report: &Report) {
+    /// Takes in a report of an engine that was asked for at `asked_ms`.
+    pub fn reported(&mut self, asked_ms: u64, now_ms: u64, endpoint: &Endpoint, report: &Report) {
         if let Some(site) = self.sites.get_mut(endpoint) {
-            site.reported(now_ms, report);
+            site.reported(asked_ms, now_ms, report);
         }
     }
 
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -6,8 +6,8 @@
 use crate::place::copy::{is_adapter, model_of};
 use crate::place::{Action, Copy, Order, Ordered, Phase, Report};
 
-/// Time by which an engine's list of what it holds may be older than its last order, in ms.
-const LAG_MS: u64 = 2_500;
+/// Time by which a report may be older than the moment at which it was asked for, in ms.
+const LAG_MS: u64 = 400;
 
 /// Time that an adapter takes to be there once its order is accepted, in ms.
 const ADAPTER_LOAD_MS: u64 = 12;
@@ -34,8 +34,6 @@
     /// Orders that it has accepted; `None` before its first report.
     pub(crate) orders: Option<u64>,
     pub(crate) copies: Vec<Copy>,
-    /// What was unloaded of late, and when, in ms: its entry may still name it.
-    dropped: Vec<(Artifact, u64)>,
     pub(crate) open: Option<Open>,
     /// No order for a model is sent before, in ms.
     pub(crate) busy_until_ms: u64,
@@ -55,7 +53,6 @@
         let mut site = Self {
             orders: None,
             copies: Vec::new(),
-            dropped: Vec::new(),
             open: None,
             busy_until_ms: 0,
             promised: None,
@@ -64,8 +61,8 @@
             present: true,
             spec,
         };
-        let held = site.spec.copies.clone();
-        site.adopt(now_ms, &held);
+        // The entry may be old, and serves only until the first report.
+        site.hold(now_ms, &site.spec.copies.clone());
         site
     }
 
@@ -94,13 +91,25 @@
         self.copy(artifact).is_some_and(Copy::is_held)
     }
 
+    /// Tells whether an artifact serves here and no order takes it away.
+    pub(crate) fn keeps(&self, artifact: &Artifact) -> bool {
+        let order = self.open.as_ref().map(|open| &open.order);
+        let unloads = order.is_some_and(|order| {
+            let concerns = order.artifact() == artifact || order.model == *artifact;
+            order.action == Action::Unload && order.adapter.is_none() && concerns
+        });
+        !unloads && self.holds(artifact)
+    }
+
     /// Tells whether an artifact serves here, or will.
     pub(crate) fn expects(&self, artifact: &Artifact) -> bool {
-        let open = self.open.as_ref().is_some_and(|open| {
-            open.order.action == Action::Load && open.order.artifact() == artifact
-        });
+        let order = self.open.as_ref().map(|open| &open.order);
+        let concerned = order.filter(|order| order.artifact() == artifact);
+        if let Some(order) = concerned {
+            return order.action == Action::Load;
+        }
         let promised = self.promised.as_ref() == Some(artifact);
-        open || promised || self.copy(artifact).is_some_and(Copy::is_expected)
+        promised || self.copy(artifact).is_some_and(Copy::is_expected)
     }
 
     /// Returns the adapters that take places, those being loaded or unloaded included.
@@ -115,21 +124,64 @@
             return;
         }
         self.present = true;
-        self.adopt(now_ms, &spec.copies);
+        // An entry may be older than the last order, so that it takes nothing away.
+        if self.orders.is_none() {
+            self.hold(now_ms, &spec.copies);
+        }
         self.spec = spec;
     }
 
-    /// Takes in a report.
-    pub(crate) fn reported(&mut self, now_ms: u64, report: &Report) {
-        self.asks_report = false;
+    /// Takes in a report that was asked for at `asked_ms`.
+    pub(crate) fn reported(&mut self, asked_ms: u64, now_ms: u64, report: &Report) {
         // Reports lag, so that one may be older than an order that was accepted.
         if self.orders.is_some_and(|orders| report.orders < orders) {
             return;
         }
-        self.advance(now_ms, report.orders);
-        self.adopt(now_ms, &report.copies);
-        if report.busy {
-            self.busy_until_ms = self.busy_until_ms.max(now_ms + AGAIN_MS);
+        // What a busy engine loads is not in its list.
+        let news = self.orders != Some(report.orders);
+        if news && report.busy {
+            self.orders = None;
+            self.asks_report = true;
+            return;
+        }
+        self.asks_report = false;
+        if news {
+            self.begin_anew(now_ms, report);
+        } else {
+            self.confirm(asked_ms, now_ms, report);
+        }
+    }
+
+    /// Takes in a report of an engine whose orders were not all known.
+    fn begin_anew(&mut self, now_ms: u64, report: &Report) {
+        self.orders = Some(report.orders);
+        let overtaken = |open: &mut Open| open.order.expected_orders < report.orders;
+        self.open.take_if(overtaken);
+        self.promised = None;
+        let is_named = |copy: &Copy| report.copies.binary_search(&copy.artifact).is_ok();
+        self.copies.retain(is_named);
+        self.hold(now_ms, &report.copies);
+        let until_ms = now_ms + ADAPTER_LOAD_MS;
+        for adapter in &report.coming {
+            self.put(now_ms, adapter.clone(), Phase::Loading { until_ms });
+        }
+    }
+
+    /// Takes in a report of an engine whose orders are known: loads and unloads that have ended.
+    fn confirm(&mut self, asked_ms: u64, now_ms: u64, report: &Report) {
+        let is_named = |copy: &Copy| report.copies.binary_search(&copy.artifact).is_ok();
+        let is_coming = |copy: &Copy| report.coming.contains(&copy.artifact);
+        let is_old = |copy: &Copy| asked_ms >= copy.since_ms + LAG_MS;
+        self.copies.retain(|copy| {
+            let loading = matches!(copy.phase, Phase::Loading { .. });
+            loading || is_named(copy) || is_coming(copy) || !is_old(copy)
+        });
+        for copy in &mut self.copies {
+            let loading = matches!(copy.phase, Phase::Loading { .. });
+            if loading && is_named(copy) {
+                copy.phase = Phase::Held;
+                copy.since_ms = now_ms;
+            }
         }
     }
 
@@ -155,7 +207,7 @@
             Some(Ordered::Holds) => {
                 let order = open.order.clone();
                 self.open = None;
-                self.hold(now_ms, &order);
+                self.holds_already(now_ms, &order);
             }
             Some(Ordered::Conflict | Ordered::Misdirected | Ordered::Refused) => {
                 self.open = None;
@@ -202,27 +254,21 @@
     }
 
     /// Notes that what an order asks for holds already.
-    fn hold(&mut self, now_ms: u64, order: &Order) {
-        let artifact = order.artifact().clone();
+    fn holds_already(&mut self, now_ms: u64, order: &Order) {
+        let artifact = order.artifact();
         match order.action {
             Action::Load => {
-                self.put(now_ms, artifact, Phase::Held);
+                self.put(now_ms, artifact.clone(), Phase::Held);
                 self.asks_report = true;
             }
             // An adapter without requests is unloaded at once, which counts as an order.
             Action::Unload => {
-                self.drop_copy(now_ms, &artifact);
+                self.copies.retain(|copy| copy.artifact != *artifact);
                 self.orders = self.orders.max(Some(order.expected_orders + 1));
             }
         }
     }
 
-    /// Forgets a copy that is gone.
-    fn drop_copy(&mut self, now_ms: u64, artifact: &Artifact) {
-        self.copies.retain(|copy| copy.artifact != *artifact);
-        self.dropped.push((artifact.clone(), now_ms));
-    }
-
     /// Ends adapter loads whose time is over; tells whether any ended.
     pub(crate) fn finish_adapters(&mut self, now_ms: u64) -> bool {
         let mut ended = false;
@@ -241,14 +287,11 @@
     pub(crate) fn wants_report(&self, now_ms: u64) -> bool {
         let due = |copy: &Copy| match copy.phase {
             Phase::Loading { until_ms } => now_ms >= until_ms,
-            Phase::Unloading => now_ms >= copy.since_ms + AGAIN_MS,
+            Phase::Unloading => now_ms >= copy.since_ms + LAG_MS,
             Phase::Held => false,
         };
-        let mut models = self
-            .copies
-            .iter()
-            .filter(|copy| !is_adapter(&copy.artifact));
-        let wanted = self.asks_report || (self.open.is_none() && models.any(due));
+        let ends = self.open.is_none() && self.copies.iter().any(due);
+        let wanted = self.asks_report || ends;
         wanted && now_ms >= self.next_report_ms
     }
 
@@ -280,42 +323,13 @@
         }
     }
 
-    /// Takes in how many orders the engine has accepted.
-    fn advance(&mut self, now_ms: u64, orders: u64) {
-        self.orders = Some(orders);
-        let overtaken = |open: &mut Open| open.order.expected_orders < orders;
-        let Some(open) = self.open.take_if(overtaken) else {
-            return;
-        };
-        // It is this order that took effect, or one of a former leader; the engine's own list tells which.
-        if open.order.action == Action::Load && open.order.expected_orders + 1 == orders {
-            let artifact = open.order.artifact().clone();
-            let until_ms = now_ms + AGAIN_MS;
-            self.put(now_ms, artifact, Phase::Loading { until_ms });
-        }
-    }
-
-    /// Takes in the engine's own list of what it holds, which may be a little older than its last order.
-    fn adopt(&mut self, now_ms: u64, held: &[Artifact]) {
-        let is_named = |artifact: &Artifact| held.binary_search(artifact).is_ok();
-        let is_recent = |copy: &Copy| match copy.phase {
-            Phase::Loading { until_ms } => now_ms < until_ms + LAG_MS,
-            Phase::Held => now_ms < copy.since_ms + LAG_MS,
-            Phase::Unloading => false,
-        };
-        let gone = self
-            .copies
-            .iter()
-            .filter(|copy| !is_named(&copy.artifact) && !is_recent(copy));
-        let gone: Vec<Artifact> = gone.map(|copy| copy.artifact.clone()).collect();
-        gone.iter()
-            .for_each(|artifact| self.drop_copy(now_ms, artifact));
-        self.dropped.retain(|(_, at)| now_ms < at + LAG_MS);
+    /// Takes in that the engine holds copies that were not known.
+    fn hold(&mut self, now_ms: u64, held: &[Artifact]) {
         for artifact in held {
-            let unloading = |copy: &Copy| copy.phase == Phase::Unloading;
-            let ignored = self.copy(artifact).is_some_and(unloading)
-                || self.dropped.iter().any(|(name, _)| name == artifact);
-            if !ignored {
+            let known = self
+                .copy(artifact)
+                .is_some_and(|copy| !matches!(copy.phase, Phase::Loading { .. }));
+            if !known {
                 self.put(now_ms, artifact.clone(), Phase::Held);
             }
         }
--- /dev/null
+++ b/crates/quetzalpick-entry/tests/place/world.rs
@@ -0,0 +1,194 @@
+//! Engines, a leader that changes, and a network that loses answers and delays orders.
+
+use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
+use quetzalpick_core::table::Table;
+use quetzalpick_entry::config::{self, Config, Limits, Model};
+use quetzalpick_entry::fleet::{Spec, State};
+use quetzalpick_entry::place::{Options, Order, Ordered, Planner, Work};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::engine::Engine;
+
+pub(crate) const STEP_MS: u64 = 10;
+const MODEL_MB: u64 = 70;
+const ADAPTER_MB: u64 = 1;
+const MODELS: usize = 9;
+const ADAPTERS: u32 = 12;
+const ENGINES: usize = 4;
+const PLACES: usize = 5;
+
+/// Time by which an entry may lag behind its engine, in ms.
+const ENTRY_AGE_MS: u64 = 2_000;
+
+pub(crate) fn artifact(name: impl AsRef<str>) -> Artifact {
+    Artifact::try_new(name).unwrap()
+}
+
+pub(crate) fn model(n: usize) -> Artifact {
+    artifact(format!("m{n}"))
+}
+
+pub(crate) fn config(memory_mb: u64) -> Config {
+    let models = (0..MODELS).map(|n| Model {
+        name: model(n),
+        memory_mb: MODEL_MB,
+        adapters: (1..=ADAPTERS)
+            .map(|a| artifact(format!("m{n}/a{a}")))
+            .collect(),
+        adapter_memory_mb: ADAPTER_MB,
+        load_ms: 1_200,
+        disk_load_ms: 500,
+        host_load_ms: 400,
+    });
+    let service = config::Service {
+        name: Service::try_new("llm").unwrap(),
+        connections: None,
+        engine: Some(config::Engine {
+            models: models.collect(),
+            memory_mb,
+            adapter_places: PLACES as u32,
+            batch: 64,
+            cache_tokens: 100_000,
+            loads_per_1000_s: 2_000,
+        }),
+    };
+    let limits = Limits {
+        body_bytes: 1,
+        head_bytes: 1,
+        idle_ms: 1,
+    };
+    Config::new(1, Vec::new(), vec![service], Vec::new(), limits)
+}
+
+/// An order on its way: when it arrives, at which engine, and whether its answer is lost.
+struct Late {
+    at_ms: u64,
+    engine: usize,
+    order: Order,
+}
+
+pub(crate) struct World {
+    pub(crate) now_ms: u64,
+    pub(crate) random: Pcg64,
+    pub(crate) config: Config,
+    pub(crate) engines: Vec<Engine>,
+    entries: Vec<(u64, Vec<Artifact>)>,
+    late: Vec<Late>,
+    pub(crate) planner: Planner,
+    pub(crate) faults: bool,
+    pub(crate) work: Table<Artifact, Work>,
+    /// Loads of models that engines began.
+    pub(crate) loads: usize,
+}
+
+pub(crate) fn endpoint(n: usize) -> Endpoint {
+    Endpoint::try_new(format!("e{n}")).unwrap()
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, faults: bool) -> Self {
+        let memory_mb = 3 * MODEL_MB + 8 * ADAPTER_MB;
+        let sizes = || {
+            let models = (0..MODELS).map(|n| (model(n), MODEL_MB));
+            let adapters = (0..MODELS).flat_map(|n| {
+                (1..=ADAPTERS).map(move |a| (artifact(format!("m{n}/a{a}")), ADAPTER_MB))
+            });
+            models.chain(adapters).collect::<Vec<_>>()
+        };
+        let engine = |n: usize| {
+            let mut engine = Engine::new(memory_mb, PLACES, sizes());
+            engine.copies = (0..3).map(|k| model((n * 3 + k) % MODELS)).collect();
+            engine
+        };
+        Self {
+            now_ms: 0,
+            random: Pcg64::seed_from_u64(seed),
+            config: config(memory_mb),
+            engines: (0..ENGINES).map(engine).collect(),
+            entries: vec![(0, Vec::new()); ENGINES],
+            late: Vec::new(),
+            planner: Planner::new(0, Options::default()),
+            faults,
+            work: Table::default(),
+            loads: 0,
+        }
+    }
+
+    fn spec(&self, n: usize) -> Spec {
+        Spec {
+            service: Service::try_new("llm").unwrap(),
+            address: format!("10.0.0.{n}:1").parse().unwrap(),
+            domain: Domain::try_new("a").unwrap(),
+            state: State::Ready,
+            slots: 64,
+            born_ms: Some(1),
+            copies: self.entries[n].1.clone(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        }
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.faults && self.random.random_range(0..one_in) == 0
+    }
+
+    /// Plays one step.
+    pub(crate) fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let now_ms = self.now_ms;
+        for n in 0..ENGINES {
+            self.engines[n].turn(now_ms);
+            if now_ms >= self.entries[n].0 + ENTRY_AGE_MS {
+                self.entries[n] = (now_ms, self.engines[n].copies.clone());
+            }
+        }
+        let due: Vec<Late> = self
+            .late
+            .extract_if(.., |late| late.at_ms <= now_ms)
+            .collect();
+        for late in due {
+            self.engines[late.engine].order(now_ms, &late.order, 1_200);
+        }
+        if self.chance(600) {
+            self.planner = Planner::new(now_ms, Options::default());
+        }
+        let specs = (0..ENGINES).map(|n| (endpoint(n), self.spec(n))).collect();
+        self.planner.observe(now_ms, &self.config, specs);
+        self.planner.demand(now_ms, self.work.clone());
+        self.planner.finish_adapters(now_ms);
+        for (name, _) in self.planner.asks_reports(now_ms) {
+            let n: usize = name.as_str()[1..].parse().unwrap();
+            self.planner.report_asked(now_ms, &name);
+            if !self.chance(5) {
+                let report = self.engines[n].report();
+                self.planner.reported(now_ms, now_ms, &name, &report);
+            }
+        }
+        for send in self.planner.plan(now_ms, &self.config) {
+            let n: usize = send.endpoint.as_str()[1..].parse().unwrap();
+            let ordered = self.deliver(n, &send.order);
+            self.planner
+                .settle(now_ms, &self.config, &send.endpoint, ordered);
+        }
+    }
+
+    /// Delivers an order; `None` if there is no answer.
+    fn deliver(&mut self, n: usize, order: &Order) -> Option<Ordered> {
+        let now_ms = self.now_ms;
+        if self.chance(4) {
+            let after_ms = self.random.random_range(300..9_000);
+            self.late.push(Late {
+                at_ms: now_ms + after_ms,
+                engine: n,
+                order: order.clone(),
+            });
+            return None;
+        }
+        let ordered = self.engines[n].order(now_ms, order, 1_200);
+        if ordered == Ordered::Accepted && order.adapter.is_none() {
+            self.loads += 1;
+        }
+        (!self.chance(6)).then_some(ordered)
+    }
+}
