Pass on through the leader what it reads, and begin draws with the claim

What: the leader's answers carry configuration, its age, entries and member count; a VM reads itself when that stops. Shorter terms; followers know the age of the leader's term; draws begin with the claim, orders wait for the handover.

--- a/crates/quetzalpick-core/src/election.rs
+++ b/crates/quetzalpick-core/src/election.rs
@@ -16,6 +16,8 @@
     pub hold_ms: u64,
     /// Time without a renewal after which another VM claims, in ms; longer than `hold_ms`.
     pub lapse_ms: u64,
+    /// Claims of different VMs are spread over this time, in ms, so that most see the first one before they try.
+    pub stagger_ms: u64,
     /// Time without word of the leader after which the log is read, in ms.
     pub silence_ms: u64,
     /// Time that must pass between the acts of two leaders on different VMs, in ms.
@@ -27,10 +29,11 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            renew_ms: 900,
-            hold_ms: 2_000,
-            lapse_ms: 2_500,
-            silence_ms: 1_000,
+            renew_ms: 700,
+            hold_ms: 1_500,
+            lapse_ms: 1_800,
+            stagger_ms: 400,
+            silence_ms: 900,
             handover_ms: 3_200,
             read_ms: 400,
         }
@@ -55,6 +58,8 @@
     pub candidate: Candidate,
     /// Offset of the first record of the term; `None` in that record itself.
     pub term: Option<Offset>,
+    /// Time until the term may begin to act, in ms; 0 once it may.
+    pub acts_in_ms: u64,
     /// Set when the leader resigns: time since its last act, in ms.
     pub resigned_after_ms: Option<u64>,
 }
@@ -92,13 +97,26 @@
     Append(Claim, Offset),
 }
 
-/// `Seen` is the newest state of the log that was read.
+/// `Word` is what a leader says of its term when it answers another VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// The leader.
+    pub leader: Candidate,
+    /// Where the log ends after its last renewal.
+    pub end: Offset,
+    /// Time since the send of that renewal, in ms.
+    pub age_ms: u64,
+}
+
+/// `Seen` is the newest state of the log that was read, or that the leader told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Seen {
     end: Offset,
     newest: Option<(Offset, Claim)>,
-    /// When the log was first seen to end there, in ms.
+    /// When the log was first seen to end there, in ms; no earlier than the send of its newest record.
     since_ms: u64,
+    /// When it was last read to end there, in ms; `None` if the leader told.
+    read_ms: Option<u64>,
 }
 
 /// `Term` is the own leadership.
@@ -158,13 +176,18 @@
             if term.doubt_ms.is_some() || now_ms < term.next_ms {
                 return Step::Wait(WAIT_MAX_MS);
             }
-            return Step::Append(self.claim(Some(term.first)), term.end);
+            return Step::Append(self.claim(now_ms, Some(term.first)), term.end);
         }
         if let Some(at) = self.claimable(now_ms) {
-            return Step::Append(self.claim(None), at);
+            return Step::Append(self.claim(now_ms, None), at);
         }
         let heard = self.heard_ms.map(|at| at + self.options.silence_ms);
-        let due_ms = self.next_read_ms.max(heard.unwrap_or_default());
+        let silent_ms = heard.unwrap_or_default();
+        let due_ms = match self.lapses_ms(now_ms) {
+            // The log is read once when the leader falls silent, and again when its time is over.
+            Some(lapses_ms) => lapses_ms.max(silent_ms),
+            None => self.next_read_ms.max(silent_ms),
+        };
         if now_ms < due_ms {
             return Step::Wait((due_ms - now_ms).min(WAIT_MAX_MS));
         }
@@ -179,11 +202,16 @@
         }
         let former = self.seen.take();
         let unchanged = former.filter(|seen| seen.end == tail.end);
-        let seen = unchanged.unwrap_or_else(|| Seen {
+        let seen = unchanged.unwrap_or(Seen {
             end: tail.end,
             newest: tail.newest,
             since_ms: now_ms,
+            read_ms: None,
         });
+        let seen = Seen {
+            read_ms: Some(now_ms),
+            ..seen
+        };
         if let Some((offset, claim)) = &seen.newest
             && claim.candidate == self.me
             && claim.resigned_after_ms.is_none()
@@ -271,9 +299,35 @@
         });
     }
 
-    /// Notes that the leader of a term answered.
-    pub fn heard(&mut self, now_ms: u64) {
+    /// Notes that the leader answered, and what it says of its term.
+    pub fn heard(&mut self, now_ms: u64, word: Option<Word>) {
         self.heard_ms = Some(now_ms);
+        let known = self.seen.as_ref().map(|seen| seen.end);
+        let Some(word) = word.filter(|word| self.term.is_none() && Some(word.end) > known) else {
+            return;
+        };
+        let claim = Claim {
+            candidate: word.leader,
+            term: None,
+            acts_in_ms: 0,
+            resigned_after_ms: None,
+        };
+        self.seen = Some(Seen {
+            end: word.end,
+            newest: Some((Offset(word.end.0.saturating_sub(1)), claim)),
+            since_ms: now_ms.saturating_sub(word.age_ms),
+            read_ms: None,
+        });
+    }
+
+    /// Returns what this VM says of its own term; `None` if it does not lead.
+    pub fn word(&self, now_ms: u64) -> Option<Word> {
+        let term = self.term.as_ref()?;
+        Some(Word {
+            leader: self.me.clone(),
+            end: term.end,
+            age_ms: now_ms.saturating_sub(term.renewed_ms),
+        })
     }
 
     /// Notes that the VM thought to lead says that it does not, or cannot be reached.
@@ -298,22 +352,22 @@
         let since_ms = now_ms.saturating_sub(last_ms);
         let claim = Claim {
             resigned_after_ms: Some(since_ms),
-            ..self.claim(Some(term.first))
+            ..self.claim(now_ms, Some(term.first))
         };
         Some((claim, term.end))
     }
 
     /// Returns the number that fences the own acts, if this VM may act now.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
-        let term = self.term.as_ref()?;
-        let held = now_ms < term.renewed_ms + self.options.hold_ms;
-        (held && now_ms >= term.acts_from_ms).then_some(term.first.0 + 1)
+        let acts = self.term.as_ref()?.acts_from_ms <= now_ms;
+        self.leads(now_ms).filter(|_| acts)
     }
 
-    /// Tells whether this VM leads, though it may not act yet.
-    pub fn is_leading(&self, now_ms: u64) -> bool {
-        let term = self.term.as_ref();
-        term.is_some_and(|term| now_ms < term.renewed_ms + self.options.hold_ms)
+    /// Returns the number of the own term while no other VM can lead, though this one may not act yet.
+    pub fn leads(&self, now_ms: u64) -> Option<u64> {
+        let term = self.term.as_ref()?;
+        let held = now_ms < term.renewed_ms + self.options.hold_ms;
+        held.then_some(term.first.0 + 1)
     }
 
     /// Returns the VM that is thought to lead, this one included.
@@ -325,10 +379,15 @@
         (claim.resigned_after_ms.is_none()).then_some(&claim.candidate)
     }
 
-    fn claim(&self, term: Option<Offset>) -> Claim {
+    fn claim(&self, now_ms: u64, term: Option<Offset>) -> Claim {
+        let acts_in_ms = match &self.term {
+            Some(term) => term.acts_from_ms.saturating_sub(now_ms),
+            None => self.wait_before_acts_ms(now_ms),
+        };
         Claim {
             candidate: self.me.clone(),
             term,
+            acts_in_ms,
             resigned_after_ms: None,
         }
     }
@@ -344,7 +403,12 @@
     /// Returns where to append a claim, if nobody leads.
     fn claimable(&self, now_ms: u64) -> Option<Offset> {
         let seen = self.seen.as_ref()?;
-        let lapsed = now_ms >= seen.since_ms + self.options.lapse_ms && !self.hears(now_ms);
+        let read_ms = seen.read_ms?;
+        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
+        let lapsed_ms = seen.since_ms + self.options.lapse_ms + spread_ms;
+        // A read just before tells whether another VM has claimed.
+        let read_since = read_ms >= lapsed_ms;
+        let lapsed = now_ms >= lapsed_ms && read_since && !self.hears(now_ms);
         let free = match &seen.newest {
             None => seen.end == Offset(0) || lapsed,
             Some((_, claim)) => {
@@ -360,6 +424,15 @@
         candidate.vm == self.me.vm && candidate.incarnation != self.me.incarnation
     }
 
+    /// Returns when the time of a leader that was seen by a read is over, if that is to come, in ms.
+    fn lapses_ms(&self, now_ms: u64) -> Option<u64> {
+        let seen = self.seen.as_ref()?;
+        seen.read_ms?;
+        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
+        let lapses_ms = seen.since_ms + self.options.lapse_ms + spread_ms;
+        (now_ms < lapses_ms && lapses_ms > self.next_read_ms).then_some(lapses_ms)
+    }
+
     fn hears(&self, now_ms: u64) -> bool {
         let heard = self.heard_ms.map(|at| at + self.options.silence_ms);
         heard.is_some_and(|until_ms| now_ms < until_ms)
@@ -374,12 +447,14 @@
             return 0;
         };
         if self.is_former_self(claim) {
-            return 0;
+            return claim.acts_in_ms;
         }
         let last_ms = match claim.resigned_after_ms {
             Some(after_ms) => seen.since_ms.saturating_sub(after_ms),
             None => seen.since_ms + self.options.hold_ms,
         };
-        (last_ms + self.options.handover_ms).saturating_sub(now_ms)
+        let wait_ms = (last_ms + self.options.handover_ms).saturating_sub(now_ms);
+        // The leader before may not have begun to act, and wait for one before it.
+        wait_ms.max(claim.acts_in_ms)
     }
 }
--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -87,12 +87,13 @@
             if now_ms < paused_until[vm] {
                 continue;
             }
-            let leader = vms.iter().position(|vm| vm.is_leading(now_ms));
-            let hears = leader.is_some_and(|leader| now_ms >= paused_until[leader]);
+            let leader = vms.iter().position(|vm| vm.leads(now_ms).is_some());
+            let leader = leader.filter(|leader| now_ms >= paused_until[*leader]);
+            let word = leader.map(|leader| vms[leader].word(now_ms));
             let cut = now_ms < cut_until[vm];
             let election = &mut vms[vm];
-            if hears {
-                election.heard(now_ms);
+            if let Some(word) = word {
+                election.heard(now_ms, word);
             }
             match election.step(now_ms) {
                 Step::Wait(_) => {}
@@ -223,5 +224,5 @@
     second.appended(1_010, 1_010, Appended::At(log.append(claim, at).unwrap()));
     let acts_from = 10 + Options::default().handover_ms;
     assert_eq!(second.fence(acts_from - 1), None);
-    assert!(second.is_leading(1_011));
+    assert!(second.leads(1_011).is_some());
 }
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -127,7 +127,7 @@
         let view = Arc::new(View::default());
         let fleet = Arc::new(Fleet::new(options.domain.clone(), options.route.clone()));
         let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
-        let lead = Arc::new(lead(&outside, &view, &options, peer_address));
+        let lead = Arc::new(lead(&outside, &view, &fleet, &options, peer_address));
         let client = Arc::new(Client {
             lead: Arc::clone(&lead),
             transport: outside.transport.clone(),
@@ -137,6 +137,7 @@
             clock,
             fence: AtomicU64::default(),
             copies: AtomicU64::default(),
+            endpoints: AtomicU64::default(),
         });
         let context = Arc::new(Context {
             edge: outside.edge.clone(),
@@ -250,6 +251,7 @@
 fn lead<T, E, C, N: Engines, P>(
     outside: &Outside<T, E, C, N, P>,
     view: &Arc<View>,
+    fleet: &Arc<Fleet>,
     options: &Options,
     address: String,
 ) -> Lead<N> {
@@ -263,6 +265,7 @@
         me,
         outside.clock,
         Arc::clone(view),
+        Arc::clone(fleet),
         options.floor_permille,
         outside.engines.clone(),
     )
@@ -288,6 +291,7 @@
         topics: outside.topics.clone(),
         codec: outside.codec,
         fleet: Arc::clone(&context.fleet),
+        view: Arc::clone(&context.view),
         clock,
         interval: options.endpoints_interval,
         grace: options.lapse_grace,
@@ -296,6 +300,7 @@
         topics: outside.topics,
         rates: Arc::clone(&context.rates),
         lead: Arc::clone(lead),
+        view: Arc::clone(&context.view),
         clock,
         known: options.known,
     };
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -24,6 +24,9 @@
 /// Pause between two statuses.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// With many VMs the pause is this long for each, so that the leader's work stays the same.
+const MEMBER_INTERVAL: Duration = Duration::from_millis(7);
+
 /// Longest time for the leader's answer to a status.
 const STATUS_TIME: Duration = Duration::from_millis(500);
 
@@ -46,6 +49,8 @@
     pub(crate) fence: AtomicU64,
     /// Version of the copies known from it.
     pub(crate) copies: AtomicU64,
+    /// Version of the endpoints known from it.
+    pub(crate) endpoints: AtomicU64,
 }
 
 impl<N: Engines, P: Transport> Client<N, P> {
@@ -53,7 +58,8 @@
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
             self.exchange().await;
-            sleep(INTERVAL).await;
+            let members = u32::try_from(self.rates.members()).unwrap_or(u32::MAX);
+            sleep(INTERVAL.max(MEMBER_INTERVAL * members)).await;
         }
     }
 
@@ -64,42 +70,64 @@
             self.rates.refresh(now_ms, &config);
         }
         let status = self.status(now_ms);
-        let reply: Option<Reply> = if self.lead.is_leading() {
-            Some(self.lead.status(status))
-        } else {
-            self.call(path::STATUS, &status, STATUS_TIME).await
-        };
+        if self.lead.is_leading() {
+            let reply = self.lead.status(status);
+            self.take_term(&reply);
+            return;
+        }
+        let reply: Option<Reply> = self.call(path::STATUS, &status, STATUS_TIME).await;
         match reply {
-            Some(reply) if reply.leading => self.take(reply),
+            Some(reply) if reply.word.is_some() => {
+                self.take_term(&reply);
+                self.take_relay(now_ms, reply);
+            }
             _ => self.lead.unheard(),
         }
     }
 
     fn status(&self, now_ms: u64) -> Status {
+        let config = self.view.config();
         Status {
             vm: self.lead.vm().clone(),
             fence: self.fence.load(Ordering::Relaxed),
             copies: self.copies.load(Ordering::Relaxed),
+            endpoints: self.endpoints.load(Ordering::Relaxed),
+            config: config.map_or(0, |config| config.version()),
             loads: self.fleet.loads(),
             work: self.fleet.work(now_ms),
         }
     }
 
-    /// Takes in the leader's answer.
-    fn take(&self, reply: Reply) {
+    /// Takes in what the leader says of its term, of loads and of copies.
+    fn take_term(&self, reply: &Reply) {
         let now_ms = self.clock.now_ms();
-        self.lead.heard(now_ms);
+        self.lead.heard(now_ms, reply.word.clone());
         self.fleet.leader_heard(now_ms);
         self.fleet.others_told(now_ms, &reply.loads);
-        let Some(fence) = reply.fence else { return };
-        let former = self.fence.swap(fence, Ordering::Relaxed);
-        if former != fence {
+        let former = self.fence.swap(reply.fence, Ordering::Relaxed);
+        if former != reply.fence {
             self.copies.store(0, Ordering::Relaxed);
-            log::info!("exchange: leader fence={fence} former={former}");
+            self.endpoints.store(0, Ordering::Relaxed);
+            log::info!("exchange: leader fence={} former={former}", reply.fence);
         }
-        if let Some(copies) = reply.copies {
-            self.learn(copies);
+        if let Some(copies) = &reply.copies {
+            self.learn(copies.clone());
+        }
+    }
+
+    /// Takes in what the leader has read of the topics.
+    fn take_relay(&self, sent_ms: u64, reply: Reply) {
+        let now_ms = self.clock.now_ms();
+        let Some(view) = reply.view else { return };
+        let fresh_ms = sent_ms.saturating_sub(view.age_ms);
+        self.view
+            .offer(now_ms, fresh_ms, view.record.map(|record| record.0));
+        if let Some(endpoints) = reply.endpoints {
+            self.endpoints.store(endpoints.version, Ordering::Relaxed);
+            self.fleet.replace(now_ms, endpoints.rows);
         }
+        let members = usize::try_from(reply.members).unwrap_or(usize::MAX);
+        self.rates.divide(members);
     }
 
     fn learn(&self, copies: Copies) {
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -1,8 +1,11 @@
 //! Messages between VMs, in MessagePack.
 
+use quetzalpick_core::election::Word;
 use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
+use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::Spec;
 use crate::place::Work;
 
 /// Paths of the peer listener.
@@ -41,6 +44,10 @@
     pub(crate) fence: u64,
     /// Version of the copies that it knows from that leader.
     pub(crate) copies: u64,
+    /// Version of the endpoints that it knows from that leader.
+    pub(crate) endpoints: u64,
+    /// Version of the configuration that it knows.
+    pub(crate) config: u64,
     /// Requests under way, by endpoint.
     pub(crate) loads: Vec<(Endpoint, u32)>,
     /// Demand, by model and adapter.
@@ -55,17 +62,39 @@
     pub(crate) rows: Vec<(Endpoint, Vec<Artifact>)>,
 }
 
+/// `ViewRelay` passes on what the leader has read of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ViewRelay {
+    /// The record that holds the configuration, if the asker's is older.
+    pub(crate) record: Option<Blob>,
+    /// Time since the send of the leader's last read that reached the end, in ms.
+    pub(crate) age_ms: u64,
+}
+
+/// `EndpointsRelay` passes on all entries of endpoints that the leader has read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EndpointsRelay {
+    pub(crate) version: u64,
+    /// Endpoints that have not gone.
+    pub(crate) rows: Vec<(Endpoint, Spec)>,
+}
+
 /// `Reply` is what the leader answers.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Reply {
-    /// Whether the VM asked leads.
-    pub(crate) leading: bool,
-    /// Its fencing number, if it may act.
-    pub(crate) fence: Option<u64>,
+    /// What the leader says of its term; `None` if the VM asked does not lead.
+    pub(crate) word: Option<Word>,
+    /// Its fencing number.
+    pub(crate) fence: u64,
     /// Requests of the other VMs under way, by endpoint.
     pub(crate) loads: Vec<(Endpoint, u32)>,
     /// What engines hold, if that changed.
     pub(crate) copies: Option<Copies>,
+    pub(crate) view: Option<ViewRelay>,
+    /// Entries of endpoints, if they changed.
+    pub(crate) endpoints: Option<EndpointsRelay>,
+    /// Number of VMs.
+    pub(crate) members: u64,
 }
 
 /// `Want` asks for an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -5,5 +5,7 @@
 mod service;
 
 pub(crate) use client::Client;
-pub(crate) use message::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
+pub(crate) use message::{
+    Copies, Draw, Drawn, EndpointsRelay, Reply, Status, ViewRelay, Want, Wanted,
+};
 pub(crate) use service::{Desk, decode as decode_claim, encode as encode_claim};
--- a/crates/quetzalpick-entry/src/fleet/spec.rs
+++ b/crates/quetzalpick-entry/src/fleet/spec.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 
 use quetzalpick_core::id::{Artifact, Domain, Service};
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 /// `State` says whether an endpoint takes new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum State {
     /// It does.
@@ -16,7 +17,7 @@
 }
 
 /// `Spec` is what an endpoint says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
     /// The service that it belongs to.
     pub service: Service,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -7,6 +7,7 @@
 use quetzalpick_core::route::{self, Candidate, choose};
 use quetzalpick_core::table::Table;
 
+use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
 use crate::fleet::{Pick, Spec};
 use crate::place::{Demand, Work};
@@ -31,6 +32,8 @@
     demand: Mutex<Demand>,
     /// When the leader was last heard, in ms.
     leader_ms: AtomicU64,
+    /// Grows with each change of an entry.
+    version: AtomicU64,
 }
 
 /// Time for which the leader's word counts, in ms.
@@ -45,6 +48,7 @@
             rows: Mutex::default(),
             demand: Mutex::default(),
             leader_ms: AtomicU64::default(),
+            version: AtomicU64::new(1),
         }
     }
 
@@ -59,10 +63,14 @@
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let news = row.spec.state != spec.state || !row.spec.is_same_start(&spec);
+                if row.spec != spec || row.lapsed_ms.is_some() {
+                    self.version.fetch_add(1, Ordering::Relaxed);
+                }
                 row.update(heard, spec);
                 news
             }
             None => {
+                self.version.fetch_add(1, Ordering::Relaxed);
                 rows.insert(endpoint, Row::new(spec));
                 true
             }
@@ -82,10 +90,36 @@
         let Some(row) = rows.get_mut(endpoint) else {
             return false;
         };
-        row.lapsed_ms.get_or_insert(now_ms);
+        if row.lapsed_ms.is_none() {
+            row.lapsed_ms = Some(now_ms);
+            self.version.fetch_add(1, Ordering::Relaxed);
+        }
         true
     }
 
+    /// Takes in the entries that the leader has read; endpoints that are not among them are gone.
+    pub(crate) fn replace(&self, now_ms: u64, specs: Vec<(Endpoint, Spec)>) {
+        let named: Vec<Endpoint> = specs.iter().map(|(endpoint, _)| endpoint.clone()).collect();
+        for (endpoint, spec) in specs {
+            let state = spec.state;
+            if self.update(now_ms, endpoint.clone(), spec) {
+                log::info!("view: endpoint={endpoint} state={state} from=leader");
+            }
+        }
+        for endpoint in self.others(&named) {
+            self.lapse(now_ms, &endpoint);
+        }
+    }
+
+    /// Returns the entries for a VM that knows a version of them, if there is a newer one.
+    pub(crate) fn relay(&self, known: u64) -> Option<EndpointsRelay> {
+        let version = self.version.load(Ordering::Relaxed);
+        (version != known).then(|| EndpointsRelay {
+            version,
+            rows: self.specs(),
+        })
+    }
+
     /// Forgets the endpoints whose entries lapsed before a time and that have no requests of this VM.
     pub fn forget_lapsed(&self, before_ms: u64) {
         let lapsed = |row: &Row| row.lapsed_ms.is_some_and(|at| at < before_ms);
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -1,9 +1,10 @@
 //! What the leader knows, and how it answers the other VMs.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use quetzalpick_core::election::{Candidate, Election};
+use quetzalpick_core::election::{Candidate, Election, Word};
 use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
 use quetzalpick_core::rate::{Slice, kept};
 use quetzalpick_core::table::Table;
@@ -13,6 +14,7 @@
 use crate::clock::Clock;
 use crate::config::{Allowance, Config};
 use crate::exchange::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
+use crate::fleet::Fleet;
 use crate::place::{Planner, Work};
 use crate::view::View;
 
@@ -22,7 +24,7 @@
 /// Longest time for which a want is waited for.
 const WANT_TIME: Duration = Duration::from_millis(200);
 
-/// `Office` is what a leader that may act holds.
+/// `Office` is what a leader holds.
 #[derive(Debug)]
 pub(crate) struct Office {
     pub(crate) fence: u64,
@@ -38,6 +40,8 @@
     me: Candidate,
     clock: Clock,
     view: Arc<View>,
+    fleet: Arc<Fleet>,
+    members: AtomicU64,
     floor_permille: u64,
     pub(crate) engines: N,
     election: Mutex<Election>,
@@ -60,6 +64,7 @@
         me: Candidate,
         clock: Clock,
         view: Arc<View>,
+        fleet: Arc<Fleet>,
         floor_permille: u64,
         engines: N,
     ) -> Self {
@@ -67,6 +72,8 @@
             me,
             clock,
             view,
+            fleet,
+            members: AtomicU64::new(1),
             floor_permille,
             engines,
             election: Mutex::new(election),
@@ -93,14 +100,19 @@
         act(&mut lock(&self.election), now_ms)
     }
 
-    /// Returns the own fencing number if this VM may act now.
+    /// Returns the number of the own term while no other VM can lead.
+    fn leads(&self) -> Option<u64> {
+        self.election(|election, now_ms| election.leads(now_ms))
+    }
+
+    /// Returns the own fencing number if this VM may give orders now.
     pub(crate) fn fence(&self) -> Option<u64> {
         self.election(|election, now_ms| election.fence(now_ms))
     }
 
-    /// Tells whether this VM leads, though it may not act yet.
+    /// Tells whether this VM leads, though it may not give orders yet.
     pub(crate) fn is_leading(&self) -> bool {
-        self.election(|election, now_ms| election.is_leading(now_ms))
+        self.leads().is_some()
     }
 
     /// Returns the address of the VM that is thought to lead, if it is another one.
@@ -111,8 +123,8 @@
     }
 
     /// Notes that the leader answered.
-    pub(crate) fn heard(&self, now_ms: u64) {
-        lock(&self.election).heard(now_ms);
+    pub(crate) fn heard(&self, now_ms: u64, word: Option<Word>) {
+        lock(&self.election).heard(now_ms, word);
     }
 
     /// Notes that no leader answered.
@@ -120,10 +132,10 @@
         lock(&self.election).unheard();
     }
 
-    /// Opens the office when this VM may act, and closes it when it may not any more.
+    /// Opens the office when this VM leads, and closes it when it does not any more.
     pub(crate) fn note_change(&self) {
         let now_ms = self.clock.now_ms();
-        let fence = self.fence();
+        let fence = self.leads();
         let mut office = lock(&self.office);
         let held = office.as_ref().map(|office| office.fence);
         if held == fence {
@@ -139,9 +151,9 @@
         self.wake.notify_one();
     }
 
-    /// Acts on the office, if this VM may act now.
+    /// Acts on the office, if this VM leads now.
     pub(crate) fn office<T>(&self, act: impl FnOnce(&mut Office, u64) -> T) -> Option<T> {
-        let fence = self.fence()?;
+        let fence = self.leads()?;
         let now_ms = self.clock.now_ms();
         let mut office = lock(&self.office);
         let office = office.as_mut().filter(|office| office.fence == fence)?;
@@ -164,28 +176,34 @@
     /// Takes in a VM's status and answers it.
     pub(crate) fn status(&self, status: Status) -> Reply {
         let now_ms = self.clock.now_ms();
-        if !self.is_leading() {
-            return Reply::default();
-        }
-        let loads = self.loads(now_ms, &status.vm);
-        let answer = self.office(|office, _| {
+        let copies = self.office(|office, _| {
             let same = status.fence == office.fence;
             let known = if same { status.copies } else { 0 };
-            let copies = (known != office.copies.version).then(|| office.copies.clone());
-            (office.fence, copies)
+            let news = office.copies.version != known;
+            (office.fence, same, news.then(|| office.copies.clone()))
         });
-        let vm = status.vm.clone();
-        lock(&self.statuses).insert(vm, (now_ms, status));
-        let (fence, copies) = match answer {
-            Some((fence, copies)) => (Some(fence), copies),
-            None => (None, None),
+        let Some((fence, same, copies)) = copies else {
+            return Reply::default();
         };
-        Reply {
-            leading: true,
+        let known = if same { status.endpoints } else { 0 };
+        let reply = Reply {
+            word: self.election(|election, now_ms| election.word(now_ms)),
             fence,
-            loads,
+            loads: self.loads(now_ms, &status.vm),
             copies,
-        }
+            view: self.view.relay(now_ms, status.config),
+            endpoints: self.fleet.relay(known),
+            members: self.members.load(Ordering::Relaxed),
+        };
+        let vm = status.vm.clone();
+        lock(&self.statuses).insert(vm, (now_ms, status));
+        reply
+    }
+
+    /// Notes how many VMs there are.
+    pub(crate) fn divide(&self, members: usize) {
+        let members = u64::try_from(members).unwrap_or(u64::MAX);
+        self.members.store(members, Ordering::Relaxed);
     }
 
     /// Takes units of a workspace's rate that the leader keeps.
@@ -232,6 +250,9 @@
     /// Takes in that an adapter is wanted, and answers once it is held or the time is over.
     pub(crate) async fn want(&self, want: Want) -> Wanted {
         let mut changes = self.changed.subscribe();
+        if self.fence().is_none() {
+            return Wanted::default();
+        }
         let noted = self.office(|office, now_ms| {
             if !office.planner.is_held(&want.adapter) {
                 office.planner.want(now_ms, want.adapter.clone());
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -45,13 +45,18 @@
         };
         self.lead.fill(&config);
         let work = self.lead.work(self.clock.now_ms());
+        let may_order = self.lead.fence().is_some();
         let planned = self.lead.office(|office, now_ms| {
             let planner = &mut office.planner;
             planner.observe(now_ms, &config, self.fleet.specs());
             planner.demand(now_ms, work);
             planner.finish_adapters(now_ms);
             let reports = planner.asks_reports(now_ms);
-            let sends = planner.plan(now_ms, &config);
+            let sends = if may_order {
+                planner.plan(now_ms, &config)
+            } else {
+                Vec::new()
+            };
             (
                 office.fence,
                 reports,
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -75,6 +75,11 @@
         self.state().members = members.max(1);
     }
 
+    /// Returns how many VMs divide the floors.
+    pub(crate) fn members(&self) -> usize {
+        self.state().members
+    }
+
     /// Takes in which workspaces there are: their slices fill from now on.
     pub(crate) fn refresh(&self, now_ms: u64, config: &Config) {
         let mut state = self.state();
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -3,16 +3,23 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
 use quetzalpick_core::id::Offset;
-use tokio::time::sleep;
+use quetzalpick_node::peer::Blob;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::edge::Codec;
+use crate::exchange::ViewRelay;
 use crate::view::Contact;
 
+/// Longest pause between two looks at what the leader passes on.
+const RELAY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -20,14 +27,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct View {
     seen: Mutex<Seen>,
+    /// Wakes the follower when the leader has passed something on.
+    offered: Notify,
 }
 
+/// Age up to which what the leader has read spares an own read, in ms.
+const RELAY_AGE_MS: u64 = 3_000;
+
+/// Time after the leader's last word in which there is no own read, in ms.
+const RELAY_MS: u64 = 1_300;
+
 /// `Seen` is what a view holds.
 #[derive(Debug, Default, Clone)]
 struct Seen {
     config: Option<Arc<Config>>,
+    /// The record that it was read from.
+    record: Bytes,
     /// When the newest read that reached the end was sent, in ms.
     fresh_ms: Option<u64>,
+    /// Record passed on by the leader that is not read yet, and when the leader's read of it was sent, in ms.
+    offer: Option<(Bytes, u64)>,
+    /// When the leader last passed on what is fresh, in ms.
+    relayed_ms: Option<u64>,
 }
 
 impl View {
@@ -43,17 +64,50 @@
     }
 
     /// Takes in a configuration unless a newer one is in force; tells whether it is taken.
-    fn apply(&self, config: Config) -> bool {
+    fn apply(&self, config: Config, record: &Bytes) -> bool {
         self.lock(|seen| {
             let newer = |old: &Arc<Config>| config.version() > old.version();
             let taken = seen.config.as_ref().is_none_or(newer);
             if taken {
                 seen.config = Some(Arc::new(config));
+                seen.record = record.clone();
             }
             taken
         })
     }
 
+    /// Takes in what the leader has read, as of `fresh_ms`.
+    pub(crate) fn offer(&self, now_ms: u64, fresh_ms: u64, record: Option<Bytes>) {
+        let is_fresh = now_ms.saturating_sub(fresh_ms) <= RELAY_AGE_MS;
+        self.lock(|seen| {
+            if is_fresh {
+                seen.relayed_ms = Some(now_ms);
+            }
+            match record {
+                Some(record) => seen.offer = Some((record, fresh_ms)),
+                None if seen.offer.is_none() => seen.fresh_ms = seen.fresh_ms.max(Some(fresh_ms)),
+                None => {}
+            }
+        });
+        self.offered.notify_one();
+    }
+
+    /// Returns what another VM is told of the view, which knows a version of the configuration.
+    pub(crate) fn relay(&self, now_ms: u64, known: u64) -> Option<ViewRelay> {
+        let seen = self.lock(|seen| seen.clone());
+        let newer = seen.config.is_some_and(|config| config.version() > known);
+        Some(ViewRelay {
+            record: newer.then(|| Blob(seen.record.clone())),
+            age_ms: now_ms.saturating_sub(seen.fresh_ms?),
+        })
+    }
+
+    /// Tells whether the leader passes on what is fresh, so that this VM need not read.
+    pub(crate) fn is_relayed(&self, now_ms: u64) -> bool {
+        let relayed_ms = self.lock(|seen| seen.relayed_ms);
+        relayed_ms.is_some_and(|at| now_ms < at + RELAY_MS)
+    }
+
     /// Notes that the view was up to date at a time.
     fn refresh(&self, sent_ms: u64) {
         self.lock(|seen| seen.fresh_ms = seen.fresh_ms.max(Some(sent_ms)));
@@ -81,6 +135,14 @@
         let mut contact = Contact::new("config-topic");
         let mut next = None;
         loop {
+            if self.view.is_relayed(self.clock.now_ms()) {
+                self.take_offer();
+                // What was read before may be long past once the relay ends.
+                next = None;
+                let _ = timeout(RELAY_PAUSE, self.view.offered.notified()).await;
+                self.take_offer();
+                continue;
+            }
             let sent_ms = self.clock.now_ms();
             let read = match next {
                 Some(from) => self.topics.read(Topic::Config, from, self.wait).await,
@@ -90,6 +152,15 @@
         }
     }
 
+    /// Takes in what the leader passed on.
+    fn take_offer(&self) {
+        let Some((record, fresh_ms)) = self.view.lock(|seen| seen.offer.take()) else {
+            return;
+        };
+        self.apply(&record);
+        self.view.refresh(fresh_ms);
+    }
+
     /// Takes in what a read brought, and returns where to read on.
     async fn take(
         &self,
@@ -102,7 +173,10 @@
         match read {
             Ok(records) => {
                 contact.answered(now_ms);
-                records.records.iter().for_each(|record| self.apply(record));
+                records
+                    .records
+                    .iter()
+                    .for_each(|record| self.take_record(record));
                 if records.reaches_end() {
                     self.view.refresh(sent_ms);
                 }
@@ -121,15 +195,19 @@
         }
     }
 
-    /// Takes in one record; one that cannot be read leaves the configuration in force.
-    fn apply(&self, record: &Record) {
-        let Some(value) = record.value.as_ref().filter(|_| self.is_config(record)) else {
-            return;
-        };
+    /// Takes in one record.
+    fn take_record(&self, record: &Record) {
+        if let Some(value) = record.value.as_ref().filter(|_| self.is_config(record)) {
+            self.apply(value);
+        }
+    }
+
+    /// Takes in a configuration; one that cannot be read leaves the one in force.
+    fn apply(&self, value: &Bytes) {
         match self.codec.config(value) {
             Ok(config) => {
                 let version = config.version();
-                let taken = self.view.apply(config);
+                let taken = self.view.apply(config, value);
                 log::info!("view: config version={version} taken={taken}");
             }
             Err(error) => log::warn!("view: config passed over reason=\"{error}\""),
--- a/crates/quetzalpick-entry/src/view/endpoints.rs
+++ b/crates/quetzalpick-entry/src/view/endpoints.rs
@@ -12,11 +12,14 @@
 use crate::clock::Clock;
 use crate::edge::Codec;
 use crate::fleet::{Fleet, Spec};
-use crate::view::Contact;
+use crate::view::{Contact, View};
 
 /// Time for which an endpoint without an entry is remembered, in ms: its requests may still be under way.
 const FORGET_AFTER_MS: u64 = 20_000;
 
+/// Pause between two looks whether the leader passes entries on.
+const RELAY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Failed reads are repeated after this pause.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -26,6 +29,7 @@
     pub(crate) topics: T,
     pub(crate) codec: C,
     pub(crate) fleet: Arc<Fleet>,
+    pub(crate) view: Arc<View>,
     pub(crate) clock: Clock,
     /// Pause between two reads.
     pub(crate) interval: Duration,
@@ -48,6 +52,12 @@
         let mut lapses = Lapses::default();
         let mut next = None;
         loop {
+            if self.view.is_relayed(self.clock.now_ms()) {
+                next = None;
+                lapses.pending.clear();
+                sleep(RELAY_PAUSE).await;
+                continue;
+            }
             let read = match next {
                 Some(from) => {
                     let read = self.topics.read(Topic::Endpoints, from, Duration::ZERO);
--- a/crates/quetzalpick-entry/src/view/members.rs
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::lead::Lead;
 use crate::rate::Rates;
+use crate::view::View;
 
 /// Pause between two reads; a VM that has joined is known to all after this time and that of a read.
 const INTERVAL: Duration = Duration::from_secs(4);
@@ -29,6 +30,7 @@
     pub(crate) topics: T,
     pub(crate) rates: Arc<Rates>,
     pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) view: Arc<View>,
     pub(crate) clock: Clock,
     /// Time after which the others know of a VM that has joined.
     pub(crate) known: Duration,
@@ -41,6 +43,10 @@
         let mut next = None;
         let mut entered = false;
         loop {
+            if entered && self.view.is_relayed(self.clock.now_ms()) {
+                sleep(INTERVAL).await;
+                continue;
+            }
             let read = match next {
                 Some(from) => self.topics.read(Topic::Members, from, Duration::ZERO).await,
                 None => self.topics.newest(Topic::Members).await,
@@ -63,6 +69,7 @@
             entered = true;
             let count = members.len() + usize::from(!known);
             self.rates.divide(count);
+            self.lead.divide(count);
             sleep(INTERVAL).await;
         }
     }
--- a/crates/quetzalpick-entry/tests/place/limits.rs
+++ b/crates/quetzalpick-entry/tests/place/limits.rs
@@ -2,14 +2,17 @@
 
 use rand::RngExt;
 
-use crate::world::{STEP_MS, World, artifact, model};
+use crate::world::{World, artifact, model};
+
+/// Demand moves this often, in ms.
+const DEMAND_MS: u64 = 2_000;
 
 /// Plays demand that moves and adapters that are wanted at random.
 fn play(seed: u64, ms: u64) -> World {
     let mut world = World::new(seed, true);
     while world.now_ms < ms {
         world.step();
-        if world.now_ms % (2_000 / STEP_MS * STEP_MS) == 0 {
+        if world.now_ms.is_multiple_of(DEMAND_MS) {
             world.work = (0..9)
                 .map(|n| (model(n), world.random.random_range(0..40_000)))
                 .collect();
