Test entries against raw runners and a log service in memory

What: verdicts of every kind of answer, at-most-once bookings, streams and their resumption, callers who leave, keys, freshness, rates over VMs with a leader cut off, followers that read little, drains, a planned stop; a check that platform names stay in platform/. Also: a VM that leads later takes over the member count of the leader before.

--- /dev/null
+++ b/crates/quetzalpick-client/src/memory/topics.rs
@@ -0,0 +1,223 @@
+//! A log service of topics in memory.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use quetzalpick_core::id::Offset;
+use quetzalpick_core::table::Table;
+use quetzalpick_core::verdict::Verdict;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use crate::errors::{Error, Result, unanswered};
+use crate::topic::{Record, Records, Topic};
+
+/// Target that errors name.
+const TARGET: &str = "memory topics";
+
+/// `Topics` is a handle on a log service in memory; clones are the same handle.
+#[derive(Debug, Clone)]
+pub struct Topics {
+    shared: Arc<Shared>,
+    name: Arc<str>,
+}
+
+/// `Shared` is what all handles have in common.
+#[derive(Debug, Default)]
+struct Shared {
+    service: Mutex<Service>,
+    changes: watch::Sender<u64>,
+}
+
+/// `Service` is the state of the service.
+#[derive(Debug, Default)]
+struct Service {
+    topics: Table<Topic, Kept>,
+    faults: Table<String, Faults>,
+    calls: u64,
+}
+
+/// `Kept` is one topic.
+#[derive(Debug, Default)]
+struct Kept {
+    oldest: u64,
+    records: Vec<Record>,
+}
+
+/// `Faults` is what one handle meets.
+#[derive(Debug, Default)]
+struct Faults {
+    cut: bool,
+    lose_answers: u32,
+}
+
+impl Kept {
+    fn end(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    /// Returns the newest record of each key that was not removed.
+    fn newest(&self) -> Vec<Record> {
+        let mut newest: Table<String, Record> = Table::default();
+        for record in &self.records {
+            newest.insert(record.key.clone(), record.clone());
+        }
+        let values = newest.values().filter(|record| record.value.is_some());
+        values.cloned().collect()
+    }
+
+    fn read(&self, from: Offset) -> Result<Records> {
+        let oldest = self.oldest;
+        let Some(skipped) = from.0.checked_sub(oldest) else {
+            return Err(Error::Trimmed { oldest });
+        };
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let records: Vec<Record> = self.records.iter().skip(skipped).cloned().collect();
+        Ok(Records {
+            next: Offset(from.0 + records.len() as u64),
+            records,
+            end: Offset(self.end()),
+        })
+    }
+}
+
+impl Service {
+    fn topic(&mut self, topic: Topic) -> &mut Kept {
+        self.topics.get_or_insert_with(topic, Kept::default)
+    }
+
+    fn faults(&mut self, name: &str) -> &mut Faults {
+        self.faults
+            .get_or_insert_with(name.to_owned(), Faults::default)
+    }
+
+    /// Counts a call, and fails if the handle cannot reach the service.
+    fn reach(&mut self, name: &str) -> Result<()> {
+        self.calls += 1;
+        if self.faults(name).cut {
+            return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
+        }
+        Ok(())
+    }
+}
+
+impl Default for Topics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Topics {
+    /// Makes an empty log service and a first handle on it.
+    pub fn new() -> Self {
+        Self {
+            shared: Arc::default(),
+            name: Arc::from("first"),
+        }
+    }
+
+    /// Returns the handle of this name on the same service.
+    pub fn handle(&self, name: &str) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            name: Arc::from(name),
+        }
+    }
+
+    /// Cuts this handle off from the service, or connects it again.
+    pub fn cut(&self, cut: bool) {
+        self.switch(|service| service.faults(&self.name).cut = cut);
+    }
+
+    /// Lets the next `count` appends of this handle take effect without an answer.
+    pub fn lose_answers(&self, count: u32) {
+        self.switch(|service| service.faults(&self.name).lose_answers = count);
+    }
+
+    /// Drops all records of a topic but the newest `kept`; the newest of each key can still be asked for only if it is
+    /// among them.
+    pub fn trim(&self, topic: Topic, kept: usize) {
+        self.switch(|service| {
+            let topic = service.topic(topic);
+            let surplus = topic.records.len().saturating_sub(kept);
+            topic.records.drain(..surplus);
+            topic.oldest += surplus as u64;
+        });
+    }
+
+    /// Returns how many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Service> {
+        let service = &self.shared.service;
+        service.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the service and wakes the readers that wait.
+    fn switch<T>(&self, change: impl FnOnce(&mut Service) -> T) -> T {
+        let changed = change(&mut self.lock());
+        self.shared.changes.send_modify(|count| *count += 1);
+        changed
+    }
+
+    fn page(&self, topic: Topic, from: Offset) -> Result<Records> {
+        let mut service = self.lock();
+        if service.faults(&self.name).cut {
+            return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
+        }
+        service.topic(topic).read(from)
+    }
+}
+
+impl crate::topic::Topics for Topics {
+    async fn newest(&self, topic: Topic) -> Result<Records> {
+        let mut service = self.lock();
+        service.reach(&self.name)?;
+        let kept = service.topic(topic);
+        let end = Offset(kept.end());
+        Ok(Records {
+            records: kept.newest(),
+            next: end,
+            end,
+        })
+    }
+
+    async fn read(&self, topic: Topic, from: Offset, wait: Duration) -> Result<Records> {
+        self.lock().reach(&self.name)?;
+        let deadline = Instant::now() + wait;
+        let mut changes = self.shared.changes.subscribe();
+        loop {
+            changes.borrow_and_update();
+            let page = self.page(topic, from)?;
+            if !page.records.is_empty() {
+                return Ok(page);
+            }
+            // The sender lives as long as this handle, so only the deadline ends the waiting early.
+            if timeout_at(deadline, changes.changed()).await.is_err() {
+                return Ok(page);
+            }
+        }
+    }
+
+    async fn append(&self, topic: Topic, record: &Record, at: Option<Offset>) -> Result<Offset> {
+        let (offset, lost) = self.switch(|service| {
+            service.reach(&self.name)?;
+            let kept = service.topic(topic);
+            let end = kept.end();
+            if at.is_some_and(|at| at.0 != end) {
+                return Err(Error::Conflict { end });
+            }
+            kept.records.push(record.clone());
+            let faults = service.faults(&self.name);
+            let lost = faults.lose_answers > 0;
+            faults.lose_answers = faults.lose_answers.saturating_sub(1);
+            Ok((Offset(end), lost))
+        })?;
+        if lost {
+            return Err(unanswered(TARGET, Verdict::MayHaveRun, "answer lost"));
+        }
+        Ok(offset)
+    }
+}
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -128,6 +128,8 @@
         }
         let members = usize::try_from(reply.members).unwrap_or(usize::MAX);
         self.rates.divide(members);
+        // A VM that leads later begins with what this leader knows.
+        self.lead.divide(members);
     }
 
     fn learn(&self, copies: Copies) {
