--- a/crates/quetzalpick-core/src/route/health.rs
+++ b/crates/quetzalpick-core/src/route/health.rs
@@ -66,6 +66,12 @@
         ejects
     }
 
+    /// Notes that the endpoint cannot be reached, which ejects it at once; returns whether it is ejected for that.
+    pub fn lose(&mut self, now_ms: u64, options: &HealthOptions) -> bool {
+        self.failures = options.failures;
+        self.fail(now_ms, options)
+    }
+
     /// Tells whether the endpoint is ejected.
     pub fn is_ejected(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -299,6 +299,7 @@
     let registry = Registry {
         topics: outside.topics,
         rates: Arc::clone(&context.rates),
+        fleet: Arc::clone(&context.fleet),
         lead: Arc::clone(lead),
         view: Arc::clone(&context.view),
         clock,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -1,6 +1,6 @@
 //! The table of endpoints.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
@@ -34,6 +34,8 @@
     leader_ms: AtomicU64,
     /// Grows with each change of an entry.
     version: AtomicU64,
+    /// VMs that share the endpoints.
+    members: AtomicU32,
 }
 
 /// Time for which the leader's word counts, in ms.
@@ -49,6 +51,7 @@
             demand: Mutex::default(),
             leader_ms: AtomicU64::default(),
             version: AtomicU64::new(1),
+            members: AtomicU32::new(1),
         }
     }
 
@@ -130,15 +133,22 @@
     /// Picks an endpoint for a request; `None` if none that stays holds what it needs.
     pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
         let mut rows = self.rows();
-        let serving = rows.iter().filter(|(_, row)| row.serves(wanted));
-        let candidates: Vec<Candidate<'_>> = serving
-            .map(|(name, row)| row.candidate(name, wanted.tried.contains(name)))
+        let members = self.members.load(Ordering::Relaxed);
+        let serving: Vec<(&Endpoint, &Row)> =
+            rows.iter().filter(|(_, row)| row.serves(wanted)).collect();
+        let all_silent = serving.iter().all(|(_, row)| row.is_silent(now_ms));
+        let usable = serving
+            .into_iter()
+            .filter(|(_, row)| all_silent || !row.is_silent(now_ms));
+        let candidates: Vec<Candidate<'_>> = usable
+            .map(|(name, row)| row.candidate(name, wanted.tried.contains(name), members))
             .collect();
         let choice = choose(now_ms, &self.here, &candidates, &self.options, random)?;
         let endpoint = candidates[choice.index].endpoint.clone();
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others;
         row.in_flight += 1;
+        row.dispatched += 1;
         Some(Pick {
             endpoint,
             address: row.spec.address,
@@ -169,7 +179,10 @@
     /// Takes in how many requests of the other VMs are under way.
     pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, u32)]) {
         let mut rows = self.rows();
-        rows.iter_mut().for_each(|(_, row)| row.others = 0);
+        for (_, row) in rows.iter_mut() {
+            row.others = 0;
+            row.dispatched = 0;
+        }
         for (endpoint, load) in loads {
             if let Some(row) = rows.get_mut(endpoint) {
                 row.others = *load;
@@ -223,6 +236,7 @@
     pub fn succeed(&self, now_ms: u64, endpoint: &Endpoint) {
         if let Some(row) = self.rows().get_mut(endpoint) {
             row.health.succeed(now_ms);
+            row.unreachable = false;
         }
     }
 
@@ -233,6 +247,43 @@
         row.is_some_and(|row| row.health.fail(now_ms, &self.options.health))
     }
 
+    /// Notes that an endpoint could not be reached, which ejects it at once.
+    pub fn lose(&self, now_ms: u64, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.health.lose(now_ms, &self.options.health);
+            row.unreachable = true;
+        }
+    }
+
+    /// Notes that the answer to a request is awaited from an endpoint.
+    pub(crate) fn await_head(&self, now_ms: u64, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.await_head(now_ms);
+        }
+    }
+
+    /// Notes that the answer to a request has begun, or will not.
+    pub(crate) fn end_head(&self, now_ms: u64, endpoint: &Endpoint, answered: bool) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.end_head(now_ms, answered);
+        }
+    }
+
+    /// Returns the endpoints that could not be reached, or are silent, as far as this VM knows.
+    pub fn lost(&self, now_ms: u64) -> Vec<Endpoint> {
+        let rows = self.rows();
+        let lost = rows
+            .iter()
+            .filter(|(_, row)| row.unreachable || row.is_silent(now_ms));
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Notes how many VMs share the endpoints.
+    pub fn divide(&self, members: usize) {
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        self.members.store(members, Ordering::Relaxed);
+    }
+
     /// Notes that an endpoint refused a request as it lacks what it was thought to hold.
     pub fn misses(&self, endpoint: &Endpoint, artifacts: &[&Artifact]) {
         if let Some(row) = self.rows().get_mut(endpoint) {
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::verdict::Verdict;
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -45,10 +46,12 @@
         };
         self.lead.fill(&config);
         let work = self.lead.work(self.clock.now_ms());
+        let lost = self.fleet.lost(self.clock.now_ms());
         let may_order = self.lead.fence().is_some();
         let planned = self.lead.office(|office, now_ms| {
             let planner = &mut office.planner;
             planner.observe(now_ms, &config, self.fleet.specs());
+            planner.lose(&lost);
             planner.demand(now_ms, work);
             planner.finish_adapters(now_ms);
             let reports = planner.asks_reports(now_ms);
@@ -90,6 +93,7 @@
                     lead.wake.notify_one();
                 }
                 Err(error) => {
+                    lead.office(|o, _| o.planner.lose(std::slice::from_ref(&endpoint)));
                     log::info!("place: endpoint={endpoint} no report reason=\"{error}\"");
                 }
             }
@@ -127,6 +131,9 @@
                 order.artifact(),
                 order.expected_orders,
             );
+            if matches!(&answer, Err(error) if error.verdict() == Verdict::NotRun) {
+                lead.office(|o, _| o.planner.lose(std::slice::from_ref(&endpoint)));
+            }
             let ordered = answer.ok();
             if ordered == Some(Ordered::Fenced) {
                 log::warn!("lead: resigns fence={fence} reason=\"a newer leader is known\"");
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -54,7 +54,12 @@
             overdraft: 0,
             floor_permille: 500,
             election: election::Options::default(),
-            route: route::Options::default(),
+            route: route::Options {
+                slack_permille: 100,
+                // The others' requests are known a few times a second, and last for about a second.
+                report_age_ms: 4_000,
+                ..route::Options::default()
+            },
             retry: retry::Options::default(),
         }
     }
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -131,6 +131,15 @@
         }
     }
 
+    /// Takes in which engines could not be reached; they count again once they report.
+    pub fn lose(&mut self, endpoints: &[Endpoint]) {
+        for endpoint in endpoints {
+            if let Some(site) = self.sites.get_mut(endpoint) {
+                site.lost = true;
+            }
+        }
+    }
+
     /// Takes in the demand that all VMs see together.
     pub fn demand(&mut self, now_ms: u64, work: Table<Artifact, Work>) {
         for (_, site) in self.sites.iter_mut() {
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -18,6 +18,9 @@
 /// Pause between two reports of one engine, in ms.
 const REPORT_PAUSE_MS: u64 = 200;
 
+/// Pause between two reports of an engine that could not be reached, in ms.
+const LOST_PAUSE_MS: u64 = 600;
+
 /// `Open` is an order whose outcome is not known yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Open {
@@ -45,6 +48,8 @@
     pub(crate) next_report_ms: u64,
     /// Whether its entry is there.
     pub(crate) present: bool,
+    /// Whether it could not be reached of late.
+    pub(crate) lost: bool,
 }
 
 impl Site {
@@ -59,6 +64,7 @@
             asks_report: true,
             next_report_ms: 0,
             present: true,
+            lost: false,
             spec,
         };
         // The entry may be old, and serves only until the first report.
@@ -74,7 +80,7 @@
 
     /// Tells whether it takes new requests.
     pub(crate) fn is_usable(&self) -> bool {
-        self.present && self.spec.state == State::Ready
+        self.present && !self.lost && self.spec.state == State::Ready
     }
 
     /// Tells whether an order may be sent to it now.
@@ -133,6 +139,7 @@
 
     /// Takes in a report that was asked for at `asked_ms`.
     pub(crate) fn reported(&mut self, asked_ms: u64, now_ms: u64, report: &Report) {
+        self.lost = false;
         // Reports lag, so that one may be older than an order that was accepted.
         if self.orders.is_some_and(|orders| report.orders < orders) {
             return;
@@ -223,7 +230,7 @@
 
     /// Returns the open order if it is due to be sent again, and marks it as sent.
     pub(crate) fn resend(&mut self, now_ms: u64) -> Option<Order> {
-        let open = self.open.as_mut()?;
+        let open = self.open.as_mut().filter(|_| !self.lost)?;
         open.again_ms.take_if(|at| now_ms >= *at)?;
         Some(open.order.clone())
     }
@@ -291,13 +298,18 @@
             Phase::Held => false,
         };
         let ends = self.open.is_none() && self.copies.iter().any(due);
-        let wanted = self.asks_report || ends;
+        let wanted = self.asks_report || ends || self.lost;
         wanted && now_ms >= self.next_report_ms
     }
 
     /// Notes that it is asked for its report.
     pub(crate) fn report_asked(&mut self, now_ms: u64) {
-        self.next_report_ms = now_ms + REPORT_PAUSE_MS;
+        let pause_ms = if self.lost {
+            LOST_PAUSE_MS
+        } else {
+            REPORT_PAUSE_MS
+        };
+        self.next_report_ms = now_ms + pause_ms;
     }
 
     /// Sets the phase of a copy.
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -46,6 +46,11 @@
 }
 
 impl Failure {
+    /// Tells whether nothing was sent as the endpoint could not be reached.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.verdict == Verdict::NotRun && !self.misdirected && !self.declined
+    }
+
     /// Makes the failure of a request that may have run.
     pub(crate) fn may_have_run(reason: impl ToString) -> Self {
         Self {
@@ -74,7 +79,12 @@
     let timeouts = timeouts(admitted, left_ms.unwrap_or(ANSWER_MAX_MS));
     let address = pick.address.to_string();
     context.meters.sent();
+    context.fleet.await_head(now_ms, &pick.endpoint);
     let answer = context.pool.send(&address, request, timeouts).await;
+    let now_ms = context.clock.now_ms();
+    context
+        .fleet
+        .end_head(now_ms, &pick.endpoint, answer.is_ok());
     let answer = answer.map_err(|error| Failure {
         verdict: error.verdict(),
         misdirected: false,
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -324,6 +324,9 @@
         let now_ms = self.context.clock.now_ms();
         if failure.misdirected {
             fleet.misses(&pick.endpoint, &admitted.artifacts());
+        } else if failure.is_unreachable() {
+            fleet.lose(now_ms, &pick.endpoint);
+            log::warn!("entry: endpoint={} unreachable", pick.endpoint);
         } else if !failure.declined && fleet.fail(now_ms, &pick.endpoint) {
             log::warn!("entry: endpoint={} ejected", pick.endpoint);
         }
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -165,6 +165,8 @@
         if failure.misdirected {
             let artifacts = self.admitted.artifacts();
             self.context.fleet.misses(endpoint, &artifacts);
+        } else if failure.is_unreachable() {
+            self.context.fleet.lose(now_ms, endpoint);
         } else if !failure.declined {
             self.context.fleet.fail(now_ms, endpoint);
         }
--- a/crates/quetzalpick-entry/src/view/members.rs
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
+use crate::fleet::Fleet;
 use crate::lead::Lead;
 use crate::rate::Rates;
 use crate::view::View;
@@ -29,6 +30,7 @@
 pub(crate) struct Registry<T, N> {
     pub(crate) topics: T,
     pub(crate) rates: Arc<Rates>,
+    pub(crate) fleet: Arc<Fleet>,
     pub(crate) lead: Arc<Lead<N>>,
     pub(crate) view: Arc<View>,
     pub(crate) clock: Clock,
@@ -69,6 +71,7 @@
             entered = true;
             let count = members.len() + usize::from(!known);
             self.rates.divide(count);
+            self.fleet.divide(count);
             self.lead.divide(count);
             sleep(INTERVAL).await;
         }
