--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod quota;
 pub mod rate;
 pub mod record;
+pub mod relay;
 pub mod retry;
 pub mod route;
 pub mod state;
--- a/crates/quetzalpick-core/tests/retry.rs
+++ b/crates/quetzalpick-core/tests/retry.rs
@@ -72,7 +72,7 @@
             for (left_ms, saved) in [(5_000, 1), (5_000, 0), (3, 1)] {
                 let options = Options {
                     burst: saved,
-                    floor_per_s: 0,
+                    floor_per_1000_s: 0,
                     ..Options::default()
                 };
                 let mut budget = Budget::new(0, options);
@@ -91,3 +91,31 @@
     }
     assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn vms_together_keep_the_slack_in_every_window() {
+    const MEMBERS: usize = 8;
+    const SLACK: u64 = 56;
+    const WINDOW_MS: u64 = 10_000;
+    let options = || Options::share(0, SLACK, WINDOW_MS, MEMBERS as u64);
+    let mut budgets: Vec<Budget> = (0..MEMBERS).map(|_| Budget::new(0, options())).collect();
+    let mut taken: Vec<u64> = Vec::new();
+    for now_ms in (0..60_000).step_by(10) {
+        for budget in &mut budgets {
+            // One of them begins anew at times, with its savings.
+            if now_ms % 9_000 == 0 && now_ms > 0 {
+                *budget = Budget::new(now_ms, options());
+            }
+            while budget.withdraw(now_ms) {
+                taken.push(now_ms);
+            }
+        }
+    }
+    for from in &taken {
+        let window = taken
+            .iter()
+            .filter(|at| (*from..from + WINDOW_MS).contains(at));
+        assert!(window.count() as u64 <= SLACK, "from {from}");
+    }
+    assert!(taken.len() > 100, "{}", taken.len());
+}
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -147,7 +147,7 @@
             fleet,
             rates,
             supply: client,
-            budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.clone())),
+            budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
             lifecycle: Lifecycle::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
             options,
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -19,10 +19,6 @@
     pub(crate) dispatched: u32,
     /// Whether it could not be reached when that was last tried.
     pub(crate) unreachable: bool,
-    /// When requests were sent there whose answers have not begun, in ms; oldest first.
-    awaited_ms: Vec<u64>,
-    /// When an answer last began there, in ms.
-    answered_ms: u64,
     /// When its entry lapsed, in ms; it may come back after an outage of the log service.
     pub(crate) lapsed_ms: Option<u64>,
     /// Models and adapters that it holds, by the leader's word or, without that, by its own; sorted.
@@ -33,9 +29,6 @@
     pub(crate) missing: Vec<Artifact>,
 }
 
-/// Time without the begin of any answer after which an endpoint is left alone, in ms.
-const SILENCE_MS: u64 = 1_200;
-
 impl Row {
     /// Takes in an endpoint that was not known.
     pub(crate) fn new(spec: Spec) -> Self {
@@ -49,8 +42,6 @@
             others_ms: 0,
             dispatched: 0,
             unreachable: false,
-            awaited_ms: Vec::new(),
-            answered_ms: 0,
             lapsed_ms: None,
             missing: Vec::new(),
         }
@@ -98,29 +89,6 @@
         self.spec.service == *wanted.service && wanted.artifacts.iter().all(holds)
     }
 
-    /// Notes that an answer is awaited from now on.
-    pub(crate) fn await_head(&mut self, now_ms: u64) {
-        self.awaited_ms.push(now_ms);
-    }
-
-    /// Notes that an answer is not awaited any more, as it has begun or will not.
-    pub(crate) fn end_head(&mut self, now_ms: u64, answered: bool) {
-        // Which one it was does not matter as long as answers begin.
-        if !self.awaited_ms.is_empty() {
-            self.awaited_ms.remove(0);
-        }
-        if answered {
-            self.answered_ms = now_ms;
-        }
-    }
-
-    /// Tells whether it has been silent for so long, with answers awaited, that it is better left alone.
-    pub(crate) fn is_silent(&self, now_ms: u64) -> bool {
-        let oldest_ms = self.awaited_ms.first().copied();
-        let since_ms = oldest_ms.map(|at| at.max(self.answered_ms));
-        since_ms.is_some_and(|at| now_ms >= at + SILENCE_MS)
-    }
-
     /// Returns it as a candidate for a request, for one of `members` VMs that do alike.
     pub(crate) fn candidate<'a>(
         &'a self,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -134,13 +134,8 @@
     pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
         let mut rows = self.rows();
         let members = self.members.load(Ordering::Relaxed);
-        let serving: Vec<(&Endpoint, &Row)> =
-            rows.iter().filter(|(_, row)| row.serves(wanted)).collect();
-        let all_silent = serving.iter().all(|(_, row)| row.is_silent(now_ms));
-        let usable = serving
-            .into_iter()
-            .filter(|(_, row)| all_silent || !row.is_silent(now_ms));
-        let candidates: Vec<Candidate<'_>> = usable
+        let serving = rows.iter().filter(|(_, row)| row.serves(wanted));
+        let candidates: Vec<Candidate<'_>> = serving
             .map(|(name, row)| row.candidate(name, wanted.tried.contains(name), members))
             .collect();
         let choice = choose(now_ms, &self.here, &candidates, &self.options, random)?;
@@ -255,26 +250,10 @@
         }
     }
 
-    /// Notes that the answer to a request is awaited from an endpoint.
-    pub(crate) fn await_head(&self, now_ms: u64, endpoint: &Endpoint) {
-        if let Some(row) = self.rows().get_mut(endpoint) {
-            row.await_head(now_ms);
-        }
-    }
-
-    /// Notes that the answer to a request has begun, or will not.
-    pub(crate) fn end_head(&self, now_ms: u64, endpoint: &Endpoint, answered: bool) {
-        if let Some(row) = self.rows().get_mut(endpoint) {
-            row.end_head(now_ms, answered);
-        }
-    }
-
-    /// Returns the endpoints that could not be reached, or are silent, as far as this VM knows.
-    pub fn lost(&self, now_ms: u64) -> Vec<Endpoint> {
+    /// Returns the endpoints that could not be reached when this VM last tried.
+    pub fn lost(&self) -> Vec<Endpoint> {
         let rows = self.rows();
-        let lost = rows
-            .iter()
-            .filter(|(_, row)| row.unreachable || row.is_silent(now_ms));
+        let lost = rows.iter().filter(|(_, row)| row.unreachable);
         lost.map(|(name, _)| name.clone()).collect()
     }
 
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -46,7 +46,7 @@
         };
         self.lead.fill(&config);
         let work = self.lead.work(self.clock.now_ms());
-        let lost = self.fleet.lost(self.clock.now_ms());
+        let lost = self.fleet.lost();
         let may_order = self.lead.fence().is_some();
         let planned = self.lead.office(|office, now_ms| {
             let planner = &mut office.planner;
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -25,4 +25,4 @@
 mod view;
 
 pub use entry::{Entry, Listeners, Outside};
-pub use options::Options;
+pub use options::{Options, Retries};
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -34,8 +34,28 @@
     pub election: election::Options,
     /// Routing.
     pub route: route::Options,
-    /// Retry budget of this VM.
-    pub retry: retry::Options,
+    /// Retries that all VMs share.
+    pub retry: Retries,
+}
+
+/// `Retries` bounds the requests that all VMs send once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retries {
+    /// Retries for each thousand requests.
+    pub ratio_permille: u64,
+    /// Retries beyond that in each window.
+    pub slack: u64,
+    /// Length of a window.
+    pub window: Duration,
+}
+
+impl Retries {
+    /// Returns the part of one of `members` VMs.
+    pub(crate) fn share(&self, members: usize) -> retry::Options {
+        let window_ms = u64::try_from(self.window.as_millis()).unwrap_or(u64::MAX);
+        let members = u64::try_from(members).unwrap_or(u64::MAX);
+        retry::Options::share(self.ratio_permille, self.slack, window_ms, members)
+    }
 }
 
 impl Options {
@@ -45,7 +65,7 @@
             vm,
             domain,
             revocation: Duration::from_secs(5),
-            config_wait: Duration::from_secs(1),
+            config_wait: Duration::from_millis(600),
             endpoints_interval: Duration::from_millis(700),
             lapse_grace: Duration::from_secs(2),
             unready: Duration::from_millis(2_500),
@@ -60,7 +80,11 @@
                 report_age_ms: 4_000,
                 ..route::Options::default()
             },
-            retry: retry::Options::default(),
+            retry: Retries {
+                ratio_permille: 170,
+                slack: 50,
+                window: Duration::from_secs(10),
+            },
         }
     }
 
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -79,12 +79,7 @@
     let timeouts = timeouts(admitted, left_ms.unwrap_or(ANSWER_MAX_MS));
     let address = pick.address.to_string();
     context.meters.sent();
-    context.fleet.await_head(now_ms, &pick.endpoint);
     let answer = context.pool.send(&address, request, timeouts).await;
-    let now_ms = context.clock.now_ms();
-    context
-        .fleet
-        .end_head(now_ms, &pick.endpoint, answer.is_ok());
     let answer = answer.map_err(|error| Failure {
         verdict: error.verdict(),
         misdirected: false,
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -55,7 +55,11 @@
     /// Takes a retry from the budget if it holds one.
     pub(crate) fn withdraw(&self) -> bool {
         let now_ms = self.clock.now_ms();
-        self.with_budget(|budget| budget.withdraw(now_ms))
+        let options = self.options.retry.share(self.rates.members());
+        self.with_budget(|budget| {
+            budget.adjust(now_ms, options);
+            budget.withdraw(now_ms)
+        })
     }
 
     fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -9,7 +9,7 @@
 use quetzalpick_node::settings::{Reader, Section};
 
 use crate::entry::Listeners;
-use crate::options::Options;
+use crate::options::{Options, Retries};
 
 const ADDRESS: &str = "an IP address and port";
 const MINUTE_MS: u64 = 60_000;
@@ -17,6 +17,9 @@
 /// Time between the end of the stop and the moment at which the process would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// Retries for each thousand requests.
+const RETRY_PERMILLE: u64 = 170;
+
 /// Longest time for a request's head; it also bounds how long a connection may be idle.
 const HEAD_TIME: Duration = Duration::from_secs(60);
 
@@ -131,6 +134,10 @@
     pub revocation: Duration,
     /// From the request to stop to the kill.
     pub stop: Duration,
+    /// Retries beyond the ratio that all VMs together may make in a window.
+    pub retry_slack: u64,
+    /// Length of that window.
+    pub retry_window: Duration,
     /// Units that all VMs together may overdraw of a workspace that is too small for its requests.
     pub overdraft: u64,
 }
@@ -139,7 +146,9 @@
     fn read(reader: &mut Reader<'_>) -> Self {
         Self {
             revocation: reader.millis("revocation_ms", 5_000, 1_000..=10 * MINUTE_MS),
-            stop: reader.millis("stop_ms", 8_000, 3_000..=10 * MINUTE_MS),
+            stop: reader.seconds("stop_s", 8, 3..=600),
+            retry_slack: reader.number("retry_slack", 50, 0..=1 << 20, "retries"),
+            retry_window: reader.seconds("retry_window_s", 10, 1..=3_600),
             overdraft: reader.number("overdraft_units", 0, 0..=1 << 40, "units"),
         }
     }
@@ -166,6 +175,11 @@
         Options {
             revocation: self.bounds.revocation,
             overdraft: self.bounds.overdraft,
+            retry: Retries {
+                ratio_permille: RETRY_PERMILLE,
+                slack: self.bounds.retry_slack,
+                window: self.bounds.retry_window,
+            },
             stop: self.bounds.stop.saturating_sub(STOP_MARGIN),
             ..Options::new(self.vm.name.clone(), self.vm.domain.clone())
         }
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -7,6 +7,7 @@
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
 use quetzalpick_core::id::Offset;
+use quetzalpick_core::relay::{self, Relay};
 use quetzalpick_node::peer::Blob;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -31,12 +32,6 @@
     offered: Notify,
 }
 
-/// Age up to which what the leader has read spares an own read, in ms.
-const RELAY_AGE_MS: u64 = 3_000;
-
-/// Time after the leader's last word in which there is no own read, in ms.
-const RELAY_MS: u64 = 1_300;
-
 /// `Seen` is what a view holds.
 #[derive(Debug, Default, Clone)]
 struct Seen {
@@ -47,8 +42,9 @@
     fresh_ms: Option<u64>,
     /// Record passed on by the leader that is not read yet, and when the leader's read of it was sent, in ms.
     offer: Option<(Bytes, u64)>,
-    /// When the leader last passed on what is fresh, in ms.
-    relayed_ms: Option<u64>,
+    relay: Relay,
+    /// Whether the last own read failed.
+    failing: bool,
 }
 
 impl View {
@@ -78,11 +74,8 @@
 
     /// Takes in what the leader has read, as of `fresh_ms`.
     pub(crate) fn offer(&self, now_ms: u64, fresh_ms: u64, record: Option<Bytes>) {
-        let is_fresh = now_ms.saturating_sub(fresh_ms) <= RELAY_AGE_MS;
         self.lock(|seen| {
-            if is_fresh {
-                seen.relayed_ms = Some(now_ms);
-            }
+            seen.relay.hear(now_ms, fresh_ms);
             match record {
                 Some(record) => seen.offer = Some((record, fresh_ms)),
                 None if seen.offer.is_none() => seen.fresh_ms = seen.fresh_ms.max(Some(fresh_ms)),
@@ -95,6 +88,9 @@
     /// Returns what another VM is told of the view, which knows a version of the configuration.
     pub(crate) fn relay(&self, now_ms: u64, known: u64) -> Option<ViewRelay> {
         let seen = self.lock(|seen| seen.clone());
+        if seen.failing {
+            return None;
+        }
         let newer = seen.config.is_some_and(|config| config.version() > known);
         Some(ViewRelay {
             record: newer.then(|| Blob(seen.record.clone())),
@@ -104,8 +100,8 @@
 
     /// Tells whether the leader passes on what is fresh, so that this VM need not read.
     pub(crate) fn is_relayed(&self, now_ms: u64) -> bool {
-        let relayed_ms = self.lock(|seen| seen.relayed_ms);
-        relayed_ms.is_some_and(|at| now_ms < at + RELAY_MS)
+        let relay = self.lock(|seen| seen.relay);
+        relay.spares_read(now_ms, &relay::Options::default())
     }
 
     /// Notes that the view was up to date at a time.
@@ -189,6 +185,7 @@
             }
             Err(error) => {
                 contact.failed(now_ms, &error);
+                self.view.lock(|seen| seen.failing = true);
                 sleep(RETRY_PAUSE).await;
                 from
             }
--- a/crates/quetzalpick-node/src/settings/reader.rs
+++ b/crates/quetzalpick-node/src/settings/reader.rs
@@ -210,6 +210,16 @@
         Duration::from_millis(self.number(key, default, range, "ms"))
     }
 
+    /// Reads a time in seconds; the key should end in `_s`.
+    pub fn seconds(
+        &mut self,
+        key: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Duration {
+        Duration::from_secs(self.number(key, default, range, "s"))
+    }
+
     /// Reads `true` or `false`.
     pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
         let allowed = "true or false";
