--- a/crates/quetzalpick-node/src/process.rs
+++ b/crates/quetzalpick-node/src/process.rs
@@ -48,11 +48,14 @@
         eprintln!("{name}: {error}");
         return ExitCode::from(EXIT_FAILURE);
     }
-    match work(settings).await {
+    let code = match work(settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{name}: {error}");
             ExitCode::from(EXIT_FAILURE)
         }
-    }
+    };
+    // Lines wait in a queue.
+    log::logger().flush();
+    code
 }
--- a/crates/quetzalpick-node/src/telemetry/logs.rs
+++ b/crates/quetzalpick-node/src/telemetry/logs.rs
@@ -1,7 +1,8 @@
 //! Starts the logger.
 
+use std::io;
+
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
@@ -9,9 +10,10 @@
 
 use crate::errors::{Error, Result};
 use crate::settings::sections::{Format, Level, Log, Output};
+use crate::telemetry::queue::{self, Queue};
 
 /// Name of the only appender.
-const APPENDER: &str = "console";
+const APPENDER: &str = "queue";
 
 /// Form of a text line: time, level, message.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
@@ -42,16 +44,16 @@
 
 /// Builds the library's configuration.
 fn config(settings: &Log) -> Result<Config, log4rs::config::runtime::ConfigErrors> {
-    let target = match settings.output {
-        Output::Stdout => Target::Stdout,
-        Output::Stderr => Target::Stderr,
-    };
     let encoder: Box<dyn Encode> = match settings.format {
         Format::Text => Box::new(PatternEncoder::new(PATTERN)),
         Format::Json => Box::new(JsonEncoder::new()),
     };
-    let console = ConsoleAppender::builder().target(target).encoder(encoder);
-    let appender = Appender::builder().build(APPENDER, Box::new(console.build()));
+    let options = queue::Options::default();
+    let queue = match settings.output {
+        Output::Stdout => Queue::new(encoder, io::stdout(), options),
+        Output::Stderr => Queue::new(encoder, io::stderr(), options),
+    };
+    let appender = Appender::builder().build(APPENDER, Box::new(queue));
     let logger = |(part, level): &(String, Level)| Logger::builder().build(part, (*level).into());
     let root = Root::builder().appender(APPENDER);
     Config::builder()
--- a/crates/quetzalpick-node/src/telemetry/mod.rs
+++ b/crates/quetzalpick-node/src/telemetry/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod queue;
