--- a/crates/quetzalpick-entry/tests/place/limits.rs
+++ b/crates/quetzalpick-entry/tests/place/limits.rs
@@ -44,3 +44,26 @@
         assert!(orders > 50, "seed {seed}: orders: {orders}");
     }
 }
+
+/// Loads from the weight store that the configuration of these tests allows in a second.
+const LOADS_PER_S: u64 = 2;
+
+/// Length of the window in which loads are counted, in seconds.
+const WINDOW_S: u64 = 5;
+
+#[test]
+fn loads_from_the_weight_store_keep_its_rate_though_leaders_change() {
+    // A tenth and three loads more may begin, as the users allow.
+    let most = (LOADS_PER_S * WINDOW_S * 11 / 10 + 3) as usize;
+    for seed in 100..104 {
+        let times = play(seed, 60_000).load_times;
+        for from in &times {
+            let window = times
+                .iter()
+                .filter(|at| (*from..from + WINDOW_S * 1_000).contains(at));
+            let count = window.count();
+            assert!(count <= most, "seed {seed}: {count} loads from {from} ms");
+        }
+        assert!(times.len() > 10, "seed {seed}: {} loads", times.len());
+    }
+}
--- a/crates/quetzalpick-entry/tests/place/world.rs
+++ b/crates/quetzalpick-entry/tests/place/world.rs
@@ -4,7 +4,7 @@
 use quetzalpick_core::table::Table;
 use quetzalpick_entry::config::{self, Config, Limits, Model};
 use quetzalpick_entry::fleet::{Spec, State};
-use quetzalpick_entry::place::{Options, Order, Ordered, Planner, Work};
+use quetzalpick_entry::place::{Action, Options, Order, Ordered, Planner, Work};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -78,8 +78,10 @@
     pub(crate) planner: Planner,
     pub(crate) faults: bool,
     pub(crate) work: Table<Artifact, Work>,
-    /// Loads of models that engines began.
+    /// Orders for models that engines accepted.
     pub(crate) loads: usize,
+    /// When engines began to load models, in ms.
+    pub(crate) load_times: Vec<u64>,
 }
 
 pub(crate) fn endpoint(n: usize) -> Endpoint {
@@ -112,6 +114,7 @@
             faults,
             work: Table::default(),
             loads: 0,
+            load_times: Vec::new(),
         }
     }
 
@@ -148,7 +151,7 @@
             .extract_if(.., |late| late.at_ms <= now_ms)
             .collect();
         for late in due {
-            self.engines[late.engine].order(now_ms, &late.order, 1_200);
+            self.order(late.engine, &late.order);
         }
         if self.chance(600) {
             self.planner = Planner::new(now_ms, Options::default());
@@ -173,6 +176,16 @@
         }
     }
 
+    /// Lets an engine take an order.
+    fn order(&mut self, n: usize, order: &Order) -> Ordered {
+        let ordered = self.engines[n].order(self.now_ms, order, 1_200);
+        let loads = order.action == Action::Load && order.adapter.is_none();
+        if loads && ordered == Ordered::Accepted {
+            self.load_times.push(self.now_ms);
+        }
+        ordered
+    }
+
     /// Delivers an order; `None` if there is no answer.
     fn deliver(&mut self, n: usize, order: &Order) -> Option<Ordered> {
         let now_ms = self.now_ms;
@@ -185,7 +198,7 @@
             });
             return None;
         }
-        let ordered = self.engines[n].order(now_ms, order, 1_200);
+        let ordered = self.order(n, order);
         if ordered == Ordered::Accepted && order.adapter.is_none() {
             self.loads += 1;
         }
