Let VMs leave a model before it is unloaded, and small VMs lead last

Cause: requests met engines that had begun to unload (not run, sent again within the retry budget); a leader with 0.12 cores cannot answer the draws of 69 VMs.

--- a/crates/quetzalpick-core/src/election.rs
+++ b/crates/quetzalpick-core/src/election.rs
@@ -18,6 +18,8 @@
     pub lapse_ms: u64,
     /// Claims of different VMs are spread over this time, in ms, so that most see the first one before they try.
     pub stagger_ms: u64,
+    /// Time by which this VM claims later than others, in ms; set for VMs that are better led than leading.
+    pub handicap_ms: u64,
     /// Time without word of the leader after which the log is read, in ms.
     pub silence_ms: u64,
     /// Time that must pass between the acts of two leaders on different VMs, in ms.
@@ -33,6 +35,7 @@
             hold_ms: 1_500,
             lapse_ms: 1_800,
             stagger_ms: 400,
+            handicap_ms: 0,
             silence_ms: 900,
             handover_ms: 3_200,
             read_ms: 400,
@@ -404,16 +407,17 @@
     fn claimable(&self, now_ms: u64) -> Option<Offset> {
         let seen = self.seen.as_ref()?;
         let read_ms = seen.read_ms?;
-        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
-        let lapsed_ms = seen.since_ms + self.options.lapse_ms + spread_ms;
+        let lapsed_ms = seen.since_ms + self.options.lapse_ms + self.delay_ms();
         // A read just before tells whether another VM has claimed.
         let read_since = read_ms >= lapsed_ms;
         let lapsed = now_ms >= lapsed_ms && read_since && !self.hears(now_ms);
         let free = match &seen.newest {
-            None => seen.end == Offset(0) || lapsed,
-            Some((_, claim)) => {
-                claim.resigned_after_ms.is_some() || self.is_former_self(claim) || lapsed
+            None if seen.end == Offset(0) => now_ms >= seen.since_ms + self.options.handicap_ms,
+            None => lapsed,
+            Some((_, claim)) if claim.resigned_after_ms.is_some() => {
+                now_ms >= seen.since_ms + self.options.handicap_ms
             }
+            Some((_, claim)) => self.is_former_self(claim) || lapsed,
         };
         free.then_some(seen.end)
     }
@@ -424,12 +428,17 @@
         candidate.vm == self.me.vm && candidate.incarnation != self.me.incarnation
     }
 
+    /// Returns how long this VM waits beyond the time of a leader, in ms.
+    fn delay_ms(&self) -> u64 {
+        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
+        spread_ms + self.options.handicap_ms
+    }
+
     /// Returns when the time of a leader that was seen by a read is over, if that is to come, in ms.
     fn lapses_ms(&self, now_ms: u64) -> Option<u64> {
         let seen = self.seen.as_ref()?;
         seen.read_ms?;
-        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
-        let lapses_ms = seen.since_ms + self.options.lapse_ms + spread_ms;
+        let lapses_ms = seen.since_ms + self.options.lapse_ms + self.delay_ms();
         (now_ms < lapses_ms && lapses_ms > self.next_read_ms).then_some(lapses_ms)
     }
 
--- a/crates/quetzalpick-entry/src/place/copy.rs
+++ b/crates/quetzalpick-entry/src/place/copy.rs
@@ -12,6 +12,8 @@
     },
     /// It serves.
     Held,
+    /// It serves until VMs have learnt that they are to use others; then it is unloaded.
+    Retiring,
     /// It is being unloaded.
     Unloading,
 }
@@ -37,7 +39,7 @@
 
     /// Tells whether it serves or will soon.
     pub fn is_expected(&self) -> bool {
-        !matches!(self.phase, Phase::Unloading)
+        !matches!(self.phase, Phase::Retiring | Phase::Unloading)
     }
 }
 
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -338,6 +338,7 @@
         engine: &Engine,
         sends: &mut Vec<Send>,
     ) {
+        self.unload_retired(now_ms, sends);
         self.keep_promises(now_ms, engine, sends);
         // Each step changes what the others gain.
         for _ in 0..engine.models.len() {
@@ -357,12 +358,31 @@
                 adapter: None,
                 expected_orders: 0,
             };
-            let reason = if promised.is_some() { "room" } else { "demand" };
-            if let (Some(model), Some(site)) = (promised, self.sites.get_mut(&endpoint)) {
-                site.promised = Some(model);
+            match (promised, self.sites.get_mut(&endpoint)) {
+                (Some(promised), Some(site)) => site.retire(now_ms, order.model, promised),
+                _ => {
+                    self.begin_load(now_ms, engine, &endpoint, &order);
+                    self.send(&endpoint, order, "demand", sends);
+                }
             }
-            self.begin_load(now_ms, engine, &endpoint, &order);
-            self.send(&endpoint, order, reason, sends);
+        }
+    }
+
+    /// Unloads the models that VMs have had the time to leave.
+    fn unload_retired(&mut self, now_ms: u64, sends: &mut Vec<Send>) {
+        let retired = |(endpoint, site): (&Endpoint, &Site)| {
+            let model = site.retired(now_ms).filter(|_| site.is_idle(now_ms))?;
+            Some((endpoint.clone(), model.clone()))
+        };
+        let due: Vec<_> = self.sites.iter().filter_map(retired).collect();
+        for (endpoint, model) in due {
+            let order = Order {
+                action: Action::Unload,
+                model,
+                adapter: None,
+                expected_orders: 0,
+            };
+            self.send(&endpoint, order, "room", sends);
         }
     }
 
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -15,6 +15,9 @@
 /// Pause before an order that was not answered, or that met another one, is sent again, in ms.
 const AGAIN_MS: u64 = 150;
 
+/// Time in which VMs learn that they are to use other copies, in ms: they ask the leader several times a second.
+const RETIRE_MS: u64 = 350;
+
 /// Pause between two reports of one engine, in ms.
 const REPORT_PAUSE_MS: u64 = 200;
 
@@ -192,6 +195,19 @@
         }
     }
 
+    /// Lets VMs use other copies of a model, to make room for another model.
+    pub(crate) fn retire(&mut self, now_ms: u64, model: Artifact, promised: Artifact) {
+        self.promised = Some(promised);
+        self.put(now_ms, model, Phase::Retiring);
+    }
+
+    /// Returns the model that VMs have had the time to leave.
+    pub(crate) fn retired(&self, now_ms: u64) -> Option<&Artifact> {
+        let is_left =
+            |copy: &&Copy| copy.phase == Phase::Retiring && now_ms >= copy.since_ms + RETIRE_MS;
+        self.copies.iter().find(is_left).map(|copy| &copy.artifact)
+    }
+
     /// Marks an order as being on its way.
     pub(crate) fn send(&mut self, order: Order) {
         if self.promised.as_ref() == Some(&order.model) && order.action == Action::Load {
@@ -295,7 +311,7 @@
         let due = |copy: &Copy| match copy.phase {
             Phase::Loading { until_ms } => now_ms >= until_ms,
             Phase::Unloading => now_ms >= copy.since_ms + LAG_MS,
-            Phase::Held => false,
+            Phase::Held | Phase::Retiring => false,
         };
         let ends = self.open.is_none() && self.copies.iter().any(due);
         let wanted = self.asks_report || ends || self.lost;
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use quetzalpick_core::election;
 use quetzalpick_node::http::server;
 use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{Log, Metrics, SECRET_MIN_CHARS, Vm, address, secret};
@@ -33,6 +34,8 @@
 pub struct Settings {
     /// The VM.
     pub vm: Vm,
+    /// Its size.
+    pub size: Size,
     /// The log service.
     pub topics: Topics,
     /// The callers' listener.
@@ -57,6 +60,7 @@
     fn read(reader: &mut Reader<'_>) -> Self {
         Self {
             vm: reader.section("vm"),
+            size: reader.section("size"),
             topics: reader.section("topics"),
             callers: reader.section("callers"),
             metrics: reader.section("metrics"),
@@ -67,6 +71,29 @@
     }
 }
 
+/// `Size` is what the VM has.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Size {
+    /// Processor cores that the process may use.
+    pub cores: f64,
+}
+
+impl Section for Size {
+    fn read(reader: &mut Reader<'_>) -> Self {
+        let cores = |text: &str| text.parse().ok().filter(|cores| *cores > 0.0);
+        let cores = reader.parsed("cores", "1.0", "a number above 0, as text", cores);
+        Self {
+            cores: cores.unwrap_or(1.0),
+        }
+    }
+}
+
+/// Processor cores below which a VM lets others lead.
+const LEADER_CORES: f64 = 0.2;
+
+/// Time by which such a VM claims later, in ms.
+const HANDICAP_MS: u64 = 700;
+
 /// `Topics` tells where the log service is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Topics {
@@ -172,7 +199,12 @@
 
     /// Returns the options of an entry with these settings.
     pub fn options(&self) -> Options {
+        let is_small = self.size.cores < LEADER_CORES;
         Options {
+            election: election::Options {
+                handicap_ms: if is_small { HANDICAP_MS } else { 0 },
+                ..election::Options::default()
+            },
             revocation: self.bounds.revocation,
             overdraft: self.bounds.overdraft,
             retry: Retries {
