--- a/crates/quetzalpick-client/src/memory/log.rs
+++ b/crates/quetzalpick-client/src/memory/log.rs
@@ -1,16 +1,16 @@
 //! The log service in memory.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::table::Table;
 use quetzalpick_core::verdict::Verdict;
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::errors::{Error, Result, busy, unanswered};
+use crate::memory::hub::Hub;
 use crate::traits::{Batch, Stream};
 
 /// Most records in one answer to a read.
@@ -24,17 +24,10 @@
 /// An outage, the retention and the rate concern all handles. The other switches concern the handle they are called on.
 #[derive(Debug, Clone)]
 pub struct Log {
-    shared: Arc<Shared>,
+    hub: Arc<Hub<Service>>,
     name: Arc<str>,
 }
 
-/// `Shared` is what all handles have in common.
-#[derive(Debug)]
-struct Shared {
-    service: Mutex<Service>,
-    changes: watch::Sender<u64>,
-}
-
 /// `Service` is the state of the service.
 #[derive(Debug, Default)]
 struct Service {
@@ -191,10 +184,8 @@
 impl Log {
     /// Makes an empty log service and a first handle on it.
     pub fn new() -> Self {
-        let service = Mutex::default();
-        let changes = watch::Sender::default();
         Self {
-            shared: Arc::new(Shared { service, changes }),
+            hub: Arc::default(),
             name: Arc::from("first"),
         }
     }
@@ -202,29 +193,32 @@
     /// Returns the handle of this name on the same service.
     pub fn handle(&self, name: &str) -> Self {
         Self {
-            shared: Arc::clone(&self.shared),
+            hub: Arc::clone(&self.hub),
             name: Arc::from(name),
         }
     }
 
     /// Cuts this handle off from the service, or connects it again.
     pub fn cut(&self, cut: bool) {
-        self.switch(|service| service.faults(&self.name).cut = cut);
+        self.hub
+            .switch(|service| service.faults(&self.name).cut = cut);
     }
 
     /// Lets the next `count` appends of this handle take effect without an answer.
     pub fn lose_answers(&self, count: u32) {
-        self.switch(|service| service.faults(&self.name).lose_answers = count);
+        self.hub
+            .switch(|service| service.faults(&self.name).lose_answers = count);
     }
 
     /// Holds the next `count` appends of this handle back, without an answer, until `release`.
     pub fn hold_appends(&self, count: u32) {
-        self.switch(|service| service.faults(&self.name).hold_appends = count);
+        self.hub
+            .switch(|service| service.faults(&self.name).hold_appends = count);
     }
 
     /// Appends what was held back, in the order it came, after all that was appended meanwhile.
     pub fn release(&self) {
-        self.switch(|service| {
+        self.hub.switch(|service| {
             for (stream, records) in std::mem::take(&mut service.held) {
                 service.stream(stream).append(records);
             }
@@ -233,12 +227,12 @@
 
     /// Begins or ends an outage for all handles.
     pub fn outage(&self, outage: bool) {
-        self.switch(|service| service.outage = outage);
+        self.hub.switch(|service| service.outage = outage);
     }
 
     /// Keeps at most `records` records of a stream.
     pub fn retain(&self, stream: Stream, records: usize) {
-        self.switch(|service| {
+        self.hub.switch(|service| {
             service.stream(stream).retention = records;
             service.stream(stream).trim();
         });
@@ -252,79 +246,51 @@
             second,
             used: 0,
         });
-        self.switch(|service| service.rate = rate);
+        self.hub.switch(|service| service.rate = rate);
     }
 
     /// Lets each call take this long before it takes effect.
     pub fn delay(&self, latency: Duration) {
-        self.switch(|service| service.latency = latency);
+        self.hub.switch(|service| service.latency = latency);
     }
 
     /// Returns the records of a stream that are kept, with the offset of the first.
     pub fn records(&self, stream: Stream) -> (Offset, Vec<Bytes>) {
-        let mut service = self.lock();
+        let mut service = self.hub.lock();
         let records = service.stream(stream);
         (Offset(records.oldest), records.kept.clone())
     }
 
     /// Returns how many appends of this handle reached the service.
     pub fn appends(&self) -> u64 {
-        self.lock().faults(&self.name).appends
-    }
-
-    /// Locks the service; a test that panicked with the lock held does not matter to others.
-    fn lock(&self) -> MutexGuard<'_, Service> {
-        self.shared
-            .service
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Changes the service and wakes the readers that wait.
-    fn switch(&self, change: impl FnOnce(&mut Service)) {
-        change(&mut self.lock());
-        self.shared.changes.send_modify(|count| *count += 1);
+        self.hub.lock().faults(&self.name).appends
     }
 
     /// Waits as long as each call takes.
     async fn travel(&self) {
-        let latency = self.lock().latency;
+        let latency = self.hub.lock().latency;
         if !latency.is_zero() {
             tokio::time::sleep(latency).await;
         }
     }
-
-    /// Reads a page, or `None` if there is nothing yet.
-    fn page(&self, stream: Stream, from: Offset) -> Result<Batch> {
-        let mut service = self.lock();
-        service.reach(&self.name)?;
-        service.stream(stream).page(from)
-    }
 }
 
 impl crate::traits::Log for Log {
     async fn append(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset> {
         self.travel().await;
         let mut result = Ok(Offset::default());
-        self.switch(|service| result = service.append(&self.name, stream, records));
+        self.hub
+            .switch(|service| result = service.append(&self.name, stream, records));
         result
     }
 
     async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Batch> {
         self.travel().await;
-        let deadline = Instant::now() + wait;
-        let mut changes = self.shared.changes.subscribe();
-        loop {
-            changes.borrow_and_update();
-            let page = self.page(stream, from)?;
-            if !page.records.is_empty() {
-                return Ok(page);
-            }
-            // The sender lives as long as this handle, so only the deadline ends the waiting early.
-            let changed = tokio::time::timeout_at(deadline, changes.changed()).await;
-            if changed.is_err() {
-                return Ok(page);
-            }
-        }
+        let page = |service: &mut Service| {
+            service.reach(&self.name)?;
+            service.stream(stream).page(from)
+        };
+        let is_enough = |page: &Batch| !page.records.is_empty();
+        self.hub.wait(wait, page, is_enough).await
     }
 }
--- a/crates/quetzalpick-client/src/memory/topics.rs
+++ b/crates/quetzalpick-client/src/memory/topics.rs
@@ -1,15 +1,14 @@
 //! A log service of topics in memory.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::table::Table;
 use quetzalpick_core::verdict::Verdict;
-use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
 
 use crate::errors::{Error, Result, unanswered};
+use crate::memory::hub::Hub;
 use crate::topic::{Record, Records, Topic};
 
 /// Target that errors name.
@@ -18,17 +17,10 @@
 /// `Topics` is a handle on a log service in memory; clones are the same handle.
 #[derive(Debug, Clone)]
 pub struct Topics {
-    shared: Arc<Shared>,
+    hub: Arc<Hub<Service>>,
     name: Arc<str>,
 }
 
-/// `Shared` is what all handles have in common.
-#[derive(Debug, Default)]
-struct Shared {
-    service: Mutex<Service>,
-    changes: watch::Sender<u64>,
-}
-
 /// `Service` is the state of the service.
 #[derive(Debug, Default)]
 struct Service {
@@ -111,7 +103,7 @@
     /// Makes an empty log service and a first handle on it.
     pub fn new() -> Self {
         Self {
-            shared: Arc::default(),
+            hub: Arc::default(),
             name: Arc::from("first"),
         }
     }
@@ -119,25 +111,27 @@
     /// Returns the handle of this name on the same service.
     pub fn handle(&self, name: &str) -> Self {
         Self {
-            shared: Arc::clone(&self.shared),
+            hub: Arc::clone(&self.hub),
             name: Arc::from(name),
         }
     }
 
     /// Cuts this handle off from the service, or connects it again.
     pub fn cut(&self, cut: bool) {
-        self.switch(|service| service.faults(&self.name).cut = cut);
+        self.hub
+            .switch(|service| service.faults(&self.name).cut = cut);
     }
 
     /// Lets the next `count` appends of this handle take effect without an answer.
     pub fn lose_answers(&self, count: u32) {
-        self.switch(|service| service.faults(&self.name).lose_answers = count);
+        self.hub
+            .switch(|service| service.faults(&self.name).lose_answers = count);
     }
 
     /// Drops all records of a topic but the newest `kept`; the newest of each key can still be asked for only if it is
     /// among them.
     pub fn trim(&self, topic: Topic, kept: usize) {
-        self.switch(|service| {
+        self.hub.switch(|service| {
             let topic = service.topic(topic);
             let surplus = topic.records.len().saturating_sub(kept);
             topic.records.drain(..surplus);
@@ -147,33 +141,13 @@
 
     /// Returns how many calls were made.
     pub fn calls(&self) -> u64 {
-        self.lock().calls
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Service> {
-        let service = &self.shared.service;
-        service.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Changes the service and wakes the readers that wait.
-    fn switch<T>(&self, change: impl FnOnce(&mut Service) -> T) -> T {
-        let changed = change(&mut self.lock());
-        self.shared.changes.send_modify(|count| *count += 1);
-        changed
-    }
-
-    fn page(&self, topic: Topic, from: Offset) -> Result<Records> {
-        let mut service = self.lock();
-        if service.faults(&self.name).cut {
-            return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
-        }
-        service.topic(topic).read(from)
+        self.hub.lock().calls
     }
 }
 
 impl crate::topic::Topics for Topics {
     async fn newest(&self, topic: Topic) -> Result<Records> {
-        let mut service = self.lock();
+        let mut service = self.hub.lock();
         service.reach(&self.name)?;
         let kept = service.topic(topic);
         let end = Offset(kept.end());
@@ -185,24 +159,19 @@
     }
 
     async fn read(&self, topic: Topic, from: Offset, wait: Duration) -> Result<Records> {
-        self.lock().reach(&self.name)?;
-        let deadline = Instant::now() + wait;
-        let mut changes = self.shared.changes.subscribe();
-        loop {
-            changes.borrow_and_update();
-            let page = self.page(topic, from)?;
-            if !page.records.is_empty() {
-                return Ok(page);
+        self.hub.lock().reach(&self.name)?;
+        let page = |service: &mut Service| {
+            if service.faults(&self.name).cut {
+                return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
             }
-            // The sender lives as long as this handle, so only the deadline ends the waiting early.
-            if timeout_at(deadline, changes.changed()).await.is_err() {
-                return Ok(page);
-            }
-        }
+            service.topic(topic).read(from)
+        };
+        let is_enough = |page: &Records| !page.records.is_empty();
+        self.hub.wait(wait, page, is_enough).await
     }
 
     async fn append(&self, topic: Topic, record: &Record, at: Option<Offset>) -> Result<Offset> {
-        let (offset, lost) = self.switch(|service| {
+        let (offset, lost) = self.hub.switch(|service| {
             service.reach(&self.name)?;
             let kept = service.topic(topic);
             let end = kept.end();
--- a/crates/quetzalpick-entry/src/config/mod.rs
+++ b/crates/quetzalpick-entry/src/config/mod.rs
@@ -6,7 +6,7 @@
 
 pub use route::{Kind, Route, Target};
 pub use service::{Engine, Model, Service};
-pub use workspace::{Allowance, Workspace};
+pub use workspace::{Quota, Workspace};
 
 use quetzalpick_core::id;
 use quetzalpick_core::table::Table;
--- a/crates/quetzalpick-entry/src/config/workspace.rs
+++ b/crates/quetzalpick-entry/src/config/workspace.rs
@@ -2,9 +2,9 @@
 
 use quetzalpick_core::id;
 
-/// `Allowance` is what a workspace may spend over all VMs together.
+/// `Quota` is what a workspace may spend over all VMs together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Allowance {
+pub struct Quota {
     /// Units a second.
     pub rate: u64,
     /// Units at once.
@@ -21,7 +21,7 @@
     /// Rank of its requests, before that of their routes.
     pub priority: Option<u8>,
     /// What it may spend; `None` if there is no limit.
-    pub allowance: Option<Allowance>,
+    pub quota: Option<Quota>,
     /// Whether units are tokens; otherwise they are requests.
     pub by_tokens: bool,
     /// Tokens of a request that does not say how many it has.
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::config::{Allowance, Config};
+use crate::config::{Config, Quota};
 use crate::exchange::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
 use crate::fleet::Fleet;
 use crate::place::{Planner, Work};
@@ -211,11 +211,11 @@
         let config = self.view.config();
         let workspaces = config.as_ref().map(|config| config.workspaces());
         let workspace = workspaces.and_then(|all| all.get(&draw.workspace));
-        let Some(allowance) = workspace.and_then(|workspace| workspace.allowance) else {
+        let Some(quota) = workspace.and_then(|workspace| workspace.quota) else {
             return Drawn::NotLeading;
         };
         let drawn = self.office(|office, now_ms| {
-            let slice = office.slice(now_ms, &draw.workspace, allowance, self.floor_permille);
+            let slice = office.slice(now_ms, &draw.workspace, quota, self.floor_permille);
             match slice.charge(now_ms, draw.units, 0) {
                 Ok(()) => Drawn::Taken,
                 Err(after_ms) => Drawn::Short(after_ms),
@@ -228,8 +228,8 @@
     pub(crate) fn fill(&self, config: &Config) {
         self.office(|office, now_ms| {
             for (name, workspace) in config.workspaces().iter() {
-                if let Some(allowance) = workspace.allowance {
-                    office.slice(now_ms, name, allowance, self.floor_permille);
+                if let Some(quota) = workspace.quota {
+                    office.slice(now_ms, name, quota, self.floor_permille);
                 }
             }
         });
@@ -285,10 +285,10 @@
         &mut self,
         now_ms: u64,
         workspace: &Workspace,
-        allowance: Allowance,
+        quota: Quota,
         floor_permille: u64,
     ) -> &mut Slice {
-        let Allowance { rate, burst } = allowance;
+        let Quota { rate, burst } = quota;
         let begin = || Slice::new(now_ms);
         let slice = self.slices.get_or_insert_with(workspace.clone(), begin);
         slice.set(now_ms, rate, burst, kept(floor_permille));
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -1,5 +1,9 @@
 //! The leader's plan: which order goes to which engine next.
 
+mod adapters;
+mod models;
+mod weights;
+
 use std::net::SocketAddr;
 
 use quetzalpick_core::id::{Artifact, Endpoint, Service};
@@ -7,10 +11,8 @@
 
 use crate::config::{Config, Engine, Model};
 use crate::fleet::Spec;
-use crate::place::copy::{is_adapter, model_of};
-use crate::place::model::{Need, needs};
-use crate::place::room::{free_mb, has_place, memory_mb};
-use crate::place::{Action, Order, Ordered, Report, Site, Work};
+use crate::place::copy::is_adapter;
+use crate::place::{Order, Ordered, Report, Site, Work};
 
 /// `Options` set when copies move.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -243,76 +245,6 @@
         sends
     }
 
-    /// Adds the loads that the weight store has allowed since the last time.
-    fn fill(&mut self, now_ms: u64, engine: &Engine) {
-        let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
-        let added = elapsed_ms * engine.loads_per_1000_s / MS_PER_S;
-        if added > 0 {
-            self.filled_ms = now_ms;
-            let most = self.options.loads_burst * LOAD;
-            self.loads = (self.loads + added).min(most);
-        }
-    }
-
-    /// Plans adapters that were asked for and that no engine holds or loads.
-    fn plan_adapters(
-        &mut self,
-        now_ms: u64,
-        service: &Service,
-        engine: &Engine,
-        sends: &mut Vec<Send>,
-    ) {
-        let wanted: Vec<Artifact> = self.wanted.keys().cloned().collect();
-        for adapter in wanted {
-            let usable = self.sites.values().filter(|site| site.is_usable());
-            if usable.into_iter().any(|site| site.expects(&adapter)) {
-                continue;
-            }
-            let model = model_of(&adapter);
-            let Some((endpoint, action, artifact)) =
-                self.adapter_step(now_ms, service, engine, &model, &adapter)
-            else {
-                continue;
-            };
-            let order = Order {
-                action,
-                model: model_of(&artifact),
-                adapter: Some(artifact),
-                expected_orders: 0,
-            };
-            self.send(&endpoint, order, "wanted", sends);
-        }
-    }
-
-    /// Picks the engine for an adapter: one with a free place, or else the one whose adapter was used least recently.
-    fn adapter_step(
-        &self,
-        now_ms: u64,
-        service: &Service,
-        engine: &Engine,
-        model: &Artifact,
-        adapter: &Artifact,
-    ) -> Option<(Endpoint, Action, Artifact)> {
-        let idle = |site: &Site| {
-            site.spec.service == *service && site.is_idle(now_ms) && site.holds(model)
-        };
-        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| idle(site)).collect();
-        let roomy = sites
-            .iter()
-            .filter(|(_, site)| has_place(engine, site, adapter));
-        let least = roomy.min_by_key(|(_, site)| (site.adapters().count(), self.load_of(site)));
-        if let Some((endpoint, _)) = least {
-            return Some(((*endpoint).clone(), Action::Load, adapter.clone()));
-        }
-        let held = |(endpoint, site): &(&Endpoint, &Site)| {
-            let held = site.adapters().filter(|copy| copy.is_held());
-            let oldest = held.min_by_key(|copy| copy.used_ms)?;
-            Some((oldest.used_ms, (*endpoint).clone(), oldest.artifact.clone()))
-        };
-        let (_, endpoint, oldest) = sites.iter().filter_map(held).min()?;
-        Some((endpoint, Action::Unload, oldest))
-    }
-
     /// Returns the work at an engine if demand spreads evenly over copies.
     fn load_of(&self, site: &Site) -> Work {
         let models = site
@@ -330,168 +262,6 @@
         models.map(|copy| share(&copy.artifact)).sum()
     }
 
-    /// Plans loads of the models that gain most, and makes room for them.
-    fn plan_models(
-        &mut self,
-        now_ms: u64,
-        service: &Service,
-        engine: &Engine,
-        sends: &mut Vec<Send>,
-    ) {
-        self.unload_retired(now_ms, sends);
-        self.keep_promises(now_ms, engine, sends);
-        // Each step changes what the others gain.
-        for _ in 0..engine.models.len() {
-            let needs = needs(engine, &self.sites, &self.work);
-            let steps = needs
-                .iter()
-                .filter(|need| need.gain() >= self.options.fill_gain);
-            let step = steps
-                .into_iter()
-                .find_map(|need| self.model_step(now_ms, service, engine, need, &needs));
-            let Some((endpoint, action, artifact, promised)) = step else {
-                return;
-            };
-            let order = Order {
-                action,
-                model: artifact,
-                adapter: None,
-                expected_orders: 0,
-            };
-            match (promised, self.sites.get_mut(&endpoint)) {
-                (Some(promised), Some(site)) => site.retire(now_ms, order.model, promised),
-                _ => {
-                    self.begin_load(now_ms, engine, &endpoint, &order);
-                    self.send(&endpoint, order, "demand", sends);
-                }
-            }
-        }
-    }
-
-    /// Unloads the models that VMs have had the time to leave.
-    fn unload_retired(&mut self, now_ms: u64, sends: &mut Vec<Send>) {
-        let retired = |(endpoint, site): (&Endpoint, &Site)| {
-            let model = site.retired(now_ms).filter(|_| site.is_idle(now_ms))?;
-            Some((endpoint.clone(), model.clone()))
-        };
-        let due: Vec<_> = self.sites.iter().filter_map(retired).collect();
-        for (endpoint, model) in due {
-            let order = Order {
-                action: Action::Unload,
-                model,
-                adapter: None,
-                expected_orders: 0,
-            };
-            self.send(&endpoint, order, "room", sends);
-        }
-    }
-
-    /// Loads what room was made for.
-    fn keep_promises(&mut self, now_ms: u64, engine: &Engine, sends: &mut Vec<Send>) {
-        let promised = |(endpoint, site): (&Endpoint, &Site)| {
-            let model = site.promised.clone()?;
-            let fits = free_mb(engine, site) >= memory_mb(engine, &model);
-            let ready = site.is_idle(now_ms) && fits && self.may_load(engine, site, &model);
-            ready.then(|| (endpoint.clone(), model))
-        };
-        let due: Vec<_> = self.sites.iter().filter_map(promised).collect();
-        for (endpoint, model) in due {
-            let order = Order {
-                action: Action::Load,
-                model,
-                adapter: None,
-                expected_orders: 0,
-            };
-            self.begin_load(now_ms, engine, &endpoint, &order);
-            self.send(&endpoint, order, "promised", sends);
-        }
-    }
-
-    /// Finds how a model gets one more copy: a load where there is room, or an unload that makes room.
-    fn model_step(
-        &self,
-        now_ms: u64,
-        service: &Service,
-        engine: &Engine,
-        need: &Need<'_>,
-        needs: &[Need<'_>],
-    ) -> Option<(Endpoint, Action, Artifact, Option<Artifact>)> {
-        let model = &need.model.name;
-        let open = |site: &Site| {
-            let takes = site.is_idle(now_ms) && site.promised.is_none();
-            site.spec.service == *service
-                && takes
-                && !site.copies.iter().any(|c| c.artifact == *model)
-        };
-        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| open(site)).collect();
-        let cost = |site: &Site| load_ms(site, need.model).0 + self.load_of(site) / LOAD_COST;
-        let roomy = sites.iter().filter(|(_, site)| {
-            free_mb(engine, site) >= need.model.memory_mb && self.may_load(engine, site, model)
-        });
-        if let Some((endpoint, _)) = roomy.min_by_key(|(_, site)| cost(site)) {
-            return Some(((*endpoint).clone(), Action::Load, model.clone(), None));
-        }
-        if need.gain() < self.options.move_gain {
-            return None;
-        }
-        let victim = |(endpoint, site): &(&Endpoint, &Site)| {
-            let (loss, victim) = self.victim(engine, site, need, needs)?;
-            let ratio = self.options.move_ratio_percent;
-            let gains = need.gain() * 100 >= loss * ratio && self.may_load(engine, site, model);
-            gains.then(|| ((loss, cost(site)), (*endpoint).clone(), victim))
-        };
-        let (_, endpoint, victim) = sites.iter().filter_map(victim).min()?;
-        Some((endpoint, Action::Unload, victim, Some(model.clone())))
-    }
-
-    /// Finds the model at an engine whose copy is missed least, if its room suffices.
-    fn victim(
-        &self,
-        engine: &Engine,
-        site: &Site,
-        need: &Need<'_>,
-        needs: &[Need<'_>],
-    ) -> Option<(Work, Artifact)> {
-        let free = free_mb(engine, site);
-        let held = site.copies.iter().filter(|copy| copy.is_held());
-        let loss = |artifact: &Artifact| match needs.iter().find(|n| n.model.name == *artifact) {
-            Some(need) => need.loss(),
-            None => Some(0),
-        };
-        held.filter(|copy| !is_adapter(&copy.artifact))
-            .filter(|copy| free + memory_mb(engine, &copy.artifact) >= need.model.memory_mb)
-            .filter_map(|copy| Some((loss(&copy.artifact)?, copy.artifact.clone())))
-            .min()
-    }
-
-    /// Tells whether a model may be loaded now, as far as the weight store goes.
-    fn may_load(&self, engine: &Engine, site: &Site, model: &Artifact) -> bool {
-        let model = engine.models.iter().find(|m| m.name == *model);
-        let from_store = model.is_none_or(|model| load_ms(site, model).1);
-        !from_store || (self.loads >= LOAD && self.loading.len() < self.loads_at_once(engine))
-    }
-
-    /// Returns how many loads from the weight store may be under way.
-    fn loads_at_once(&self, engine: &Engine) -> usize {
-        let slowest_ms = engine.models.iter().map(|model| model.load_ms).max();
-        let under_way = engine.loads_per_1000_s * slowest_ms.unwrap_or_default();
-        let steady = usize::try_from(under_way / (LOAD * MS_PER_S)).unwrap_or_default();
-        steady.max(self.options.loads_at_once)
-    }
-
-    /// Notes that a load from the weight store begins.
-    fn begin_load(&mut self, now_ms: u64, engine: &Engine, endpoint: &Endpoint, order: &Order) {
-        let model = engine.models.iter().find(|m| m.name == order.model);
-        let (Some(model), Some(site)) = (model, self.sites.get(endpoint)) else {
-            return;
-        };
-        let (took_ms, from_store) = load_ms(site, model);
-        if order.action == Action::Load && from_store {
-            self.loads = self.loads.saturating_sub(LOAD);
-            self.loading.push(now_ms + took_ms);
-        }
-    }
-
     /// Marks an order as being on its way and adds it to those to be sent.
     fn send(
         &mut self,
--- /dev/null
+++ b/crates/quetzalpick-entry/src/place/planner/adapters.rs
@@ -0,0 +1,70 @@
+//! Which engine loads an adapter that was asked for.
+
+use quetzalpick_core::id::{Artifact, Endpoint, Service};
+
+use super::Planner;
+use crate::config::Engine;
+use crate::place::copy::model_of;
+use crate::place::room::has_place;
+use crate::place::{Action, Order, Send, Site};
+
+impl Planner {
+    /// Plans adapters that were asked for and that no engine holds or loads.
+    pub(super) fn plan_adapters(
+        &mut self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        sends: &mut Vec<Send>,
+    ) {
+        let wanted: Vec<Artifact> = self.wanted.keys().cloned().collect();
+        for adapter in wanted {
+            let usable = self.sites.values().filter(|site| site.is_usable());
+            if usable.into_iter().any(|site| site.expects(&adapter)) {
+                continue;
+            }
+            let model = model_of(&adapter);
+            let Some((endpoint, action, artifact)) =
+                self.adapter_step(now_ms, service, engine, &model, &adapter)
+            else {
+                continue;
+            };
+            let order = Order {
+                action,
+                model: model_of(&artifact),
+                adapter: Some(artifact),
+                expected_orders: 0,
+            };
+            self.send(&endpoint, order, "wanted", sends);
+        }
+    }
+
+    /// Picks the engine for an adapter: one with a free place, or else the one whose adapter was used least recently.
+    fn adapter_step(
+        &self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        model: &Artifact,
+        adapter: &Artifact,
+    ) -> Option<(Endpoint, Action, Artifact)> {
+        let idle = |site: &Site| {
+            site.spec.service == *service && site.is_idle(now_ms) && site.holds(model)
+        };
+        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| idle(site)).collect();
+        let roomy = sites
+            .iter()
+            .filter(|(_, site)| has_place(engine, site, adapter));
+        let least = roomy.min_by_key(|(_, site)| (site.adapters().count(), self.load_of(site)));
+        if let Some((endpoint, _)) = least {
+            return Some(((*endpoint).clone(), Action::Load, adapter.clone()));
+        }
+        let held = |(endpoint, site): &(&Endpoint, &Site)| {
+            let held = site.adapters().filter(|copy| copy.is_held());
+            let oldest = held.min_by_key(|copy| copy.used_ms)?;
+            Some((oldest.used_ms, (*endpoint).clone(), oldest.artifact.clone()))
+        };
+        let (_, endpoint, oldest) = sites.iter().filter_map(held).min()?;
+        Some((endpoint, Action::Unload, oldest))
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -0,0 +1,146 @@
+//! Which models get a further copy, and whose copies make room for them.
+
+use quetzalpick_core::id::{Artifact, Endpoint, Service};
+
+use super::{LOAD_COST, Planner, load_ms};
+use crate::config::Engine;
+use crate::place::copy::is_adapter;
+use crate::place::model::{Need, needs};
+use crate::place::room::{free_mb, memory_mb};
+use crate::place::{Action, Order, Send, Site, Work};
+
+impl Planner {
+    /// Plans loads of the models that gain most, and makes room for them.
+    pub(super) fn plan_models(
+        &mut self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        sends: &mut Vec<Send>,
+    ) {
+        self.unload_retired(now_ms, sends);
+        self.keep_promises(now_ms, engine, sends);
+        // Each step changes what the others gain.
+        for _ in 0..engine.models.len() {
+            let needs = needs(engine, &self.sites, &self.work);
+            let steps = needs
+                .iter()
+                .filter(|need| need.gain() >= self.options.fill_gain);
+            let step = steps
+                .into_iter()
+                .find_map(|need| self.model_step(now_ms, service, engine, need, &needs));
+            let Some((endpoint, action, artifact, promised)) = step else {
+                return;
+            };
+            let order = Order {
+                action,
+                model: artifact,
+                adapter: None,
+                expected_orders: 0,
+            };
+            match (promised, self.sites.get_mut(&endpoint)) {
+                (Some(promised), Some(site)) => site.retire(now_ms, order.model, promised),
+                _ => {
+                    self.begin_load(now_ms, engine, &endpoint, &order);
+                    self.send(&endpoint, order, "demand", sends);
+                }
+            }
+        }
+    }
+
+    /// Unloads the models that VMs have had the time to leave.
+    fn unload_retired(&mut self, now_ms: u64, sends: &mut Vec<Send>) {
+        let retired = |(endpoint, site): (&Endpoint, &Site)| {
+            let model = site.retired(now_ms).filter(|_| site.is_idle(now_ms))?;
+            Some((endpoint.clone(), model.clone()))
+        };
+        let due: Vec<_> = self.sites.iter().filter_map(retired).collect();
+        for (endpoint, model) in due {
+            let order = Order {
+                action: Action::Unload,
+                model,
+                adapter: None,
+                expected_orders: 0,
+            };
+            self.send(&endpoint, order, "room", sends);
+        }
+    }
+
+    /// Loads what room was made for.
+    fn keep_promises(&mut self, now_ms: u64, engine: &Engine, sends: &mut Vec<Send>) {
+        let promised = |(endpoint, site): (&Endpoint, &Site)| {
+            let model = site.promised.clone()?;
+            let fits = free_mb(engine, site) >= memory_mb(engine, &model);
+            let ready = site.is_idle(now_ms) && fits && self.may_load(engine, site, &model);
+            ready.then(|| (endpoint.clone(), model))
+        };
+        let due: Vec<_> = self.sites.iter().filter_map(promised).collect();
+        for (endpoint, model) in due {
+            let order = Order {
+                action: Action::Load,
+                model,
+                adapter: None,
+                expected_orders: 0,
+            };
+            self.begin_load(now_ms, engine, &endpoint, &order);
+            self.send(&endpoint, order, "promised", sends);
+        }
+    }
+
+    /// Finds how a model gets one more copy: a load where there is room, or an unload that makes room.
+    fn model_step(
+        &self,
+        now_ms: u64,
+        service: &Service,
+        engine: &Engine,
+        need: &Need<'_>,
+        needs: &[Need<'_>],
+    ) -> Option<(Endpoint, Action, Artifact, Option<Artifact>)> {
+        let model = &need.model.name;
+        let open = |site: &Site| {
+            let takes = site.is_idle(now_ms) && site.promised.is_none();
+            site.spec.service == *service
+                && takes
+                && !site.copies.iter().any(|c| c.artifact == *model)
+        };
+        let sites: Vec<_> = self.sites.iter().filter(|(_, site)| open(site)).collect();
+        let cost = |site: &Site| load_ms(site, need.model).0 + self.load_of(site) / LOAD_COST;
+        let roomy = sites.iter().filter(|(_, site)| {
+            free_mb(engine, site) >= need.model.memory_mb && self.may_load(engine, site, model)
+        });
+        if let Some((endpoint, _)) = roomy.min_by_key(|(_, site)| cost(site)) {
+            return Some(((*endpoint).clone(), Action::Load, model.clone(), None));
+        }
+        if need.gain() < self.options.move_gain {
+            return None;
+        }
+        let victim = |(endpoint, site): &(&Endpoint, &Site)| {
+            let (loss, victim) = self.victim(engine, site, need, needs)?;
+            let ratio = self.options.move_ratio_percent;
+            let gains = need.gain() * 100 >= loss * ratio && self.may_load(engine, site, model);
+            gains.then(|| ((loss, cost(site)), (*endpoint).clone(), victim))
+        };
+        let (_, endpoint, victim) = sites.iter().filter_map(victim).min()?;
+        Some((endpoint, Action::Unload, victim, Some(model.clone())))
+    }
+
+    /// Finds the model at an engine whose copy is missed least, if its room suffices.
+    fn victim(
+        &self,
+        engine: &Engine,
+        site: &Site,
+        need: &Need<'_>,
+        needs: &[Need<'_>],
+    ) -> Option<(Work, Artifact)> {
+        let free = free_mb(engine, site);
+        let held = site.copies.iter().filter(|copy| copy.is_held());
+        let loss = |artifact: &Artifact| match needs.iter().find(|n| n.model.name == *artifact) {
+            Some(need) => need.loss(),
+            None => Some(0),
+        };
+        held.filter(|copy| !is_adapter(&copy.artifact))
+            .filter(|copy| free + memory_mb(engine, &copy.artifact) >= need.model.memory_mb)
+            .filter_map(|copy| Some((loss(&copy.artifact)?, copy.artifact.clone())))
+            .min()
+    }
+}
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -146,15 +146,14 @@
         now_ms: u64,
         workspace: &Workspace,
     ) -> Option<&'a mut Row> {
-        let allowance = workspace.allowance?;
+        let quota = workspace.quota?;
         let parts = self.floor(state, now_ms);
         let begin = || Row {
             slice: Slice::new(now_ms),
             dry_until_ms: 0,
         };
         let row = state.rows.get_or_insert_with(workspace.name.clone(), begin);
-        row.slice
-            .set(now_ms, allowance.rate, allowance.burst, parts);
+        row.slice.set(now_ms, quota.rate, quota.burst, parts);
         Some(row)
     }
 
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -173,7 +173,7 @@
         }
         let detail = format!(
             "workspace={} units={units} missing={} leader={leader} rate={:?}",
-            workspace.name, short.missing, workspace.allowance
+            workspace.name, short.missing, workspace.quota
         );
         Err(Refusal::new(Cause::OverRate, detail).after(short.after))
     }
