--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -304,6 +304,7 @@
         view: Arc::clone(&context.view),
         clock,
         known: options.known,
+        forget: options.forget,
     };
     let foreman = Foreman {
         lead: Arc::clone(lead),
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -128,6 +128,9 @@
         }
         let members = usize::try_from(reply.members).unwrap_or(usize::MAX);
         self.rates.divide(members);
+        if let Some(listed) = reply.listed {
+            self.rates.list(listed);
+        }
         self.fleet.divide(members);
         // A VM that leads later begins with what this leader knows.
         self.lead.divide(members);
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -95,6 +95,8 @@
     pub(crate) endpoints: Option<EndpointsRelay>,
     /// Number of VMs.
     pub(crate) members: u64,
+    /// Whether the asker is in the list of members; `None` if the leader does not know.
+    pub(crate) listed: Option<bool>,
 }
 
 /// `Want` asks for an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -31,6 +31,8 @@
     pub(crate) planner: Planner,
     /// What the leader keeps of each workspace's rate.
     slices: Table<Workspace, Slice>,
+    /// When it began, in ms.
+    since_ms: u64,
     copies: Copies,
 }
 
@@ -42,6 +44,8 @@
     view: Arc<View>,
     fleet: Arc<Fleet>,
     members: AtomicU64,
+    /// The VMs in the list of members, as this VM has read it while it leads.
+    listed: Mutex<Option<Table<Vm, ()>>>,
     floor_permille: u64,
     pub(crate) engines: N,
     election: Mutex<Election>,
@@ -74,6 +78,7 @@
             view,
             fleet,
             members: AtomicU64::new(1),
+            listed: Mutex::default(),
             floor_permille,
             engines,
             election: Mutex::new(election),
@@ -142,10 +147,12 @@
             return;
         }
         log::info!("lead: fence={fence:?} former={held:?}");
+        *lock(&self.listed) = None;
         *office = fence.map(|fence| Office {
             fence,
             planner: Planner::new(now_ms, crate::place::Options::default()),
             slices: Table::default(),
+            since_ms: now_ms,
             copies: Copies::default(),
         });
         self.wake.notify_one();
@@ -194,6 +201,7 @@
             view: self.view.relay(now_ms, status.config),
             endpoints: self.fleet.relay(known),
             members: self.members.load(Ordering::Relaxed),
+            listed: self.lists(&status.vm),
         };
         let vm = status.vm.clone();
         lock(&self.statuses).insert(vm, (now_ms, status));
@@ -206,6 +214,29 @@
         self.members.store(members, Ordering::Relaxed);
     }
 
+    /// Tells whether a VM is in the list of members; `None` if this VM has not read it while it leads.
+    fn lists(&self, vm: &Vm) -> Option<bool> {
+        let listed = lock(&self.listed);
+        listed.as_ref().map(|listed| listed.contains(vm))
+    }
+
+    /// Takes in the list of members, if this VM leads, and returns those that were silent for `forget_ms` or longer.
+    pub(crate) fn list(&self, members: &Table<Vm, ()>, forget_ms: u64) -> Vec<Vm> {
+        let since_ms = self.office(|office, now_ms| (office.since_ms, now_ms));
+        let Some((since_ms, now_ms)) = since_ms else {
+            return Vec::new();
+        };
+        *lock(&self.listed) = Some(members.clone());
+        let statuses = lock(&self.statuses);
+        let silent = |vm: &&Vm| {
+            let heard_ms = statuses
+                .get(*vm)
+                .map_or(since_ms, |(at, _)| (*at).max(since_ms));
+            **vm != self.me.vm && now_ms >= heard_ms + forget_ms
+        };
+        members.keys().filter(silent).cloned().collect()
+    }
+
     /// Takes units of a workspace's rate that the leader keeps.
     pub(crate) fn draw(&self, draw: &Draw) -> Drawn {
         let config = self.view.config();
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -26,6 +26,8 @@
     pub stop: Duration,
     /// Time after which other VMs know of one that has joined.
     pub known: Duration,
+    /// Time after which a VM that the leader has not heard is no member any more.
+    pub forget: Duration,
     /// Units that all VMs together may overdraw of a workspace.
     pub overdraft: u64,
     /// Part of each rate that is divided evenly over VMs and needs no leader, in thousandths.
@@ -71,6 +73,7 @@
             unready: Duration::from_millis(2_500),
             stop: Duration::from_secs(7),
             known: Duration::from_secs(5),
+            forget: Duration::from_secs(60),
             overdraft: 0,
             floor_permille: 500,
             election: election::Options::default(),
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -35,6 +35,8 @@
     members: usize,
     /// Before this time the floors are not used, in ms, as other VMs may not know of this one.
     floors_from_ms: u64,
+    /// Whether this VM is in the list of members, by the leader's word.
+    listed: bool,
 }
 
 /// `Rates` charges requests to workspaces.
@@ -53,6 +55,7 @@
             rows: Table::default(),
             members: 1,
             floors_from_ms: u64::MAX,
+            listed: true,
         };
         Self {
             floor_permille,
@@ -75,6 +78,16 @@
         self.state().members = members.max(1);
     }
 
+    /// Notes whether this VM is in the list of members; otherwise the others do not leave it a floor.
+    pub(crate) fn list(&self, listed: bool) {
+        self.state().listed = listed;
+    }
+
+    /// Tells whether this VM is in the list of members, as far as is known.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.state().listed
+    }
+
     /// Returns how many VMs divide the floors.
     pub(crate) fn members(&self) -> usize {
         self.state().members
@@ -159,7 +172,7 @@
 
     /// Returns the floor of this VM.
     fn floor(&self, state: &State, now_ms: u64) -> Parts {
-        if now_ms >= state.floors_from_ms {
+        if state.listed && now_ms >= state.floors_from_ms {
             floor(state.members, self.floor_permille)
         } else {
             0
--- a/crates/quetzalpick-entry/src/view/members.rs
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -36,6 +36,8 @@
     pub(crate) clock: Clock,
     /// Time after which the others know of a VM that has joined.
     pub(crate) known: Duration,
+    /// Time after which a silent VM is no member any more.
+    pub(crate) forget: Duration,
 }
 
 impl<T: Topics, N> Registry<T, N> {
@@ -45,7 +47,8 @@
         let mut next = None;
         let mut entered = false;
         loop {
-            if entered && self.view.is_relayed(self.clock.now_ms()) {
+            let relayed = self.view.is_relayed(self.clock.now_ms());
+            if entered && relayed && self.rates.is_listed() {
                 sleep(INTERVAL).await;
                 continue;
             }
@@ -53,7 +56,6 @@
                 Some(from) => self.topics.read(Topic::Members, from, Duration::ZERO).await,
                 None => self.topics.newest(Topic::Members).await,
             };
-            let begins = next.is_none();
             let Some(from) = take(read, &mut members) else {
                 next = None;
                 sleep(RETRY_PAUSE).await;
@@ -61,7 +63,7 @@
             };
             next = Some(from);
             let known = members.contains(self.lead.vm());
-            if begins && !entered {
+            if !entered || !known {
                 self.admit_floors(known);
             }
             if !known && self.enter().await.is_err() {
@@ -73,6 +75,7 @@
             self.rates.divide(count);
             self.fleet.divide(count);
             self.lead.divide(count);
+            self.forget(&members).await;
             sleep(INTERVAL).await;
         }
     }
@@ -88,6 +91,19 @@
         log::info!("rate: floors in wait_ms={wait_ms} entered_before={known}");
     }
 
+    /// Removes members that the leader has not heard for long, if this VM leads.
+    async fn forget(&self, members: &Table<Vm, ()>) {
+        let forget_ms = u64::try_from(self.forget.as_millis()).unwrap_or(u64::MAX);
+        for vm in self.lead.list(members, forget_ms) {
+            let record = Record {
+                key: vm.as_str().to_owned(),
+                value: None,
+            };
+            let removed = self.topics.append(Topic::Members, &record, None).await;
+            log::info!("view: member={vm} silent removed={}", removed.is_ok());
+        }
+    }
+
     /// Enters this VM.
     async fn enter(&self) -> Result<Offset> {
         let record = Record {
