Keep relays fresh at 79 VMs, and let larger VMs claim first

Cause: at 79 VMs a status each 553 ms and a read of up to 1.2 s made a relay older than the 1.6 s that spare a read, so that all read for themselves; and a VM of 0.12 cores could be the first leader.

--- a/crates/quetzalpick-core/src/election.rs
+++ b/crates/quetzalpick-core/src/election.rs
@@ -20,6 +20,8 @@
     pub stagger_ms: u64,
     /// Time by which this VM claims later than others, in ms; set for VMs that are better led than leading.
     pub handicap_ms: u64,
+    /// Time by which this VM waits with the first claim of all, in ms: larger VMs wait less.
+    pub first_ms: u64,
     /// Time without word of the leader after which the log is read, in ms.
     pub silence_ms: u64,
     /// Time that must pass between the acts of two leaders on different VMs, in ms.
@@ -36,6 +38,7 @@
             lapse_ms: 1_800,
             stagger_ms: 400,
             handicap_ms: 0,
+            first_ms: 0,
             silence_ms: 900,
             handover_ms: 3_200,
             read_ms: 400,
@@ -412,7 +415,7 @@
         let read_since = read_ms >= lapsed_ms;
         let lapsed = now_ms >= lapsed_ms && read_since && !self.hears(now_ms);
         let free = match &seen.newest {
-            None if seen.end == Offset(0) => now_ms >= seen.since_ms + self.options.handicap_ms,
+            None if seen.end == Offset(0) => now_ms >= seen.since_ms + self.options.first_ms,
             None => lapsed,
             Some((_, claim)) if claim.resigned_after_ms.is_some() => {
                 now_ms >= seen.since_ms + self.options.handicap_ms
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -25,7 +25,7 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 
 /// With many VMs the pause is this long for each, so that the leader's work stays the same.
-const MEMBER_INTERVAL: Duration = Duration::from_millis(7);
+const MEMBER_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Longest time for the leader's answer to a status.
 const STATUS_TIME: Duration = Duration::from_millis(500);
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -91,6 +91,9 @@
 /// Processor cores below which a VM lets others lead.
 const LEADER_CORES: f64 = 0.2;
 
+/// Longest time by which a VM waits with the first claim of all, in ms; a whole core waits for nothing.
+const FIRST_MS: f64 = 1_500.0;
+
 /// Time by which such a VM claims later, in ms.
 const HANDICAP_MS: u64 = 700;
 
@@ -203,6 +206,7 @@
         Options {
             election: election::Options {
                 handicap_ms: if is_small { HANDICAP_MS } else { 0 },
+                first_ms: (FIRST_MS * (1.0 - self.size.cores.min(1.0))) as u64,
                 ..election::Options::default()
             },
             revocation: self.bounds.revocation,
