--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
-pub use quetzalpick_client as platform;
+pub use quetzalpick_client as client;
 pub use quetzalpick_core as core;
 pub use quetzalpick_language as language;
 pub use quetzalpick_node as node;
