Send the frozen gate its request before it wakes

Cause: the test's gates close a connection on which no head arrives for 500 ms, and the request went over a kept one. On waking, the gate found the time over, and closed it while the request was still on its way; the test's caller may not repeat a request that was sent. It is the crossing that any kept connection has, not a wrong answer of the gate.

The request now goes over a connection of its own and is written before the gate wakes, so that it is surely there; the test still asks for 503 and not-run. The tests' callers keep connections for 500 ms, their gates for 2 s.

--- a/crates/quetzalpick-gate/tests/gate/client.rs
+++ b/crates/quetzalpick-gate/tests/gate/client.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
-use quetzalpick_client::http::{Body, Pool, Timeouts};
+use quetzalpick_client::http::{Body, Options, Pool, Timeouts};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -22,6 +22,9 @@
     "idempotency-replayed",
 ];
 
+/// Longest time that a connection is kept, well below that of the gates under test, which close theirs after 2 s.
+const KEPT: Duration = Duration::from_millis(500);
+
 /// `Client` calls one address over kept connections.
 #[derive(Debug, Clone)]
 pub(crate) struct Client {
@@ -37,6 +40,11 @@
     pub(crate) body: String,
 }
 
+/// `Sent` is a connection on which bytes were sent.
+pub(crate) struct Sent {
+    stream: TcpStream,
+}
+
 /// `Events` is a running stream.
 pub(crate) struct Events {
     body: Body,
@@ -45,7 +53,10 @@
 
 impl Client {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        let pool = Pool::default();
+        let pool = Pool::new(Options {
+            idle_timeout: KEPT,
+            ..Options::default()
+        });
         Self { address, pool }
     }
 
@@ -142,10 +153,22 @@
 
     /// Sends bytes and returns what comes back until the connection is closed.
     pub(crate) async fn raw(&self, bytes: &[u8]) -> String {
+        self.sent(bytes).await.rest().await
+    }
+
+    /// Sends bytes over a connection of their own; they are all on their way once this returns.
+    pub(crate) async fn sent(&self, bytes: &[u8]) -> Sent {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         stream.write_all(bytes).await.unwrap();
+        Sent { stream }
+    }
+}
+
+impl Sent {
+    /// Returns what comes back until the connection is closed.
+    pub(crate) async fn rest(mut self) -> String {
         let mut answer = Vec::new();
-        let reading = stream.read_to_end(&mut answer);
+        let reading = self.stream.read_to_end(&mut answer);
         let read = tokio::time::timeout(Duration::from_secs(10), reading).await;
         // A reset after the answer is as good as an end.
         let _ = read.expect("the gate closes the connection");
--- a/crates/quetzalpick-gate/tests/gate/outage.rs
+++ b/crates/quetzalpick-gate/tests/gate/outage.rs
@@ -116,9 +116,19 @@
     gate.log.cut(true);
     others.iter_mut().for_each(crate::world::Process::kill);
     tokio::time::sleep(OUTAGE).await;
-    let asked = gate.client.post("/v1/completions", LAGOS, body);
-    let (answer, ()) = tokio::join!(asked, async { drop(thaw) });
-    assert_eq!((answer.status, answer.verdict()), (503, "not-run"));
+    // A connection of its own: a kept one is closed on waking, as it was silent for longer than a head may take.
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {LAGOS}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let asked = gate.client.sent(request.as_bytes()).await;
+    drop(thaw);
+    let answer = asked.rest().await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(
+        answer.contains("x-quetzalpick-verdict: not-run\r\n"),
+        "{answer}"
+    );
     gate.log.cut(false);
     gate.until(|state| state.catalog().keys().len() == 1).await;
     // The gate may have been retired meanwhile; the key opens nothing before and after it has joined again.
--- a/crates/quetzalpick-gate/tests/gate/world.rs
+++ b/crates/quetzalpick-gate/tests/gate/world.rs
@@ -466,7 +466,7 @@
             callers: "127.0.0.1:0".to_owned(),
             admin: "127.0.0.1:0".to_owned(),
             limits: server::Options {
-                head_timeout: Duration::from_millis(500),
+                head_timeout: Duration::from_secs(2),
                 ..server::Options::default()
             },
         };
