Await the killed keeper's end before the next command is sent

SIGKILL takes effect later on a busy machine, and the socket of a dying process still accepts; that the outcome is unknown is then the right answer.

The test waits for the process to end before it goes on; what it asks of the other keepers is as before.

--- a/tests/system/harness/system.rs
+++ b/tests/system/harness/system.rs
@@ -69,6 +69,8 @@
 pub(crate) struct Ctl {
     pub(crate) code: i32,
     pub(crate) reply: Value,
+    /// What it wrote to its standard error.
+    pub(crate) errors: String,
 }
 
 impl System {
@@ -235,7 +237,7 @@
             match ctl.code {
                 0 => return,
                 3 => assert!(Instant::now() < deadline, "{line}: {ctl:?}"),
-                _ => panic!("{line}: {ctl:?}"),
+                code => panic!("{line}: exit code {code}: {}", ctl.errors),
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
@@ -320,6 +322,7 @@
         Self {
             code: output.status.code().unwrap_or(-1),
             reply: reply.unwrap_or_default(),
+            errors: String::from_utf8_lossy(&output.stderr).into_owned(),
         }
     }
 }
--- a/tests/system/leader.rs
+++ b/tests/system/leader.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use nix::sys::signal::Signal;
-
 use crate::harness::{Settings, System, until};
 
 /// Longest time until another keeper leads, and until it has placed a model.
@@ -26,7 +24,8 @@
         .change("create model stock version 1 memory 6000")
         .await;
     system.change("place stock copies 2..2").await;
-    system.keepers[at].signal(Signal::SIGKILL);
+    // A command that reaches a process which is just dying has an unknown outcome, so its end is awaited.
+    system.keepers[at].kill();
     // Two copies of this one fit only once nothing is counted twice.
     system
         .change("create model notes version 1 memory 7000")
