Count the run that a stream began with against the attempts of its route

Cause: a relayed answer did not count as a run, so that a resumable stream that kept breaking ran at one endpoint more than max_attempts. The pick and the note of a failure stood twice, in the handler and in the relay; attempt has them once.

--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -7,10 +7,11 @@
 use http_body_util::Full;
 use quetzalpick_client::http::{Body, Timeouts};
 use quetzalpick_core::verdict::Verdict;
+use rand::random;
 
 use crate::config::Kind;
 use crate::edge::{Dispatch, Edge, Proof};
-use crate::fleet::Pick;
+use crate::fleet::{Pick, Wanted};
 use crate::serve::Context;
 use crate::serve::request::Admitted;
 
@@ -62,6 +63,47 @@
     }
 }
 
+/// Picks an endpoint that was not tried yet, or one of the others if there is no such.
+pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
+    let artifacts = admitted.artifacts();
+    let wanted = Wanted {
+        service: &admitted.service,
+        artifacts: &artifacts,
+        tried: &admitted.tried,
+    };
+    let now_ms = context.clock.now_ms();
+    context.fleet.pick(now_ms, &wanted, random())
+}
+
+/// Notes what a failure says of the endpoint, and whether the request may have run there.
+pub(crate) fn note<E, S>(
+    context: &Context<E, S>,
+    admitted: &mut Admitted,
+    pick: &Pick,
+    failure: &Failure,
+) {
+    let fleet = &context.fleet;
+    let now_ms = context.clock.now_ms();
+    if failure.misdirected {
+        fleet.misses(&pick.endpoint, &admitted.artifacts());
+    } else if failure.is_unreachable() {
+        fleet.lose(now_ms, &pick.endpoint);
+        log::warn!("entry: endpoint={} unreachable", pick.endpoint);
+    } else if !failure.declined && fleet.fail(now_ms, &pick.endpoint) {
+        log::warn!("entry: endpoint={} ejected", pick.endpoint);
+    }
+    if failure.verdict != Verdict::NotRun {
+        admitted.runs += 1;
+    }
+    log::info!(
+        "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
+        admitted.id(),
+        pick.endpoint,
+        failure.verdict,
+        failure.reason
+    );
+}
+
 /// Sends a request to a picked endpoint and returns the answer once its head is there.
 ///
 /// # Errors
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -20,8 +20,8 @@
 use crate::config::Config;
 use crate::edge::{Edge, strip_connection_headers};
 use crate::exchange::Drawn;
-use crate::fleet::{Pick, Wanted};
-use crate::serve::attempt::{Failure, send};
+use crate::fleet::Pick;
+use crate::serve::attempt::{Failure, note, pick, send};
 use crate::serve::body::Body;
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::Relay;
@@ -244,7 +244,7 @@
     /// Sends a request to endpoints until one answers it or no other may be tried.
     async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
         loop {
-            let pick = match self.pick(&admitted) {
+            let pick = match pick(&self.context, &admitted) {
                 Some(pick) => pick,
                 None => self.pick_supplied(&admitted).await?,
             };
@@ -253,33 +253,18 @@
                 Ok(answer) => return Ok(self.finish(admitted, pick, answer)),
                 Err(failure) => failure,
             };
-            self.note(&admitted, &pick, &failure);
-            if failure.verdict != Verdict::NotRun {
-                admitted.runs += 1;
-            }
+            note(&self.context, &mut admitted, &pick, &failure);
             if !self.may_try_again(&admitted, &failure) {
                 return Err(self.give_up(&admitted, &failure));
             }
         }
     }
 
-    /// Picks an endpoint.
-    fn pick(&self, admitted: &Admitted) -> Option<Pick> {
-        let artifacts = admitted.artifacts();
-        let wanted = Wanted {
-            service: &admitted.service,
-            artifacts: &artifacts,
-            tried: &admitted.tried,
-        };
-        let now_ms = self.context.clock.now_ms();
-        self.context.fleet.pick(now_ms, &wanted, random())
-    }
-
     /// Picks an endpoint once the adapter that a request needs was asked for.
     async fn pick_supplied(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
         if let Some(adapter) = &admitted.ask.adapter {
             self.context.supply.want(adapter).await;
-            if let Some(pick) = self.pick(admitted) {
+            if let Some(pick) = pick(&self.context, admitted) {
                 return Ok(pick);
             }
         }
@@ -318,27 +303,6 @@
         admitted.route.kind.may_repeat() && admitted.runs + 1 < admitted.route.attempts
     }
 
-    /// Notes what a failure says of the endpoint.
-    fn note(&self, admitted: &Admitted, pick: &Pick, failure: &Failure) {
-        let fleet = &self.context.fleet;
-        let now_ms = self.context.clock.now_ms();
-        if failure.misdirected {
-            fleet.misses(&pick.endpoint, &admitted.artifacts());
-        } else if failure.is_unreachable() {
-            fleet.lose(now_ms, &pick.endpoint);
-            log::warn!("entry: endpoint={} unreachable", pick.endpoint);
-        } else if !failure.declined && fleet.fail(now_ms, &pick.endpoint) {
-            log::warn!("entry: endpoint={} ejected", pick.endpoint);
-        }
-        log::info!(
-            "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
-            admitted.id(),
-            pick.endpoint,
-            failure.verdict,
-            failure.reason
-        );
-    }
-
     /// Tells whether a request may be sent once more, and takes that from the retry budget.
     fn may_try_again(&self, admitted: &Admitted, failure: &Failure) -> bool {
         let left_ms = admitted.left_ms(self.context.clock.now_ms());
@@ -370,7 +334,7 @@
     }
 
     /// Makes the answer to the caller of that of the endpoint.
-    fn finish(&self, admitted: Admitted, pick: Pick, received: Received) -> Response<Body> {
+    fn finish(&self, mut admitted: Admitted, pick: Pick, received: Received) -> Response<Body> {
         match received {
             Received::Whole(head, bytes) => {
                 let now_ms = self.context.clock.now_ms();
@@ -379,6 +343,8 @@
                 respond(head, Body::whole(bytes))
             }
             Received::Parts(head, answer, length) => {
+                // It runs there, whether its answer ends well or not.
+                admitted.runs += 1;
                 let (caller, body) = Body::parts(length);
                 self.log_answer(&admitted, &pick, &head);
                 let relay = Relay {
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -6,16 +6,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use quetzalpick_client::http::Body as Answer;
-use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::verdict::Verdict;
-use rand::random;
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
 use crate::config::Kind;
 use crate::edge::Edge;
-use crate::fleet::{Pick, Wanted};
-use crate::serve::attempt::{Failure, send};
+use crate::fleet::Pick;
+use crate::serve::attempt::{note, pick, send};
 use crate::serve::body::Broken;
 use crate::serve::request::Admitted;
 use crate::serve::sse::Events;
@@ -122,17 +119,17 @@
     async fn resume(&mut self, after: Option<u64>) -> bool {
         let context = Arc::clone(&self.context);
         while self.admitted.has_runs_left() && context.withdraw() {
-            let Some(pick) = self.pick_another() else {
+            let Some(pick) = pick(&context, &self.admitted) else {
                 return false;
             };
-            let endpoint = pick.endpoint.clone();
-            self.admitted.tried.push(endpoint.clone());
+            self.admitted.tried.push(pick.endpoint.clone());
             match send(&context, &self.admitted, &pick, after).await {
                 Ok(answer) if answer.status().is_success() => {
                     self.admitted.runs += 1;
                     log::info!(
-                        "entry: request={} resumed endpoint={endpoint} after={after:?}",
-                        self.admitted.id()
+                        "entry: request={} resumed endpoint={} after={after:?}",
+                        self.admitted.id(),
+                        pick.endpoint,
                     );
                     self.pick = pick;
                     self.answer = answer.into_body();
@@ -142,44 +139,12 @@
                     answer.into_body().discard();
                     return false;
                 }
-                Err(failure) => self.note_resumption_failure(&endpoint, &failure),
+                Err(failure) => note(&context, &mut self.admitted, &pick, &failure),
             }
         }
         false
     }
 
-    /// Picks an endpoint that was not tried yet, or one of the others if there is no such.
-    fn pick_another(&self) -> Option<Pick> {
-        let artifacts = self.admitted.artifacts();
-        let wanted = Wanted {
-            service: &self.admitted.service,
-            artifacts: &artifacts,
-            tried: &self.admitted.tried,
-        };
-        let now_ms = self.context.clock.now_ms();
-        self.context.fleet.pick(now_ms, &wanted, random())
-    }
-
-    fn note_resumption_failure(&mut self, endpoint: &Endpoint, failure: &Failure) {
-        let now_ms = self.context.clock.now_ms();
-        if failure.misdirected {
-            let artifacts = self.admitted.artifacts();
-            self.context.fleet.misses(endpoint, &artifacts);
-        } else if failure.is_unreachable() {
-            self.context.fleet.lose(now_ms, endpoint);
-        } else if !failure.declined {
-            self.context.fleet.fail(now_ms, endpoint);
-        }
-        if failure.verdict != Verdict::NotRun {
-            self.admitted.runs += 1;
-        }
-        log::info!(
-            "entry: request={} not resumed endpoint={endpoint} reason=\"{}\"",
-            self.admitted.id(),
-            failure.reason
-        );
-    }
-
     fn note_failure(&self, now_ms: u64) {
         let endpoint = &self.pick.endpoint;
         if self.context.fleet.fail(now_ms, endpoint) {
