Take back a copy that VMs are leaving if the other copies are lost

Cause: a copy that makes room is left by VMs for 0.35 s and then unloaded, whatever became of the others meanwhile; three runners that crash within that time left the model without a copy until it was loaded again. The leader now looks each round whether another usable engine keeps the model, and lets VMs use the copy again otherwise; a test takes the others away right after the move began (it failed before).

--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -18,6 +18,7 @@
         engine: &Engine,
         sends: &mut Vec<Send>,
     ) {
+        self.take_back(now_ms);
         self.unload_retired(now_ms, sends);
         self.keep_promises(now_ms, engine, sends);
         // Each step changes what the others gain.
@@ -48,6 +49,24 @@
         }
     }
 
+    /// Lets VMs use a copy again that they were leaving, if no other one is left.
+    fn take_back(&mut self, now_ms: u64) {
+        let retiring = |(endpoint, site): (&Endpoint, &Site)| {
+            let model = site.retiring().filter(|_| site.open.is_none())?;
+            Some((endpoint.clone(), model.clone()))
+        };
+        let retiring: Vec<_> = self.sites.iter().filter_map(retiring).collect();
+        for (endpoint, model) in retiring {
+            let is_kept = |site: &Site| site.is_usable() && site.keeps(&model);
+            if self.sites.values().any(is_kept) {
+                continue;
+            }
+            if let Some(site) = self.sites.get_mut(&endpoint) {
+                site.take_back(now_ms, model);
+            }
+        }
+    }
+
     /// Unloads the models that VMs have had the time to leave.
     fn unload_retired(&mut self, now_ms: u64, sends: &mut Vec<Send>) {
         let retired = |(endpoint, site): (&Endpoint, &Site)| {
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -201,11 +201,26 @@
         self.put(now_ms, model, Phase::Retiring);
     }
 
+    /// Lets VMs use a copy again that was to make room.
+    pub(crate) fn take_back(&mut self, now_ms: u64, model: Artifact) {
+        self.promised = None;
+        self.put(now_ms, model, Phase::Held);
+    }
+
+    /// Returns the model that VMs are leaving.
+    pub(crate) fn retiring(&self) -> Option<&Artifact> {
+        self.leaving().map(|copy| &copy.artifact)
+    }
+
     /// Returns the model that VMs have had the time to leave.
     pub(crate) fn retired(&self, now_ms: u64) -> Option<&Artifact> {
-        let is_left =
-            |copy: &&Copy| copy.phase == Phase::Retiring && now_ms >= copy.since_ms + RETIRE_MS;
-        self.copies.iter().find(is_left).map(|copy| &copy.artifact)
+        let is_left = |copy: &&Copy| now_ms >= copy.since_ms + RETIRE_MS;
+        self.leaving().filter(is_left).map(|copy| &copy.artifact)
+    }
+
+    fn leaving(&self) -> Option<&Copy> {
+        let is_leaving = |copy: &&Copy| copy.phase == Phase::Retiring;
+        self.copies.iter().find(is_leaving)
     }
 
     /// Marks an order as being on its way.
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -1,8 +1,10 @@
 //! Copies follow demand, and no model loses its last copy.
 
+use quetzalpick_core::id::Artifact;
 use quetzalpick_core::table::Table;
 
-use crate::world::{World, artifact, model};
+use crate::engine::Engine;
+use crate::world::{World, artifact, endpoint, model};
 
 fn copies(world: &World, n: usize) -> usize {
     let name = model(n);
@@ -12,6 +14,17 @@
         .count()
 }
 
+/// Returns an engine and a model that it holds while VMs are told to use other copies.
+fn being_left(world: &World) -> Option<(usize, Artifact)> {
+    let engines = world.engines.iter().enumerate();
+    let left = |(n, engine): (usize, &Engine)| {
+        let held = world.planner.sites().get(&endpoint(n))?.held();
+        let left = engine.copies.iter().find(|copy| !held.contains(copy))?;
+        Some((n, left.clone()))
+    };
+    engines.into_iter().find_map(left)
+}
+
 #[test]
 fn nothing_moves_without_demand() {
     let mut world = World::new(1, false);
@@ -31,6 +44,27 @@
     }
 }
 
+#[test]
+fn a_copy_that_is_being_left_stays_if_the_others_are_lost() {
+    let mut world = World::new(1, false);
+    (0..500).for_each(|_| world.step());
+    world.work = Table::from_iter([(model(8), 60_000)]);
+    let (at, left) = (0..600)
+        .find_map(|_| {
+            world.step();
+            being_left(&world)
+        })
+        .expect("a copy makes room");
+    let holds = |n: &usize| *n != at && world.engines[*n].copies.contains(&left);
+    world.down = (0..world.engines.len()).filter(holds).collect();
+    assert!(!world.down.is_empty());
+    for _ in 0..300 {
+        world.step();
+        assert!(world.engines[at].copies.contains(&left), "{left} is away");
+    }
+    assert!(world.planner.is_held(&left));
+}
+
 #[test]
 fn a_wanted_adapter_is_there_within_a_few_steps() {
     let mut world = World::new(1, false);
--- a/crates/quetzalpick-entry/tests/place/world.rs
+++ b/crates/quetzalpick-entry/tests/place/world.rs
@@ -77,6 +77,8 @@
     late: Vec<Late>,
     pub(crate) planner: Planner,
     pub(crate) faults: bool,
+    /// Engines that cannot be reached.
+    pub(crate) down: Vec<usize>,
     pub(crate) work: Table<Artifact, Work>,
     /// Orders for models that engines accepted.
     pub(crate) loads: usize,
@@ -112,6 +114,7 @@
             late: Vec::new(),
             planner: Planner::new(0, Options::default()),
             faults,
+            down: Vec::new(),
             work: Table::default(),
             loads: 0,
             load_times: Vec::new(),
@@ -158,12 +161,14 @@
         }
         let specs = (0..ENGINES).map(|n| (endpoint(n), self.spec(n))).collect();
         self.planner.observe(now_ms, &self.config, specs);
+        let down: Vec<Endpoint> = self.down.iter().map(|n| endpoint(*n)).collect();
+        self.planner.lose(&down);
         self.planner.demand(now_ms, self.work.clone());
         self.planner.finish_adapters(now_ms);
         for (name, _) in self.planner.asks_reports(now_ms) {
             let n: usize = name.as_str()[1..].parse().unwrap();
             self.planner.report_asked(now_ms, &name);
-            if !self.chance(5) {
+            if !self.down.contains(&n) && !self.chance(5) {
                 let report = self.engines[n].report();
                 self.planner.reported(now_ms, now_ms, &name, &report);
             }
@@ -189,6 +194,9 @@
     /// Delivers an order; `None` if there is no answer.
     fn deliver(&mut self, n: usize, order: &Order) -> Option<Ordered> {
         let now_ms = self.now_ms;
+        if self.down.contains(&n) {
+            return None;
+        }
         if self.chance(4) {
             let after_ms = self.random.random_range(300..9_000);
             self.late.push(Late {
