Take over changed settings at SIGHUP and without a signal

SIGHUP was logged and nothing else; a file that changed without a signal went unnoticed. A source of settings now tells each change once, and an entry takes over the bounds that operators may rely on: revocation, stop, overdraft, retries. What is not usable is logged once and changes nothing.

--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use quetzalpick_client::http::Pool;
@@ -17,7 +17,7 @@
 use quetzalpick_node::peer::Transport;
 use quetzalpick_node::telemetry::metrics::Metrics;
 use snafu::{ResultExt, ensure};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +31,7 @@
 use crate::options::Options;
 use crate::place::Engines;
 use crate::rate::Rates;
+use crate::reload::{Changes, reload};
 use crate::serve::{Context, Handler, Supply};
 use crate::view::{ConfigFollower, EndpointFollower, Registry, View};
 
@@ -102,7 +103,7 @@
             return Some("no configuration was read".to_owned());
         }
         let age_ms = self.context.view.age_ms(self.context.clock.now_ms());
-        let fresh = age_ms.is_some_and(|age| age <= self.context.options.key_age_max_ms());
+        let fresh = age_ms.is_some_and(|age| age <= self.context.options().key_age_max_ms());
         (!fresh).then(|| format!("the view is {age_ms:?} ms old"))
     }
 }
@@ -139,6 +140,7 @@
             copies: AtomicU64::default(),
             endpoints: AtomicU64::default(),
         });
+        let vm = options.vm.clone();
         let context = Arc::new(Context {
             edge: outside.edge.clone(),
             clock,
@@ -150,7 +152,7 @@
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
             lifecycle: Lifecycle::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
-            options,
+            options: RwLock::new(Arc::new(options)),
         });
         let background = CancellationToken::new();
         let desk = Desk {
@@ -176,7 +178,7 @@
         let handler = Handler::new(Arc::clone(&context));
         let callers = tokio::spawn(callers.run(handler, callers_stop.clone()));
         context.lifecycle.advance(Phase::Serving);
-        let (vm, [address, admin]) = (&context.options.vm, addresses);
+        let [address, admin] = addresses;
         log::info!("entry: started vm={vm} callers={address} admin={admin}");
         Ok(Self {
             context,
@@ -199,14 +201,14 @@
         self.addresses[1]
     }
 
-    /// Serves until the process is asked to stop, and stops as planned.
+    /// Serves until the process is asked to stop, and stops as planned; follows changes of the options meanwhile.
     ///
     /// # Errors
     ///
     /// `Error::Signal` if signals cannot be awaited, `Error::Unfinished` if the stop gave up on a request.
-    pub async fn run(self) -> Result<()> {
-        let reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
-        let reloads = tokio::spawn(log_reloads(reload));
+    pub async fn run(self, changes: impl Changes) -> Result<()> {
+        let hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+        let reloads = tokio::spawn(reload(Arc::clone(&self.context), changes, hangup));
         let stop = stop_signal().await.context(SignalSnafu)?;
         log::info!("entry: stops signal={stop}");
         let finished = self.stop().await;
@@ -215,9 +217,14 @@
         Ok(())
     }
 
+    /// Takes over those options that may change while the process runs.
+    pub fn adopt(&self, options: &Options) {
+        self.context.adopt(options);
+    }
+
     /// Stops as planned: finishes requests under way; tells whether all of them ended in time.
     pub async fn stop(self) -> bool {
-        let options = &self.context.options;
+        let options = self.context.options();
         // The balancer takes notice while requests are still served.
         self.context.lifecycle.advance(Phase::Unready);
         self.electing.cancel();
@@ -234,13 +241,6 @@
     }
 }
 
-/// Logs each request to reload; the settings that may change while the process runs concern nothing that it holds.
-async fn log_reloads(mut reload: Signal) {
-    while reload.recv().await.is_some() {
-        log::info!("entry: reload signal=SIGHUP");
-    }
-}
-
 /// Waits for the callers' listener to finish.
 async fn wait(callers: JoinHandle<bool>, limit: Duration) -> bool {
     let ended = tokio::time::timeout(limit, callers).await;
@@ -278,7 +278,7 @@
     outside: Outside<T, E, C, N, P>,
     stop: &CancellationToken,
 ) {
-    let options = &context.options;
+    let options = context.options();
     let clock = outside.clock;
     let config = ConfigFollower {
         topics: outside.topics.clone(),
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -20,9 +20,11 @@
 mod options;
 pub mod place;
 mod rate;
+mod reload;
 mod serve;
 pub mod settings;
 mod view;
 
 pub use entry::{Entry, Listeners, Outside};
 pub use options::{Options, Retries};
+pub use reload::Changes;
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -1,5 +1,6 @@
 //! This VM's slices of the workspaces' rates.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -44,7 +45,7 @@
 pub(crate) struct Rates {
     floor_permille: u64,
     /// Units that all VMs together may overdraw of a workspace whose slices cannot hold a request.
-    overdraft: u64,
+    overdraft: AtomicU64,
     state: Mutex<State>,
 }
 
@@ -59,7 +60,7 @@
         };
         Self {
             floor_permille,
-            overdraft,
+            overdraft: AtomicU64::new(overdraft),
             state: Mutex::new(state),
         }
     }
@@ -68,6 +69,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets the units that all VMs together may overdraw of a workspace.
+    pub(crate) fn allow_overdraft(&self, units: u64) {
+        self.overdraft.store(units, Ordering::Relaxed);
+    }
+
     /// Notes from when on the other VMs leave this one its floor.
     pub(crate) fn admit_floors(&self, from_ms: u64) {
         self.state().floors_from_ms = from_ms;
@@ -115,7 +121,7 @@
         units: u64,
     ) -> Result<(), Short> {
         let mut state = self.state();
-        let overdraft = self.overdraft / state.members as u64;
+        let overdraft = self.overdraft.load(Ordering::Relaxed) / state.members as u64;
         let Some(row) = self.row(&mut state, now_ms, workspace) else {
             return Ok(());
         };
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -1,7 +1,7 @@
 //! What the requests of an entry share.
 
 use std::fmt::Debug;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use quetzalpick_client::http::Pool;
 use quetzalpick_core::id::{Artifact, Workspace};
@@ -30,7 +30,7 @@
 pub(crate) struct Context<E, S> {
     pub(crate) edge: E,
     pub(crate) clock: Clock,
-    pub(crate) options: Options,
+    pub(crate) options: RwLock<Arc<Options>>,
     pub(crate) pool: Pool,
     pub(crate) view: Arc<View>,
     pub(crate) fleet: Arc<Fleet>,
@@ -42,6 +42,25 @@
 }
 
 impl<E, S> Context<E, S> {
+    /// Returns the options in force.
+    pub(crate) fn options(&self) -> Arc<Options> {
+        let options = self.options.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&options)
+    }
+
+    /// Takes over those options that may change while the process runs: what operators may rely on.
+    pub(crate) fn adopt(&self, new: &Options) {
+        let mut options = self.options.write().unwrap_or_else(PoisonError::into_inner);
+        *options = Arc::new(Options {
+            revocation: new.revocation,
+            stop: new.stop,
+            overdraft: new.overdraft,
+            retry: new.retry,
+            ..Options::clone(&options)
+        });
+        self.rates.allow_overdraft(new.overdraft);
+    }
+
     /// Tells whether the process is stopping, so that connections are not to be kept.
     pub(crate) fn is_stopping(&self) -> bool {
         self.lifecycle.phase() > Phase::Serving
@@ -55,7 +74,7 @@
     /// Takes a retry from the budget if it holds one.
     pub(crate) fn withdraw(&self) -> bool {
         let now_ms = self.clock.now_ms();
-        let options = self.options.retry.share(self.rates.members());
+        let options = self.options().retry.share(self.rates.members());
         self.with_budget(|budget| {
             budget.adjust(now_ms, options);
             budget.withdraw(now_ms)
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -233,7 +233,7 @@
     /// Checks that this VM's view is fresh enough to vouch for keys.
     fn check_freshness(&self, now_ms: u64) -> Result<(), Refusal> {
         let age_ms = self.context.view.age_ms(now_ms);
-        let max_ms = self.context.options.key_age_max_ms();
+        let max_ms = self.context.options().key_age_max_ms();
         if age_ms.is_some_and(|age_ms| age_ms <= max_ms) {
             return Ok(());
         }
--- a/crates/quetzalpick-node/src/errors.rs
+++ b/crates/quetzalpick-node/src/errors.rs
@@ -2,6 +2,8 @@
 
 use snafu::Snafu;
 
+use crate::settings::Problems;
+
 /// `Result` is the result of the crate's fallible functions.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -32,6 +34,20 @@
         /// The library's own message.
         reason: String,
     },
+    /// A settings file could not be read.
+    #[snafu(display("{file}: {source}"))]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// A settings file says what is not usable.
+    #[snafu(display("{source}"))]
+    Unusable {
+        /// Every fault in it.
+        source: Problems,
+    },
     /// The metrics could not be set up.
     #[snafu(display("cannot set up metrics: {reason}"))]
     Metrics {
--- a/crates/quetzalpick-node/src/process.rs
+++ b/crates/quetzalpick-node/src/process.rs
@@ -7,9 +7,9 @@
 
 use clap::Command;
 
-use crate::settings::Section;
 use crate::settings::command::{EXIT_FAILURE, Start, start};
 use crate::settings::sections::Log;
+use crate::settings::{Section, Source};
 use crate::telemetry::logs;
 
 /// `Settings` is the whole settings file of a process.
@@ -25,14 +25,14 @@
     E: Display,
     W: Future<Output = Result<(), E>>,
 {
-    main_with(command, std::env::args_os(), work).await
+    main_with(command, std::env::args_os(), |settings, _| work(settings)).await
 }
 
-/// Does the same with a command line that the caller gives.
+/// Does the same with a command line that the caller gives, and work that follows changes of the settings file.
 pub async fn main_with<S, E, W>(
     command: Command,
     arguments: impl IntoIterator<Item = impl Into<OsString> + Clone>,
-    work: impl FnOnce(S) -> W,
+    work: impl FnOnce(S, Source<S>) -> W,
 ) -> ExitCode
 where
     S: Settings,
@@ -40,15 +40,15 @@
     W: Future<Output = Result<(), E>>,
 {
     let name = command.get_name().to_owned();
-    let settings: S = match start(command, arguments) {
-        Start::Run(settings) => settings,
+    let (settings, source) = match start::<S>(command, arguments) {
+        Start::Run(settings, source) => (settings, source),
         Start::Exit(code) => return ExitCode::from(code),
     };
     if let Err(error) = logs::try_start(settings.log()) {
         eprintln!("{name}: {error}");
         return ExitCode::from(EXIT_FAILURE);
     }
-    let code = match work(settings).await {
+    let code = match work(settings, source).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("{name}: {error}");
--- a/crates/quetzalpick-node/src/settings/command.rs
+++ b/crates/quetzalpick-node/src/settings/command.rs
@@ -1,11 +1,10 @@
 //! The command line that all processes with settings share.
 
 use std::ffi::OsString;
-use std::fs;
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
-use crate::settings::{Section, load, print_default};
+use crate::settings::{Section, Source, print_default};
 
 /// Exit code of a process that stopped as planned or only printed something.
 pub const EXIT_SUCCESS: u8 = 0;
@@ -20,10 +19,10 @@
 pub const EXIT_SETTINGS: u8 = 3;
 
 /// `Start` is what the command line asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Start<S> {
-    /// Run with these settings.
-    Run(S),
+    /// Run with these settings, which come from this file.
+    Run(S, Source<S>),
     /// End at once with this code; whatever there was to say was printed.
     Exit(u8),
 }
@@ -49,19 +48,16 @@
         return Start::Exit(EXIT_SUCCESS);
     }
     let file: &String = matches.get_one("settings").expect("clap requires it");
-    let settings = fs::read_to_string(file)
-        .map_err(|error| format!("{file}: {error}"))
-        .and_then(|text| load(file, &text).map_err(|problems| problems.to_string()));
-    match settings {
-        Err(problems) => {
-            eprintln!("{problems}");
+    match Source::try_open(file) {
+        Err(error) => {
+            eprintln!("{error}");
             Start::Exit(EXIT_SETTINGS)
         }
         Ok(_) if matches.get_flag("check") => {
             println!("{file}: settings are usable");
             Start::Exit(EXIT_SUCCESS)
         }
-        Ok(settings) => Start::Run(settings),
+        Ok((source, settings)) => Start::Run(settings, source),
     }
 }
 
--- a/crates/quetzalpick-node/tests/settings.rs
+++ b/crates/quetzalpick-node/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use quetzalpick_node::settings::command::{EXIT_SETTINGS, EXIT_SUCCESS, EXIT_USAGE, Start, start};
 use quetzalpick_node::settings::sections::{Log, Metrics, Peers, Platform, Vm};
-use quetzalpick_node::settings::{Reader, Section, load, print_default};
+use quetzalpick_node::settings::{Reader, Section, Source, load, print_default};
 
 /// `Settings` is what a process would read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -85,3 +85,30 @@
     assert_eq!(run(&["--other"]), Start::Exit(EXIT_USAGE));
     assert_eq!(run(&[]), Start::Exit(EXIT_USAGE));
 }
+
+#[test]
+fn a_source_tells_each_change_once() {
+    let name = format!("settings-{}.toml", std::process::id());
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let write = |text: &str| std::fs::write(&file, text).unwrap();
+    let first = print_default::<Settings>();
+    write(&first);
+    let opened = Source::<Settings>::try_open(file.to_str().unwrap());
+    let (mut source, settings) = opened.unwrap();
+    assert_eq!(source.try_reload().unwrap(), None);
+
+    write(&first.replace("level = \"info\"", "level = \"warn\""));
+    let changed = source.try_reload().unwrap().unwrap();
+    assert_ne!(changed, settings);
+    assert_eq!(source.try_reload().unwrap(), None);
+
+    write("[vm");
+    assert!(source.try_reload().is_err());
+    assert_eq!(source.try_reload().unwrap(), None);
+
+    std::fs::remove_file(&file).unwrap();
+    assert!(source.try_reload().is_err());
+    write(&first);
+    assert_eq!(source.try_reload().unwrap(), Some(settings));
+    std::fs::remove_file(&file).unwrap();
+}
