Let a leader pass on what it reads again once a read is answered

Cause: a leader whose read of the configuration failed says nothing of it to the others, so that none trusts an old view; the mark was set by a failed read and never taken off. After one compaction, outage or slow answer of the store all VMs read for themselves for the rest of the leader's term. Seen in the calls of each VM by second: from the first failed read on, 2.5 reads of the configuration and 1.5 of the endpoints each second at all 69 VMs, with a sound leader.

--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -109,6 +109,11 @@
         self.lock(|seen| seen.fresh_ms = seen.fresh_ms.max(Some(sent_ms)));
     }
 
+    /// Notes whether this VM's last own read was answered.
+    fn note_read(&self, answered: bool) {
+        self.lock(|seen| seen.failing = !answered);
+    }
+
     fn lock<T>(&self, act: impl FnOnce(&mut Seen) -> T) -> T {
         act(&mut self.seen.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -169,6 +174,7 @@
         match read {
             Ok(records) => {
                 contact.answered(now_ms);
+                self.view.note_read(true);
                 records
                     .records
                     .iter()
@@ -185,7 +191,7 @@
             }
             Err(error) => {
                 contact.failed(now_ms, &error);
-                self.view.lock(|seen| seen.failing = true);
+                self.view.note_read(false);
                 sleep(RETRY_PAUSE).await;
                 from
             }
