Let VMs claim in their order after an outage of the log too

Cause: a VM that is better led than leading waits 0.7 s longer before it claims, counted from the end of the leader's time; after an outage of the log that is long past, so that whoever reads first leads. The time of a leader now ends for a VM when it reads the log again at the earliest; its handicap is counted from there. Test: a VM with a handicap claims no earlier than that after the log is back (it claimed after 0.14 s before).

--- a/crates/quetzalpick-core/src/election.rs
+++ b/crates/quetzalpick-core/src/election.rs
@@ -150,6 +150,10 @@
     term: Option<Term>,
     heard_ms: Option<u64>,
     next_read_ms: u64,
+    /// Whether the last read failed.
+    failing: bool,
+    /// When a read succeeded after others had failed, in ms.
+    regained_ms: u64,
     acted_ms: Option<u64>,
 }
 
@@ -169,6 +173,8 @@
             term: None,
             heard_ms: None,
             next_read_ms: 0,
+            failing: false,
+            regained_ms: 0,
             acted_ms: None,
         }
     }
@@ -203,6 +209,9 @@
     /// Takes in what a read sent at `sent_ms` showed.
     pub fn read(&mut self, sent_ms: u64, now_ms: u64, tail: Tail) {
         self.next_read_ms = now_ms + self.options.read_ms;
+        if std::mem::take(&mut self.failing) {
+            self.regained_ms = now_ms;
+        }
         if self.settles_doubt(&tail) {
             return;
         }
@@ -263,6 +272,7 @@
 
     /// Takes in that a read failed.
     pub fn read_failed(&mut self, now_ms: u64) {
+        self.failing = true;
         self.next_read_ms = now_ms + self.options.read_ms;
     }
 
@@ -410,7 +420,7 @@
     fn claimable(&self, now_ms: u64) -> Option<Offset> {
         let seen = self.seen.as_ref()?;
         let read_ms = seen.read_ms?;
-        let lapsed_ms = seen.since_ms + self.options.lapse_ms + self.delay_ms();
+        let lapsed_ms = self.lapsed_ms(seen);
         // A read just before tells whether another VM has claimed.
         let read_since = read_ms >= lapsed_ms;
         let lapsed = now_ms >= lapsed_ms && read_since && !self.hears(now_ms);
@@ -431,6 +441,14 @@
         candidate.vm == self.me.vm && candidate.incarnation != self.me.incarnation
     }
 
+    /// Returns when the time of the leader that was seen is over for this VM, in ms.
+    ///
+    /// After an outage of the log the time of every leader is over; the VMs still claim in their order.
+    fn lapsed_ms(&self, seen: &Seen) -> u64 {
+        let lapsed_ms = seen.since_ms + self.options.lapse_ms;
+        lapsed_ms.max(self.regained_ms) + self.delay_ms()
+    }
+
     /// Returns how long this VM waits beyond the time of a leader, in ms.
     fn delay_ms(&self) -> u64 {
         let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
@@ -441,7 +459,7 @@
     fn lapses_ms(&self, now_ms: u64) -> Option<u64> {
         let seen = self.seen.as_ref()?;
         seen.read_ms?;
-        let lapses_ms = seen.since_ms + self.options.lapse_ms + self.delay_ms();
+        let lapses_ms = self.lapsed_ms(seen);
         (now_ms < lapses_ms && lapses_ms > self.next_read_ms).then_some(lapses_ms)
     }
 
--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -226,3 +226,41 @@
     assert_eq!(second.fence(acts_from - 1), None);
     assert!(second.leads(1_011).is_some());
 }
+
+#[test]
+fn a_vm_with_a_handicap_lets_others_claim_first_also_after_an_outage() {
+    let mut log = Log {
+        records: Vec::new(),
+        late: Vec::new(),
+    };
+    let mut leader = start(0, 1);
+    leader.read(0, 0, log.tail(Offset(0)));
+    let Step::Append(claim, at) = leader.step(1) else {
+        panic!("no claim")
+    };
+    log.append(claim, at).unwrap();
+    let options = Options {
+        handicap_ms: 700,
+        ..Options::default()
+    };
+    let me = Candidate {
+        vm: Vm::try_new("vm-1").unwrap(),
+        incarnation: Incarnation(0),
+        address: "10.0.0.1:1".to_owned(),
+    };
+    let mut other = Election::new(me, options);
+    let back_ms = 10_000;
+    let claimed_ms = (1..1_000).map(|step| step * STEP_MS).find(|now_ms| {
+        let now_ms = *now_ms;
+        match other.step(now_ms) {
+            Step::Wait(_) => {}
+            Step::Read(_) if (1_000..back_ms).contains(&now_ms) => other.read_failed(now_ms),
+            Step::Read(from) => other.read(now_ms, now_ms, log.tail(from)),
+            Step::Append(..) => return true,
+        }
+        false
+    });
+    let claimed_ms = claimed_ms.expect("it claims in the end");
+    let claims_within = back_ms + 700..back_ms + 2_000;
+    assert!(claims_within.contains(&claimed_ms), "{claimed_ms}");
+}
