Let callers that found no place come back by how hard places are to find

Cause: with 25 of 60 runners crashed in a burst, each caller that found no place was told to come back after 250 ms, found the places taken again, and was refused for good; 16,280 answers 503 to about 5,000 requests. The time now grows with the share of requests that found no place within about a second, up to 2.75 s, and is drawn from its upper half.

--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -2,11 +2,14 @@
 
 use std::fmt::Debug;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
 
 use quetzalpick_client::http::Pool;
-use quetzalpick_core::id::{Artifact, Workspace};
-use quetzalpick_core::retry::Budget;
+use quetzalpick_core::id::{Artifact, Service, Workspace};
+use quetzalpick_core::retry::{Budget, Pressure, Spread};
+use quetzalpick_core::table::Table;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
+use rand::random;
 
 use crate::clock::Clock;
 use crate::exchange::Drawn;
@@ -37,6 +40,8 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) supply: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
+    /// How hard it is to find a place, by service.
+    pub(crate) pressures: Mutex<Table<Service, Pressure>>,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) meters: Meters,
 }
@@ -81,6 +86,19 @@
         })
     }
 
+    /// Notes whether a request for a service found no place, and returns when such a one is to come back.
+    pub(crate) fn note_place(&self, service: &Service, refused: bool) -> Duration {
+        let spread = Spread::default();
+        let now_ms = self.clock.now_ms();
+        let mut pressures = self
+            .pressures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let pressure = pressures.get_or_insert_with(service.clone(), Pressure::default);
+        pressure.note(now_ms, refused, &spread);
+        Duration::from_millis(pressure.retry_after_ms(&spread, random()))
+    }
+
     fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
         act(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -250,7 +250,10 @@
             };
             admitted.tried.push(pick.endpoint.clone());
             let failure = match self.attempt(&admitted, &pick).await {
-                Ok(answer) => return Ok(self.finish(admitted, pick, answer)),
+                Ok(answer) => {
+                    self.context.note_place(&admitted.service, false);
+                    return Ok(self.finish(admitted, pick, answer));
+                }
                 Err(failure) => failure,
             };
             note(&self.context, &mut admitted, &pick, &failure);
@@ -328,7 +331,10 @@
         };
         let refusal = Refusal::new(cause, &failure.reason);
         match cause {
-            Cause::EndpointsRefused => refusal.after(SOON),
+            Cause::EndpointsRefused => {
+                let after = self.context.note_place(&admitted.service, true);
+                refusal.after(after)
+            }
             _ => refusal,
         }
     }
