Let large requests pass without a leader as far as the tolerance goes

Cause: with 69 VMs the floor of one holds less than one request of most workspaces, so that all those requests were refused while no leader answered (2 to 5 s after each loss), with Retry-After 1 ms, as the slice was full. Without a leader, whose part is not used then, VMs may now overdraw within 0.6 of the tolerance of the rate (settings rate_tolerance and rate_window_s), and a refusal for that reason names 1.5 to 2.5 s, by when another VM leads.

--- a/crates/quetzalpick-core/tests/rate.rs
+++ b/crates/quetzalpick-core/tests/rate.rs
@@ -1,6 +1,6 @@
 //! What VMs together let through of a workspace's rate, with lost answers, leaders that change and VMs that restart.
 
-use quetzalpick_core::rate::{Slice, floor, kept};
+use quetzalpick_core::rate::{Overdraft, Slice, floor, kept};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -141,3 +141,22 @@
     slice.set(0, 2_000, 2_000, floor(VMS, FLOOR_PERMILLE));
     assert!(slice.charge(10_000, 2_000, OVERDRAFT).is_err());
 }
+
+#[test]
+fn an_overdraft_stays_within_the_tolerance() {
+    let overdraft = Overdraft {
+        units: 7_500,
+        tolerance_permille: 100,
+        window_ms: 8_000,
+    };
+    let (rate, burst, members) = (50_000, 50_000, 69);
+    let allowed = (rate * 8 + burst) / 10;
+    assert_eq!(
+        overdraft.share(rate, burst, members, false),
+        7_500 / members
+    );
+    let leaderless = overdraft.share(rate, burst, members, true) * members;
+    assert!(leaderless <= 7_500 + allowed * 6 / 10, "{leaderless}");
+    assert!(leaderless > allowed / 2, "{leaderless}");
+    assert_eq!(Overdraft::default().share(rate, burst, members, true), 0);
+}
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::id::{Domain, Vm};
+use quetzalpick_core::rate::Overdraft;
 use quetzalpick_core::{election, retry, route};
 
 /// `Options` set how an entry works.
@@ -28,8 +29,8 @@
     pub known: Duration,
     /// Time after which a VM that the leader has not heard is no member any more.
     pub forget: Duration,
-    /// Units that all VMs together may overdraw of a workspace.
-    pub overdraft: u64,
+    /// What all VMs together may overdraw of a workspace.
+    pub overdraft: Overdraft,
     /// Part of each rate that is divided evenly over VMs and needs no leader, in thousandths.
     pub floor_permille: u64,
     /// The election of the leader.
@@ -74,7 +75,7 @@
             stop: Duration::from_secs(7),
             known: Duration::from_secs(5),
             forget: Duration::from_secs(60),
-            overdraft: 0,
+            overdraft: Overdraft::default(),
             floor_permille: 500,
             election: election::Options::default(),
             route: route::Options {
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -1,11 +1,10 @@
 //! This VM's slices of the workspaces' rates.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use quetzalpick_core::id;
-use quetzalpick_core::rate::{Parts, Slice, floor};
+use quetzalpick_core::rate::{Overdraft, Parts, Slice, floor};
 use quetzalpick_core::table::Table;
 
 use crate::config::{Config, Workspace};
@@ -17,16 +16,20 @@
     pub(crate) missing: u64,
     /// When they may be there.
     pub(crate) after: Duration,
-    /// Whether the leader may have them; it said of late that it has none otherwise.
+    /// Whether the leader may have them; it had none of late otherwise, or did not answer.
     pub(crate) may_draw: bool,
+    /// Whether no leader answered of late.
+    pub(crate) leaderless: bool,
 }
 
 /// `Row` is one workspace.
 #[derive(Debug)]
 struct Row {
     slice: Slice,
-    /// Until this time the leader has nothing to draw, by its own word, in ms.
+    /// Until this time the leader is not asked, in ms.
     dry_until_ms: u64,
+    /// Whether that is as no leader answered; otherwise it had nothing.
+    leaderless: bool,
 }
 
 /// `State` is what the rates share.
@@ -38,29 +41,28 @@
     floors_from_ms: u64,
     /// Whether this VM is in the list of members, by the leader's word.
     listed: bool,
+    overdraft: Overdraft,
 }
 
 /// `Rates` charges requests to workspaces.
 #[derive(Debug)]
 pub(crate) struct Rates {
     floor_permille: u64,
-    /// Units that all VMs together may overdraw of a workspace whose slices cannot hold a request.
-    overdraft: AtomicU64,
     state: Mutex<State>,
 }
 
 impl Rates {
     /// Makes empty slices; floors are not used before `admit_floors`.
-    pub(crate) fn new(floor_permille: u64, overdraft: u64) -> Self {
+    pub(crate) fn new(floor_permille: u64, overdraft: Overdraft) -> Self {
         let state = State {
             rows: Table::default(),
             members: 1,
             floors_from_ms: u64::MAX,
             listed: true,
+            overdraft,
         };
         Self {
             floor_permille,
-            overdraft: AtomicU64::new(overdraft),
             state: Mutex::new(state),
         }
     }
@@ -69,9 +71,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets the units that all VMs together may overdraw of a workspace.
-    pub(crate) fn allow_overdraft(&self, units: u64) {
-        self.overdraft.store(units, Ordering::Relaxed);
+    /// Sets what all VMs together may overdraw of a workspace.
+    pub(crate) fn allow_overdraft(&self, overdraft: Overdraft) {
+        self.state().overdraft = overdraft;
     }
 
     /// Notes from when on the other VMs leave this one its floor.
@@ -121,19 +123,26 @@
         units: u64,
     ) -> Result<(), Short> {
         let mut state = self.state();
-        let overdraft = self.overdraft.load(Ordering::Relaxed) / state.members as u64;
+        let (overdraft, members) = (state.overdraft, state.members as u64);
         let Some(row) = self.row(&mut state, now_ms, workspace) else {
             return Ok(());
         };
         let missing = row.slice.missing(now_ms, units);
         // What the leader keeps is used before a slice is overdrawn.
         let may_draw = now_ms >= row.dry_until_ms;
-        let overdraft = if may_draw { 0 } else { overdraft };
+        let leaderless = !may_draw && row.leaderless;
+        let overdraft = match workspace.quota {
+            Some(quota) if !may_draw => {
+                overdraft.share(quota.rate, quota.burst, members, leaderless)
+            }
+            _ => 0,
+        };
         let charged = row.slice.charge(now_ms, units, overdraft);
         charged.map_err(|after_ms| Short {
             missing,
             after: Duration::from_millis(after_ms),
             may_draw,
+            leaderless,
         })
     }
 
@@ -144,10 +153,11 @@
         }
     }
 
-    /// Notes that the leader has nothing to draw for a time.
-    pub(crate) fn dry(&self, until_ms: u64, workspace: &id::Workspace) {
+    /// Notes that the leader is not asked for a time, as it has nothing, or as there is none that answers.
+    pub(crate) fn dry(&self, until_ms: u64, workspace: &id::Workspace, leaderless: bool) {
         if let Some(row) = self.state().rows.get_mut(workspace) {
             row.dry_until_ms = until_ms;
+            row.leaderless = leaderless;
         }
     }
 
@@ -170,6 +180,7 @@
         let begin = || Row {
             slice: Slice::new(now_ms),
             dry_until_ms: 0,
+            leaderless: false,
         };
         let row = state.rows.get_or_insert_with(workspace.name.clone(), begin);
         row.slice.set(now_ms, quota.rate, quota.burst, parts);
--- a/crates/quetzalpick-entry/src/reload.rs
+++ b/crates/quetzalpick-entry/src/reload.rs
@@ -47,7 +47,7 @@
             Ok(Some(options)) => {
                 context.adopt(&options);
                 log::info!(
-                    "entry: reload signal={signalled} changed=true revocation={:?} stop={:?} overdraft={} retries={:?}",
+                    "entry: reload signal={signalled} changed=true revocation={:?} stop={:?} overdraft={:?} retries={:?}",
                     options.revocation,
                     options.stop,
                     options.overdraft,
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -49,6 +49,12 @@
 /// Longest time for which the leader's word that it has nothing to draw counts, in ms.
 const DRY_MAX_MS: u64 = 300;
 
+/// When to come back if no leader answers and the floor does not suffice: another one leads within two to three seconds.
+const AFTER_LEADERLESS: Duration = Duration::from_millis(1_500);
+
+/// Time over which callers that come back for that reason are spread, in ms.
+const LEADERLESS_SPREAD_MS: u64 = 1_000;
+
 /// Time after which the leader is asked again that did not answer, in ms.
 const LEADERLESS_MS: u64 = 200;
 
@@ -147,7 +153,7 @@
         let Err(mut short) = rates.charge(now_ms(), workspace, units) else {
             return Ok(());
         };
-        let mut leader = "dry";
+        let mut leader = if short.leaderless { "away" } else { "dry" };
         if short.may_draw {
             let name = &workspace.name;
             leader = match self.context.supply.draw(name, short.missing).await {
@@ -156,12 +162,12 @@
                     return Ok(());
                 }
                 Drawn::Short(after_ms) => {
-                    rates.dry(now_ms() + after_ms.min(DRY_MAX_MS), name);
+                    rates.dry(now_ms() + after_ms.min(DRY_MAX_MS), name, false);
                     short.after = short.after.min(Duration::from_millis(after_ms));
                     "short"
                 }
                 Drawn::NotLeading => {
-                    rates.dry(now_ms() + LEADERLESS_MS, name);
+                    rates.dry(now_ms() + LEADERLESS_MS, name, true);
                     "away"
                 }
             };
@@ -175,6 +181,10 @@
             "workspace={} units={units} missing={} leader={leader} rate={:?}",
             workspace.name, short.missing, workspace.quota
         );
+        if leader == "away" {
+            let spread = Duration::from_millis(random::<u64>() % LEADERLESS_SPREAD_MS);
+            short.after = short.after.max(AFTER_LEADERLESS + spread);
+        }
         Err(Refusal::new(Cause::OverRate, detail).after(short.after))
     }
 
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::election;
+use quetzalpick_core::rate::Overdraft;
 use quetzalpick_node::http::server;
 use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{Log, Metrics, SECRET_MIN_CHARS, Vm, address, secret};
@@ -168,8 +169,28 @@
     pub retry_slack: u64,
     /// Length of that window.
     pub retry_window: Duration,
-    /// Units that all VMs together may overdraw of a workspace that is too small for its requests.
-    pub overdraft: u64,
+    /// What all VMs together may overdraw of a workspace that is too small for its requests.
+    pub overdraft: Overdraft,
+}
+
+/// Reads the part of a rate that may be let through beyond it, in thousandths.
+fn tolerance(reader: &mut Reader<'_>) -> u64 {
+    let share = |text: &str| {
+        text.parse()
+            .ok()
+            .filter(|share| (0.0..=1.0).contains(share))
+    };
+    let share: Option<f64> = reader.parsed(
+        "rate_tolerance",
+        "0.0",
+        "a number from 0 to 1, as text",
+        share,
+    );
+    (share.unwrap_or_default() * 1_000.0) as u64
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl Section for Bounds {
@@ -179,7 +200,11 @@
             stop: reader.seconds("stop_s", 8, 3..=600),
             retry_slack: reader.number("retry_slack", 50, 0..=1 << 20, "retries"),
             retry_window: reader.seconds("retry_window_s", 10, 1..=3_600),
-            overdraft: reader.number("overdraft_units", 0, 0..=1 << 40, "units"),
+            overdraft: Overdraft {
+                units: reader.number("overdraft_units", 0, 0..=1 << 40, "units"),
+                tolerance_permille: tolerance(reader),
+                window_ms: millis(reader.seconds("rate_window_s", 8, 1..=3_600)),
+            },
         }
     }
 }
