--- a/crates/quetzalpick-core/src/retry/pressure.rs
+++ b/crates/quetzalpick-core/src/retry/pressure.rs
@@ -18,7 +18,7 @@
     fn default() -> Self {
         Self {
             soon_ms: 250,
-            late_ms: 2_500,
+            late_ms: 1_500,
             memory_ms: 1_000,
         }
     }
