--- a/crates/quetzalpick-client/src/memory/log.rs
+++ b/crates/quetzalpick-client/src/memory/log.rs
@@ -114,7 +114,7 @@
 }
 
 impl Rate {
-    /// Takes one append of this second's allowance.
+    /// Takes one of the appends that are left in this second.
     fn take(&mut self, now: Instant) -> bool {
         if now.duration_since(self.second) >= Duration::from_secs(1) {
             self.second = now;
--- a/crates/quetzalpick-core/src/plan/limits.rs
+++ b/crates/quetzalpick-core/src/plan/limits.rs
@@ -5,15 +5,15 @@
 /// Thousandths of a load in one load.
 const WHOLE: u64 = 1_000;
 
-/// `Allowance` saves up model loads at the weight store's rate.
+/// `Pace` saves up model loads at the weight store's rate.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct Allowance {
+pub(crate) struct Pace {
     /// Loads saved up, in thousandths; at most those of one second.
     saved: u64,
     filled_ms: Option<u64>,
 }
 
-impl Allowance {
+impl Pace {
     /// Adds what time has given; one load per second is one thousandth per ms.
     pub(crate) fn fill(&mut self, now_ms: u64, loads_per_s: u32) {
         let most = u64::from(loads_per_s) * WHOLE;
@@ -35,7 +35,7 @@
 /// `Limits` are the loads that may still be started in one round of planning.
 #[derive(Debug)]
 pub(crate) struct Limits<'a> {
-    allowance: &'a mut Allowance,
+    pace: &'a mut Pace,
     models: u32,
     adapters: u32,
 }
@@ -44,11 +44,11 @@
     /// Returns the limits that remain beside the loads under way.
     pub(crate) fn new(
         options: &Options,
-        allowance: &'a mut Allowance,
+        pace: &'a mut Pace,
         (models, adapters): (u32, u32),
     ) -> Self {
         Self {
-            allowance,
+            pace,
             models: options.loads_in_flight.saturating_sub(models),
             adapters: options.adapters_in_flight.saturating_sub(adapters),
         }
@@ -61,7 +61,7 @@
         } else {
             &mut self.models
         };
-        if *left == 0 || !(is_adapter || self.allowance.take()) {
+        if *left == 0 || !(is_adapter || self.pace.take()) {
             return false;
         }
         *left -= 1;
--- a/crates/quetzalpick-core/src/plan/planner.rs
+++ b/crates/quetzalpick-core/src/plan/planner.rs
@@ -6,7 +6,7 @@
 use crate::plan::draft::Draft;
 use crate::plan::fleet::{Fleet, signed};
 use crate::plan::item::items;
-use crate::plan::limits::{Allowance, Limits};
+use crate::plan::limits::{Limits, Pace};
 use crate::plan::room::Keep;
 use crate::plan::{Demand, Reason, Status, Step};
 use crate::record::Operation;
@@ -68,7 +68,7 @@
 #[derive(Debug, Clone)]
 pub struct Planner {
     options: Options,
-    allowance: Allowance,
+    pace: Pace,
     /// Time of the last demand-driven change by artifact, in ms.
     changed: Table<Artifact, u64>,
     /// Time of the last demand by artifact, in ms.
@@ -80,7 +80,7 @@
     pub fn new(options: Options) -> Self {
         Self {
             options,
-            allowance: Allowance::default(),
+            pace: Pace::default(),
             changed: Table::default(),
             used: Table::default(),
         }
@@ -101,9 +101,9 @@
     ) -> Vec<Step> {
         let fleet = Fleet::new(state, items(state.catalog(), demand), engines);
         self.note_use(now_ms, &fleet);
-        let mut allowance = std::mem::take(&mut self.allowance);
-        allowance.fill(now_ms, self.options.loads_per_s);
-        let limits = Limits::new(&self.options, &mut allowance, fleet.loading());
+        let mut pace = std::mem::take(&mut self.pace);
+        pace.fill(now_ms, self.options.loads_per_s);
+        let limits = Limits::new(&self.options, &mut pace, fleet.loading());
         let mut draft = Draft {
             fleet,
             limits,
@@ -125,7 +125,7 @@
             }
         }
         let steps = draft.steps;
-        self.allowance = allowance;
+        self.pace = pace;
         self.note_changes(now_ms, &steps);
         steps
     }
--- a/crates/quetzalpick-core/tests/quota/main.rs
+++ b/crates/quetzalpick-core/tests/quota/main.rs
@@ -1,5 +1,6 @@
 //! Stateful fuzzing of the shares: no window spends more than burst + rate x window, whatever the faults.
 
+mod entries;
 mod network;
 mod node;
 mod oracle;
--- a/crates/quetzalpick-core/tests/quota/refund.rs
+++ b/crates/quetzalpick-core/tests/quota/refund.rs
@@ -4,9 +4,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::entries::{join, set_spec, workspace};
 use crate::node::Node;
 use crate::oracle::Oracle;
-use crate::world::{join, set_spec, workspace};
 
 const RATE: u64 = 200;
 const BURST: u64 = 1_000;
--- a/crates/quetzalpick-core/tests/quota/world.rs
+++ b/crates/quetzalpick-core/tests/quota/world.rs
@@ -1,14 +1,13 @@
 //! The simulated fleet: gates, the log, and what happens to them.
 
-use quetzalpick_core::id::{Command, Domain, Member, Offset, Workspace};
+use quetzalpick_core::id::{Command, Member, Offset, Workspace};
 use quetzalpick_core::quota::{Ask, Charge, Peer, Transfer};
-use quetzalpick_core::record::{
-    Author, Change, Entry, Join, PARTS_TOTAL, Record, Retire, Role, WorkspaceSpec,
-};
+use quetzalpick_core::record::{Author, Change, Entry, PARTS_TOTAL, Record, Retire, WorkspaceSpec};
 use quetzalpick_core::state::State;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::entries::{join, workspace};
 use crate::network::Message;
 use crate::node::{LEASE_MS, Node, Phase, Running};
 use crate::oracle::Oracle;
@@ -57,41 +56,6 @@
     pub(crate) parts_excess: u64,
 }
 
-pub(crate) fn workspace(at: usize) -> Workspace {
-    Workspace::try_new(format!("w{at}")).expect("the name is valid")
-}
-
-/// Returns the entry of a gate's start.
-pub(crate) fn join(member: &Member, number: u64) -> Entry {
-    Entry {
-        command: Command(1, number),
-        author: Author::Member(member.clone()),
-        expect: None,
-        record: Record::Join(Join {
-            member: member.clone(),
-            role: Role::Gate,
-            domain: Domain::try_new("d").expect("the name is valid"),
-            peer_address: "127.0.0.1:1".to_owned(),
-        }),
-    }
-}
-
-/// Returns the entry that sets rate and burst of the first workspace.
-pub(crate) fn set_spec(number: u64, rate: u64, burst: u64) -> Entry {
-    let spec = WorkspaceSpec {
-        rate,
-        burst,
-        artifacts: Vec::new(),
-        services: Vec::new(),
-    };
-    Entry {
-        command: Command(1, number),
-        author: Author::Operator("op".to_owned()),
-        expect: None,
-        record: Record::Change(Change::SetWorkspace(workspace(0), spec)),
-    }
-}
-
 impl World {
     pub(crate) fn new(seed: u64, fault: Fault) -> Self {
         let mut world = Self {
--- a/crates/quetzalpick-gate/examples/overhead.rs
+++ b/crates/quetzalpick-gate/examples/overhead.rs
@@ -5,6 +5,9 @@
 #[path = "../tests/gate/client.rs"]
 #[allow(dead_code, reason = "the tests use more of it")]
 mod client;
+#[path = "../tests/gate/process.rs"]
+#[allow(dead_code, reason = "the tests use more of it")]
+mod process;
 #[path = "../tests/gate/world.rs"]
 #[allow(dead_code, reason = "the tests use more of it")]
 mod world;
--- a/crates/quetzalpick-gate/tests/gate/fuzz.rs
+++ b/crates/quetzalpick-gate/tests/gate/fuzz.rs
@@ -9,7 +9,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::client::{Answer, tokens};
-use crate::world::{LAGOS, Process, World, quick_engine, quick_gate};
+use crate::process::Process;
+use crate::world::{LAGOS, World, quick_engine, quick_gate};
 
 const STEPS: u32 = 100;
 const GATES: usize = 3;
--- a/crates/quetzalpick-gate/tests/gate/keys.rs
+++ b/crates/quetzalpick-gate/tests/gate/keys.rs
@@ -134,7 +134,7 @@
     assert!(last.starts_with("event: error"), "{last}");
     assert!(last.contains("withdrawn"), "{last}");
     // The engine is told; the other key's stream goes on; the same connection opens nothing any more.
-    crate::world::until(|| world.engines[0].record().cancelled == 1).await;
+    crate::process::until(|| world.engines[0].record().cancelled == 1).await;
     assert!(kept.next().await.unwrap().starts_with("data: {"));
     let refused = gate.client.post(CHAT, LAGOS, HELLO).await;
     assert_eq!((refused.status, refused.verdict()), (401, "not-run"));
--- a/crates/quetzalpick-gate/tests/gate/main.rs
+++ b/crates/quetzalpick-gate/tests/gate/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod once;
 mod outage;
+mod process;
 mod rate;
 mod relay;
 mod stop;
--- a/crates/quetzalpick-gate/tests/gate/once.rs
+++ b/crates/quetzalpick-gate/tests/gate/once.rs
@@ -6,7 +6,8 @@
 use quetzalpick_standin::fault::Fault;
 
 use crate::client::Answer;
-use crate::world::{LAGOS, Process, World, until};
+use crate::process::{Process, until};
+use crate::world::{LAGOS, World};
 
 /// Repeats a booking until it is answered otherwise than with an invitation to come back.
 pub(crate) async fn repeat(gate: &Process, order: &str) -> Answer {
--- a/crates/quetzalpick-gate/tests/gate/outage.rs
+++ b/crates/quetzalpick-gate/tests/gate/outage.rs
@@ -114,7 +114,7 @@
     world.change(withdraw_key("lagos-1")).await;
     // On waking the gate cannot learn of the withdrawal, neither from the log nor from the others.
     gate.log.cut(true);
-    others.iter_mut().for_each(crate::world::Process::kill);
+    others.iter_mut().for_each(crate::process::Process::kill);
     tokio::time::sleep(OUTAGE).await;
     // A connection of its own: a kept one is closed on waking, as it was silent for longer than a head may take.
     let request = format!(
--- a/crates/quetzalpick-gate/tests/gate/relay.rs
+++ b/crates/quetzalpick-gate/tests/gate/relay.rs
@@ -6,7 +6,8 @@
 use quetzalpick_standin::fault::Fault;
 
 use crate::client::tokens;
-use crate::world::{LAGOS, World, quick_engine, quick_gate, until};
+use crate::process::until;
+use crate::world::{LAGOS, World, quick_engine, quick_gate};
 
 const CHAT: &str = "/v1/chat/completions";
 const TOKENS: u32 = 12;
--- a/crates/quetzalpick-gate/tests/gate/stop.rs
+++ b/crates/quetzalpick-gate/tests/gate/stop.rs
@@ -28,7 +28,7 @@
     let plain =
         tokio::spawn(async move { client.post("/v1/chat/completions", LAGOS, plain).await });
     // All three are at their endpoints before the stop begins.
-    crate::world::until(|| {
+    crate::process::until(|| {
         world.engines[0].record().executed == 2 && !world.service.record().seen.headers.is_empty()
     })
     .await;
