Let models that nobody asks for yield to those in demand

A model without a copy now counts by what is asked for it, twenty times as it is all refused, and by a little if nothing is. One that is asked for may take the last copy of another that is asked for less. Test: two engines keep their copies of a model in demand while the others are lost, and an idle model is loaded once it is asked for; it failed before.

--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -17,18 +17,26 @@
     pub(crate) work: Work,
 }
 
-/// Work that stands for the need of a model without any copy.
-const UNREACHABLE: Work = 1_000_000_000;
+/// Work that stands for the need of a model without any copy that nobody asks for.
+const UNREACHABLE: Work = 5_000;
+
+/// Times that the work for a model without any copy counts, as all of it is refused.
+const REFUSED_FACTOR: Work = 20;
 
 impl Need<'_> {
     /// Returns how much work less each engine has with one more copy.
     pub(crate) fn gain(&self) -> Work {
         match self.copies {
-            0 => UNREACHABLE + self.work,
+            0 => self.reach(),
             copies => self.work / copies - self.work / (copies + 1),
         }
     }
 
+    /// Returns what it is worth that the model has a copy at all.
+    pub(crate) fn reach(&self) -> Work {
+        UNREACHABLE + self.work * REFUSED_FACTOR
+    }
+
     /// Returns how much work more each engine has with one copy less; `None` if none would serve then.
     pub(crate) fn loss(&self) -> Option<Work> {
         (self.kept > 1 && self.copies > 1)
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -49,7 +49,8 @@
         }
     }
 
-    /// Lets VMs use a copy again that they were leaving, if no other one is left.
+    /// Lets VMs use a copy again that they were leaving, if no other one is left, unless it makes room for a model without a
+    /// copy that is asked for more.
     fn take_back(&mut self, now_ms: u64) {
         let retiring = |(endpoint, site): (&Endpoint, &Site)| {
             let model = site.retiring().filter(|_| site.open.is_none())?;
@@ -58,7 +59,7 @@
         let retiring: Vec<_> = self.sites.iter().filter_map(retiring).collect();
         for (endpoint, model) in retiring {
             let is_kept = |site: &Site| site.is_usable() && site.keeps(&model);
-            if self.sites.values().any(is_kept) {
+            if self.sites.values().any(is_kept) || self.yields(&endpoint, &model) {
                 continue;
             }
             if let Some(site) = self.sites.get_mut(&endpoint) {
@@ -67,6 +68,16 @@
         }
     }
 
+    /// Tells whether a model makes room at an engine for one without a copy that is asked for more.
+    fn yields(&self, endpoint: &Endpoint, model: &Artifact) -> bool {
+        let site = self.sites.get(endpoint);
+        let Some(promised) = site.and_then(|site| site.promised.as_ref()) else {
+            return false;
+        };
+        let work = |model: &Artifact| self.work.get(model).copied().unwrap_or_default();
+        !self.is_held(promised) && work(promised) > work(model)
+    }
+
     /// Unloads the models that VMs have had the time to leave.
     fn unload_retired(&mut self, now_ms: u64, sends: &mut Vec<Send>) {
         let retired = |(endpoint, site): (&Endpoint, &Site)| {
@@ -153,8 +164,10 @@
     ) -> Option<(Work, Artifact)> {
         let free = free_mb(engine, site);
         let held = site.copies.iter().filter(|copy| copy.is_held());
+        // Only a model that is asked for and has no copy may take the place of another one's last copy.
+        let is_refused = need.copies == 0 && need.work > 0;
         let loss = |artifact: &Artifact| match needs.iter().find(|n| n.model.name == *artifact) {
-            Some(need) => need.loss(),
+            Some(other) => other.loss().or(is_refused.then(|| other.reach())),
             None => Some(0),
         };
         held.filter(|copy| !is_adapter(&copy.artifact))
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -65,6 +65,29 @@
     assert!(world.planner.is_held(&left));
 }
 
+#[test]
+fn a_model_in_demand_keeps_its_copies_while_engines_with_idle_models_are_lost() {
+    let mut world = World::new(1, false);
+    (0..500).for_each(|_| world.step());
+    world.work = Table::from_iter([(model(0), 60_000)]);
+    // The other two engines hold all copies of six models that nobody asks for.
+    world.down = vec![1, 2];
+    let held = |world: &World| {
+        let up = [&world.engines[0], &world.engines[3]];
+        up.iter().filter(|e| e.copies.contains(&model(0))).count()
+    };
+    assert_eq!(held(&world), 2);
+    for _ in 0..400 {
+        world.step();
+        assert_eq!(held(&world), 2);
+    }
+    // One of them is loaded as soon as it is asked for, though not at the cost of the model in demand.
+    world.work = Table::from_iter([(model(0), 60_000), (model(7), 400)]);
+    (0..600).for_each(|_| world.step());
+    assert_eq!(held(&world), 2);
+    assert!(world.planner.is_held(&model(7)));
+}
+
 #[test]
 fn a_wanted_adapter_is_there_within_a_few_steps() {
     let mut world = World::new(1, false);
