Let copies follow demand evenly, and count needs in one pass

A copy is now worth what all its requests together wait less, by the batch of an engine. Test: of two models with demand 4 to 1, the busier one gets all spare places (three of four before).

Needs are now counted in one pass over the copies, and models are planned every 50 ms at most.

--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -15,8 +15,13 @@
     /// Copies that serve and that no order takes away.
     pub(crate) kept: u64,
     pub(crate) work: Work,
+    /// Work that one engine runs at once.
+    pub(crate) batch: Work,
 }
 
+/// Work of one request under way.
+const REQUEST: Work = 1_000;
+
 /// Work that stands for the need of a model without any copy that nobody asks for.
 const UNREACHABLE: Work = 5_000;
 
@@ -24,11 +29,11 @@
 const REFUSED_FACTOR: Work = 20;
 
 impl Need<'_> {
-    /// Returns how much work less each engine has with one more copy.
+    /// Returns what one more copy is worth.
     pub(crate) fn gain(&self) -> Work {
         match self.copies {
             0 => self.reach(),
-            copies => self.work / copies - self.work / (copies + 1),
+            copies => self.crowding(copies),
         }
     }
 
@@ -37,10 +42,18 @@
         UNREACHABLE + self.work * REFUSED_FACTOR
     }
 
-    /// Returns how much work more each engine has with one copy less; `None` if none would serve then.
+    /// Returns what one copy less costs; `None` if none would serve then.
     pub(crate) fn loss(&self) -> Option<Work> {
-        (self.kept > 1 && self.copies > 1)
-            .then(|| self.work / (self.copies - 1) - self.work / self.copies)
+        (self.kept > 1 && self.copies > 1).then(|| self.crowding(self.copies - 1))
+    }
+
+    /// Returns what all requests together wait less with one more copy than `copies`, as work.
+    ///
+    /// Each waits in proportion to the work at its engine, so that copies that follow demand evenly cost least.
+    fn crowding(&self, copies: u64) -> Work {
+        let work = u128::from(self.work);
+        let wait = work * work / u128::from(copies * (copies + 1) * self.batch.max(1));
+        u64::try_from(wait).unwrap_or(u64::MAX)
     }
 }
 
@@ -50,18 +63,24 @@
     sites: &Table<Endpoint, Site>,
     work: &Table<Artifact, Work>,
 ) -> Vec<Need<'a>> {
-    let need = |model: &'a config::Model| {
-        let usable = || sites.values().filter(|site| site.is_usable());
-        let copies = usable().filter(|site| site.expects(&model.name)).count();
-        let kept = usable().filter(|site| site.keeps(&model.name)).count();
-        Need {
-            model,
-            copies: copies as u64,
-            kept: kept as u64,
-            work: work.get(&model.name).copied().unwrap_or_default(),
-        }
+    let need = |model: &'a config::Model| Need {
+        model,
+        copies: 0,
+        kept: 0,
+        work: work.get(&model.name).copied().unwrap_or_default(),
+        batch: u64::from(engine.batch) * REQUEST,
     };
     let mut needs: Vec<Need<'a>> = engine.models.iter().map(need).collect();
+    needs.sort_by_key(|need| &need.model.name);
+    for site in sites.values().filter(|site| site.is_usable()) {
+        for model in site.models() {
+            let Ok(at) = needs.binary_search_by_key(&model, |need| &need.model.name) else {
+                continue;
+            };
+            needs[at].copies += u64::from(site.expects(model));
+            needs[at].kept += u64::from(site.keeps(model));
+        }
+    }
     needs.sort_by_key(|need| std::cmp::Reverse(need.gain()));
     needs
 }
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -36,8 +36,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            fill_gain: 300,
-            move_gain: 3_000,
+            fill_gain: 10,
+            move_gain: 750,
             move_ratio_percent: 200,
             loads_at_once: 2,
             loads_burst: 2,
@@ -81,8 +81,13 @@
     settled_ms: Option<u64>,
     /// Ends of the loads from the weight store under way, in ms.
     loading: Vec<u64>,
+    /// Models are not planned before, in ms; adapters are more often.
+    next_models_ms: u64,
 }
 
+/// Pause between two plans for models, in ms.
+const MODELS_PAUSE_MS: u64 = 50;
+
 impl Planner {
     /// Makes a planner that knows no engine; it begins no load from the weight store before the rate allows one.
     pub fn new(now_ms: u64, options: Options) -> Self {
@@ -95,6 +100,7 @@
             filled_ms: now_ms,
             settled_ms: None,
             loading: Vec::new(),
+            next_models_ms: now_ms,
         }
     }
 
@@ -217,11 +223,16 @@
         self.wanted.retain(|_, at| *at >= oldest_ms);
         self.loading.retain(|until_ms| *until_ms > now_ms);
         let mut sends = self.resend(now_ms);
+        let settled = self.settled_ms.is_some_and(|at| now_ms >= at);
+        let plans_models = settled && now_ms >= self.next_models_ms;
+        if plans_models {
+            self.next_models_ms = now_ms + MODELS_PAUSE_MS;
+        }
         for service in config.services().values() {
             if let Some(engine) = &service.engine {
                 self.fill(now_ms, engine);
                 self.plan_adapters(now_ms, &service.name, engine, &mut sends);
-                if self.settled_ms.is_some_and(|at| now_ms >= at) {
+                if plans_models {
                     self.plan_models(now_ms, &service.name, engine, &mut sends);
                 }
             }
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -121,6 +121,18 @@
         promised || self.copy(artifact).is_some_and(Copy::is_expected)
     }
 
+    /// Returns the models that it holds, or that an order or a promise concerns, sorted.
+    pub(crate) fn models(&self) -> Vec<&Artifact> {
+        let held = self.copies.iter().map(|copy| &copy.artifact);
+        let ordered = self.open.iter().map(|open| &open.order.model);
+        let concerned = held.chain(&self.promised).chain(ordered);
+        let mut models: Vec<&Artifact> =
+            concerned.filter(|artifact| !is_adapter(artifact)).collect();
+        models.sort_unstable();
+        models.dedup();
+        models
+    }
+
     /// Returns the adapters that take places, those being loaded or unloaded included.
     pub(crate) fn adapters(&self) -> impl Iterator<Item = &Copy> {
         self.copies.iter().filter(|copy| is_adapter(&copy.artifact))
