--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -36,8 +36,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            fill_gain: 10,
-            move_gain: 750,
+            fill_gain: 100,
+            move_gain: 3_000,
             move_ratio_percent: 200,
             loads_at_once: 2,
             loads_burst: 2,
