Send no orders to an engine that is busy, and unload adapters that are asked for least

Cause: an adapter in use is unloaded only once its requests end; the engine takes no other order meanwhile, and its report says that it is busy. A busy engine's report is now asked for again until it is not; of adapters used at the same time the one asked for least goes first.

--- a/crates/quetzalpick-entry/src/place/planner/adapters.rs
+++ b/crates/quetzalpick-entry/src/place/planner/adapters.rs
@@ -6,7 +6,7 @@
 use crate::config::Engine;
 use crate::place::copy::model_of;
 use crate::place::room::has_place;
-use crate::place::{Action, Order, Send, Site};
+use crate::place::{Action, Copy, Order, Send, Site};
 
 impl Planner {
     /// Plans adapters that were asked for and that no engine holds or loads.
@@ -61,8 +61,10 @@
         }
         let held = |(endpoint, site): &(&Endpoint, &Site)| {
             let held = site.adapters().filter(|copy| copy.is_held());
-            let oldest = held.min_by_key(|copy| copy.used_ms)?;
-            Some((oldest.used_ms, (*endpoint).clone(), oldest.artifact.clone()))
+            let work = |copy: &Copy| self.work.get(&copy.artifact).copied().unwrap_or_default();
+            let oldest = held.min_by_key(|copy| (copy.used_ms, work(copy)))?;
+            let key = (oldest.used_ms, work(oldest));
+            Some((key, (*endpoint).clone(), oldest.artifact.clone()))
         };
         let (_, endpoint, oldest) = sites.iter().filter_map(held).min()?;
         Some((endpoint, Action::Unload, oldest))
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -166,7 +166,8 @@
             self.asks_report = true;
             return;
         }
-        self.asks_report = false;
+        // What it does takes no time that is known, as when requests of an adapter that is unloaded still run.
+        self.asks_report = report.busy;
         if news {
             self.begin_anew(now_ms, report);
         } else {
--- a/crates/quetzalpick-entry/tests/place/engine.rs
+++ b/crates/quetzalpick-entry/tests/place/engine.rs
@@ -24,6 +24,10 @@
     history: VecDeque<(u64, Report)>,
     /// Orders that would overfill the engine.
     pub(crate) overfilled: Vec<Order>,
+    /// Time that requests of an adapter still run when it is unloaded, in ms; no other order is taken meanwhile.
+    pub(crate) adapter_in_use_ms: u64,
+    /// Orders that came while another one was under way.
+    pub(crate) in_vain: usize,
 }
 
 impl Engine {
@@ -38,6 +42,8 @@
             busy: None,
             history: VecDeque::new(),
             overfilled: Vec::new(),
+            adapter_in_use_ms: 0,
+            in_vain: 0,
         }
     }
 
@@ -96,6 +102,7 @@
     }
 
     pub(crate) fn order(&mut self, now_ms: u64, order: &Order, took_ms: u64) -> Ordered {
+        self.in_vain += usize::from(self.busy.is_some());
         if order.expected_orders != self.orders || self.busy.is_some() {
             return Ordered::Conflict;
         }
@@ -118,6 +125,10 @@
                     None => self.busy = Some((now_ms + took_ms, Action::Load, artifact)),
                 }
             }
+            (Action::Unload, Some(_)) if self.adapter_in_use_ms > 0 => {
+                let until_ms = now_ms + self.adapter_in_use_ms;
+                self.busy = Some((until_ms, Action::Unload, artifact));
+            }
             (Action::Unload, Some(_)) => {
                 self.copies.retain(|name| *name != artifact);
                 self.orders += 1;
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -108,6 +108,24 @@
     assert!(world.planner.is_held(&artifact("m3/a7")));
 }
 
+#[test]
+fn an_engine_that_unloads_an_adapter_in_use_gets_no_further_orders_meanwhile() {
+    let mut world = World::new(1, false);
+    world
+        .engines
+        .iter_mut()
+        .for_each(|e| e.adapter_in_use_ms = 1_500);
+    (0..500).for_each(|_| world.step());
+    for a in 1..=12 {
+        let now_ms = world.now_ms;
+        world.planner.want(now_ms, artifact(format!("m3/a{a}")));
+        (0..90).for_each(|_| world.step());
+    }
+    let in_vain: usize = world.engines.iter().map(|engine| engine.in_vain).sum();
+    // One of each unload may come before a report says that the engine is busy.
+    assert!(in_vain <= 8, "orders in vain: {in_vain}");
+}
+
 #[test]
 fn adapters_that_were_used_least_recently_yield() {
     let mut world = World::new(1, false);
