--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -11,6 +11,7 @@
 const VMS: usize = 4;
 const STEP_MS: u64 = 20;
 
+#[derive(Default)]
 struct Log {
     records: Vec<Claim>,
     late: Vec<(u64, Claim, u64)>,
@@ -54,15 +55,23 @@
     Election::new(me, Options::default())
 }
 
+/// Lets a VM read the log at a time, claim one millisecond later, and learn at once that it leads.
+fn claim(vm: &mut Election, log: &mut Log, now_ms: u64) {
+    vm.read(now_ms, now_ms, log.tail(Offset(0)));
+    let sent_ms = now_ms + 1;
+    let Step::Append(claim, at) = vm.step(sent_ms) else {
+        panic!("no claim")
+    };
+    let offset = log.append(claim, at).unwrap();
+    vm.appended(sent_ms, sent_ms, Appended::At(offset));
+}
+
 /// Acts seen: time, VM, fencing number.
 type Acts = Vec<(u64, usize, u64)>;
 
 fn play(seed: u64, ms: u64, faults: bool, naive: bool) -> Acts {
     let mut random = Pcg64::seed_from_u64(seed);
-    let mut log = Log {
-        records: Vec::new(),
-        late: Vec::new(),
-    };
+    let mut log = Log::default();
     let mut vms: Vec<Election> = (0..VMS).map(|vm| start(vm, vm as u64)).collect();
     let mut paused_until = [0_u64; VMS];
     let mut cut_until = [0_u64; VMS];
@@ -181,47 +190,25 @@
 
 #[test]
 fn a_restarted_leader_goes_on_at_once() {
-    let mut log = Log {
-        records: Vec::new(),
-        late: Vec::new(),
-    };
+    let mut log = Log::default();
     let mut first = start(0, 1);
-    first.read(0, 0, log.tail(Offset(0)));
-    let Step::Append(claim, at) = first.step(1) else {
-        panic!("no claim")
-    };
-    first.appended(1, 1, Appended::At(log.append(claim, at).unwrap()));
+    claim(&mut first, &mut log, 0);
     assert!(first.fence(2).is_some());
     let mut second = start(0, 2);
-    second.read(3, 3, log.tail(Offset(0)));
-    let Step::Append(claim, at) = second.step(3) else {
-        panic!("no claim")
-    };
-    second.appended(4, 4, Appended::At(log.append(claim, at).unwrap()));
+    claim(&mut second, &mut log, 3);
     assert!(second.fence(5) > first.fence(5));
 }
 
 #[test]
 fn a_resigned_leader_is_followed_once_its_last_act_is_long_enough_past() {
-    let mut log = Log {
-        records: Vec::new(),
-        late: Vec::new(),
-    };
+    let mut log = Log::default();
     let mut first = start(0, 1);
-    first.read(0, 0, log.tail(Offset(0)));
-    let Step::Append(claim, at) = first.step(1) else {
-        panic!("no claim")
-    };
-    first.appended(1, 1, Appended::At(log.append(claim, at).unwrap()));
+    claim(&mut first, &mut log, 0);
     first.acted(10);
-    let (claim, at) = first.resignation(1_010).unwrap();
-    log.append(claim, at).unwrap();
+    let (resignation, at) = first.resignation(1_010).unwrap();
+    log.append(resignation, at).unwrap();
     let mut second = start(1, 2);
-    second.read(1_010, 1_010, log.tail(Offset(0)));
-    let Step::Append(claim, at) = second.step(1_010) else {
-        panic!("no claim")
-    };
-    second.appended(1_010, 1_010, Appended::At(log.append(claim, at).unwrap()));
+    claim(&mut second, &mut log, 1_009);
     let acts_from = 10 + Options::default().handover_ms;
     assert_eq!(second.fence(acts_from - 1), None);
     assert!(second.leads(1_011).is_some());
@@ -242,17 +229,9 @@
 
 #[test]
 fn a_vm_with_a_handicap_learns_of_the_next_leader_before_its_own_turn() {
-    let mut log = Log {
-        records: Vec::new(),
-        late: Vec::new(),
-    };
-    let mut leader = start(0, 1);
-    leader.read(0, 0, log.tail(Offset(0)));
-    let Step::Append(claim, at) = leader.step(1) else {
-        panic!("no claim")
-    };
-    log.append(claim.clone(), at).unwrap();
-    let mut next_claim = claim;
+    let mut log = Log::default();
+    claim(&mut start(0, 1), &mut log, 0);
+    let mut next_claim = log.records[0].clone();
     next_claim.candidate.vm = Vm::try_new("vm-2").unwrap();
     let lapse_ms = Options::default().lapse_ms;
     let mut other = handicapped();
@@ -277,16 +256,8 @@
 
 #[test]
 fn a_vm_with_a_handicap_lets_others_claim_first_also_after_an_outage() {
-    let mut log = Log {
-        records: Vec::new(),
-        late: Vec::new(),
-    };
-    let mut leader = start(0, 1);
-    leader.read(0, 0, log.tail(Offset(0)));
-    let Step::Append(claim, at) = leader.step(1) else {
-        panic!("no claim")
-    };
-    log.append(claim, at).unwrap();
+    let mut log = Log::default();
+    claim(&mut start(0, 1), &mut log, 0);
     let mut other = handicapped();
     let back_ms = 10_000;
     let claimed_ms = (1..1_000).map(|step| step * STEP_MS).find(|now_ms| {
