--- a/crates/quetzalpick-entry/src/config/mod.rs
+++ b/crates/quetzalpick-entry/src/config/mod.rs
@@ -31,6 +31,8 @@
     services: Table<id::Service, Service>,
     workspaces: Table<id::Workspace, Workspace>,
     keys: Table<String, id::Workspace>,
+    /// Shortest time to the first event that a route asks of a service's streams, in ms.
+    objectives: Table<id::Service, u64>,
     limits: Limits,
 }
 
@@ -49,6 +51,7 @@
             .flat_map(|workspace| workspace.keys.iter().map(|key| (key, &workspace.name)))
             .map(|(key, name)| (key.clone(), name.clone()))
             .collect();
+        let objectives = objectives(&routes);
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         let workspaces = workspaces
             .into_iter()
@@ -60,6 +63,7 @@
             services,
             workspaces,
             keys,
+            objectives,
             limits,
         }
     }
@@ -84,6 +88,11 @@
         &self.workspaces
     }
 
+    /// Returns the shortest time to the first event that a route asks of a service's streams, in ms.
+    pub fn objective_ms(&self, service: &id::Service) -> Option<u64> {
+        self.objectives.get(service).copied()
+    }
+
     /// Tells whether requests on routes that are not open need a key.
     pub fn needs_keys(&self) -> bool {
         !self.workspaces.is_empty()
@@ -103,3 +112,18 @@
             .max_by_key(|route| route.prefix.len())
     }
 }
+
+/// Returns the shortest objective of the streams of each service, in ms.
+fn objectives(routes: &[Route]) -> Table<id::Service, u64> {
+    let mut objectives = Table::default();
+    for route in routes.iter().filter(|route| route.kind.is_stream()) {
+        let Some(objective_ms) = route.objective_ms else {
+            continue;
+        };
+        for target in &route.targets {
+            let shortest = objectives.get_or_insert_with(target.service.clone(), || objective_ms);
+            *shortest = objective_ms.min(*shortest);
+        }
+    }
+    objectives
+}
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -101,7 +101,8 @@
             copies: self.copies.load(Ordering::Relaxed),
             endpoints: self.endpoints.load(Ordering::Relaxed),
             config: config.map_or(0, |config| config.version()),
-            loads: self.fleet.loads(),
+            loads: self.fleet.loads(now_ms),
+            doubted: self.fleet.doubted(now_ms),
             work: self.fleet.work(now_ms),
         }
     }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -5,7 +5,7 @@
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::Spec;
+use crate::fleet::{Share, Spec};
 use crate::place::Work;
 
 /// Paths of the peer listener.
@@ -48,8 +48,11 @@
     pub(crate) endpoints: u64,
     /// Version of the configuration that it knows.
     pub(crate) config: u64,
-    /// Requests under way, by endpoint.
-    pub(crate) loads: Vec<(Endpoint, u32)>,
+    /// Its share of the requests for each endpoint.
+    pub(crate) loads: Vec<(Endpoint, Share)>,
+    /// Endpoints that may be gone, or have started anew, by what it met a short time ago.
+    #[serde(default)]
+    pub(crate) doubted: Vec<Endpoint>,
     /// Demand, by model and adapter.
     pub(crate) work: Vec<(Artifact, Work)>,
 }
@@ -86,8 +89,8 @@
     pub(crate) word: Option<Word>,
     /// Its fencing number.
     pub(crate) fence: u64,
-    /// Requests of the other VMs under way, by endpoint.
-    pub(crate) loads: Vec<(Endpoint, u32)>,
+    /// The other VMs' share of the requests for each endpoint.
+    pub(crate) loads: Vec<(Endpoint, Share)>,
     /// What engines hold, if that changed.
     pub(crate) copies: Option<Copies>,
     pub(crate) view: Option<ViewRelay>,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -4,12 +4,15 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
-use quetzalpick_core::route::{self, Candidate, choose};
+use quetzalpick_core::route::{self, Candidate, Crowd, Pace, choose, has_room};
 use quetzalpick_core::table::Table;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
-use crate::fleet::{Pick, Spec};
+use crate::fleet::shortage::Shortage;
+use crate::fleet::{Pick, Share, Spec};
 use crate::place::{Demand, Work};
 
 /// `Wanted` is what a request needs of an endpoint.
@@ -21,6 +24,17 @@
     pub artifacts: &'a [&'a Artifact],
     /// Endpoints that were tried before.
     pub tried: &'a [Endpoint],
+    /// Longest time that it may wait at the endpoint before it runs, in ms; `None` if that does not matter.
+    pub wait_max_ms: Option<u64>,
+}
+
+/// `Lack` says why no endpoint was picked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// None that stays holds what the request needs.
+    Copy,
+    /// Those that hold it have too many requests.
+    Room,
 }
 
 /// `Fleet` is all endpoints as this VM sees them.
@@ -36,11 +50,18 @@
     version: AtomicU64,
     /// VMs that share the endpoints.
     members: AtomicU32,
+    /// How fast endpoints take streams, by service.
+    paces: Mutex<Table<Service, Pace>>,
+    shortage: Mutex<Shortage>,
 }
 
 /// Time for which the leader's word counts, in ms.
 const LEADER_AGE_MS: u64 = 2_000;
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Fleet {
     /// Makes a fleet without endpoints, for a VM in the failure domain `here`.
     pub fn new(here: Domain, options: route::Options) -> Self {
@@ -52,11 +73,13 @@
             leader_ms: AtomicU64::default(),
             version: AtomicU64::new(1),
             members: AtomicU32::new(1),
+            paces: Mutex::default(),
+            shortage: Mutex::default(),
         }
     }
 
     fn rows(&self) -> MutexGuard<'_, Table<Endpoint, Row>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.rows)
     }
 
     /// Takes in what an endpoint says of itself; tells whether it was not known, or says that it leaves.
@@ -130,29 +153,96 @@
             .retain(|_, row| !lapsed(row) || row.in_flight > 0);
     }
 
-    /// Picks an endpoint for a request; `None` if none that stays holds what it needs.
-    pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
+    /// Picks an endpoint for a request.
+    ///
+    /// # Errors
+    ///
+    /// `Lack` if no endpoint that stays holds what it needs and has room for it.
+    pub fn pick(
+        self: &Arc<Self>,
+        now_ms: u64,
+        wanted: &Wanted<'_>,
+        random: u64,
+    ) -> Result<Pick, Lack> {
+        let pace = lock(&self.paces).get(wanted.service).cloned();
+        let limit = pace.zip(wanted.wait_max_ms);
+        let model = wanted.artifacts.first();
+        let asked_per_s = model.and_then(|model| lock(&self.shortage).ask(model));
         let mut rows = self.rows();
         let members = self.members.load(Ordering::Relaxed);
-        let serving = rows.iter().filter(|(_, row)| row.serves(wanted));
-        let candidates: Vec<Candidate<'_>> = serving
+        // An endpoint that was just lost is not tried again, though no other one is there.
+        let serves = |row: &Row| row.serves(wanted) && !row.is_lost(now_ms);
+        let serving: Vec<_> = rows.iter().filter(|(_, row)| serves(row)).collect();
+        let mut candidates: Vec<Candidate<'_>> = serving
+            .iter()
             .map(|(name, row)| row.candidate(name, wanted.tried.contains(name), members))
             .collect();
-        let choice = choose(now_ms, &self.here, &candidates, &self.options, random)?;
-        let endpoint = candidates[choice.index].endpoint.clone();
-        let row = rows.get_mut(&endpoint)?;
-        let load = row.in_flight + row.others;
+        let mut offered = Vec::new();
+        let mut draws = Pcg64Mcg::seed_from_u64(random);
+        // The others ask for the model as often as this VM, as far as can be guessed.
+        let asked_per_s = u64::from(asked_per_s.unwrap_or_default()) * u64::from(members);
+        // An endpoint without room is left out, and the others are offered the request.
+        let choice = loop {
+            let choice = choose(now_ms, &self.here, &candidates, &self.options, draws.random());
+            let Some(choice) = choice else { break None };
+            let candidate = candidates.swap_remove(choice.index);
+            let endpoint = candidate.endpoint.clone();
+            let row = rows.get(&endpoint);
+            let crowd = row.map(|row| row.crowd(now_ms, asked_per_s));
+            let takes = limit
+                .as_ref()
+                .zip(crowd)
+                .is_none_or(|((pace, wait_ms), crowd)| {
+                    has_room(pace, *wait_ms, &crowd, draws.random())
+                });
+            offered.push(endpoint.clone());
+            if takes {
+                break Some((endpoint, choice.reason));
+            }
+        };
+        for endpoint in &offered {
+            if let Some(row) = rows.get_mut(endpoint) {
+                row.offers.note();
+            }
+        }
+        let lack = if offered.is_empty() { Lack::Copy } else { Lack::Room };
+        if let (None, Lack::Room, Some(model)) = (&choice, lack, model) {
+            lock(&self.shortage).refuse(now_ms, model);
+        }
+        let (endpoint, reason) = choice.ok_or(lack)?;
+        let row = rows.get_mut(&endpoint).ok_or(lack)?;
+        let load = row.in_flight + row.others.in_flight;
+        let waits = wanted.wait_max_ms.is_some();
+        let crowd = row.crowd(now_ms, 0);
         row.in_flight += 1;
+        row.waiting += u32::from(waits);
         row.dispatched += 1;
-        Some(Pick {
+        Ok(Pick {
             endpoint,
             address: row.spec.address,
-            reason: choice.reason,
+            reason,
             load,
+            waits,
+            crowd,
             fleet: Arc::clone(self),
         })
     }
 
+    /// Notes that a stream of a service ran for `took_ms` after its first token.
+    pub fn ran(&self, service: &Service, took_ms: u64) {
+        let mut paces = lock(&self.paces);
+        let pace = paces.get_or_insert_with(service.clone(), Pace::default);
+        pace.ran(took_ms);
+    }
+
+    /// Notes that a stream's first token came `took_ms` after its request was sent, when its endpoint was thought to have
+    /// this crowd.
+    pub fn began(&self, service: &Service, took_ms: u64, crowd: &Crowd) {
+        let mut paces = lock(&self.paces);
+        let pace = paces.get_or_insert_with(service.clone(), Pace::default);
+        pace.began(took_ms, crowd);
+    }
+
     /// Takes in what the leader says that an endpoint holds.
     pub fn learn(&self, now_ms: u64, endpoint: &Endpoint, copies: &[Artifact]) {
         self.leader_heard(now_ms);
@@ -172,26 +262,33 @@
     }
 
     /// Takes in how many requests of the other VMs are under way.
-    pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, u32)]) {
+    pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, Share)]) {
         let mut rows = self.rows();
         for (_, row) in rows.iter_mut() {
-            row.others = 0;
+            row.others = Share::default();
             row.dispatched = 0;
         }
-        for (endpoint, load) in loads {
+        for (endpoint, share) in loads {
             if let Some(row) = rows.get_mut(endpoint) {
-                row.others = *load;
+                row.others = *share;
                 row.others_ms = now_ms;
             }
         }
     }
 
-    /// Returns the requests of this VM under way, by endpoint.
-    pub fn loads(&self) -> Vec<(Endpoint, u32)> {
-        let rows = self.rows();
-        let busy = rows.iter().filter(|(_, row)| row.in_flight > 0);
-        busy.map(|(name, row)| (name.clone(), row.in_flight))
-            .collect()
+    /// Returns this VM's share of the requests for each endpoint.
+    pub fn loads(&self, now_ms: u64) -> Vec<(Endpoint, Share)> {
+        lock(&self.shortage).turn(now_ms);
+        let mut rows = self.rows();
+        let shares = rows.iter_mut().map(|(name, row)| {
+            let share = Share {
+                in_flight: row.in_flight,
+                waiting: row.waiting,
+                offered_per_s: row.offers.turn(now_ms),
+            };
+            (name.clone(), share)
+        });
+        shares.filter(|(_, share)| !share.is_empty()).collect()
     }
 
     /// Returns what the endpoints that are not gone say of themselves.
@@ -205,7 +302,7 @@
 
     /// Notes that a model, and its adapter if one is named, is asked for.
     pub fn ask(&self, artifacts: &[&Artifact], answer_tokens: u64) {
-        let mut demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut demand = lock(&self.demand);
         artifacts
             .iter()
             .for_each(|artifact| demand.note(artifact, answer_tokens));
@@ -213,7 +310,7 @@
 
     /// Returns the demand for models and adapters that this VM sees.
     pub fn work(&self, now_ms: u64) -> Vec<(Artifact, Work)> {
-        let mut demand = self.demand.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut demand = lock(&self.demand);
         demand.turn(now_ms)
     }
 
@@ -221,7 +318,7 @@
     pub fn succeed(&self, now_ms: u64, endpoint: &Endpoint) {
         if let Some(row) = self.rows().get_mut(endpoint) {
             row.health.succeed(now_ms);
-            row.unreachable = false;
+            row.unreached_ms = None;
         }
     }
 
@@ -236,15 +333,31 @@
     pub fn lose(&self, now_ms: u64, endpoint: &Endpoint) {
         if let Some(row) = self.rows().get_mut(endpoint) {
             row.health.lose(now_ms, &self.options.health);
-            row.unreachable = true;
+            row.unreached_ms = Some(now_ms);
+        }
+    }
+
+    /// Notes that an endpoint was reached by other means than a request.
+    pub fn reach(&self, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.unreached_ms = None;
         }
     }
 
-    /// Returns the endpoints that could not be reached when this VM last tried.
-    pub fn lost(&self) -> Vec<Endpoint> {
+    /// Returns the endpoints that this VM could not reach a short time ago.
+    pub fn lost(&self, now_ms: u64) -> Vec<Endpoint> {
+        self.names(|row| row.is_lost(now_ms))
+    }
+
+    /// Returns the endpoints that may be gone, or have started anew, by what this VM met a short time ago.
+    pub fn doubted(&self, now_ms: u64) -> Vec<Endpoint> {
+        self.names(|row| row.is_doubted(now_ms))
+    }
+
+    fn names(&self, is_meant: impl Fn(&Row) -> bool) -> Vec<Endpoint> {
         let rows = self.rows();
-        let lost = rows.iter().filter(|(_, row)| row.unreachable);
-        lost.map(|(name, _)| name.clone()).collect()
+        let meant = rows.iter().filter(|(_, row)| is_meant(row));
+        meant.map(|(name, _)| name.clone()).collect()
     }
 
     /// Notes how many VMs share the endpoints.
@@ -254,12 +367,20 @@
     }
 
     /// Notes that an endpoint refused a request as it lacks what it was thought to hold.
-    pub fn misses(&self, endpoint: &Endpoint, artifacts: &[&Artifact]) {
+    pub fn misses(&self, now_ms: u64, endpoint: &Endpoint, artifacts: &[&Artifact]) {
         if let Some(row) = self.rows().get_mut(endpoint) {
+            row.missed_ms = Some(now_ms);
             row.missing.extend(artifacts.last().map(|a| (*a).clone()));
         }
     }
 
+    /// Notes that a stream of this VM at an endpoint has its first token, or will have none.
+    pub(crate) fn end_wait(&self, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.waiting = row.waiting.saturating_sub(1);
+        }
+    }
+
     /// Ends a request of this VM at an endpoint.
     pub(crate) fn release(&self, endpoint: &Endpoint) {
         if let Some(row) = self.rows().get_mut(endpoint) {
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -3,6 +3,7 @@
 mod elector;
 mod office;
 mod orders;
+mod statuses;
 
 pub(crate) use elector::Elector;
 pub(crate) use office::Lead;
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::election::{Candidate, Election, Word};
-use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
+use quetzalpick_core::id::{Vm, Workspace};
 use quetzalpick_core::rate::{Slice, kept};
 use quetzalpick_core::table::Table;
 use tokio::sync::{Notify, watch};
@@ -15,12 +15,10 @@
 use crate::config::{Config, Quota};
 use crate::exchange::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
 use crate::fleet::Fleet;
-use crate::place::{Planner, Work};
+use crate::lead::statuses::Statuses;
+use crate::place::Planner;
 use crate::view::View;
 
-/// Statuses count for this time, in ms.
-const STATUS_AGE_MS: u64 = 1_500;
-
 /// Longest time for which a want is waited for.
 const WANT_TIME: Duration = Duration::from_millis(200);
 
@@ -49,7 +47,7 @@
     floor_permille: u64,
     pub(crate) engines: N,
     election: Mutex<Election>,
-    statuses: Mutex<Table<Vm, (u64, Status)>>,
+    statuses: Mutex<Statuses>,
     office: Mutex<Option<Office>>,
     /// Wakes the planner.
     pub(crate) wake: Notify,
@@ -170,17 +168,10 @@
         Some(act(office, now_ms))
     }
 
-    /// Returns the demand that all VMs see together.
-    pub(crate) fn work(&self, now_ms: u64) -> Table<Artifact, Work> {
-        let statuses = lock(&self.statuses);
-        let mut work: Table<Artifact, Work> = Table::default();
-        let fresh = statuses
-            .values()
-            .filter(|(at, _)| at + STATUS_AGE_MS > now_ms);
-        for (artifact, part) in fresh.flat_map(|(_, status)| &status.work) {
-            *work.get_or_insert_with(artifact.clone(), || 0) += part;
-        }
-        work
+    /// Acts on what the VMs told.
+    pub(crate) fn statuses<T>(&self, act: impl FnOnce(&mut Statuses, u64) -> T) -> T {
+        let now_ms = self.clock.now_ms();
+        act(&mut lock(&self.statuses), now_ms)
     }
 
     /// Takes in a VM's status and answers it.
@@ -199,15 +190,14 @@
         let reply = Reply {
             word: self.election(|election, now_ms| election.word(now_ms)),
             fence,
-            loads: self.loads(now_ms, &status.vm),
+            loads: self.statuses(|statuses, now_ms| statuses.others(now_ms, &status.vm)),
             copies,
             view: self.view.relay(now_ms, status.config),
             endpoints: self.fleet.relay(known),
             members: self.members.load(Ordering::Relaxed),
             listed: self.lists(&status.vm),
         };
-        let vm = status.vm.clone();
-        lock(&self.statuses).insert(vm, (now_ms, status));
+        self.statuses(|statuses, now_ms| statuses.take(now_ms, status));
         reply
     }
 
@@ -232,9 +222,7 @@
         *lock(&self.listed) = Some(members.clone());
         let statuses = lock(&self.statuses);
         let silent = |vm: &&Vm| {
-            let heard_ms = statuses
-                .get(*vm)
-                .map_or(since_ms, |(at, _)| (*at).max(since_ms));
+            let heard_ms = statuses.heard_ms(vm).unwrap_or(since_ms).max(since_ms);
             **vm != self.me.vm && now_ms >= heard_ms + forget_ms
         };
         members.keys().filter(silent).cloned().collect()
@@ -269,18 +257,6 @@
         });
     }
 
-    /// Adds up the requests of the other VMs under way, by endpoint.
-    fn loads(&self, now_ms: u64, asker: &Vm) -> Vec<(Endpoint, u32)> {
-        let statuses = lock(&self.statuses);
-        let mut loads: Table<Endpoint, u32> = Table::default();
-        let others = statuses.iter().filter(|(vm, _)| *vm != asker);
-        let fresh = others.filter(|(_, (at, _))| at + STATUS_AGE_MS > now_ms);
-        for (endpoint, load) in fresh.flat_map(|(_, (_, status))| &status.loads) {
-            *loads.get_or_insert_with(endpoint.clone(), || 0) += load;
-        }
-        loads.iter().map(|(e, load)| (e.clone(), *load)).collect()
-    }
-
     /// Takes in that an adapter is wanted, and answers once it is held or the time is over.
     pub(crate) async fn want(&self, want: Want) -> Wanted {
         let mut changes = self.changed.subscribe();
@@ -331,10 +307,7 @@
 
     /// Takes over what the planner knows of copies; returns the new version if that changed.
     fn publish(&mut self) -> Option<u64> {
-        let sites = self.planner.sites().iter();
-        let rows: Vec<_> = sites
-            .map(|(endpoint, site)| (endpoint.clone(), site.held()))
-            .collect();
+        let rows = self.planner.holdings();
         if rows == self.copies.rows {
             return None;
         }
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -8,8 +8,10 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::config::Config;
 use crate::fleet::Fleet;
 use crate::lead::Lead;
+use crate::lead::statuses::Statuses;
 use crate::place::{Engines, Ordered, Send};
 use crate::view::View;
 
@@ -19,6 +21,9 @@
 /// Pause between two rounds while an adapter is on its way.
 const SHORT_ROUND: Duration = Duration::from_millis(5);
 
+/// Pause between two times at which the planner takes in what VMs and endpoints say, in ms; rounds for adapters are shorter.
+const OBSERVE_MS: u64 = 50;
+
 /// `Foreman` plans for as long as this VM leads.
 #[derive(Debug)]
 pub(crate) struct Foreman<N> {
@@ -31,28 +36,29 @@
 impl<N: Engines> Foreman<N> {
     /// Plans for as long as it is polled.
     pub(crate) async fn run(self) {
+        let mut observed_ms = 0;
         loop {
             self.lead.note_change();
-            let round = if self.round() { SHORT_ROUND } else { ROUND };
+            let round = if self.round(&mut observed_ms) { SHORT_ROUND } else { ROUND };
             // A wake-up only shortens the pause.
             let _ = timeout(round, self.lead.wake.notified()).await;
         }
     }
 
     /// Plans once; tells whether adapters are on their way.
-    fn round(&self) -> bool {
+    fn round(&self, observed_ms: &mut u64) -> bool {
         let Some(config) = self.view.config() else {
             return false;
         };
-        self.lead.fill(&config);
-        let work = self.lead.work(self.clock.now_ms());
-        let lost = self.fleet.lost();
+        let now_ms = self.clock.now_ms();
+        let observes = now_ms >= *observed_ms + OBSERVE_MS;
+        if observes {
+            *observed_ms = now_ms;
+            self.observe(&config);
+        }
         let may_order = self.lead.fence().is_some();
         let planned = self.lead.office(|office, now_ms| {
             let planner = &mut office.planner;
-            planner.observe(now_ms, &config, self.fleet.specs());
-            planner.lose(&lost);
-            planner.demand(now_ms, work);
             planner.finish_adapters(now_ms);
             let reports = planner.asks_reports(now_ms);
             let sends = if may_order {
@@ -60,12 +66,8 @@
             } else {
                 Vec::new()
             };
-            (
-                office.fence,
-                reports,
-                sends,
-                office.planner.loads_adapters(),
-            )
+            let loads_adapters = planner.loads_adapters();
+            (office.fence, reports, sends, loads_adapters)
         });
         let Some((fence, reports, sends, short)) = planned else {
             return false;
@@ -79,14 +81,33 @@
         short || sent
     }
 
+    /// Lets the planner take in what the VMs and the endpoints say.
+    fn observe(&self, config: &Config) {
+        if !self.lead.is_leading() {
+            return;
+        }
+        self.lead.fill(config);
+        let work = self.lead.statuses(Statuses::work);
+        let doubted = self.lead.statuses(Statuses::doubted);
+        self.lead.office(|office, now_ms| {
+            let planner = &mut office.planner;
+            planner.observe(now_ms, config, self.fleet.specs());
+            planner.lose(&self.fleet.lost(now_ms));
+            planner.doubt(&doubted);
+            planner.demand(now_ms, work);
+        });
+    }
+
     /// Asks an engine for its report.
     fn ask(&self, endpoint: Endpoint, address: std::net::SocketAddr) {
         let lead = Arc::clone(&self.lead);
+        let fleet = Arc::clone(&self.fleet);
         lead.office(|office, now_ms| office.planner.report_asked(now_ms, &endpoint));
         let asked_ms = self.clock.now_ms();
         tokio::spawn(async move {
             match lead.engines.report(address, &endpoint).await {
                 Ok(report) => {
+                    fleet.reach(&endpoint);
                     lead.office(|o, now_ms| {
                         o.planner.reported(asked_ms, now_ms, &endpoint, &report)
                     });
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -0,0 +1,112 @@
+//! What the VMs told the leader last.
+
+use quetzalpick_core::id::{Artifact, Endpoint, Vm};
+use quetzalpick_core::table::Table;
+
+use crate::exchange::Status;
+use crate::fleet::Share;
+use crate::place::Work;
+
+/// Statuses count for this time, in ms.
+const AGE_MS: u64 = 1_500;
+
+/// `Statuses` holds the newest status of each VM, and the sum of their shares of the requests.
+#[derive(Debug, Default)]
+pub(crate) struct Statuses {
+    rows: Table<Vm, Row>,
+    /// Shares of the VMs whose statuses count.
+    total: Table<Endpoint, Share>,
+}
+
+/// `Row` is one VM.
+#[derive(Debug)]
+struct Row {
+    heard_ms: u64,
+    /// `None` once it is too old to count.
+    status: Option<Status>,
+}
+
+impl Statuses {
+    /// Takes in a VM's status.
+    pub(crate) fn take(&mut self, now_ms: u64, status: Status) {
+        self.expire(now_ms);
+        for (endpoint, share) in &status.loads {
+            let total = self.total.get_or_insert_with(endpoint.clone(), Share::default);
+            total.add(*share);
+        }
+        let vm = status.vm.clone();
+        let row = Row {
+            heard_ms: now_ms,
+            status: Some(status),
+        };
+        let former = self.rows.insert(vm, row);
+        if let Some(status) = former.and_then(|row| row.status) {
+            take_away(&mut self.total, &status);
+        }
+    }
+
+    /// Returns the shares of all VMs but one.
+    pub(crate) fn others(&mut self, now_ms: u64, vm: &Vm) -> Vec<(Endpoint, Share)> {
+        self.expire(now_ms);
+        let own = self.rows.get(vm).and_then(|row| row.status.as_ref());
+        let own = own.map_or(&[][..], |status| &status.loads);
+        let others = self.total.iter().map(|(endpoint, total)| {
+            let at = own.binary_search_by_key(&endpoint, |(name, _)| name);
+            let mut share = *total;
+            share.take_away(at.map_or(Share::default(), |at| own[at].1));
+            (endpoint.clone(), share)
+        });
+        others.filter(|(_, share)| !share.is_empty()).collect()
+    }
+
+    /// Returns the demand that all VMs see together.
+    pub(crate) fn work(&mut self, now_ms: u64) -> Table<Artifact, Work> {
+        self.expire(now_ms);
+        let mut work: Table<Artifact, Work> = Table::default();
+        for (artifact, part) in self.fresh().flat_map(|status| &status.work) {
+            *work.get_or_insert_with(artifact.clone(), || 0) += part;
+        }
+        work
+    }
+
+    /// Returns the endpoints that any VM doubts, sorted.
+    pub(crate) fn doubted(&mut self, now_ms: u64) -> Vec<Endpoint> {
+        self.expire(now_ms);
+        let doubted = self.fresh().flat_map(|status| &status.doubted);
+        let mut doubted: Vec<Endpoint> = doubted.cloned().collect();
+        doubted.sort_unstable();
+        doubted.dedup();
+        doubted
+    }
+
+    /// Returns when a VM was last heard, in ms.
+    pub(crate) fn heard_ms(&self, vm: &Vm) -> Option<u64> {
+        self.rows.get(vm).map(|row| row.heard_ms)
+    }
+
+    fn fresh(&self) -> impl Iterator<Item = &Status> {
+        self.rows.values().filter_map(|row| row.status.as_ref())
+    }
+
+    /// Lets go of statuses that are too old to count.
+    fn expire(&mut self, now_ms: u64) {
+        for (_, row) in self.rows.iter_mut() {
+            if now_ms < row.heard_ms + AGE_MS {
+                continue;
+            }
+            if let Some(status) = row.status.take() {
+                take_away(&mut self.total, &status);
+            }
+        }
+    }
+}
+
+/// Takes a VM's shares away from the sum.
+fn take_away(total: &mut Table<Endpoint, Share>, status: &Status) {
+    for (endpoint, share) in &status.loads {
+        if let Some(sum) = total.get_mut(endpoint) {
+            sum.take_away(*share);
+        }
+    }
+    total.retain(|_, share| !share.is_empty());
+}
--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -25,6 +25,15 @@
 /// Work that stands for the need of a model without any copy that nobody asks for.
 const UNREACHABLE: Work = 5_000;
 
+/// Time that a request runs, about, in ms.
+const RUN_MS: f64 = 1_000.0;
+
+/// Time for which demand lasts, about, in ms.
+const LASTING_MS: u64 = 8_000;
+
+/// Milliseconds in one second.
+const MS_PER_S: u64 = 1_000;
+
 /// Times that the work for a model without any copy counts, as all of it is refused.
 const REFUSED_FACTOR: Work = 20;
 
@@ -47,6 +56,21 @@
         (self.kept > 1 && self.copies > 1).then(|| self.crowding(self.copies - 1))
     }
 
+    /// Returns how long the requests at one copy take to end, in ms, as an engine unloads a model only then.
+    pub(crate) fn drain_ms(&self) -> u64 {
+        let requests = self.work as f64 / (self.copies.max(1) * REQUEST) as f64;
+        (RUN_MS * (1.0 + requests).ln()) as u64
+    }
+
+    /// Returns what it costs that the next copy serves only after a time, in ms.
+    pub(crate) fn missed_while(&self, wait_ms: u64) -> Work {
+        let later = self.gain() * wait_ms / LASTING_MS;
+        if self.copies > 0 {
+            return later;
+        }
+        later.max(self.work * REFUSED_FACTOR * wait_ms / MS_PER_S)
+    }
+
     /// Returns what all requests together wait less with one more copy than `copies`, as work.
     ///
     /// Each waits in proportion to the work at its engine, so that copies that follow demand evenly cost least.
--- a/crates/quetzalpick-entry/src/place/order.rs
+++ b/crates/quetzalpick-entry/src/place/order.rs
@@ -9,7 +9,7 @@
 use strum::Display;
 
 /// `Action` is what an order asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Action {
     /// Load the model or adapter.
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -11,7 +11,6 @@
 
 use crate::config::{Config, Engine, Model};
 use crate::fleet::Spec;
-use crate::place::copy::is_adapter;
 use crate::place::{Order, Ordered, Report, Site, Work};
 
 /// `Options` set when copies move.
@@ -85,6 +84,21 @@
     next_models_ms: u64,
 }
 
+/// `Place` is a service whose engines are planned.
+#[derive(Debug)]
+struct Place<'a> {
+    service: &'a Service,
+    engine: &'a Engine,
+    /// Work at each engine if demand spreads evenly over copies.
+    loads: Table<Endpoint, Work>,
+}
+
+impl Place<'_> {
+    fn load(&self, endpoint: &Endpoint) -> Work {
+        self.loads.get(endpoint).copied().unwrap_or_default()
+    }
+}
+
 /// Pause between two plans for models, in ms.
 const MODELS_PAUSE_MS: u64 = 50;
 
@@ -148,6 +162,28 @@
         }
     }
 
+    /// Takes in which engines any VM doubts, sorted; they are asked whether they are there.
+    pub fn doubt(&mut self, endpoints: &[Endpoint]) {
+        for (endpoint, site) in self.sites.iter_mut() {
+            site.doubt(endpoints.binary_search(endpoint).is_ok());
+        }
+    }
+
+    /// Returns what serves at each engine. One that is down holds nothing, unless half of the engines seem to be down: then it may
+    /// be this VM that is cut off.
+    pub fn holdings(&self) -> Vec<(Endpoint, Vec<Artifact>)> {
+        let down = self.sites.values().filter(|site| site.down).count();
+        let believes = down * 2 < self.sites.len();
+        let held = |site: &Site| {
+            let is_gone = site.down && believes;
+            if is_gone { Vec::new() } else { site.held() }
+        };
+        let sites = self.sites.iter();
+        sites
+            .map(|(endpoint, site)| (endpoint.clone(), held(site)))
+            .collect()
+    }
+
     /// Takes in the demand that all VMs see together.
     pub fn demand(&mut self, now_ms: u64, work: Table<Artifact, Work>) {
         for (_, site) in self.sites.iter_mut() {
@@ -231,9 +267,17 @@
         for service in config.services().values() {
             if let Some(engine) = &service.engine {
                 self.fill(now_ms, engine);
-                self.plan_adapters(now_ms, &service.name, engine, &mut sends);
+                if !plans_models && self.wanted.is_empty() {
+                    continue;
+                }
+                let place = Place {
+                    service: &service.name,
+                    engine,
+                    loads: self.loads(),
+                };
+                self.plan_adapters(now_ms, &place, &mut sends);
                 if plans_models {
-                    self.plan_models(now_ms, &service.name, engine, &mut sends);
+                    self.plan_models(now_ms, &place, &mut sends);
                 }
             }
         }
@@ -256,21 +300,22 @@
         sends
     }
 
-    /// Returns the work at an engine if demand spreads evenly over copies.
-    fn load_of(&self, site: &Site) -> Work {
-        let models = site
-            .copies
-            .iter()
-            .filter(|copy| !is_adapter(&copy.artifact));
-        let share = |artifact: &Artifact| {
-            let holders = self
-                .sites
-                .values()
-                .filter(|s| s.is_usable() && s.holds(artifact));
-            let work = self.work.get(artifact).copied().unwrap_or_default();
-            work / (holders.count() as u64).max(1)
+    /// Returns the work at each engine if demand spreads evenly over copies.
+    fn loads(&self) -> Table<Endpoint, Work> {
+        let mut holders: Table<&Artifact, u64> = Table::default();
+        let usable = self.sites.values().filter(|site| site.is_usable());
+        for model in usable.flat_map(Site::held_models) {
+            *holders.get_or_insert_with(model, || 0) += 1;
+        }
+        let share = |model: &Artifact| {
+            let work = self.work.get(model).copied().unwrap_or_default();
+            work / holders.get(&model).copied().unwrap_or_default().max(1)
         };
-        models.map(|copy| share(&copy.artifact)).sum()
+        let load = |site: &Site| site.held_models().map(share).sum();
+        let sites = self.sites.iter();
+        sites
+            .map(|(endpoint, site)| (endpoint.clone(), load(site)))
+            .collect()
     }
 
     /// Marks an order as being on its way and adds it to those to be sent.
--- a/crates/quetzalpick-entry/src/place/planner/adapters.rs
+++ b/crates/quetzalpick-entry/src/place/planner/adapters.rs
@@ -1,9 +1,8 @@
 //! Which engine loads an adapter that was asked for.
 
-use quetzalpick_core::id::{Artifact, Endpoint, Service};
+use quetzalpick_core::id::{Artifact, Endpoint};
 
-use super::Planner;
-use crate::config::Engine;
+use super::{Place, Planner};
 use crate::place::copy::model_of;
 use crate::place::room::has_place;
 use crate::place::{Action, Copy, Order, Send, Site};
@@ -13,8 +12,7 @@
     pub(super) fn plan_adapters(
         &mut self,
         now_ms: u64,
-        service: &Service,
-        engine: &Engine,
+        place: &Place<'_>,
         sends: &mut Vec<Send>,
     ) {
         let wanted: Vec<Artifact> = self.wanted.keys().cloned().collect();
@@ -25,7 +23,7 @@
             }
             let model = model_of(&adapter);
             let Some((endpoint, action, artifact)) =
-                self.adapter_step(now_ms, service, engine, &model, &adapter)
+                self.adapter_step(now_ms, place, &model, &adapter)
             else {
                 continue;
             };
@@ -43,19 +41,18 @@
     fn adapter_step(
         &self,
         now_ms: u64,
-        service: &Service,
-        engine: &Engine,
+        place: &Place<'_>,
         model: &Artifact,
         adapter: &Artifact,
     ) -> Option<(Endpoint, Action, Artifact)> {
         let idle = |site: &Site| {
-            site.spec.service == *service && site.is_idle(now_ms) && site.holds(model)
+            site.spec.service == *place.service && site.is_idle(now_ms) && site.holds(model)
         };
         let sites: Vec<_> = self.sites.iter().filter(|(_, site)| idle(site)).collect();
         let roomy = sites
             .iter()
-            .filter(|(_, site)| has_place(engine, site, adapter));
-        let least = roomy.min_by_key(|(_, site)| (site.adapters().count(), self.load_of(site)));
+            .filter(|(_, site)| has_place(place.engine, site, adapter));
+        let least = roomy.min_by_key(|(name, site)| (site.adapters().count(), place.load(name)));
         if let Some((endpoint, _)) = least {
             return Some(((*endpoint).clone(), Action::Load, adapter.clone()));
         }
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -1,12 +1,13 @@
 //! Which models get a further copy, and whose copies make room for them.
 
-use quetzalpick_core::id::{Artifact, Endpoint, Service};
+use quetzalpick_core::id::{Artifact, Endpoint};
 
-use super::{LOAD_COST, Planner, load_ms};
+use super::{LOAD_COST, Place, Planner, load_ms};
 use crate::config::Engine;
 use crate::place::copy::is_adapter;
 use crate::place::model::{Need, needs};
 use crate::place::room::{free_mb, memory_mb};
+use crate::place::site::RETIRE_MS;
 use crate::place::{Action, Order, Send, Site, Work};
 
 impl Planner {
@@ -14,10 +15,10 @@
     pub(super) fn plan_models(
         &mut self,
         now_ms: u64,
-        service: &Service,
-        engine: &Engine,
+        place: &Place<'_>,
         sends: &mut Vec<Send>,
     ) {
+        let engine = place.engine;
         self.take_back(now_ms);
         self.unload_retired(now_ms, sends);
         self.keep_promises(now_ms, engine, sends);
@@ -29,7 +30,7 @@
                 .filter(|need| need.gain() >= self.options.fill_gain);
             let step = steps
                 .into_iter()
-                .find_map(|need| self.model_step(now_ms, service, engine, need, &needs));
+                .find_map(|need| self.model_step(now_ms, place, need, &needs));
             let Some((endpoint, action, artifact, promised)) = step else {
                 return;
             };
@@ -40,7 +41,7 @@
                 expected_orders: 0,
             };
             match (promised, self.sites.get_mut(&endpoint)) {
-                (Some(promised), Some(site)) => site.retire(now_ms, order.model, promised),
+                (Some(promised), Some(site)) => site.retire(now_ms, order.model, Some(promised)),
                 _ => {
                     self.begin_load(now_ms, engine, &endpoint, &order);
                     self.send(&endpoint, order, "demand", sends);
@@ -121,40 +122,44 @@
     fn model_step(
         &self,
         now_ms: u64,
-        service: &Service,
-        engine: &Engine,
+        place: &Place<'_>,
         need: &Need<'_>,
         needs: &[Need<'_>],
     ) -> Option<(Endpoint, Action, Artifact, Option<Artifact>)> {
+        let engine = place.engine;
         let model = &need.model.name;
         let open = |site: &Site| {
             let takes = site.is_idle(now_ms) && site.promised.is_none();
-            site.spec.service == *service
+            site.spec.service == *place.service
                 && takes
                 && !site.copies.iter().any(|c| c.artifact == *model)
         };
         let sites: Vec<_> = self.sites.iter().filter(|(_, site)| open(site)).collect();
-        let cost = |site: &Site| load_ms(site, need.model).0 + self.load_of(site) / LOAD_COST;
-        let roomy = sites.iter().filter(|(_, site)| {
-            free_mb(engine, site) >= need.model.memory_mb && self.may_load(engine, site, model)
-        });
-        if let Some((endpoint, _)) = roomy.min_by_key(|(_, site)| cost(site)) {
-            return Some(((*endpoint).clone(), Action::Load, model.clone(), None));
-        }
-        if need.gain() < self.options.move_gain {
-            return None;
-        }
-        let victim = |(endpoint, site): &(&Endpoint, &Site)| {
-            let (loss, victim) = self.victim(engine, site, need, needs)?;
-            let ratio = self.options.move_ratio_percent;
-            let gains = need.gain() * 100 >= loss * ratio && self.may_load(engine, site, model);
-            gains.then(|| ((loss, cost(site)), (*endpoint).clone(), victim))
+        let may_load = |site: &Site| self.may_load(engine, site, model);
+        let load_time_ms = |endpoint: &Endpoint, site: &Site| {
+            load_ms(site, need.model).0 + place.load(endpoint) / LOAD_COST
         };
-        let (_, endpoint, victim) = sites.iter().filter_map(victim).min()?;
-        Some((endpoint, Action::Unload, victim, Some(model.clone())))
+        let load = |(endpoint, site): &(&Endpoint, &Site)| {
+            let fits = free_mb(engine, site) >= need.model.memory_mb && may_load(site);
+            let missed = need.missed_while(load_time_ms(endpoint, site));
+            fits.then(|| (missed, (*endpoint).clone(), Action::Load, model.clone()))
+        };
+        let moves = need.gain() >= self.options.move_gain;
+        let unload = |(endpoint, site): &(&Endpoint, &Site)| {
+            let (missed, victim) = self.victim(engine, site, need, needs)?;
+            let wait_ms = RETIRE_MS + load_time_ms(endpoint, site);
+            let missed = missed + need.missed_while(wait_ms);
+            may_load(site).then(|| (missed, (*endpoint).clone(), Action::Unload, victim))
+        };
+        let loads = sites.iter().filter_map(load);
+        let unloads = sites.iter().filter(|_| moves).filter_map(unload);
+        let (_, endpoint, action, artifact) = loads.chain(unloads).min()?;
+        let promised = (action == Action::Unload).then(|| model.clone());
+        Some((endpoint, action, artifact, promised))
     }
 
-    /// Finds the model at an engine whose copy is missed least, if its room suffices.
+    /// Finds the model at an engine whose copy is missed least, if its room suffices; tells how much it is missed until the room
+    /// is there, and afterwards.
     fn victim(
         &self,
         engine: &Engine,
@@ -162,17 +167,23 @@
         need: &Need<'_>,
         needs: &[Need<'_>],
     ) -> Option<(Work, Artifact)> {
+        let gain = need.gain();
+        let ratio = self.options.move_ratio_percent;
         let free = free_mb(engine, site);
         let held = site.copies.iter().filter(|copy| copy.is_held());
         // Only a model that is asked for and has no copy may take the place of another one's last copy.
         let is_refused = need.copies == 0 && need.work > 0;
-        let loss = |artifact: &Artifact| match needs.iter().find(|n| n.model.name == *artifact) {
-            Some(other) => other.loss().or(is_refused.then(|| other.reach())),
-            None => Some(0),
+        let missed = |artifact: &Artifact| {
+            let Some(other) = needs.iter().find(|n| n.model.name == *artifact) else {
+                return Some(0);
+            };
+            let loss = other.loss().or(is_refused.then(|| other.reach()))?;
+            let gains = gain * 100 >= loss * ratio;
+            gains.then(|| loss + need.missed_while(other.drain_ms()))
         };
         held.filter(|copy| !is_adapter(&copy.artifact))
             .filter(|copy| free + memory_mb(engine, &copy.artifact) >= need.model.memory_mb)
-            .filter_map(|copy| Some((loss(&copy.artifact)?, copy.artifact.clone())))
+            .filter_map(|copy| Some((missed(&copy.artifact)?, copy.artifact.clone())))
             .min()
     }
 }
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -16,7 +16,7 @@
 const AGAIN_MS: u64 = 150;
 
 /// Time in which VMs learn that they are to use other copies, in ms: they ask the leader several times a second.
-const RETIRE_MS: u64 = 350;
+pub(crate) const RETIRE_MS: u64 = 350;
 
 /// Pause between two reports of one engine, in ms.
 const REPORT_PAUSE_MS: u64 = 200;
@@ -53,6 +53,10 @@
     pub(crate) present: bool,
     /// Whether it could not be reached of late.
     pub(crate) lost: bool,
+    /// Whether a VM met something that speaks against its being there.
+    pub(crate) doubted: bool,
+    /// Whether it was doubted and could not be reached, and has not been reached since.
+    pub(crate) down: bool,
 }
 
 impl Site {
@@ -68,6 +72,8 @@
             next_report_ms: 0,
             present: true,
             lost: false,
+            doubted: false,
+            down: false,
             spec,
         };
         // The entry may be old, and serves only until the first report.
@@ -81,6 +87,12 @@
         held.map(|copy| copy.artifact.clone()).collect()
     }
 
+    /// Notes whether a VM doubts that it is there.
+    pub(crate) fn doubt(&mut self, doubted: bool) {
+        self.doubted = doubted;
+        self.down |= doubted && self.lost;
+    }
+
     /// Tells whether it takes new requests.
     pub(crate) fn is_usable(&self) -> bool {
         self.present && !self.lost && self.spec.state == State::Ready
@@ -121,6 +133,13 @@
         promised || self.copy(artifact).is_some_and(Copy::is_expected)
     }
 
+    /// Returns the models that serve here.
+    pub(crate) fn held_models(&self) -> impl Iterator<Item = &Artifact> {
+        let held = self.copies.iter().filter(|copy| copy.is_held());
+        let models = held.filter(|copy| !is_adapter(&copy.artifact));
+        models.map(|copy| &copy.artifact)
+    }
+
     /// Returns the models that it holds, or that an order or a promise concerns, sorted.
     pub(crate) fn models(&self) -> Vec<&Artifact> {
         let held = self.copies.iter().map(|copy| &copy.artifact);
@@ -155,6 +174,7 @@
     /// Takes in a report that was asked for at `asked_ms`.
     pub(crate) fn reported(&mut self, asked_ms: u64, now_ms: u64, report: &Report) {
         self.lost = false;
+        self.down = false;
         // Reports lag, so that one may be older than an order that was accepted.
         if self.orders.is_some_and(|orders| report.orders < orders) {
             return;
@@ -208,9 +228,9 @@
         }
     }
 
-    /// Lets VMs use other copies of a model, to make room for another model.
-    pub(crate) fn retire(&mut self, now_ms: u64, model: Artifact, promised: Artifact) {
-        self.promised = Some(promised);
+    /// Lets VMs use other copies of a model, to make room for another model or for one that will be asked for.
+    pub(crate) fn retire(&mut self, now_ms: u64, model: Artifact, promised: Option<Artifact>) {
+        self.promised = promised;
         self.put(now_ms, model, Phase::Retiring);
     }
 
@@ -342,13 +362,13 @@
             Phase::Held | Phase::Retiring => false,
         };
         let ends = self.open.is_none() && self.copies.iter().any(due);
-        let wanted = self.asks_report || ends || self.lost;
+        let wanted = self.asks_report || ends || self.lost || self.doubted;
         wanted && now_ms >= self.next_report_ms
     }
 
     /// Notes that it is asked for its report.
     pub(crate) fn report_asked(&mut self, now_ms: u64) {
-        let pause_ms = if self.lost {
+        let pause_ms = if self.lost || self.doubted {
             LOST_PAUSE_MS
         } else {
             REPORT_PAUSE_MS
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Kind;
 use crate::edge::{Dispatch, Edge, Proof};
-use crate::fleet::{Pick, Wanted};
+use crate::fleet::{Lack, Pick, Wanted};
 use crate::serve::Context;
 use crate::serve::request::Admitted;
 
@@ -64,12 +64,17 @@
 }
 
 /// Picks an endpoint that was not tried yet, or one of the others if there is no such.
-pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
+///
+/// # Errors
+///
+/// `Lack` if none holds what the request needs and has room for it.
+pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Result<Pick, Lack> {
     let artifacts = admitted.artifacts();
     let wanted = Wanted {
         service: &admitted.service,
         artifacts: &artifacts,
         tried: &admitted.tried,
+        wait_max_ms: admitted.wait_max_ms,
     };
     let now_ms = context.clock.now_ms();
     context.fleet.pick(now_ms, &wanted, random())
@@ -85,7 +90,7 @@
     let fleet = &context.fleet;
     let now_ms = context.clock.now_ms();
     if failure.misdirected {
-        fleet.misses(&pick.endpoint, &admitted.artifacts());
+        fleet.misses(now_ms, &pick.endpoint, &admitted.artifacts());
     } else if failure.is_unreachable() {
         fleet.lose(now_ms, &pick.endpoint);
         log::warn!("entry: endpoint={} unreachable", pick.endpoint);
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -98,6 +98,40 @@
     assert!(world.planner.is_held(&model(7)));
 }
 
+#[test]
+fn a_model_in_demand_without_a_copy_does_not_wait_for_runs_of_others_to_end() {
+    let mut world = World::new(1, false);
+    (0..500).for_each(|_| world.step());
+    // The models with two copies have ten requests at each, the last copies at engine 2 none.
+    let busy = (0..3).map(|n| (model(n), 20_000));
+    world.work = busy.chain([(model(5), 40_000)]).collect();
+    world.down = vec![1];
+    (0..400).for_each(|_| world.step());
+    assert!(world.engines[2].copies.contains(&model(5)));
+}
+
+#[test]
+fn an_engine_that_is_down_serves_nobody_unless_half_of_them_seem_to_be() {
+    let mut world = World::new(1, false);
+    (0..500).for_each(|_| world.step());
+    let empty = |world: &World| {
+        let holdings = world.planner.holdings();
+        let empty = holdings.iter().filter(|(_, held)| held.is_empty());
+        empty.map(|(name, _)| name.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(empty(&world), []);
+    world.down = vec![1];
+    (0..10).for_each(|_| world.step());
+    assert_eq!(empty(&world), [endpoint(1)]);
+    // The leader may be cut off from them.
+    world.down = vec![1, 2];
+    (0..10).for_each(|_| world.step());
+    assert_eq!(empty(&world), []);
+    world.down = Vec::new();
+    (0..100).for_each(|_| world.step());
+    assert_eq!(empty(&world), []);
+}
+
 #[test]
 fn a_wanted_adapter_is_there_within_a_few_steps() {
     let mut world = World::new(1, false);
--- a/crates/quetzalpick-entry/tests/place/world.rs
+++ b/crates/quetzalpick-entry/tests/place/world.rs
@@ -163,6 +163,7 @@
         self.planner.observe(now_ms, &self.config, specs);
         let down: Vec<Endpoint> = self.down.iter().map(|n| endpoint(*n)).collect();
         self.planner.lose(&down);
+        self.planner.doubt(&down);
         self.planner.demand(now_ms, self.work.clone());
         self.planner.finish_adapters(now_ms);
         for (name, _) in self.planner.asks_reports(now_ms) {
