Take back the part that is sent to crowded endpoints and the returns as units are earned

What is refused comes back and is late all the same, and takes the places of those that come first. What engines do is bound by copies at the wrong place, not by queues: a model in demand lies at two engines while others idle.

--- a/crates/quetzalpick-core/src/rate/mod.rs
+++ b/crates/quetzalpick-core/src/rate/mod.rs
@@ -4,11 +4,9 @@
 //! by the leader, from whom a VM draws when its own slice is short. What was drawn is spent once, and every slice begins
 //! empty, so that a VM that restarts, or a new leader, never adds to what the workspace may spend.
 
-mod backlog;
 mod overdraft;
 mod slice;
 
-pub use backlog::Backlog;
 pub use overdraft::Overdraft;
 pub use slice::Slice;
 
--- a/crates/quetzalpick-entry/src/config/mod.rs
+++ b/crates/quetzalpick-entry/src/config/mod.rs
@@ -31,8 +31,6 @@
     services: Table<id::Service, Service>,
     workspaces: Table<id::Workspace, Workspace>,
     keys: Table<String, id::Workspace>,
-    /// Shortest time to the first event that a route asks of a service's streams, in ms.
-    objectives: Table<id::Service, u64>,
     limits: Limits,
 }
 
@@ -51,7 +49,6 @@
             .flat_map(|workspace| workspace.keys.iter().map(|key| (key, &workspace.name)))
             .map(|(key, name)| (key.clone(), name.clone()))
             .collect();
-        let objectives = objectives(&routes);
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         let workspaces = workspaces
             .into_iter()
@@ -63,7 +60,6 @@
             services,
             workspaces,
             keys,
-            objectives,
             limits,
         }
     }
@@ -88,11 +84,6 @@
         &self.workspaces
     }
 
-    /// Returns the shortest time to the first event that a route asks of a service's streams, in ms.
-    pub fn objective_ms(&self, service: &id::Service) -> Option<u64> {
-        self.objectives.get(service).copied()
-    }
-
     /// Tells whether requests on routes that are not open need a key.
     pub fn needs_keys(&self) -> bool {
         !self.workspaces.is_empty()
@@ -112,18 +103,3 @@
             .max_by_key(|route| route.prefix.len())
     }
 }
-
-/// Returns the shortest objective of the streams of each service, in ms.
-fn objectives(routes: &[Route]) -> Table<id::Service, u64> {
-    let mut objectives = Table::default();
-    for route in routes.iter().filter(|route| route.kind.is_stream()) {
-        let Some(objective_ms) = route.objective_ms else {
-            continue;
-        };
-        for target in &route.targets {
-            let shortest = objectives.get_or_insert_with(target.service.clone(), || objective_ms);
-            *shortest = objective_ms.min(*shortest);
-        }
-    }
-    objectives
-}
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
-use crate::exchange::message::{Copies, Draw, Drawn, Reply, Status, Want, Wanted, path};
+use crate::exchange::message::{Copies, Draw, Drawn, Known, Reply, Status, Want, Wanted, path};
 use crate::exchange::service::{decode, encode};
 use crate::fleet::Fleet;
 use crate::lead::Lead;
@@ -95,13 +95,14 @@
 
     fn status(&self, now_ms: u64) -> Status {
         let config = self.view.config();
+        let known = self.known();
         Status {
             vm: self.lead.vm().clone(),
-            fence: self.fence.load(Ordering::Relaxed),
-            copies: self.copies.load(Ordering::Relaxed),
+            fence: known.fence,
+            copies: known.version,
             endpoints: self.endpoints.load(Ordering::Relaxed),
             config: config.map_or(0, |config| config.version()),
-            loads: self.fleet.loads(now_ms),
+            loads: self.fleet.loads(),
             doubted: self.fleet.doubted(now_ms),
             work: self.fleet.work(now_ms),
         }
@@ -120,7 +121,7 @@
             log::info!("exchange: leader fence={} former={former}", reply.fence);
         }
         if let Some(copies) = &reply.copies {
-            self.learn(copies.clone());
+            self.learn(copies);
         }
     }
 
@@ -133,7 +134,7 @@
             .offer(now_ms, fresh_ms, view.record.map(|record| record.0));
         if let Some(endpoints) = reply.endpoints {
             self.endpoints.store(endpoints.version, Ordering::Relaxed);
-            self.fleet.replace(now_ms, endpoints.rows);
+            self.fleet.take_relay(now_ms, endpoints);
         }
         let members = usize::try_from(reply.members).unwrap_or(usize::MAX);
         self.rates.divide(members);
@@ -145,11 +146,25 @@
         self.lead.divide(members);
     }
 
-    fn learn(&self, copies: Copies) {
+    /// Takes in what engines hold, unless newer word of it was taken in.
+    fn learn(&self, copies: &Copies) {
+        let Known { fence, version } = copies.known;
+        let is_of_leader = fence == self.fence.load(Ordering::Relaxed);
+        if !is_of_leader || version <= self.copies.load(Ordering::Relaxed) {
+            return;
+        }
         let now_ms = self.clock.now_ms();
-        self.copies.store(copies.version, Ordering::Relaxed);
-        for (endpoint, held) in copies.rows {
-            self.fleet.learn(now_ms, &endpoint, &held);
+        self.copies.store(version, Ordering::Relaxed);
+        for (endpoint, held) in &copies.rows {
+            self.fleet.learn(now_ms, endpoint, held);
+        }
+    }
+
+    /// Returns what this VM knows of the copies.
+    fn known(&self) -> Known {
+        Known {
+            fence: self.fence.load(Ordering::Relaxed),
+            version: self.copies.load(Ordering::Relaxed),
         }
     }
 
@@ -193,6 +208,7 @@
     async fn want(&self, adapter: &Artifact) {
         let want = Want {
             adapter: adapter.clone(),
+            known: self.known(),
         };
         let wanted: Option<Wanted> = if self.lead.is_leading() {
             Some(self.lead.want(want).await)
@@ -200,7 +216,7 @@
             self.call(path::WANT, &want, WANT_TIME).await
         };
         if let Some(copies) = wanted.and_then(|wanted| wanted.copies) {
-            self.learn(copies);
+            self.learn(&copies);
         }
     }
 }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -5,7 +5,7 @@
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{Share, Spec};
+use crate::fleet::Spec;
 use crate::place::Work;
 
 /// Paths of the peer listener.
@@ -48,8 +48,8 @@
     pub(crate) endpoints: u64,
     /// Version of the configuration that it knows.
     pub(crate) config: u64,
-    /// Its share of the requests for each endpoint.
-    pub(crate) loads: Vec<(Endpoint, Share)>,
+    /// Requests under way, by endpoint.
+    pub(crate) loads: Vec<(Endpoint, u32)>,
     /// Endpoints that may be gone, or have started anew, by what it met a short time ago.
     #[serde(default)]
     pub(crate) doubted: Vec<Endpoint>,
@@ -57,10 +57,19 @@
     pub(crate) work: Vec<(Artifact, Work)>,
 }
 
-/// `Copies` is what each engine holds, by the leader's account.
+/// `Known` is what a VM knows of the copies.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Known {
+    /// Fencing number of the leader that it knows them from.
+    pub(crate) fence: u64,
+    /// Their version.
+    pub(crate) version: u64,
+}
+
+/// `Copies` is what engines hold, by the leader's account, of those where that changed since the version that the asker knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Copies {
-    pub(crate) version: u64,
+    pub(crate) known: Known,
     /// What serves at each engine.
     pub(crate) rows: Vec<(Endpoint, Vec<Artifact>)>,
 }
@@ -74,12 +83,14 @@
     pub(crate) age_ms: u64,
 }
 
-/// `EndpointsRelay` passes on all entries of endpoints that the leader has read.
+/// `EndpointsRelay` passes on the entries of endpoints that the leader has read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EndpointsRelay {
     pub(crate) version: u64,
-    /// Endpoints that have not gone.
-    pub(crate) rows: Vec<(Endpoint, Spec)>,
+    /// Whether those that are not named are gone; otherwise they are as they were at the version that the asker knows.
+    pub(crate) whole: bool,
+    /// Endpoints, and what they say of themselves; `None` for those that are gone.
+    pub(crate) rows: Vec<(Endpoint, Option<Spec>)>,
 }
 
 /// `Reply` is what the leader answers.
@@ -89,8 +100,8 @@
     pub(crate) word: Option<Word>,
     /// Its fencing number.
     pub(crate) fence: u64,
-    /// The other VMs' share of the requests for each endpoint.
-    pub(crate) loads: Vec<(Endpoint, Share)>,
+    /// Requests of the other VMs under way, by endpoint.
+    pub(crate) loads: Vec<(Endpoint, u32)>,
     /// What engines hold, if that changed.
     pub(crate) copies: Option<Copies>,
     pub(crate) view: Option<ViewRelay>,
@@ -106,11 +117,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Want {
     pub(crate) adapter: Artifact,
+    /// What the asker knows of the copies.
+    pub(crate) known: Known,
 }
 
 /// `Wanted` answers once an engine holds the adapter, or none will soon.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Wanted {
-    /// What engines hold now.
+    /// What engines hold now, if that changed.
     pub(crate) copies: Option<Copies>,
 }
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -6,6 +6,6 @@
 
 pub(crate) use client::Client;
 pub(crate) use message::{
-    Copies, Draw, Drawn, EndpointsRelay, Reply, Status, ViewRelay, Want, Wanted,
+    Copies, Draw, Drawn, EndpointsRelay, Known, Reply, Status, ViewRelay, Want, Wanted,
 };
 pub(crate) use service::{Desk, decode as decode_claim, encode as encode_claim};
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -2,12 +2,9 @@
 
 mod pick;
 mod row;
-mod share;
-mod shortage;
 mod spec;
 mod table;
 
 pub use pick::Pick;
-pub use share::Share;
 pub use spec::{Spec, State};
-pub use table::{Fleet, Lack, Wanted};
+pub use table::{Fleet, Wanted};
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -1,16 +1,13 @@
 //! One endpoint as this VM sees it.
 
 use quetzalpick_core::id::{Artifact, Endpoint};
-use quetzalpick_core::route::{Candidate, Crowd, Health, Load, Offers};
+use quetzalpick_core::route::{Candidate, Health, Load};
 
-use crate::fleet::{Share, Spec, State, Wanted};
+use crate::fleet::{Spec, State, Wanted};
 
 /// Time for which an endpoint that could not be reached counts as lost, in ms; then it is tried again.
 const LOST_MS: u64 = 1_500;
 
-/// Time for which the others' word of the requests that wait counts, in ms.
-const TOLD_MS: u64 = 1_000;
-
 /// `Row` is one endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Row {
@@ -18,12 +15,8 @@
     pub(crate) health: Health,
     /// Requests of this VM under way there.
     pub(crate) in_flight: u32,
-    /// Of these, the streams without a first token.
-    pub(crate) waiting: u32,
-    /// How often it was the choice for a request of this VM.
-    pub(crate) offers: Offers,
-    /// Requests of other VMs there, as they told, and when.
-    pub(crate) others: Share,
+    /// Requests of other VMs under way there, as they told, and when.
+    pub(crate) others: u32,
     pub(crate) others_ms: u64,
     /// Requests that this VM sent there since others told of theirs.
     pub(crate) dispatched: u32,
@@ -33,6 +26,8 @@
     pub(crate) missed_ms: Option<u64>,
     /// When its entry lapsed, in ms; it may come back after an outage of the log service.
     pub(crate) lapsed_ms: Option<u64>,
+    /// Version of the fleet since which its entry is as it is.
+    pub(crate) version: u64,
     /// Models and adapters that it holds, by the leader's word or, without that, by its own; sorted.
     copies: Vec<Artifact>,
     /// Whether the copies are by the leader's word.
@@ -50,14 +45,13 @@
             spec,
             health: Health::default(),
             in_flight: 0,
-            waiting: 0,
-            offers: Offers::default(),
-            others: Share::default(),
+            others: 0,
             others_ms: 0,
             dispatched: 0,
             unreached_ms: None,
             missed_ms: None,
             lapsed_ms: None,
+            version: 0,
             missing: Vec::new(),
         }
     }
@@ -65,10 +59,9 @@
     /// Takes in what the endpoint says now; a new start begins with nothing known.
     pub(crate) fn update(&mut self, leader_is_heard: bool, spec: Spec) {
         if !self.spec.is_same_start(&spec) {
-            let (in_flight, waiting) = (self.in_flight, self.waiting);
+            let in_flight = self.in_flight;
             *self = Self::new(spec);
             self.in_flight = in_flight;
-            self.waiting = waiting;
             return;
         }
         if !leader_is_heard || !self.is_learned {
@@ -116,30 +109,6 @@
         missed || self.is_lost(now_ms)
     }
 
-    /// Returns what is known of the requests for it; `asked_per_s` or more each second are for a model that it holds.
-    pub(crate) fn crowd(&self, now_ms: u64, asked_per_s: u64) -> Crowd {
-        let is_told = now_ms < self.others_ms + TOLD_MS;
-        let others = if is_told { self.others } else { Share::default() };
-        let offered = u64::from(self.offers.per_s()) + u64::from(others.offered_per_s);
-        Crowd {
-            slots: self.spec.slots,
-            requests: u64::from(self.in_flight) + u64::from(others.in_flight),
-            waiting: u64::from(self.waiting) + u64::from(others.waiting),
-            offered_per_s: offered.max(asked_per_s),
-        }
-    }
-
-    /// Returns what this VM, one of `members` that do alike, knows of its load.
-    fn load(&self, members: u32) -> Load {
-        Load {
-            in_flight: self.in_flight,
-            reported: self.others.in_flight,
-            reported_ms: self.others_ms,
-            // The others have sent as many there, as far as can be guessed.
-            dispatched_since: self.dispatched * members.saturating_sub(1),
-        }
-    }
-
     /// Returns it as a candidate for a request, for one of `members` VMs that do alike.
     pub(crate) fn candidate<'a>(
         &'a self,
@@ -151,7 +120,13 @@
             endpoint: name,
             domain: &self.spec.domain,
             leaving: !self.is_staying(),
-            load: self.load(members),
+            load: Load {
+                in_flight: self.in_flight,
+                reported: self.others,
+                reported_ms: self.others_ms,
+                // The others have sent as many there, as far as can be guessed.
+                dispatched_since: self.dispatched * members.saturating_sub(1),
+            },
             health: &self.health,
             cached_blocks: 0,
             tried,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -4,15 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
-use quetzalpick_core::route::{self, Candidate, Crowd, Pace, choose, has_room};
+use quetzalpick_core::route::{self, Candidate, choose};
 use quetzalpick_core::table::Table;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 
 use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
-use crate::fleet::shortage::Shortage;
-use crate::fleet::{Pick, Share, Spec};
+use crate::fleet::{Pick, Spec};
 use crate::place::{Demand, Work};
 
 /// `Wanted` is what a request needs of an endpoint.
@@ -24,17 +21,6 @@
     pub artifacts: &'a [&'a Artifact],
     /// Endpoints that were tried before.
     pub tried: &'a [Endpoint],
-    /// Longest time that it may wait at the endpoint before it runs, in ms; `None` if that does not matter.
-    pub wait_max_ms: Option<u64>,
-}
-
-/// `Lack` says why no endpoint was picked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Lack {
-    /// None that stays holds what the request needs.
-    Copy,
-    /// Those that hold it have too many requests.
-    Room,
 }
 
 /// `Fleet` is all endpoints as this VM sees them.
@@ -48,11 +34,10 @@
     leader_ms: AtomicU64,
     /// Grows with each change of an entry.
     version: AtomicU64,
+    /// Newest version of an entry that was forgotten: who knows an older one is told all.
+    forgotten: AtomicU64,
     /// VMs that share the endpoints.
     members: AtomicU32,
-    /// How fast endpoints take streams, by service.
-    paces: Mutex<Table<Service, Pace>>,
-    shortage: Mutex<Shortage>,
 }
 
 /// Time for which the leader's word counts, in ms.
@@ -72,9 +57,8 @@
             demand: Mutex::default(),
             leader_ms: AtomicU64::default(),
             version: AtomicU64::new(1),
+            forgotten: AtomicU64::default(),
             members: AtomicU32::new(1),
-            paces: Mutex::default(),
-            shortage: Mutex::default(),
         }
     }
 
@@ -89,20 +73,26 @@
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let news = row.spec.state != spec.state || !row.spec.is_same_start(&spec);
-                if row.spec != spec || row.lapsed_ms.is_some() {
-                    self.version.fetch_add(1, Ordering::Relaxed);
-                }
+                let changes = row.spec != spec || row.lapsed_ms.is_some();
                 row.update(heard, spec);
+                if changes {
+                    row.version = self.next_version();
+                }
                 news
             }
             None => {
-                self.version.fetch_add(1, Ordering::Relaxed);
-                rows.insert(endpoint, Row::new(spec));
+                let mut row = Row::new(spec);
+                row.version = self.next_version();
+                rows.insert(endpoint, row);
                 true
             }
         }
     }
 
+    fn next_version(&self) -> u64 {
+        self.version.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Returns the endpoints that are known, but not among those given.
     pub fn others(&self, named: &[Endpoint]) -> Vec<Endpoint> {
         let rows = self.rows();
@@ -118,131 +108,87 @@
         };
         if row.lapsed_ms.is_none() {
             row.lapsed_ms = Some(now_ms);
-            self.version.fetch_add(1, Ordering::Relaxed);
+            row.version = self.next_version();
         }
         true
     }
 
-    /// Takes in the entries that the leader has read; endpoints that are not among them are gone.
-    pub(crate) fn replace(&self, now_ms: u64, specs: Vec<(Endpoint, Spec)>) {
-        let named: Vec<Endpoint> = specs.iter().map(|(endpoint, _)| endpoint.clone()).collect();
-        for (endpoint, spec) in specs {
+    /// Takes in the entries that the leader has read.
+    pub(crate) fn take_relay(&self, now_ms: u64, relay: EndpointsRelay) {
+        let named: Vec<Endpoint> = relay.rows.iter().map(|(name, _)| name.clone()).collect();
+        for (endpoint, spec) in relay.rows {
+            let Some(spec) = spec else {
+                self.lapse(now_ms, &endpoint);
+                continue;
+            };
             let state = spec.state;
             if self.update(now_ms, endpoint.clone(), spec) {
                 log::info!("view: endpoint={endpoint} state={state} from=leader");
             }
         }
-        for endpoint in self.others(&named) {
-            self.lapse(now_ms, &endpoint);
+        if relay.whole {
+            for endpoint in self.others(&named) {
+                self.lapse(now_ms, &endpoint);
+            }
         }
     }
 
-    /// Returns the entries for a VM that knows a version of them, if there is a newer one.
+    /// Returns the entries that changed since a version that a VM knows, if any did; 0 stands for a VM that knows none.
     pub(crate) fn relay(&self, known: u64) -> Option<EndpointsRelay> {
         let version = self.version.load(Ordering::Relaxed);
-        (version != known).then(|| EndpointsRelay {
+        if version == known {
+            return None;
+        }
+        let whole = known <= self.forgotten.load(Ordering::Relaxed);
+        let rows = self.rows();
+        let changed = rows.iter().filter(|(_, row)| whole || row.version > known);
+        let entry = |row: &Row| row.lapsed_ms.is_none().then(|| row.spec.clone());
+        Some(EndpointsRelay {
             version,
-            rows: self.specs(),
+            whole,
+            rows: changed
+                .map(|(name, row)| (name.clone(), entry(row)))
+                .collect(),
         })
     }
 
     /// Forgets the endpoints whose entries lapsed before a time and that have no requests of this VM.
     pub fn forget_lapsed(&self, before_ms: u64) {
         let lapsed = |row: &Row| row.lapsed_ms.is_some_and(|at| at < before_ms);
-        self.rows()
-            .retain(|_, row| !lapsed(row) || row.in_flight > 0);
+        self.rows().retain(|_, row| {
+            let forgets = lapsed(row) && row.in_flight == 0;
+            if forgets {
+                self.forgotten.fetch_max(row.version, Ordering::Relaxed);
+            }
+            !forgets
+        });
     }
 
-    /// Picks an endpoint for a request.
-    ///
-    /// # Errors
-    ///
-    /// `Lack` if no endpoint that stays holds what it needs and has room for it.
-    pub fn pick(
-        self: &Arc<Self>,
-        now_ms: u64,
-        wanted: &Wanted<'_>,
-        random: u64,
-    ) -> Result<Pick, Lack> {
-        let pace = lock(&self.paces).get(wanted.service).cloned();
-        let limit = pace.zip(wanted.wait_max_ms);
-        let model = wanted.artifacts.first();
-        let asked_per_s = model.and_then(|model| lock(&self.shortage).ask(model));
+    /// Picks an endpoint for a request; `None` if none that stays holds what it needs.
+    pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
         let mut rows = self.rows();
         let members = self.members.load(Ordering::Relaxed);
         // An endpoint that was just lost is not tried again, though no other one is there.
         let serves = |row: &Row| row.serves(wanted) && !row.is_lost(now_ms);
-        let serving: Vec<_> = rows.iter().filter(|(_, row)| serves(row)).collect();
-        let mut candidates: Vec<Candidate<'_>> = serving
-            .iter()
+        let serving = rows.iter().filter(|(_, row)| serves(row));
+        let candidates: Vec<Candidate<'_>> = serving
             .map(|(name, row)| row.candidate(name, wanted.tried.contains(name), members))
             .collect();
-        let mut offered = Vec::new();
-        let mut draws = Pcg64Mcg::seed_from_u64(random);
-        // The others ask for the model as often as this VM, as far as can be guessed.
-        let asked_per_s = u64::from(asked_per_s.unwrap_or_default()) * u64::from(members);
-        // An endpoint without room is left out, and the others are offered the request.
-        let choice = loop {
-            let choice = choose(now_ms, &self.here, &candidates, &self.options, draws.random());
-            let Some(choice) = choice else { break None };
-            let candidate = candidates.swap_remove(choice.index);
-            let endpoint = candidate.endpoint.clone();
-            let row = rows.get(&endpoint);
-            let crowd = row.map(|row| row.crowd(now_ms, asked_per_s));
-            let takes = limit
-                .as_ref()
-                .zip(crowd)
-                .is_none_or(|((pace, wait_ms), crowd)| {
-                    has_room(pace, *wait_ms, &crowd, draws.random())
-                });
-            offered.push(endpoint.clone());
-            if takes {
-                break Some((endpoint, choice.reason));
-            }
-        };
-        for endpoint in &offered {
-            if let Some(row) = rows.get_mut(endpoint) {
-                row.offers.note();
-            }
-        }
-        let lack = if offered.is_empty() { Lack::Copy } else { Lack::Room };
-        if let (None, Lack::Room, Some(model)) = (&choice, lack, model) {
-            lock(&self.shortage).refuse(now_ms, model);
-        }
-        let (endpoint, reason) = choice.ok_or(lack)?;
-        let row = rows.get_mut(&endpoint).ok_or(lack)?;
-        let load = row.in_flight + row.others.in_flight;
-        let waits = wanted.wait_max_ms.is_some();
-        let crowd = row.crowd(now_ms, 0);
+        let choice = choose(now_ms, &self.here, &candidates, &self.options, random)?;
+        let endpoint = candidates[choice.index].endpoint.clone();
+        let row = rows.get_mut(&endpoint)?;
+        let load = row.in_flight + row.others;
         row.in_flight += 1;
-        row.waiting += u32::from(waits);
         row.dispatched += 1;
-        Ok(Pick {
+        Some(Pick {
             endpoint,
             address: row.spec.address,
-            reason,
+            reason: choice.reason,
             load,
-            waits,
-            crowd,
             fleet: Arc::clone(self),
         })
     }
 
-    /// Notes that a stream of a service ran for `took_ms` after its first token.
-    pub fn ran(&self, service: &Service, took_ms: u64) {
-        let mut paces = lock(&self.paces);
-        let pace = paces.get_or_insert_with(service.clone(), Pace::default);
-        pace.ran(took_ms);
-    }
-
-    /// Notes that a stream's first token came `took_ms` after its request was sent, when its endpoint was thought to have
-    /// this crowd.
-    pub fn began(&self, service: &Service, took_ms: u64, crowd: &Crowd) {
-        let mut paces = lock(&self.paces);
-        let pace = paces.get_or_insert_with(service.clone(), Pace::default);
-        pace.began(took_ms, crowd);
-    }
-
     /// Takes in what the leader says that an endpoint holds.
     pub fn learn(&self, now_ms: u64, endpoint: &Endpoint, copies: &[Artifact]) {
         self.leader_heard(now_ms);
@@ -262,33 +208,26 @@
     }
 
     /// Takes in how many requests of the other VMs are under way.
-    pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, Share)]) {
+    pub fn others_told(&self, now_ms: u64, loads: &[(Endpoint, u32)]) {
         let mut rows = self.rows();
         for (_, row) in rows.iter_mut() {
-            row.others = Share::default();
+            row.others = 0;
             row.dispatched = 0;
         }
-        for (endpoint, share) in loads {
+        for (endpoint, load) in loads {
             if let Some(row) = rows.get_mut(endpoint) {
-                row.others = *share;
+                row.others = *load;
                 row.others_ms = now_ms;
             }
         }
     }
 
-    /// Returns this VM's share of the requests for each endpoint.
-    pub fn loads(&self, now_ms: u64) -> Vec<(Endpoint, Share)> {
-        lock(&self.shortage).turn(now_ms);
-        let mut rows = self.rows();
-        let shares = rows.iter_mut().map(|(name, row)| {
-            let share = Share {
-                in_flight: row.in_flight,
-                waiting: row.waiting,
-                offered_per_s: row.offers.turn(now_ms),
-            };
-            (name.clone(), share)
-        });
-        shares.filter(|(_, share)| !share.is_empty()).collect()
+    /// Returns the requests of this VM under way, by endpoint.
+    pub fn loads(&self) -> Vec<(Endpoint, u32)> {
+        let rows = self.rows();
+        let busy = rows.iter().filter(|(_, row)| row.in_flight > 0);
+        busy.map(|(name, row)| (name.clone(), row.in_flight))
+            .collect()
     }
 
     /// Returns what the endpoints that are not gone say of themselves.
@@ -374,13 +313,6 @@
         }
     }
 
-    /// Notes that a stream of this VM at an endpoint has its first token, or will have none.
-    pub(crate) fn end_wait(&self, endpoint: &Endpoint) {
-        if let Some(row) = self.rows().get_mut(endpoint) {
-            row.waiting = row.waiting.saturating_sub(1);
-        }
-    }
-
     /// Ends a request of this VM at an endpoint.
     pub(crate) fn release(&self, endpoint: &Endpoint) {
         if let Some(row) = self.rows().get_mut(endpoint) {
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -1,6 +1,7 @@
 //! Leadership of this VM: the election, and the duties of the leader.
 
 mod elector;
+mod holdings;
 mod office;
 mod orders;
 mod statuses;
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -13,8 +13,9 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, Quota};
-use crate::exchange::{Copies, Draw, Drawn, Reply, Status, Want, Wanted};
+use crate::exchange::{Draw, Drawn, Known, Reply, Status, Want, Wanted};
 use crate::fleet::Fleet;
+use crate::lead::holdings::Holdings;
 use crate::lead::statuses::Statuses;
 use crate::place::Planner;
 use crate::view::View;
@@ -31,7 +32,7 @@
     slices: Table<Workspace, Slice>,
     /// When it began, in ms.
     since_ms: u64,
-    copies: Copies,
+    holdings: Holdings,
 }
 
 /// `Lead` is this VM's part in leadership.
@@ -154,7 +155,7 @@
             planner: Planner::new(now_ms, crate::place::Options::default()),
             slices: Table::default(),
             since_ms: now_ms,
-            copies: Copies::default(),
+            holdings: Holdings::new(fence),
         });
         self.wake.notify_one();
     }
@@ -177,15 +178,15 @@
     /// Takes in a VM's status and answers it.
     pub(crate) fn status(&self, status: Status) -> Reply {
         let now_ms = self.clock.now_ms();
-        let copies = self.office(|office, _| {
-            let same = status.fence == office.fence;
-            let known = if same { status.copies } else { 0 };
-            let news = office.copies.version != known;
-            (office.fence, same, news.then(|| office.copies.clone()))
-        });
-        let Some((fence, same, copies)) = copies else {
+        let known = Known {
+            fence: status.fence,
+            version: status.copies,
+        };
+        let office = self.office(|office, _| (office.fence, office.holdings.since(known)));
+        let Some((fence, copies)) = office else {
             return Reply::default();
         };
+        let same = status.fence == fence;
         let known = if same { status.endpoints } else { 0 };
         let reply = Reply {
             word: self.election(|election, now_ms| election.word(now_ms)),
@@ -276,8 +277,10 @@
         let wait = changes.wait_for(|_| held() != Some(false));
         // Whatever came of it, the asker learns what is held now.
         let _ = timeout(WANT_TIME, wait).await;
-        let copies = self.office(|office, _| office.copies.clone());
-        Wanted { copies }
+        let copies = self.office(|office, _| office.holdings.since(want.known));
+        Wanted {
+            copies: copies.flatten(),
+        }
     }
 
     /// Publishes what engines hold, if that changed.
@@ -307,12 +310,9 @@
 
     /// Takes over what the planner knows of copies; returns the new version if that changed.
     fn publish(&mut self) -> Option<u64> {
-        let rows = self.planner.holdings();
-        if rows == self.copies.rows {
-            return None;
-        }
-        let version = self.copies.version + 1;
-        self.copies = Copies { version, rows };
-        Some(version)
+        let sites = self.planner.sites();
+        self.holdings.retain(|endpoint| sites.contains(endpoint));
+        let changed = self.holdings.take(self.planner.holdings());
+        changed.then(|| self.holdings.version())
     }
 }
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -4,18 +4,17 @@
 use quetzalpick_core::table::Table;
 
 use crate::exchange::Status;
-use crate::fleet::Share;
 use crate::place::Work;
 
 /// Statuses count for this time, in ms.
 const AGE_MS: u64 = 1_500;
 
-/// `Statuses` holds the newest status of each VM, and the sum of their shares of the requests.
+/// `Statuses` holds the newest status of each VM, and the sum of their requests under way.
 #[derive(Debug, Default)]
 pub(crate) struct Statuses {
     rows: Table<Vm, Row>,
-    /// Shares of the VMs whose statuses count.
-    total: Table<Endpoint, Share>,
+    /// Requests under way of the VMs whose statuses count, by endpoint.
+    total: Table<Endpoint, u32>,
 }
 
 /// `Row` is one VM.
@@ -30,9 +29,8 @@
     /// Takes in a VM's status.
     pub(crate) fn take(&mut self, now_ms: u64, status: Status) {
         self.expire(now_ms);
-        for (endpoint, share) in &status.loads {
-            let total = self.total.get_or_insert_with(endpoint.clone(), Share::default);
-            total.add(*share);
+        for (endpoint, load) in &status.loads {
+            *self.total.get_or_insert_with(endpoint.clone(), || 0) += load;
         }
         let vm = status.vm.clone();
         let row = Row {
@@ -45,18 +43,17 @@
         }
     }
 
-    /// Returns the shares of all VMs but one.
-    pub(crate) fn others(&mut self, now_ms: u64, vm: &Vm) -> Vec<(Endpoint, Share)> {
+    /// Returns the requests under way of all VMs but one, by endpoint.
+    pub(crate) fn others(&mut self, now_ms: u64, vm: &Vm) -> Vec<(Endpoint, u32)> {
         self.expire(now_ms);
         let own = self.rows.get(vm).and_then(|row| row.status.as_ref());
         let own = own.map_or(&[][..], |status| &status.loads);
         let others = self.total.iter().map(|(endpoint, total)| {
             let at = own.binary_search_by_key(&endpoint, |(name, _)| name);
-            let mut share = *total;
-            share.take_away(at.map_or(Share::default(), |at| own[at].1));
-            (endpoint.clone(), share)
+            let own = at.map_or(0, |at| own[at].1);
+            (endpoint.clone(), total.saturating_sub(own))
         });
-        others.filter(|(_, share)| !share.is_empty()).collect()
+        others.filter(|(_, load)| *load > 0).collect()
     }
 
     /// Returns the demand that all VMs see together.
@@ -101,12 +98,12 @@
     }
 }
 
-/// Takes a VM's shares away from the sum.
-fn take_away(total: &mut Table<Endpoint, Share>, status: &Status) {
-    for (endpoint, share) in &status.loads {
+/// Takes a VM's requests away from the sum.
+fn take_away(total: &mut Table<Endpoint, u32>, status: &Status) {
+    for (endpoint, load) in &status.loads {
         if let Some(sum) = total.get_mut(endpoint) {
-            sum.take_away(*share);
+            *sum = sum.saturating_sub(*load);
         }
     }
-    total.retain(|_, share| !share.is_empty());
+    total.retain(|_, load| *load > 0);
 }
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use quetzalpick_core::id;
-use quetzalpick_core::rate::{Backlog, Overdraft, Parts, Slice, floor};
+use quetzalpick_core::rate::{Overdraft, Parts, Slice, floor};
 use quetzalpick_core::table::Table;
 
 use crate::config::{Config, Workspace};
@@ -30,7 +30,6 @@
     dry_until_ms: u64,
     /// Whether that is as no leader answered; otherwise it had nothing.
     leaderless: bool,
-    backlog: Backlog,
 }
 
 /// `State` is what the rates share.
@@ -147,16 +146,6 @@
         })
     }
 
-    /// Notes that a request is refused, and returns when it is to come back.
-    pub(crate) fn refuse(&self, now_ms: u64, workspace: &Workspace, units: u64) -> Duration {
-        let mut state = self.state();
-        let members = state.members as u64;
-        let rate = workspace.quota.map_or(0, |quota| quota.rate);
-        let row = self.row(&mut state, now_ms, workspace);
-        let after_ms = row.map_or(0, |row| row.backlog.add(now_ms, units, rate, members));
-        Duration::from_millis(after_ms)
-    }
-
     /// Takes the rest of a request's units, of which a part was drawn from the leader.
     pub(crate) fn spend(&self, now_ms: u64, workspace: &id::Workspace, units: u64) {
         if let Some(row) = self.state().rows.get_mut(workspace) {
@@ -192,7 +181,6 @@
             slice: Slice::new(now_ms),
             dry_until_ms: 0,
             leaderless: false,
-            backlog: Backlog::default(),
         };
         let row = state.rows.get_or_insert_with(workspace.name.clone(), begin);
         row.slice.set(now_ms, quota.rate, quota.burst, parts);
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Kind;
 use crate::edge::{Dispatch, Edge, Proof};
-use crate::fleet::{Lack, Pick, Wanted};
+use crate::fleet::{Pick, Wanted};
 use crate::serve::Context;
 use crate::serve::request::Admitted;
 
@@ -64,17 +64,12 @@
 }
 
 /// Picks an endpoint that was not tried yet, or one of the others if there is no such.
-///
-/// # Errors
-///
-/// `Lack` if none holds what the request needs and has room for it.
-pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Result<Pick, Lack> {
+pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
     let artifacts = admitted.artifacts();
     let wanted = Wanted {
         service: &admitted.service,
         artifacts: &artifacts,
         tried: &admitted.tried,
-        wait_max_ms: admitted.wait_max_ms,
     };
     let now_ms = context.clock.now_ms();
     context.fleet.pick(now_ms, &wanted, random())
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -20,7 +20,7 @@
 use crate::config::Config;
 use crate::edge::{Edge, strip_connection_headers};
 use crate::exchange::Drawn;
-use crate::fleet::{Lack, Pick};
+use crate::fleet::Pick;
 use crate::serve::attempt::{Failure, note, pick, send};
 use crate::serve::body::Body;
 use crate::serve::refusal::{Cause, Refusal};
@@ -37,9 +37,6 @@
 /// Most endpoints that a request is sent to, those that decline it included.
 const SENDS_MAX: usize = 4;
 
-/// Part of the shortest objective of a service's streams that a stream may wait at an endpoint, in thousandths.
-const WAIT_PERMILLE: u64 = 200;
-
 /// When to come back if an endpoint may be there soon.
 const SOON: Duration = Duration::from_millis(250);
 
@@ -184,7 +181,6 @@
             "workspace={} units={units} missing={} leader={leader} rate={:?}",
             workspace.name, short.missing, workspace.quota
         );
-        short.after = short.after.max(rates.refuse(now_ms(), workspace, units));
         if leader == "away" {
             let spread = Duration::from_millis(random::<u64>() % LEADERLESS_SPREAD_MS);
             short.after = short.after.max(AFTER_LEADERLESS + spread);
@@ -225,9 +221,6 @@
             .service(random())
             .ok_or_else(|| Refusal::new(Cause::NoEndpoint, "the route has no service"))?
             .clone();
-        // Other answers are over before the others' word of them is here.
-        let objective_ms = config.objective_ms(&service).filter(|_| route.kind.is_stream());
-        let wait_max_ms = objective_ms.map(|ms| ms * WAIT_PERMILLE / 1_000);
         self.context.deposit();
         Ok(Admitted {
             patience: ask.patience_ms.map(|ms| Deadline::after(arrived_ms, ms)),
@@ -243,7 +236,6 @@
             workspace,
             units,
             priority,
-            wait_max_ms,
             arrived_ms,
         })
     }
@@ -262,17 +254,13 @@
     /// Sends a request to endpoints until one answers it or no other may be tried.
     async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
         loop {
-            let mut pick = match pick(&self.context, &admitted) {
-                Ok(pick) => pick,
-                Err(Lack::Copy) => self.pick_supplied(&admitted).await?,
-                Err(Lack::Room) => return Err(self.no_room(&admitted)),
+            let pick = match pick(&self.context, &admitted) {
+                Some(pick) => pick,
+                None => self.pick_supplied(&admitted).await?,
             };
             admitted.tried.push(pick.endpoint.clone());
-            let sent_ms = self.context.clock.now_ms();
             let failure = match self.attempt(&admitted, &pick).await {
                 Ok(answer) => {
-                    pick.begin();
-                    self.note_begin(&admitted, &pick, sent_ms);
                     self.context.note_place(&admitted.service, false);
                     return Ok(self.finish(admitted, pick, answer));
                 }
@@ -285,23 +273,12 @@
         }
     }
 
-    /// Notes how long a stream took to its first token.
-    fn note_begin(&self, admitted: &Admitted, pick: &Pick, sent_ms: u64) {
-        if admitted.route.kind.is_stream() {
-            let took_ms = self.context.clock.now_ms().saturating_sub(sent_ms);
-            let fleet = &self.context.fleet;
-            fleet.began(&admitted.service, took_ms, &pick.crowd);
-        }
-    }
-
     /// Picks an endpoint once the adapter that a request needs was asked for.
     async fn pick_supplied(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
         if let Some(adapter) = &admitted.ask.adapter {
             self.context.supply.want(adapter).await;
-            match pick(&self.context, admitted) {
-                Ok(pick) => return Ok(pick),
-                Err(Lack::Room) => return Err(self.no_room(admitted)),
-                Err(Lack::Copy) => {}
+            if let Some(pick) = pick(&self.context, admitted) {
+                return Ok(pick);
             }
         }
         let cause = if admitted.runs > 0 {
@@ -314,22 +291,6 @@
         Err(Refusal::new(cause, detail).after(AFTER_NO_ENDPOINT))
     }
 
-    /// Makes the refusal of a request that would wait too long at each endpoint that holds what it needs.
-    fn no_room(&self, admitted: &Admitted) -> Refusal {
-        let cause = if admitted.runs > 0 {
-            Cause::EndpointFailed
-        } else {
-            Cause::NoRoom
-        };
-        let after = self.context.note_place(&admitted.service, true);
-        let artifacts = admitted.artifacts();
-        let detail = format!(
-            "service={} artifacts={artifacts:?} wait_max_ms={:?}",
-            admitted.service, admitted.wait_max_ms
-        );
-        Refusal::new(cause, detail).after(after)
-    }
-
     /// Sends a request to an endpoint; a short plain answer is read to its end.
     async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<Received, Failure> {
         let resumes_after = admitted.ask.resumes_after;
@@ -408,7 +369,6 @@
                     admitted,
                     pick,
                     answer,
-                    began_ms: self.context.clock.now_ms(),
                     caller,
                 };
                 tokio::spawn(relay.run());
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -30,8 +30,6 @@
     StaleView,
     /// No endpoint that stays holds what the request needs.
     NoEndpoint,
-    /// The request would wait too long at each endpoint that holds what it needs.
-    NoRoom,
     /// The endpoints that were asked did not take the request.
     EndpointsRefused,
     /// The endpoint failed, and the request may have run.
@@ -51,11 +49,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfig
-            | Self::StaleView
-            | Self::NoEndpoint
-            | Self::NoRoom
-            | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::StaleView | Self::NoEndpoint | Self::EndpointsRefused => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -44,8 +44,6 @@
     pub(crate) admitted: Admitted,
     pub(crate) pick: Pick,
     pub(crate) answer: Answer,
-    /// When the answer's head was there, in ms.
-    pub(crate) began_ms: u64,
     pub(crate) caller: Sender<Result<Bytes, Broken>>,
 }
 
@@ -60,7 +58,6 @@
             let reason = match end {
                 End::Complete => {
                     self.context.fleet.succeed(now_ms, &self.pick.endpoint);
-                    self.note_run(now_ms);
                     self.log("complete", "");
                     return;
                 }
@@ -121,10 +118,8 @@
     /// Goes on with a broken stream at another endpoint after an event; tells whether that began.
     async fn resume(&mut self, after: Option<u64>) -> bool {
         let context = Arc::clone(&self.context);
-        // The caller has a part of the answer, so that a late rest is better than none.
-        self.admitted.wait_max_ms = None;
         while self.admitted.has_runs_left() && context.withdraw() {
-            let Ok(pick) = pick(&context, &self.admitted) else {
+            let Some(pick) = pick(&context, &self.admitted) else {
                 return false;
             };
             self.admitted.tried.push(pick.endpoint.clone());
@@ -150,14 +145,6 @@
         false
     }
 
-    /// Notes how long a stream ran.
-    fn note_run(&self, now_ms: u64) {
-        if self.admitted.route.kind.is_stream() {
-            let took_ms = now_ms.saturating_sub(self.began_ms);
-            self.context.fleet.ran(&self.admitted.service, took_ms);
-        }
-    }
-
     fn note_failure(&self, now_ms: u64) {
         let endpoint = &self.pick.endpoint;
         if self.context.fleet.fail(now_ms, endpoint) {
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -21,8 +21,6 @@
     pub(crate) units: u64,
     /// Rank among the requests of its endpoint.
     pub(crate) priority: u8,
-    /// Longest time that it may wait at an endpoint before it runs, in ms; `None` if that does not matter.
-    pub(crate) wait_max_ms: Option<u64>,
     /// When its head had arrived, in ms.
     pub(crate) arrived_ms: u64,
     /// When the caller stops waiting.
