--- a/crates/quetzalpick-entry/src/lead/holdings.rs
+++ b/crates/quetzalpick-entry/src/lead/holdings.rs
@@ -14,10 +14,12 @@
 }
 
 impl Holdings {
-    /// Makes holdings of a term that knows no engine.
-    pub(crate) fn new(fence: u64) -> Self {
+    /// Makes holdings that know no engine, as an office opens. A term may open one again, whose versions go on above those of
+    /// the former one: they begin with the time and grow by less than one a millisecond.
+    pub(crate) fn new(fence: u64, now_ms: u64) -> Self {
+        let version = now_ms;
         Self {
-            known: Known { fence, version: 0 },
+            known: Known { fence, version },
             rows: Table::default(),
         }
     }
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -155,7 +155,7 @@
             planner: Planner::new(now_ms, crate::place::Options::default()),
             slices: Table::default(),
             since_ms: now_ms,
-            holdings: Holdings::new(fence),
+            holdings: Holdings::new(fence, now_ms),
         });
         self.wake.notify_one();
     }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -381,10 +381,12 @@
     fn log_answer(&self, admitted: &Admitted, pick: &Pick, head: &http::response::Parts) {
         let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
         log::info!(
-            "entry: request={} status={} route={} endpoint={} reason={} load={} tries={} version={} took_ms={took_ms}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} reason={} load={} tries={} version={} took_ms={took_ms}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
+            admitted.workspace.as_ref().map_or("-", |name| name.as_str()),
+            admitted.units,
             pick.endpoint,
             pick.reason,
             pick.load,
