Lend units of rates between VMs while no leader answers

VMs now ask eight others for what is missing; a lender takes it from its slice before it answers, so that units are conserved and lost answers only lose units.

--- a/crates/quetzalpick-core/src/rate/slice.rs
+++ b/crates/quetzalpick-core/src/rate/slice.rs
@@ -62,6 +62,15 @@
         units.saturating_add(self.owed).saturating_sub(level)
     }
 
+    /// Takes units for another VM: as many of those asked for as are there.
+    pub fn lend(&mut self, now_ms: u64, units: u64) -> u64 {
+        self.bucket.fill(now_ms);
+        self.repay(now_ms);
+        let lent = units.min(self.bucket.level_micro() / MICRO);
+        let taken = self.owed == 0 && self.bucket.charge(now_ms, lent).is_some();
+        if taken { lent } else { 0 }
+    }
+
     /// Takes units that were promised; what is not there is owed.
     pub fn spend(&mut self, now_ms: u64, units: u64) {
         self.bucket.fill(now_ms);
--- a/crates/quetzalpick-core/tests/rate.rs
+++ b/crates/quetzalpick-core/tests/rate.rs
@@ -160,3 +160,16 @@
     assert!(leaderless > allowed / 2, "{leaderless}");
     assert_eq!(Overdraft::default().share(rate, burst, members, true), 0);
 }
+
+#[test]
+fn a_slice_lends_what_it_has_and_nothing_while_it_owes() {
+    let mut slice = Slice::new(0);
+    slice.set(0, 1_000, 1_000, floor(2, 1_000));
+    // It has half of the rate for a second, less what rounding takes.
+    assert_eq!(slice.lend(1_000, 200), 200);
+    assert!((298..=300).contains(&slice.lend(1_000, 900)));
+    assert_eq!(slice.lend(1_000, 10), 0);
+    slice.spend(1_000, 100);
+    assert_eq!(slice.lend(1_150, 50), 0);
+    assert!((48..=50).contains(&slice.lend(1_300, 100)));
+}
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -139,6 +139,7 @@
             fence: AtomicU64::default(),
             copies: AtomicU64::default(),
             endpoints: AtomicU64::default(),
+            peers: Mutex::default(),
         });
         let vm = options.vm.clone();
         let context = Arc::new(Context {
@@ -158,6 +159,8 @@
         let background = CancellationToken::new();
         let desk = Desk {
             lead: Arc::clone(&lead),
+            rates: Arc::clone(&context.rates),
+            clock,
         };
         let transport = outside.transport.clone();
         let stop = background.clone();
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -1,10 +1,11 @@
 //! Tells the leader what this VM sees, and takes in its answer.
 
 use std::fmt::Debug;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures::future::join_all;
 use quetzalpick_core::id::{Artifact, Workspace};
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
@@ -33,6 +34,9 @@
 /// Longest time for the leader's answer to a want.
 const WANT_TIME: Duration = Duration::from_millis(250);
 
+/// Longest time for another VM's answer to a request to lend.
+const LEND_TIME: Duration = Duration::from_millis(40);
+
 /// Longest time for the leader's answer to a draw.
 const DRAW_TIME: Duration = Duration::from_millis(60);
 
@@ -51,6 +55,8 @@
     pub(crate) copies: AtomicU64,
     /// Version of the endpoints known from it.
     pub(crate) endpoints: AtomicU64,
+    /// Addresses of some other VMs, as the leader said last.
+    pub(crate) peers: Mutex<Vec<String>>,
 }
 
 impl<N: Engines, P: Transport> Client<N, P> {
@@ -98,6 +104,7 @@
         let known = self.known();
         Status {
             vm: self.lead.vm().clone(),
+            address: self.lead.address().to_owned(),
             fence: known.fence,
             copies: known.version,
             endpoints: self.endpoints.load(Ordering::Relaxed),
@@ -136,6 +143,7 @@
             self.endpoints.store(endpoints.version, Ordering::Relaxed);
             self.fleet.take_relay(now_ms, endpoints);
         }
+        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = reply.peers;
         let members = usize::try_from(reply.members).unwrap_or(usize::MAX);
         self.rates.divide(members);
         if let Some(listed) = reply.listed {
@@ -160,6 +168,11 @@
         }
     }
 
+    fn known_peers(&self) -> Vec<String> {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.clone()
+    }
+
     /// Returns what this VM knows of the copies.
     fn known(&self) -> Known {
         Known {
@@ -176,16 +189,27 @@
         limit: Duration,
     ) -> Option<T> {
         let address = self.lead.leader_address()?;
+        self.call_at(&address, path, message, limit).await
+    }
+
+    /// Calls a VM; `None` if it does not answer in time.
+    async fn call_at<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: &impl Serialize,
+        limit: Duration,
+    ) -> Option<T> {
         let body = encode(message)?;
-        let answer = timeout(limit, self.transport.call(&address, path, body)).await;
+        let answer = timeout(limit, self.transport.call(address, path, body)).await;
         match answer {
             Ok(Ok(body)) => decode(&body),
             Ok(Err(error)) => {
-                log::debug!("exchange: leader={address} path={path} reason=\"{error}\"");
+                log::debug!("exchange: vm={address} path={path} reason=\"{error}\"");
                 None
             }
             Err(_) => {
-                log::debug!("exchange: leader={address} path={path} reason=\"no answer in time\"");
+                log::debug!("exchange: vm={address} path={path} reason=\"no answer in time\"");
                 None
             }
         }
@@ -205,6 +229,22 @@
         drawn.unwrap_or(Drawn::NotLeading)
     }
 
+    async fn borrow(&self, workspace: &Workspace, units: u64) -> u64 {
+        let peers = self.known_peers();
+        // Half of those that are asked suffice.
+        let lenders = (peers.len() as u64 / 2).max(1);
+        let draw = Draw {
+            workspace: workspace.clone(),
+            units: units.div_ceil(lenders),
+        };
+        let ask = |peer: String| {
+            let draw = draw.clone();
+            async move { self.call_at(&peer, path::LEND, &draw, LEND_TIME).await }
+        };
+        let lent: Vec<Option<u64>> = join_all(peers.into_iter().map(ask)).await;
+        lent.into_iter().flatten().sum()
+    }
+
     async fn want(&self, adapter: &Artifact) {
         let want = Want {
             adapter: adapter.clone(),
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -14,11 +14,13 @@
     pub(crate) const STATUS: &str = "/entry/status";
     /// Takes a `Draw` and answers a `Drawn`.
     pub(crate) const DRAW: &str = "/entry/draw";
+    /// Takes a `Draw` and answers the units that are lent.
+    pub(crate) const LEND: &str = "/entry/lend";
     /// Takes a `Want` and answers a `Wanted`.
     pub(crate) const WANT: &str = "/entry/want";
 }
 
-/// `Draw` asks for units of a workspace's rate that the leader keeps.
+/// `Draw` asks for units of a workspace's rate that the leader keeps, or that another VM has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Draw {
     pub(crate) workspace: Workspace,
@@ -40,6 +42,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Status {
     pub(crate) vm: Vm,
+    /// IP address and port at which the other VMs reach it.
+    pub(crate) address: String,
     /// Fencing number of the leader that it last took word from.
     pub(crate) fence: u64,
     /// Version of the copies that it knows from that leader.
@@ -109,6 +113,8 @@
     pub(crate) endpoints: Option<EndpointsRelay>,
     /// Number of VMs.
     pub(crate) members: u64,
+    /// IP addresses and ports of some other VMs.
+    pub(crate) peers: Vec<String>,
     /// Whether the asker is in the list of members; `None` if the leader does not know.
     pub(crate) listed: Option<bool>,
 }
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -7,20 +7,27 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::exchange::message::path;
+use crate::clock::Clock;
+use crate::exchange::message::{Draw, path};
 use crate::lead::Lead;
 use crate::place::Engines;
+use crate::rate::Rates;
 
 /// `Desk` answers the calls that reach the peer listener; its clones are one desk.
 #[derive(Debug)]
 pub(crate) struct Desk<N> {
     pub(crate) lead: Arc<Lead<N>>,
+    pub(crate) rates: Arc<Rates>,
+    pub(crate) clock: Clock,
 }
 
 impl<N> Clone for Desk<N> {
     fn clone(&self) -> Self {
-        let lead = Arc::clone(&self.lead);
-        Self { lead }
+        Self {
+            lead: Arc::clone(&self.lead),
+            rates: Arc::clone(&self.rates),
+            clock: self.clock,
+        }
     }
 }
 
@@ -29,12 +36,21 @@
         match path {
             path::STATUS => encode(&self.lead.status(decode(&body)?)),
             path::DRAW => encode(&self.lead.draw(&decode(&body)?)),
+            path::LEND => encode(&self.lend(&decode(&body)?)),
             path::WANT => encode(&self.lead.want(decode(&body)?).await),
             _ => None,
         }
     }
 }
 
+impl<N> Desk<N> {
+    /// Lends units that this VM has.
+    fn lend(&self, draw: &Draw) -> u64 {
+        let now_ms = self.clock.now_ms();
+        self.rates.lend(now_ms, &draw.workspace, draw.units)
+    }
+}
+
 /// Decodes a call; `None` if it cannot be read, which the caller is told.
 pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
     let message = rmp_serde::from_slice(body);
--- a/crates/quetzalpick-entry/src/lead/office.rs
+++ b/crates/quetzalpick-entry/src/lead/office.rs
@@ -20,6 +20,9 @@
 use crate::place::Planner;
 use crate::view::View;
 
+/// Other VMs that a VM is told of.
+const PEERS: usize = 8;
+
 /// Longest time for which a want is waited for.
 const WANT_TIME: Duration = Duration::from_millis(200);
 
@@ -96,6 +99,11 @@
         &self.me.vm
     }
 
+    /// Returns the address at which the other VMs reach this one.
+    pub(crate) fn address(&self) -> &str {
+        &self.me.address
+    }
+
     /// Returns the name under which this start gives orders.
     pub(crate) fn holder(&self) -> String {
         format!("{}.{:016x}", self.me.vm, self.me.incarnation.0)
@@ -196,6 +204,7 @@
             view: self.view.relay(now_ms, status.config),
             endpoints: self.fleet.relay(known),
             members: self.members.load(Ordering::Relaxed),
+            peers: self.statuses(|statuses, _| statuses.peers(&status.vm, PEERS)),
             listed: self.lists(&status.vm),
         };
         self.statuses(|statuses, now_ms| statuses.take(now_ms, status));
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -2,6 +2,7 @@
 
 use quetzalpick_core::id::{Artifact, Endpoint, Vm};
 use quetzalpick_core::table::Table;
+use rand::seq::IteratorRandom;
 
 use crate::exchange::Status;
 use crate::place::Work;
@@ -76,6 +77,13 @@
         doubted
     }
 
+    /// Returns the addresses of some other VMs, drawn at random.
+    pub(crate) fn peers(&self, vm: &Vm, count: usize) -> Vec<String> {
+        let others = self.fresh().filter(|status| status.vm != *vm);
+        let drawn = others.sample(&mut rand::rng(), count);
+        drawn.iter().map(|status| status.address.clone()).collect()
+    }
+
     /// Returns when a VM was last heard, in ms.
     pub(crate) fn heard_ms(&self, vm: &Vm) -> Option<u64> {
         self.rows.get(vm).map(|row| row.heard_ms)
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -68,7 +68,7 @@
             vm,
             domain,
             revocation: Duration::from_secs(5),
-            config_wait: Duration::from_millis(700),
+            config_wait: Duration::from_millis(500),
             endpoints_interval: Duration::from_millis(700),
             lapse_grace: Duration::from_secs(2),
             unready: Duration::from_millis(2_500),
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -100,7 +100,7 @@
 }
 
 /// Pause between two plans for models, in ms.
-const MODELS_PAUSE_MS: u64 = 50;
+const MODELS_PAUSE_MS: u64 = 100;
 
 impl Planner {
     /// Makes a planner that knows no engine; it begins no load from the weight store before the rate allows one.
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -30,6 +30,8 @@
     dry_until_ms: u64,
     /// Whether that is as no leader answered; otherwise it had nothing.
     leaderless: bool,
+    /// Until this time other VMs are not asked to lend, in ms, as they had nothing.
+    alone_until_ms: u64,
 }
 
 /// `State` is what the rates share.
@@ -153,6 +155,34 @@
         }
     }
 
+    /// Lends units to another VM that no leader answers: as many of those asked for as are there.
+    pub(crate) fn lend(&self, now_ms: u64, workspace: &id::Workspace, units: u64) -> u64 {
+        let mut state = self.state();
+        let row = state.rows.get_mut(workspace);
+        row.map_or(0, |row| row.slice.lend(now_ms, units))
+    }
+
+    /// Returns the units that are missing for a charge.
+    pub(crate) fn missing(&self, now_ms: u64, workspace: &id::Workspace, units: u64) -> u64 {
+        let mut state = self.state();
+        let row = state.rows.get_mut(workspace);
+        row.map_or(units, |row| row.slice.missing(now_ms, units))
+    }
+
+    /// Tells whether other VMs may be asked to lend units of a workspace.
+    pub(crate) fn may_borrow(&self, now_ms: u64, workspace: &id::Workspace) -> bool {
+        let state = self.state();
+        let row = state.rows.get(workspace);
+        row.is_some_and(|row| now_ms >= row.alone_until_ms)
+    }
+
+    /// Notes that other VMs had nothing to lend, so that they are not asked for a time.
+    pub(crate) fn alone(&self, until_ms: u64, workspace: &id::Workspace) {
+        if let Some(row) = self.state().rows.get_mut(workspace) {
+            row.alone_until_ms = until_ms;
+        }
+    }
+
     /// Notes that the leader is not asked for a time, as it has nothing, or as there is none that answers.
     pub(crate) fn dry(&self, until_ms: u64, workspace: &id::Workspace, leaderless: bool) {
         if let Some(row) = self.state().rows.get_mut(workspace) {
@@ -181,6 +211,7 @@
             slice: Slice::new(now_ms),
             dry_until_ms: 0,
             leaderless: false,
+            alone_until_ms: 0,
         };
         let row = state.rows.get_or_insert_with(workspace.name.clone(), begin);
         row.slice.set(now_ms, quota.rate, quota.burst, parts);
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -24,6 +24,9 @@
     /// Draws units of a workspace's rate.
     fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = Drawn> + Send;
 
+    /// Borrows units of a workspace's rate from other VMs, for when no leader answers; returns how many are lent.
+    fn borrow(&self, workspace: &Workspace, units: u64) -> impl Future<Output = u64> + Send;
+
     /// Asks for an adapter that no endpoint holds, and waits until an endpoint holds it or that will not be soon.
     fn want(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
 }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -10,6 +10,7 @@
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use quetzalpick_client::http::Body as Answer;
+use quetzalpick_core::id::Workspace;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::http::body::{self, collect};
@@ -55,6 +56,9 @@
 /// Time over which callers that come back for that reason are spread, in ms.
 const LEADERLESS_SPREAD_MS: u64 = 1_000;
 
+/// Time after which other VMs are asked again that had nothing to lend, in ms.
+const ALONE_MS: u64 = 100;
+
 /// Time after which the leader is asked again that did not answer, in ms.
 const LEADERLESS_MS: u64 = 200;
 
@@ -177,6 +181,9 @@
                 Err(again) => short.after = short.after.min(again.after),
             }
         }
+        if leader == "away" && self.borrow(&workspace.name, units).await {
+            return Ok(());
+        }
         let detail = format!(
             "workspace={} units={units} missing={} leader={leader} rate={:?}",
             workspace.name, short.missing, workspace.quota
@@ -188,6 +195,28 @@
         Err(Refusal::new(Cause::OverRate, detail).after(short.after))
     }
 
+    /// Charges a request to what other VMs lend; tells whether that suffices.
+    async fn borrow(&self, workspace: &Workspace, units: u64) -> bool {
+        let rates = &self.context.rates;
+        let now_ms = || self.context.clock.now_ms();
+        if !rates.may_borrow(now_ms(), workspace) {
+            return false;
+        }
+        let missing = rates.missing(now_ms(), workspace, units);
+        let lent = self.context.supply.borrow(workspace, missing).await;
+        let suffices = lent >= missing;
+        if suffices {
+            rates.spend(now_ms(), workspace, units.saturating_sub(missing));
+        }
+        // What is left is this VM's.
+        let left = if suffices { lent - missing } else { lent };
+        rates.refund(now_ms(), workspace, left);
+        if lent == 0 {
+            rates.alone(now_ms() + ALONE_MS, workspace);
+        }
+        suffices
+    }
+
     /// Decides whether a request may go on, and to which service.
     fn admit(
         &self,
