Believe that an engine is down only after it did not report; note refusals and places apart

A leader that once did not reach an engine itself made it hold nothing for all until its next report. A trimmed topic of endpoints is read anew at once, also while the configuration's reads fail.

--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -1,8 +1,8 @@
 //! Tells the leader what this VM sees, and takes in its answer.
 
 use std::fmt::Debug;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures::future::join_all;
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -168,9 +168,7 @@
     pub fn pick(self: &Arc<Self>, now_ms: u64, wanted: &Wanted<'_>, random: u64) -> Option<Pick> {
         let mut rows = self.rows();
         let members = self.members.load(Ordering::Relaxed);
-        // An endpoint that was just lost is not tried again, though no other one is there.
-        let serves = |row: &Row| row.serves(wanted) && !row.is_lost(now_ms);
-        let serving = rows.iter().filter(|(_, row)| serves(row));
+        let serving = rows.iter().filter(|(_, row)| row.serves(wanted));
         let candidates: Vec<Candidate<'_>> = serving
             .map(|(name, row)| row.candidate(name, wanted.tried.contains(name), members))
             .collect();
--- a/crates/quetzalpick-entry/src/lead/orders.rs
+++ b/crates/quetzalpick-entry/src/lead/orders.rs
@@ -39,7 +39,11 @@
         let mut observed_ms = 0;
         loop {
             self.lead.note_change();
-            let round = if self.round(&mut observed_ms) { SHORT_ROUND } else { ROUND };
+            let round = if self.round(&mut observed_ms) {
+                SHORT_ROUND
+            } else {
+                ROUND
+            };
             // A wake-up only shortens the pause.
             let _ = timeout(round, self.lead.wake.notified()).await;
         }
@@ -114,7 +118,7 @@
                     lead.wake.notify_one();
                 }
                 Err(error) => {
-                    lead.office(|o, _| o.planner.lose(std::slice::from_ref(&endpoint)));
+                    lead.office(|o, _| o.planner.report_failed(&endpoint));
                     log::info!("place: endpoint={endpoint} no report reason=\"{error}\"");
                 }
             }
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -153,6 +153,13 @@
         }
     }
 
+    /// Notes that an engine did not report when asked.
+    pub fn report_failed(&mut self, endpoint: &Endpoint) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.report_failed();
+        }
+    }
+
     /// Takes in which engines could not be reached; they count again once they report.
     pub fn lose(&mut self, endpoints: &[Endpoint]) {
         for endpoint in endpoints {
@@ -165,7 +172,7 @@
     /// Takes in which engines any VM doubts, sorted; they are asked whether they are there.
     pub fn doubt(&mut self, endpoints: &[Endpoint]) {
         for (endpoint, site) in self.sites.iter_mut() {
-            site.doubt(endpoints.binary_search(endpoint).is_ok());
+            site.doubted = endpoints.binary_search(endpoint).is_ok();
         }
     }
 
--- a/crates/quetzalpick-entry/src/place/planner/adapters.rs
+++ b/crates/quetzalpick-entry/src/place/planner/adapters.rs
@@ -9,12 +9,7 @@
 
 impl Planner {
     /// Plans adapters that were asked for and that no engine holds or loads.
-    pub(super) fn plan_adapters(
-        &mut self,
-        now_ms: u64,
-        place: &Place<'_>,
-        sends: &mut Vec<Send>,
-    ) {
+    pub(super) fn plan_adapters(&mut self, now_ms: u64, place: &Place<'_>, sends: &mut Vec<Send>) {
         let wanted: Vec<Artifact> = self.wanted.keys().cloned().collect();
         for adapter in wanted {
             let usable = self.sites.values().filter(|site| site.is_usable());
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -40,12 +40,7 @@
 
 impl Planner {
     /// Plans loads of the models that gain most, and makes room for them.
-    pub(super) fn plan_models(
-        &mut self,
-        now_ms: u64,
-        place: &Place<'_>,
-        sends: &mut Vec<Send>,
-    ) {
+    pub(super) fn plan_models(&mut self, now_ms: u64, place: &Place<'_>, sends: &mut Vec<Send>) {
         let engine = place.engine;
         self.take_back(now_ms);
         self.unload_retired(now_ms, sends);
--- a/crates/quetzalpick-entry/src/place/site.rs
+++ b/crates/quetzalpick-entry/src/place/site.rs
@@ -55,7 +55,7 @@
     pub(crate) lost: bool,
     /// Whether a VM met something that speaks against its being there.
     pub(crate) doubted: bool,
-    /// Whether it was doubted and could not be reached, and has not been reached since.
+    /// Whether it was doubted and did not report then, and has not reported since.
     pub(crate) down: bool,
 }
 
@@ -87,10 +87,10 @@
         held.map(|copy| copy.artifact.clone()).collect()
     }
 
-    /// Notes whether a VM doubts that it is there.
-    pub(crate) fn doubt(&mut self, doubted: bool) {
-        self.doubted = doubted;
-        self.down |= doubted && self.lost;
+    /// Notes that it did not report when asked.
+    pub(crate) fn report_failed(&mut self) {
+        self.lost = true;
+        self.down |= self.doubted;
     }
 
     /// Tells whether it takes new requests.
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -89,17 +89,33 @@
         })
     }
 
-    /// Notes whether a request for a service found no place, and returns when such a one is to come back.
-    pub(crate) fn note_place(&self, service: &Service, refused: bool) -> Duration {
-        let spread = Spread::default();
+    /// Notes that a request for a service found a place.
+    pub(crate) fn note_place(&self, service: &Service) {
         let now_ms = self.clock.now_ms();
-        let mut pressures = self
-            .pressures
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        self.with_pressure(service, |pressure, spread| {
+            pressure.note(now_ms, false, spread);
+        });
+    }
+
+    /// Notes that a request for a service found no place, and returns when it is to come back.
+    pub(crate) fn note_refusal(&self, service: &Service) -> Duration {
+        let now_ms = self.clock.now_ms();
+        let after_ms = self.with_pressure(service, |pressure, spread| {
+            pressure.note(now_ms, true, spread);
+            pressure.retry_after_ms(spread, random())
+        });
+        Duration::from_millis(after_ms)
+    }
+
+    fn with_pressure<T>(
+        &self,
+        service: &Service,
+        act: impl FnOnce(&mut Pressure, &Spread) -> T,
+    ) -> T {
+        let pressures = self.pressures.lock();
+        let mut pressures = pressures.unwrap_or_else(PoisonError::into_inner);
         let pressure = pressures.get_or_insert_with(service.clone(), Pressure::default);
-        pressure.note(now_ms, refused, &spread);
-        Duration::from_millis(pressure.retry_after_ms(&spread, random()))
+        act(pressure, &Spread::default())
     }
 
     fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -290,7 +290,7 @@
             admitted.tried.push(pick.endpoint.clone());
             let failure = match self.attempt(&admitted, &pick).await {
                 Ok(answer) => {
-                    self.context.note_place(&admitted.service, false);
+                    self.context.note_place(&admitted.service);
                     return Ok(self.finish(admitted, pick, answer));
                 }
                 Err(failure) => failure,
@@ -372,7 +372,7 @@
         let refusal = Refusal::new(cause, &failure.reason);
         match cause {
             Cause::EndpointsRefused => {
-                let after = self.context.note_place(&admitted.service, true);
+                let after = self.context.note_refusal(&admitted.service);
                 refusal.after(after)
             }
             _ => refusal,
@@ -414,7 +414,10 @@
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
-            admitted.workspace.as_ref().map_or("-", |name| name.as_str()),
+            admitted
+                .workspace
+                .as_ref()
+                .map_or("-", |name| name.as_str()),
             admitted.units,
             pick.endpoint,
             pick.reason,
--- a/crates/quetzalpick-entry/src/view/endpoints.rs
+++ b/crates/quetzalpick-entry/src/view/endpoints.rs
@@ -65,7 +65,8 @@
                 }
                 None => self.topics.newest(Topic::Endpoints).await,
             };
-            let failed = read.is_err();
+            // A topic that was trimmed is read anew at once.
+            let failed = matches!(&read, Err(error) if !matches!(error, Error::Trimmed { .. }));
             let (from, pause) = self.take(next, read, &mut contact, &mut lapses);
             next = from;
             if failed {
--- a/crates/quetzalpick-entry/tests/place/world.rs
+++ b/crates/quetzalpick-entry/tests/place/world.rs
@@ -169,7 +169,9 @@
         for (name, _) in self.planner.asks_reports(now_ms) {
             let n: usize = name.as_str()[1..].parse().unwrap();
             self.planner.report_asked(now_ms, &name);
-            if !self.down.contains(&n) && !self.chance(5) {
+            if self.down.contains(&n) {
+                self.planner.report_failed(&name);
+            } else if !self.chance(5) {
                 let report = self.engines[n].report();
                 self.planner.reported(now_ms, now_ms, &name, &report);
             }
