Log how an answer is framed and where its stream ended

The line now has the framing of the endpoint's answer, the number of events and the bytes since the last complete event; the counter of relayed answers has the framing too. No decision changes.

--- a/crates/quetzalpick-client/src/http/mod.rs
+++ b/crates/quetzalpick-client/src/http/mod.rs
@@ -2,10 +2,12 @@
 
 mod body;
 mod connection;
+mod framing;
 mod options;
 mod pool;
 
 pub use body::Body;
+pub use framing::Framing;
 pub use options::{Options, Timeouts};
 pub use pool::Pool;
 
--- a/crates/quetzalpick-entry/src/meters.rs
+++ b/crates/quetzalpick-entry/src/meters.rs
@@ -3,6 +3,7 @@
 use http::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
+use quetzalpick_client::http::Framing;
 
 use crate::serve::Cause;
 
@@ -38,7 +39,7 @@
             ),
             streams: counter(
                 "quetzalpick_entry_streams",
-                "Relayed answers, by their end.",
+                "Relayed answers, by their end and by the framing of the endpoint's answer.",
             ),
             answer_ms: histogram(
                 "quetzalpick_entry_answer_ms",
@@ -70,8 +71,10 @@
     }
 
     /// Counts a relayed answer and records its duration.
-    pub(crate) fn relayed(&self, end: &'static str, took_ms: u64) {
-        self.streams.add(1, &[KeyValue::new("end", end)]);
+    pub(crate) fn relayed(&self, end: &'static str, framing: Framing, took_ms: u64) {
+        let framing: &'static str = framing.into();
+        let attributes = [KeyValue::new("end", end), KeyValue::new("framing", framing)];
+        self.streams.add(1, &attributes);
         self.stream_ms.record(took_ms as f64, &[]);
     }
 }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -22,7 +22,7 @@
 use crate::serve::attempt::{Failure, pick, record_failure, send};
 use crate::serve::body::Body;
 use crate::serve::refusal::{Cause, Refusal};
-use crate::serve::relay::AnswerRelay;
+use crate::serve::relay::{AnswerRelay, Progress};
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient};
 use crate::wire::{HeadCodec, strip_connection_headers};
@@ -316,6 +316,7 @@
                 self.log_answer(&admitted, &pick, &head);
                 let relay = AnswerRelay {
                     context: Arc::clone(&self.context),
+                    progress: Progress::new(admitted.route.kind, &head),
                     admitted,
                     pick,
                     answer,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -1,11 +1,13 @@
 //! Relays an endpoint's answer to the caller as it arrives, and resumes interrupted streams.
 
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http_body_util::BodyExt;
-use quetzalpick_client::http::Body as Answer;
+use quetzalpick_client::http::{Body as Answer, Framing};
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
@@ -13,6 +15,7 @@
 use crate::fleet::Pick;
 use crate::serve::attempt::{pick, record_failure, send};
 use crate::serve::body::Interrupted;
+use crate::serve::event_scanner::EventScanner;
 use crate::serve::request::Admitted;
 use crate::serve::sse::EventSplitter;
 use crate::serve::{Context, PeerClient};
@@ -37,6 +40,45 @@
     Interrupted(String),
 }
 
+/// `Progress` tracks what an endpoint has sent of an answer, for the log.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    framing: Framing,
+    /// Scans the bytes of a stream of events; `None` for other answers.
+    events: Option<EventScanner>,
+}
+
+impl Progress {
+    /// Starts at the head of an answer on a route of a kind.
+    pub(crate) fn new(kind: Kind, head: &Parts) -> Self {
+        let is_event_stream = kind.is_stream() && head.status.is_success();
+        Self {
+            framing: Framing::of(head),
+            events: is_event_stream.then(EventScanner::default),
+        }
+    }
+
+    /// Records the next bytes.
+    fn record(&mut self, bytes: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.scan(bytes);
+        }
+    }
+}
+
+impl Display for Progress {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let events = self.events.as_ref().map_or(0, EventScanner::events);
+        let incomplete = self.events.as_ref();
+        let incomplete = incomplete.map_or(0, EventScanner::incomplete_bytes);
+        let framing = self.framing;
+        write!(
+            formatter,
+            "framing={framing} events={events} incomplete_bytes={incomplete}"
+        )
+    }
+}
+
 /// `AnswerRelay` forwards one answer from an endpoint to the caller.
 #[derive(Debug)]
 pub(crate) struct AnswerRelay<E, S> {
@@ -44,6 +86,7 @@
     pub(crate) admitted: Admitted,
     pub(crate) pick: Pick,
     pub(crate) answer: Answer,
+    pub(crate) progress: Progress,
     pub(crate) caller: Sender<Result<Bytes, Interrupted>>,
 }
 
@@ -98,11 +141,14 @@
             let fragment = match frame {
                 Err(_) => return End::TimedOut,
                 Ok(Some(Err(error))) => return End::Interrupted(error.to_string()),
-                Ok(Some(Ok(frame))) => match (frame.into_data(), &mut *splitter) {
-                    (Ok(bytes), Some(splitter)) => splitter.push(&bytes),
-                    (Ok(bytes), None) => Some(bytes),
-                    (Err(_), _) => None,
-                },
+                Ok(Some(Ok(frame))) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    self.progress.record(&bytes);
+                    match &mut *splitter {
+                        Some(splitter) => splitter.push(&bytes),
+                        None => Some(bytes).filter(|bytes| !bytes.is_empty()),
+                    }
+                }
                 Ok(None) => {
                     let rest = splitter.as_mut().and_then(EventSplitter::finish);
                     if let Some(rest) = rest
@@ -138,7 +184,9 @@
                         pick.endpoint,
                     );
                     self.pick = pick;
-                    self.answer = answer.into_body();
+                    let (head, answer) = answer.into_parts();
+                    self.progress = Progress::new(self.admitted.route.kind, &head);
+                    self.answer = answer;
                     return true;
                 }
                 Ok(answer) => {
@@ -169,11 +217,13 @@
     /// Logs and counts the end of the answer.
     fn log(&self, outcome: &'static str, reason: &str) {
         let took_ms = self.context.clock.now_ms() - self.admitted.arrived_ms;
-        self.context.meters.relayed(outcome, took_ms);
+        let framing = self.progress.framing;
+        self.context.meters.relayed(outcome, framing, took_ms);
         log::info!(
-            "entry: request={} stream={outcome} endpoint={} took_ms={took_ms} reason=\"{reason}\"",
+            "entry: request={} stream={outcome} endpoint={} {} took_ms={took_ms} reason=\"{reason}\"",
             self.admitted.id(),
             self.pick.endpoint,
+            self.progress,
         );
     }
 }
