Treat a stream that ends inside an event as broken off

Cause: the relay took the end of an answer's bytes for the end of the stream. An answer without a length or chunks ends with its connection, so that a broken connection and a complete answer look alike; the relay then flushed what was left of the last event and wrote the last chunk to the caller. Change: every successful answer on a stream route is split at its events (only resumable ones were), and only complete events are forwarded. If bytes end inside an event, however they are framed, or with the connection before any event, the answer counts as interrupted: it is resumed where the route allows that, or else the caller's connection is closed before the last chunk. Why it works: the grammar of the stream tells the end, not the transport. What it cannot tell is a break right between two events of an answer without a length; nothing in such an answer tells that.

--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -21,8 +21,9 @@
 use crate::metadata::{Metadata, Tokens};
 use crate::serve::attempt::{Failure, pick, record_failure, send};
 use crate::serve::body::Body;
+use crate::serve::progress::Progress;
 use crate::serve::refusal::{Cause, Refusal};
-use crate::serve::relay::{AnswerRelay, Progress};
+use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient};
 use crate::wire::{HeadCodec, strip_connection_headers};
@@ -316,7 +317,11 @@
                 self.log_answer(&admitted, &pick, &head);
                 let relay = AnswerRelay {
                     context: Arc::clone(&self.context),
-                    progress: Progress::new(admitted.route.kind, &head),
+                    progress: Progress::new(
+                        admitted.route.kind,
+                        &head,
+                        admitted.metadata.last_event_id,
+                    ),
                     admitted,
                     pick,
                     answer,
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 mod event_scanner;
 mod handler;
+mod progress;
 mod refusal;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -0,0 +1,77 @@
+//! How much of an answer has arrived, and whether its end is really its end.
+
+use std::fmt::{self, Display, Formatter};
+
+use bytes::Bytes;
+use http::response::Parts;
+use quetzalpick_client::http::Framing;
+
+use crate::config::Kind;
+use crate::serve::sse::EventSplitter;
+
+/// `Progress` tracks an answer that is relayed while it arrives.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    framing: Framing,
+    /// Splits a stream of events; `None` for other answers.
+    events: Option<EventSplitter>,
+}
+
+impl Progress {
+    /// Starts at the head of an answer on a route of a kind; a stream continues after the given event.
+    pub(crate) fn new(kind: Kind, head: &Parts, last_event_id: Option<u64>) -> Self {
+        let is_event_stream = kind.is_stream() && head.status.is_success();
+        Self {
+            framing: Framing::of(head),
+            events: is_event_stream.then(|| EventSplitter::resume_after(last_event_id)),
+        }
+    }
+
+    /// Returns the framing of the endpoint's answer.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Adds bytes and returns what can be forwarded, if anything; a stream is forwarded in complete events.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        match &mut self.events {
+            Some(events) => events.push(&bytes),
+            None => Some(bytes).filter(|bytes| !bytes.is_empty()),
+        }
+    }
+
+    /// Returns the reason why an answer whose bytes have ended is incomplete nevertheless, if it is.
+    pub(crate) fn missing_end(&self) -> Option<&'static str> {
+        let events = self.events.as_ref()?;
+        if events.incomplete_bytes() > 0 {
+            Some("the stream ended inside an event")
+        } else if self.framing == Framing::ConnectionEnd && events.events() == 0 {
+            Some("the connection ended before the first event")
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether another stream can continue behind what was forwarded.
+    pub(crate) fn can_continue(&self) -> bool {
+        let events = self.events.as_ref();
+        events.is_some_and(EventSplitter::is_at_event_end)
+    }
+
+    /// Returns the id of the last complete event.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        self.events.as_ref().and_then(EventSplitter::last_id)
+    }
+}
+
+impl Display for Progress {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let framing = self.framing;
+        write!(formatter, "framing={framing}")?;
+        let Some(events) = &self.events else {
+            return Ok(());
+        };
+        let (complete, rest) = (events.events(), events.incomplete_bytes());
+        write!(formatter, " events={complete} incomplete_bytes={rest}")
+    }
+}
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -1,13 +1,11 @@
 //! Relays an endpoint's answer to the caller as it arrives, and resumes interrupted streams.
 
-use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::response::Parts;
 use http_body_util::BodyExt;
-use quetzalpick_client::http::{Body as Answer, Framing};
+use quetzalpick_client::http::Body as Answer;
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
@@ -15,9 +13,8 @@
 use crate::fleet::Pick;
 use crate::serve::attempt::{pick, record_failure, send};
 use crate::serve::body::Interrupted;
-use crate::serve::event_scanner::EventScanner;
+use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
-use crate::serve::sse::EventSplitter;
 use crate::serve::{Context, PeerClient};
 use crate::wire::HeadCodec;
 
@@ -40,45 +37,6 @@
     Interrupted(String),
 }
 
-/// `Progress` tracks what an endpoint has sent of an answer, for the log.
-#[derive(Debug)]
-pub(crate) struct Progress {
-    framing: Framing,
-    /// Scans the bytes of a stream of events; `None` for other answers.
-    events: Option<EventScanner>,
-}
-
-impl Progress {
-    /// Starts at the head of an answer on a route of a kind.
-    pub(crate) fn new(kind: Kind, head: &Parts) -> Self {
-        let is_event_stream = kind.is_stream() && head.status.is_success();
-        Self {
-            framing: Framing::of(head),
-            events: is_event_stream.then(EventScanner::default),
-        }
-    }
-
-    /// Records the next bytes.
-    fn record(&mut self, bytes: &[u8]) {
-        if let Some(events) = &mut self.events {
-            events.scan(bytes);
-        }
-    }
-}
-
-impl Display for Progress {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let events = self.events.as_ref().map_or(0, EventScanner::events);
-        let incomplete = self.events.as_ref();
-        let incomplete = incomplete.map_or(0, EventScanner::incomplete_bytes);
-        let framing = self.framing;
-        write!(
-            formatter,
-            "framing={framing} events={events} incomplete_bytes={incomplete}"
-        )
-    }
-}
-
 /// `AnswerRelay` forwards one answer from an endpoint to the caller.
 #[derive(Debug)]
 pub(crate) struct AnswerRelay<E, S> {
@@ -94,10 +52,8 @@
     /// Relays until the answer ends.
     pub(crate) async fn run(mut self) {
         let resumable = matches!(self.admitted.route.kind, Kind::Stream { resumable: true });
-        let mut splitter =
-            resumable.then(|| EventSplitter::resume_after(self.admitted.metadata.last_event_id));
         loop {
-            let end = self.forward(&mut splitter).await;
+            let end = self.forward().await;
             let now_ms = self.context.clock.now_ms();
             let reason = match end {
                 End::Complete => {
@@ -112,20 +68,15 @@
                 End::Interrupted(reason) => reason,
             };
             self.record_failure(now_ms);
-            let resumed = match &splitter {
-                Some(splitter) => self.resume(splitter.last_id()).await,
-                None => false,
-            };
-            if !resumed {
+            // An incomplete event of the former endpoint is dropped.
+            if !(resumable && self.progress.can_continue() && self.resume().await) {
                 return self.abort("broken", &reason).await;
             }
-            // An incomplete event of the former endpoint is dropped.
-            splitter = splitter.map(|splitter| EventSplitter::resume_after(splitter.last_id()));
         }
     }
 
     /// Forwards fragments until the answer ends.
-    async fn forward(&mut self, splitter: &mut Option<EventSplitter>) -> End {
+    async fn forward(&mut self) -> End {
         loop {
             let now_ms = self.context.clock.now_ms();
             let left_ms = self
@@ -143,21 +94,9 @@
                 Ok(Some(Err(error))) => return End::Interrupted(error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     let bytes = frame.into_data().unwrap_or_default();
-                    self.progress.record(&bytes);
-                    match &mut *splitter {
-                        Some(splitter) => splitter.push(&bytes),
-                        None => Some(bytes).filter(|bytes| !bytes.is_empty()),
-                    }
-                }
-                Ok(None) => {
-                    let rest = splitter.as_mut().and_then(EventSplitter::finish);
-                    if let Some(rest) = rest
-                        && self.caller.send(Ok(rest)).await.is_err()
-                    {
-                        return End::CallerGone;
-                    }
-                    return End::Complete;
+                    self.progress.push(bytes)
                 }
+                Ok(None) => return self.end(),
             };
             if let Some(fragment) = fragment
                 && self.caller.send(Ok(fragment)).await.is_err()
@@ -167,8 +106,17 @@
         }
     }
 
-    /// Resumes an interrupted stream at another endpoint after an event; returns whether an endpoint accepted.
-    async fn resume(&mut self, after: Option<u64>) -> bool {
+    /// Classifies the end of the answer's bytes: an interrupted answer may look like a complete one.
+    fn end(&self) -> End {
+        match self.progress.missing_end() {
+            Some(reason) => End::Interrupted(reason.to_owned()),
+            None => End::Complete,
+        }
+    }
+
+    /// Resumes an interrupted stream at another endpoint after its last event; returns whether an endpoint accepted.
+    async fn resume(&mut self) -> bool {
+        let after = self.progress.last_event_id();
         let context = Arc::clone(&self.context);
         while self.admitted.has_runs_left() && context.withdraw() {
             let Some(pick) = pick(&context, &self.admitted) else {
@@ -185,7 +133,7 @@
                     );
                     self.pick = pick;
                     let (head, answer) = answer.into_parts();
-                    self.progress = Progress::new(self.admitted.route.kind, &head);
+                    self.progress = Progress::new(self.admitted.route.kind, &head, after);
                     self.answer = answer;
                     return true;
                 }
@@ -217,7 +165,7 @@
     /// Logs and counts the end of the answer.
     fn log(&self, outcome: &'static str, reason: &str) {
         let took_ms = self.context.clock.now_ms() - self.admitted.arrived_ms;
-        let framing = self.progress.framing;
+        let framing = self.progress.framing();
         self.context.meters.relayed(outcome, framing, took_ms);
         log::info!(
             "entry: request={} stream={outcome} endpoint={} {} took_ms={took_ms} reason=\"{reason}\"",
--- a/crates/quetzalpick-entry/src/serve/sse.rs
+++ b/crates/quetzalpick-entry/src/serve/sse.rs
@@ -1,7 +1,9 @@
-//! Splits streams at the ends of events, so that they can be resumed at another endpoint.
+//! Splits streams at the ends of events, so that only complete events are forwarded and a stream can be resumed.
 
 use bytes::{Bytes, BytesMut};
 
+use crate::serve::event_scanner::EventScanner;
+
 /// Field with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -12,14 +14,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
+    scanner: EventScanner,
+    /// Id of the last complete event.
     last_id: Option<u64>,
+    /// Id in the forwarded fragments of an incomplete event.
+    fragment_id: Option<u64>,
+    /// Whether a fragment of an incomplete event was forwarded.
+    forwarded_fragment: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after an event.
     pub(crate) fn resume_after(last_id: Option<u64>) -> Self {
-        let buffer = BytesMut::new();
-        Self { buffer, last_id }
+        Self {
+            last_id,
+            ..Self::default()
+        }
     }
 
     /// Returns the id of the last complete event.
@@ -27,45 +37,40 @@
         self.last_id
     }
 
-    /// Adds bytes and returns the events that are complete, if any.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.buffer.extend_from_slice(bytes);
-        let end = complete_events_len(&self.buffer);
-        let end = if end == 0 && self.buffer.len() > EVENT_MAX_BYTES {
-            self.buffer.len()
-        } else {
-            end
-        };
-        if end == 0 {
-            return None;
-        }
-        let complete = self.buffer.split_to(end).freeze();
-        self.last_id = last_id(&complete).or(self.last_id);
-        Some(complete)
+    /// Returns the number of complete events.
+    pub(crate) fn events(&self) -> u64 {
+        self.scanner.events()
     }
 
-    /// Returns the remaining bytes at the regular end of the stream.
-    pub(crate) fn finish(&mut self) -> Option<Bytes> {
-        let rest = std::mem::take(&mut self.buffer).freeze();
-        Some(rest).filter(|rest| !rest.is_empty())
+    /// Returns the number of bytes since the last complete event; above 0, the stream is inside an event.
+    pub(crate) fn incomplete_bytes(&self) -> u64 {
+        self.scanner.incomplete_bytes()
+    }
+
+    /// Returns whether all that was forwarded are complete events, so that another stream can continue after them.
+    pub(crate) fn is_at_event_end(&self) -> bool {
+        !self.forwarded_fragment
     }
-}
 
-/// Returns the length of the complete events at the start of a buffer; an event ends with an empty line.
-fn complete_events_len(bytes: &[u8]) -> usize {
-    let mut end = 0;
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
+    /// Adds bytes and returns what can be forwarded, if anything.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let buffered = self.buffer.len();
+        self.buffer.extend_from_slice(bytes);
+        if let Some(end) = self.scanner.scan(bytes) {
+            let events = self.buffer.split_to(buffered + end).freeze();
+            let fragment_id = self.fragment_id.take();
+            self.last_id = last_id(&events).or(fragment_id).or(self.last_id);
+            self.forwarded_fragment = false;
+            return Some(events);
         }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            end = index + 1;
+        if self.buffer.len() <= EVENT_MAX_BYTES {
+            return None;
         }
-        line_start = index + 1;
+        let fragment = self.buffer.split().freeze();
+        self.fragment_id = last_id(&fragment).or(self.fragment_id);
+        self.forwarded_fragment = true;
+        Some(fragment)
     }
-    end
 }
 
 /// Returns the id of the last event that has one.
