Log the software version of endpoints and the attempt that a caller takes up

The version of an entry's software is decoded and relayed now (`Build`), and so is the attempt that `Resumes` names; the line of a choice has `build=` and `resumes=`, that of a resumption `build=` and `former_build=`. No decision changes.

--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -1,10 +1,12 @@
 //! The endpoints: their published specs, the state observed by this VM, and the selection for requests.
 
+mod build;
 mod pick;
 mod row;
 mod spec;
 mod table;
 
+pub use build::Build;
 pub use pick::Pick;
 pub use spec::{Spec, State};
 pub use table::{Fleet, Requirements};
--- a/crates/quetzalpick-entry/src/fleet/pick.rs
+++ b/crates/quetzalpick-entry/src/fleet/pick.rs
@@ -6,7 +6,7 @@
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::route::Reason;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Build, Fleet};
 
 /// `Pick` holds the endpoint selected for a request, which counts as in flight there until the pick is dropped.
 #[derive(Debug)]
@@ -15,6 +15,8 @@
     pub endpoint: Endpoint,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub build: Build,
     /// Reason of the selection, for the log.
     pub reason: Reason,
     /// Requests in flight at the endpoint at selection, own and reported ones.
--- a/crates/quetzalpick-entry/src/fleet/spec.rs
+++ b/crates/quetzalpick-entry/src/fleet/spec.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
+use crate::fleet::Build;
+
 /// `State` describes whether an endpoint accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
@@ -38,6 +40,9 @@
     pub in_memory: Vec<Artifact>,
     /// Models whose weights it keeps on disk; sorted.
     pub on_disk: Vec<Artifact>,
+    /// Version of its software; VMs of former versions do not relay it.
+    #[serde(default)]
+    pub build: Build,
 }
 
 impl Spec {
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -189,6 +189,7 @@
         Some(Pick {
             endpoint,
             address: row.spec.address,
+            build: row.spec.build.clone(),
             reason: choice.reason,
             load,
             fleet: Arc::clone(self),
--- a/crates/quetzalpick-entry/src/metadata.rs
+++ b/crates/quetzalpick-entry/src/metadata.rs
@@ -21,6 +21,8 @@
     pub parts: Vec<Part>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Attempt that brought a stream's first event, if the caller takes that stream up again.
+    pub resumes: Option<String>,
 }
 
 /// `Tokens` holds the size of a generation, in tokens.
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -336,8 +336,10 @@
     /// Logs an answered request with its endpoint and the reason of the selection.
     fn log_answer(&self, admitted: &Admitted, pick: &Pick, head: &http::response::Parts) {
         let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
+        let resumes = admitted.metadata.resumes.as_ref();
+        let resumes = resumes.map_or_else(String::new, |id| format!(" resumes={id}"));
         log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} reason={} load={} tries={} version={} took_ms={took_ms}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
@@ -347,6 +349,7 @@
                 .map_or("-", |name| name.as_str()),
             admitted.units,
             pick.endpoint,
+            pick.build.as_str(),
             pick.reason,
             pick.load,
             admitted.attempted.len(),
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -127,9 +127,11 @@
                 Ok(answer) if answer.status().is_success() => {
                     self.admitted.possible_runs += 1;
                     log::info!(
-                        "entry: request={} resumed endpoint={} after={after:?}",
+                        "entry: request={} resumed endpoint={} build={} former_build={} after={after:?}",
                         self.admitted.id(),
                         pick.endpoint,
+                        pick.build.as_str(),
+                        self.pick.build.as_str(),
                     );
                     self.pick = pick;
                     let (head, answer) = answer.into_parts();
--- a/crates/quetzalpick-entry/tests/place/simulation.rs
+++ b/crates/quetzalpick-entry/tests/place/simulation.rs
@@ -3,7 +3,7 @@
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
 use quetzalpick_core::table::Table;
 use quetzalpick_entry::config::{self, Config, Limits, Model};
-use quetzalpick_entry::fleet::{Spec, State};
+use quetzalpick_entry::fleet::{Build, Spec, State};
 use quetzalpick_entry::place::{Action, Options, Order, OrderResult, Planner, Work};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -136,6 +136,7 @@
             state: State::Ready,
             slots: 64,
             started_ms: Some(1),
+            build: Build::new("v1"),
             copies: self.entries[n].1.clone(),
             in_memory: Vec::new(),
             on_disk: self.entries[n].2.clone(),
