Deliver the events before an interruption to the caller

What callers saw: events that had arrived right before a stream was interrupted were missing, so that a caller that took it up named an earlier event than was ready for it. Cause: hyper drops what it has buffered of an answer when the body fails, and the error often follows the last events within the same poll of the body. Change: the body stays pending for one poll between the last fragment and the error, in which hyper sends what it has buffered.

--- a/crates/quetzalpick-entry/src/serve/body.rs
+++ b/crates/quetzalpick-entry/src/serve/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of answers to callers.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
@@ -28,6 +28,8 @@
         fragments: mpsc::Receiver<Result<Bytes, Interrupted>>,
         /// Length that the endpoint announced.
         length: Option<u64>,
+        /// Interruption that the connection is told next.
+        interruption: Option<Interrupted>,
     },
 }
 
@@ -42,7 +44,12 @@
         length: Option<u64>,
     ) -> (mpsc::Sender<Result<Bytes, Interrupted>>, Self) {
         let (sender, fragments) = mpsc::channel(BUFFERED_FRAGMENTS_MAX);
-        (sender, Self::Streamed { fragments, length })
+        let body = Self::Streamed {
+            fragments,
+            length,
+            interruption: None,
+        };
+        (sender, body)
     }
 }
 
@@ -56,9 +63,23 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Streamed { fragments, .. } => {
-                let fragment = fragments.poll_recv(cx);
-                fragment.map(|fragment| fragment.map(|fragment| fragment.map(Frame::data)))
+            Self::Streamed {
+                fragments,
+                interruption,
+                ..
+            } => {
+                if let Some(interruption) = interruption.take() {
+                    return Poll::Ready(Some(Err(interruption)));
+                }
+                match ready!(fragments.poll_recv(cx)) {
+                    Some(Err(error)) => {
+                        // An error drops what hyper has not sent yet; it sends that first while the body is pending.
+                        *interruption = Some(error);
+                        cx.waker().wake_by_ref();
+                        Poll::Pending
+                    }
+                    fragment => Poll::Ready(fragment.map(|fragment| fragment.map(Frame::data))),
+                }
             }
         }
     }
