Continue a stream only at the software version that began it

Cause: the choice of an endpoint knew service, model and health, but not the version of the software. A VM that resumed an interrupted answer took any endpoint; so did a VM at which a caller took a stream up, which did not know either where the stream had begun. Change: - Endpoints are chosen by build where a stream goes on: within an answer by the build that began it, for a caller that comes back by the origin of the attempt that it names. - Each VM remembers the origins of its streams for 30 s. While a service has run more than one build in that time, it also tells the leader and the leader's deputy within 50 ms; a VM that does not know an origin asks these, and then other VMs. So the knowledge outlives the VM that began the stream, the leader included. A new leader or deputy is told anew. - Where all streams of the last 30 s can only have begun at one build, nothing is told or asked: such a service costs no message. That is concluded only from a history without gaps and a view at most 2 s old, and a new build is used for resumable streams only once it has been known for 2 s, unless no other endpoint can serve. - What no VM knows is refused at once as not run (cause=unknown-build); it may come back only if a VM that may know did not answer. Why it works: the build is part of what a stream requires, like its model, and no path chooses an endpoint for a stream without it. Ruled out: encoding the build in what callers send back (attempt ids, events and bodies are not ours to change); one build for all new streams at a time (half of the runners would idle); telling all VMs (14,000 streams a second at the two-year size); asking runners (a crashed one does not answer).

--- a/crates/quetzalpick-entry/src/config/route.rs
+++ b/crates/quetzalpick-entry/src/config/route.rs
@@ -71,6 +71,12 @@
 }
 
 impl Route {
+    /// Returns whether requests may go to a service.
+    pub fn leads_to(&self, service: &Service) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == *service)
+    }
+
     /// Picks a service by weight, using a random number; `None` if all weights are 0.
     pub fn service(&self, random: u64) -> Option<&Service> {
         let total: u64 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -28,6 +28,7 @@
 use crate::lead::{ElectionDriver, Leadership, PlanExecutor};
 use crate::meters::Meters;
 use crate::options::Options;
+use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
 use crate::reload::{Changes, reload};
@@ -130,6 +131,7 @@
         let view = Arc::new(View::default());
         let fleet = Arc::new(Fleet::new(options.domain.clone(), options.route.clone()));
         let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
+        let origins = Arc::new(Origins::default());
         let lead = Arc::new(new_leadership(
             &platform,
             &view,
@@ -148,6 +150,8 @@
             copies_version: AtomicU64::default(),
             endpoints_version: AtomicU64::default(),
             peers: Mutex::default(),
+            keepers: Mutex::default(),
+            origins: Arc::clone(&origins),
         });
         let vm = options.vm.clone();
         let context = Arc::new(Context {
@@ -157,6 +161,7 @@
             view,
             fleet,
             rates,
+            origins,
             peer_client: client,
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
             refusal_rates: Mutex::default(),
@@ -168,6 +173,8 @@
         let peer_handler = PeerHandler {
             lead: Arc::clone(&lead),
             rates: Arc::clone(&context.rates),
+            fleet: Arc::clone(&context.fleet),
+            origins: Arc::clone(&context.origins),
             clock,
         };
         let transport = platform.transport.clone();
@@ -336,6 +343,8 @@
     spawn(stop, membership.run());
     spawn(stop, plan_executor.run());
     spawn(stop, Arc::clone(&context.peer_client).run());
+    let peer_client = Arc::clone(&context.peer_client);
+    spawn(stop, async move { peer_client.report_origins().await });
 }
 
 /// Runs a task until the token is cancelled.
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use quetzalpick_core::id::{Artifact, Workspace};
+use quetzalpick_core::id::{Artifact, Service, Workspace};
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::exchange::keepers::Keepers;
 use crate::exchange::message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult, Status,
     StatusReply, path,
@@ -20,9 +21,10 @@
 use crate::exchange::service::{decode, encode};
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
+use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
-use crate::serve::PeerClient;
+use crate::serve::{OriginAnswer, PeerClient};
 use crate::view::View;
 
 /// Minimum pause between two statuses.
@@ -60,6 +62,9 @@
     pub(crate) endpoints_version: AtomicU64,
     /// Addresses of some other VMs, from the leader's last reply.
     pub(crate) peers: Mutex<Vec<String>>,
+    /// VMs that keep the origins of streams.
+    pub(crate) keepers: Mutex<Keepers>,
+    pub(crate) origins: Arc<Origins>,
 }
 
 impl<N: EngineControl, P: Transport> Client<N, P> {
@@ -132,6 +137,10 @@
             self.endpoints_version.store(0, Ordering::Relaxed);
             log::info!("exchange: leader fence={} former={former}", reply.fence);
         }
+        self.update_keepers(reply.deputy.clone());
+        if !reply.peers.is_empty() {
+            *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = reply.peers.clone();
+        }
         if let Some(copies) = &reply.copies {
             self.apply_copies(copies);
         }
@@ -149,7 +158,9 @@
                 .store(endpoints.version, Ordering::Relaxed);
             self.fleet.apply_relay(now_ms, endpoints);
         }
-        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = reply.peers;
+        if let Some(age_ms) = reply.endpoints_age_ms {
+            self.fleet.record_read(sent_ms.saturating_sub(age_ms));
+        }
         let member_count = usize::try_from(reply.member_count).unwrap_or(usize::MAX);
         self.rates.set_member_count(member_count);
         if let Some(listed) = reply.listed {
@@ -174,7 +185,22 @@
         }
     }
 
-    fn peer_addresses(&self) -> Vec<String> {
+    /// Applies the addresses of the leader and its deputy; new keepers of origins are told this VM's streams.
+    fn update_keepers(&self, deputy: Option<String>) {
+        let others = |address: &String| address != self.lead.address();
+        let leader = self.lead.leader_address().filter(others);
+        let changed = {
+            let mut keepers = self.keepers.lock().unwrap_or_else(PoisonError::into_inner);
+            let former = keepers.present();
+            keepers.update(leader, deputy.filter(others));
+            keepers.present() != former
+        };
+        if changed {
+            self.origins.keepers_changed(self.clock.now_ms());
+        }
+    }
+
+    pub(super) fn peer_addresses(&self) -> Vec<String> {
         let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         peers.clone()
     }
@@ -199,7 +225,7 @@
     }
 
     /// Calls a VM; `None` if it does not answer in time.
-    async fn call_vm<T: DeserializeOwned>(
+    pub(super) async fn call_vm<T: DeserializeOwned>(
         &self,
         address: &str,
         path: &str,
@@ -254,6 +280,10 @@
         lent.into_iter().flatten().sum()
     }
 
+    async fn find_origin(&self, service: &Service, attempt: Option<&str>) -> OriginAnswer {
+        self.ask_origin(service, attempt).await
+    }
+
     async fn request_adapter(&self, adapter: &Artifact) {
         let request = AdapterRequest {
             adapter: adapter.clone(),
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -1,11 +1,12 @@
 //! Messages between VMs, in MessagePack.
 
 use quetzalpick_core::election::Heartbeat;
-use quetzalpick_core::id::{Artifact, Endpoint, Vm, Workspace};
+use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::Spec;
+use crate::fleet::{Build, Spec};
+use crate::origin::Origin;
 use crate::place::Work;
 
 /// Paths of the peer listener.
@@ -16,6 +17,10 @@
     pub(crate) const DRAW: &str = "/entry/draw";
     /// Takes a `DrawRequest` and returns the number of units lent.
     pub(crate) const LEND: &str = "/entry/lend";
+    /// Takes an `OriginReport` and returns whether it was applied.
+    pub(crate) const ORIGINS: &str = "/entry/origins";
+    /// Takes an `OriginRequest` and returns an `OriginReply`.
+    pub(crate) const ORIGIN: &str = "/entry/origin";
     /// Takes an `AdapterRequest` and returns an `AdapterReply`.
     pub(crate) const ADAPTER: &str = "/entry/want";
 }
@@ -126,6 +131,34 @@
     pub(crate) peers: Vec<String>,
     /// Whether the status's sender is in the list of members; `None` if the leader hasn't read the list.
     pub(crate) listed: Option<bool>,
+    /// IP address and port of the VM that keeps what the leader knows of streams, if the leader is lost.
+    pub(crate) deputy: Option<String>,
+    /// Time since the leader sent its last read of all entries, in ms.
+    pub(crate) endpoints_age_ms: Option<u64>,
+}
+
+/// `OriginReport` tells a keeper where streams of the sender began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OriginReport {
+    /// Origins, each with the attempts that began a stream there.
+    pub(crate) rows: Vec<(Origin, Vec<String>)>,
+}
+
+/// `OriginRequest` asks where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OriginRequest {
+    pub(crate) service: Service,
+    /// Attempt that began the stream, if the caller named it.
+    pub(crate) attempt: Option<String>,
+}
+
+/// `OriginReply` answers an `OriginRequest`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OriginReply {
+    /// Where the stream began, if the receiver knows it.
+    pub(crate) origin: Option<Origin>,
+    /// The build at which all recent streams of the service began, if that is certain.
+    pub(crate) sole_build: Option<Build>,
 }
 
 /// `AdapterRequest` requests an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -1,10 +1,13 @@
 //! Messages between VMs: periodic statuses and the leader's replies, draws, loans, and requests for adapters.
 
 mod client;
+mod keepers;
 mod message;
+mod origins;
 mod service;
 
 pub(crate) use client::Client;
+pub(crate) use keepers::Keepers;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
     EndpointsRelay, Status, StatusReply, ViewRelay,
--- /dev/null
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -0,0 +1,115 @@
+//! Tells the keepers of origins where this VM's streams began, and asks other VMs about theirs.
+
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures::future::join_all;
+use quetzalpick_core::id::Service;
+use quetzalpick_core::table::Table;
+use quetzalpick_node::peer::Transport;
+use tokio::time::sleep;
+
+use crate::exchange::message::{OriginReply, OriginReport, OriginRequest, path};
+use crate::exchange::{Client, Keepers};
+use crate::origin::Origin;
+use crate::place::EngineControl;
+use crate::serve::OriginAnswer;
+
+/// Pause in which streams are collected for one report.
+const REPORT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time for a keeper's answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Pause after a report that a keeper did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest time for another VM's answer to a request for an origin.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+
+impl<N: EngineControl, P: Transport> Client<N, P> {
+    /// Reports origins until cancelled.
+    pub(crate) async fn report_origins(&self) {
+        loop {
+            self.origins.changed().await;
+            sleep(REPORT_PAUSE).await;
+            let keepers = self.with_keepers(Keepers::present);
+            self.origins.retain_keepers(&keepers);
+            let reports = keepers.iter().map(|keeper| self.report_to(keeper));
+            let told = join_all(reports).await;
+            if told.contains(&false) {
+                sleep(RETRY_PAUSE).await;
+                self.origins.keepers_changed(self.clock.now_ms());
+            }
+        }
+    }
+
+    fn with_keepers<T>(&self, read: impl FnOnce(&Keepers) -> T) -> T {
+        read(&self.keepers.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Reports to one keeper; returns whether it knows all of this VM's streams now.
+    async fn report_to(&self, keeper: &str) -> bool {
+        let batch = self.origins.untold(self.clock.now_ms(), keeper);
+        if batch.rows.is_empty() {
+            return true;
+        }
+        let mut rows: Table<Origin, Vec<String>> = Table::default();
+        for (attempt, origin) in batch.rows {
+            rows.get_or_insert_with(origin, Vec::default).push(attempt);
+        }
+        let report = OriginReport {
+            rows: rows.iter().map(|(o, a)| (o.clone(), a.clone())).collect(),
+        };
+        let answer = self
+            .call_vm(keeper, path::ORIGINS, &report, REPORT_TIMEOUT)
+            .await;
+        let told = answer == Some(true);
+        if told {
+            self.origins.record_told(keeper, batch.next);
+        }
+        told
+    }
+
+    /// Asks the keepers, and then some other VMs, where a stream began.
+    pub(super) async fn ask_origin(
+        &self,
+        service: &Service,
+        attempt: Option<&str>,
+    ) -> OriginAnswer {
+        let request = OriginRequest {
+            service: service.clone(),
+            attempt: attempt.map(str::to_owned),
+        };
+        let keepers = self.with_keepers(|keepers| keepers.recent().to_vec());
+        let mut others = self.peer_addresses();
+        others.retain(|address| !keepers.contains(address));
+        let mut all_answered = true;
+        for addresses in [keepers, others] {
+            let calls = addresses
+                .iter()
+                .map(|address| self.call_vm(address, path::ORIGIN, &request, REQUEST_TIMEOUT));
+            let replies: Vec<Option<OriginReply>> = join_all(calls).await;
+            if let Some(origin) = known_origin(service, &replies) {
+                return OriginAnswer::Known(origin);
+            }
+            all_answered &= replies.iter().all(Option::is_some);
+        }
+        if all_answered {
+            OriginAnswer::Unknown
+        } else {
+            OriginAnswer::Unanswered
+        }
+    }
+}
+
+/// Returns the origin that replies tell: that of the stream itself, or else the only one that is possible.
+fn known_origin(service: &Service, replies: &[Option<OriginReply>]) -> Option<Origin> {
+    let answered = || replies.iter().flatten();
+    let known = answered().find_map(|reply| reply.origin.clone());
+    known.or_else(|| {
+        let build = answered().find_map(|reply| reply.sole_build.clone())?;
+        let service = service.clone();
+        Some(Origin { service, build })
+    })
+}
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -8,8 +8,10 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Clock;
-use crate::exchange::message::{DrawRequest, path};
+use crate::exchange::message::{DrawRequest, OriginReply, OriginReport, OriginRequest, path};
+use crate::fleet::Fleet;
 use crate::lead::Leadership;
+use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
 
@@ -18,6 +20,8 @@
 pub(crate) struct PeerHandler<N> {
     pub(crate) lead: Arc<Leadership<N>>,
     pub(crate) rates: Arc<Rates>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) origins: Arc<Origins>,
     pub(crate) clock: Clock,
 }
 
@@ -26,6 +30,8 @@
         Self {
             lead: Arc::clone(&self.lead),
             rates: Arc::clone(&self.rates),
+            fleet: Arc::clone(&self.fleet),
+            origins: Arc::clone(&self.origins),
             clock: self.clock,
         }
     }
@@ -37,6 +43,8 @@
             path::STATUS => encode(&self.lead.answer_status(decode(&body)?)),
             path::DRAW => encode(&self.lead.draw(&decode(&body)?)),
             path::LEND => encode(&self.lend(&decode(&body)?)),
+            path::ORIGINS => encode(&self.accept_origins(decode(&body)?)),
+            path::ORIGIN => encode(&self.find_origin(&decode(&body)?)),
             path::ADAPTER => encode(&self.lead.wait_for_adapter(decode(&body)?).await),
             _ => None,
         }
@@ -49,6 +57,26 @@
         let now_ms = self.clock.now_ms();
         self.rates.lend(now_ms, &request.workspace, request.units)
     }
+
+    /// Keeps the origins of another VM's streams.
+    fn accept_origins(&self, report: OriginReport) -> bool {
+        let rows = report.rows.into_iter().flat_map(|(origin, attempts)| {
+            let origins = attempts.into_iter();
+            origins.map(move |attempt| (attempt, origin.clone()))
+        });
+        self.origins.accept(self.clock.now_ms(), rows);
+        true
+    }
+
+    /// Looks up where a stream began.
+    fn find_origin(&self, request: &OriginRequest) -> OriginReply {
+        let now_ms = self.clock.now_ms();
+        let attempt = request.attempt.as_deref();
+        OriginReply {
+            origin: attempt.and_then(|attempt| self.origins.find(now_ms, attempt)),
+            sole_build: self.fleet.sole_build(now_ms, &request.service),
+        }
+    }
 }
 
 /// Decodes a message; `None` if it is malformed, which a caller receives as an error.
--- /dev/null
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -0,0 +1,104 @@
+//! Which versions of its software each service runs and has run recently, as known to this VM.
+
+use quetzalpick_core::id::Service;
+use quetzalpick_core::table::Table;
+
+use crate::fleet::Build;
+
+/// Time for which a stream may be taken up after it began, in ms: longer than callers wait for an answer.
+pub const STREAM_TTL_MS: u64 = 30_000;
+
+/// Time after which all VMs with a current view know a new build, in ms; a view that is older is not current.
+pub const SETTLE_MS: u64 = 2_000;
+
+/// Longest pause between two reads of the entries, in ms, in which no build can appear and disappear again.
+const READ_PAUSE_MAX_MS: u64 = 10_000;
+
+/// `Builds` tracks the builds of all services from the entries of their endpoints.
+#[derive(Debug, Default)]
+pub struct Builds {
+    sightings: Table<Service, Vec<Sighting>>,
+    /// Send time of the last read of all entries, in ms.
+    read_ms: Option<u64>,
+    /// Send time of the first read since which no build can have been missed, in ms.
+    complete_since_ms: u64,
+}
+
+/// `Sighting` states when endpoints of a build were present.
+#[derive(Debug)]
+struct Sighting {
+    build: Build,
+    first_ms: u64,
+    last_ms: u64,
+}
+
+impl Builds {
+    /// Records a read of all entries that was sent at `sent_ms`.
+    pub fn record_read(&mut self, sent_ms: u64) {
+        let is_continuous = self
+            .read_ms
+            .is_some_and(|last_ms| sent_ms <= last_ms + READ_PAUSE_MAX_MS);
+        if !is_continuous {
+            self.complete_since_ms = sent_ms;
+        }
+        self.read_ms = self.read_ms.max(Some(sent_ms));
+    }
+
+    /// Returns the send time of the last read, in ms.
+    pub fn read_ms(&self) -> Option<u64> {
+        self.read_ms
+    }
+
+    /// Records an endpoint that appeared or disappeared; `was_present` tells whether others of its build are present.
+    pub fn record(&mut self, now_ms: u64, service: &Service, build: &Build, was_present: bool) {
+        let sightings = self
+            .sightings
+            .get_or_insert_with(service.clone(), Vec::default);
+        match sightings.iter_mut().find(|seen| seen.build == *build) {
+            Some(seen) => {
+                if !was_present && now_ms > seen.last_ms {
+                    seen.first_ms = now_ms;
+                }
+                seen.last_ms = now_ms;
+            }
+            None => sightings.push(Sighting {
+                build: build.clone(),
+                first_ms: now_ms,
+                last_ms: now_ms,
+            }),
+        }
+    }
+
+    /// Returns whether all VMs with a current view know that a service runs a build.
+    pub fn is_settled(&self, now_ms: u64, service: &Service, build: &Build) -> bool {
+        self.of(service)
+            .iter()
+            .any(|seen| seen.build == *build && now_ms >= seen.first_ms + SETTLE_MS)
+    }
+
+    /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
+    ///
+    /// `present` are the builds of the service's endpoints at present.
+    pub fn sole<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &Service,
+        present: impl Iterator<Item = &'a Build>,
+    ) -> Option<&'a Build> {
+        let is_current = self
+            .read_ms
+            .is_some_and(|read_ms| now_ms <= read_ms + SETTLE_MS);
+        if !is_current || now_ms < self.complete_since_ms + STREAM_TTL_MS {
+            return None;
+        }
+        let recent = self.of(service).iter();
+        let recent = recent.filter(|seen| now_ms < seen.last_ms + STREAM_TTL_MS);
+        let mut builds = present.chain(recent.map(|seen| &seen.build));
+        let sole = builds.next()?;
+        builds.all(|build| build == sole).then_some(sole)
+    }
+
+    fn of(&self, service: &Service) -> &[Sighting] {
+        self.sightings.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -1,12 +1,14 @@
 //! The endpoints: their published specs, the state observed by this VM, and the selection for requests.
 
 mod build;
+mod builds;
 mod pick;
 mod row;
 mod spec;
 mod table;
 
 pub use build::Build;
+pub use builds::{Builds, SETTLE_MS, STREAM_TTL_MS};
 pub use pick::Pick;
 pub use spec::{Spec, State};
-pub use table::{Fleet, Requirements};
+pub use table::{BuildChoice, Fleet, Requirements};
--- a/crates/quetzalpick-entry/src/fleet/spec.rs
+++ b/crates/quetzalpick-entry/src/fleet/spec.rs
@@ -51,6 +51,11 @@
         self.started_ms == other.started_ms && self.address == other.address
     }
 
+    /// Returns whether the endpoint runs a build of a service.
+    pub(crate) fn runs(&self, service: &Service, build: &Build) -> bool {
+        self.service == *service && self.build == *build
+    }
+
     /// Returns whether the endpoint holds a model or adapter.
     pub fn holds(&self, artifact: &Artifact) -> bool {
         self.copies.binary_search(artifact).is_ok()
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
-use quetzalpick_core::route::{self, Candidate, choose};
+use quetzalpick_core::route::{self, Candidate, Choice, choose};
 use quetzalpick_core::table::Table;
 
 use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
-use crate::fleet::{Pick, Spec};
+use crate::fleet::{Build, Builds, Pick, Spec};
 use crate::place::{Demand, Work};
 
 /// `Requirements` holds the criteria by which an endpoint is selected for a request.
@@ -21,6 +21,19 @@
     pub artifacts: &'a [&'a Artifact],
     /// Endpoints of earlier attempts, which are avoided.
     pub attempted: &'a [Endpoint],
+    /// Builds that it may run.
+    pub build: BuildChoice<'a>,
+}
+
+/// `BuildChoice` restricts the builds of the endpoints that may be selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BuildChoice<'a> {
+    /// Any build.
+    Any,
+    /// Builds that all VMs know already; others only if none of these can take the request.
+    Settled,
+    /// This build, as it began the stream.
+    Only(&'a Build),
 }
 
 /// `Fleet` tracks all endpoints as observed by this VM, and selects endpoints for requests.
@@ -30,6 +43,7 @@
     options: route::Options,
     rows: Mutex<Table<Endpoint, Row>>,
     demand: Mutex<Demand>,
+    builds: Mutex<Builds>,
     /// Time of the last contact with the leader, in ms.
     leader_contact_ms: AtomicU64,
     /// Incremented with each change of an entry.
@@ -47,6 +61,43 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// `Selection` holds the inputs of one selection of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Selection<'a> {
+    now_ms: u64,
+    requirements: &'a Requirements<'a>,
+    /// Number of VMs that share the endpoints.
+    members: u32,
+    domain: &'a Domain,
+    options: &'a route::Options,
+    random: u64,
+}
+
+impl Selection<'_> {
+    /// Selects among the endpoints that meet the requirements and the condition.
+    fn among(
+        &self,
+        rows: &Table<Endpoint, Row>,
+        condition: impl Fn(&Row) -> bool,
+    ) -> Option<(Endpoint, Choice)> {
+        let serving = rows
+            .iter()
+            .filter(|(_, row)| row.serves(self.requirements) && condition(row));
+        let attempted = self.requirements.attempted;
+        let candidates: Vec<Candidate<'_>> = serving
+            .map(|(name, row)| row.candidate(name, attempted.contains(name), self.members))
+            .collect();
+        let choice = choose(
+            self.now_ms,
+            self.domain,
+            &candidates,
+            self.options,
+            self.random,
+        )?;
+        Some((candidates[choice.index].endpoint.clone(), choice))
+    }
+}
+
 impl Fleet {
     /// Creates an empty fleet for a VM in the failure domain `domain`.
     pub fn new(domain: Domain, options: route::Options) -> Self {
@@ -55,6 +106,7 @@
             options,
             rows: Mutex::default(),
             demand: Mutex::default(),
+            builds: Mutex::default(),
             leader_contact_ms: AtomicU64::default(),
             version: AtomicU64::new(1),
             removed_version: AtomicU64::default(),
@@ -70,6 +122,17 @@
     pub fn update(&self, now_ms: u64, endpoint: Endpoint, spec: Spec) -> bool {
         let leader_is_current = self.leader_is_current(now_ms);
         let mut rows = self.rows();
+        let former = rows.get(&endpoint).map(|row| &row.spec);
+        let same_build = |former: &Spec| former.runs(&spec.service, &spec.build);
+        if !former.is_some_and(same_build) {
+            let mut builds = lock(&self.builds);
+            if let Some(Spec { service, build, .. }) = former {
+                builds.record(now_ms, service, build, true);
+            }
+            let mut others = rows.iter();
+            let was_present = others.any(|(_, row)| row.spec.runs(&spec.service, &spec.build));
+            builds.record(now_ms, &spec.service, &spec.build, was_present);
+        }
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let notable = row.spec.state != spec.state || !row.spec.is_same_incarnation(&spec);
@@ -154,14 +217,35 @@
         })
     }
 
+    /// Records a read of all entries that was sent at `sent_ms`, by this VM or by the leader.
+    pub fn record_read(&self, sent_ms: u64) {
+        lock(&self.builds).record_read(sent_ms);
+    }
+
+    /// Returns the age of the last read of the entries, in ms.
+    pub(crate) fn read_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let read_ms = lock(&self.builds).read_ms();
+        read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
+    }
+
+    /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
+    pub fn sole_build(&self, now_ms: u64, service: &Service) -> Option<Build> {
+        let rows = self.rows();
+        let of_service = rows.values().filter(|row| row.spec.service == *service);
+        let builds = lock(&self.builds);
+        let sole = builds.sole(now_ms, service, of_service.map(|row| &row.spec.build));
+        sole.cloned()
+    }
+
     /// Removes the endpoints whose entries expired before `before_ms` and that run no requests of this VM.
-    pub fn remove_expired(&self, before_ms: u64) {
+    pub fn remove_expired(&self, now_ms: u64, before_ms: u64) {
         let expired = |row: &Row| row.expired_ms.is_some_and(|at| at < before_ms);
         self.rows().retain(|_, row| {
             let removes = expired(row) && row.in_flight == 0;
             if removes {
                 self.removed_version
                     .fetch_max(row.version, Ordering::Relaxed);
+                lock(&self.builds).record(now_ms, &row.spec.service, &row.spec.build, true);
             }
             !removes
         });
@@ -176,12 +260,28 @@
     ) -> Option<Pick> {
         let mut rows = self.rows();
         let members = self.member_count.load(Ordering::Relaxed);
-        let serving = rows.iter().filter(|(_, row)| row.serves(requirements));
-        let candidates: Vec<Candidate<'_>> = serving
-            .map(|(name, row)| row.candidate(name, requirements.attempted.contains(name), members))
-            .collect();
-        let choice = choose(now_ms, &self.domain, &candidates, &self.options, random)?;
-        let endpoint = candidates[choice.index].endpoint.clone();
+        let select = Selection {
+            now_ms,
+            requirements,
+            members,
+            domain: &self.domain,
+            options: &self.options,
+            random,
+        };
+        let selected = match requirements.build {
+            BuildChoice::Any => select.among(&rows, |_| true),
+            BuildChoice::Only(build) => select.among(&rows, |row| row.spec.build == *build),
+            BuildChoice::Settled => {
+                let builds = lock(&self.builds);
+                let is_settled = |row: &Row| {
+                    let Spec { service, build, .. } = &row.spec;
+                    builds.is_settled(now_ms, service, build)
+                };
+                let settled = select.among(&rows, is_settled);
+                settled.or_else(|| select.among(&rows, |_| true))
+            }
+        };
+        let (endpoint, choice) = selected?;
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others_in_flight;
         row.in_flight += 1;
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -219,6 +219,8 @@
             peers: self
                 .with_statuses(|statuses, _| statuses.sample_addresses(&status.vm, PEER_SAMPLE)),
             listed: self.is_listed(&status.vm),
+            deputy: self.with_statuses(|statuses, _| statuses.first_address(&self.me.vm)),
+            endpoints_age_ms: self.fleet.read_age_ms(now_ms),
         };
         self.with_statuses(|statuses, now_ms| statuses.record(now_ms, status));
         reply
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -87,6 +87,12 @@
             .collect()
     }
 
+    /// Returns the address of the first other VM with a recent status; it stays the same while that VM lives.
+    pub(crate) fn first_address(&self, vm: &Vm) -> Option<String> {
+        let mut others = self.unexpired().filter(|status| status.vm != *vm);
+        others.next().map(|status| status.address.clone())
+    }
+
     /// Returns when a VM's last status was received, in ms.
     pub(crate) fn last_contact_ms(&self, vm: &Vm) -> Option<u64> {
         self.rows.get(vm).map(|row| row.last_contact_ms)
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metadata;
 mod meters;
 mod options;
+pub mod origin;
 pub mod place;
 mod rate;
 mod reload;
--- a/crates/quetzalpick-entry/src/metadata.rs
+++ b/crates/quetzalpick-entry/src/metadata.rs
@@ -51,6 +51,11 @@
 }
 
 impl Metadata {
+    /// Returns whether the caller takes up a stream that an earlier attempt began.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resumes.is_some() || self.last_event_id.is_some()
+    }
+
     /// Returns the artifacts that an endpoint must hold to answer: the model, and the adapter if one is requested.
     pub fn artifacts(&self) -> impl Iterator<Item = &Artifact> {
         self.model.iter().chain(&self.adapter)
--- /dev/null
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -0,0 +1,144 @@
+//! The origins that this VM knows, and what it has told the VMs that keep them.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use quetzalpick_core::table::Table;
+use tokio::sync::Notify;
+
+use crate::fleet::STREAM_TTL_MS;
+use crate::origin::Origin;
+use crate::origin::recent::Recent;
+
+/// Longest attempt id that is recorded, in bytes.
+const ATTEMPT_MAX_BYTES: usize = 128;
+
+/// Most streams of this VM that are kept for other VMs.
+const OWN_MAX: usize = 16_384;
+
+/// `Origins` stores where streams began, and tracks which of its own streams each keeper was told.
+#[derive(Debug, Default)]
+pub struct Origins {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    recent: Recent,
+    /// Streams that this VM began, oldest first.
+    own: VecDeque<OwnStream>,
+    /// Number of the first row of `own`, counted from the start of the process.
+    first: u64,
+    /// Number of the next row of `own` to tell, by the address of the keeper.
+    told: Table<String, u64>,
+    /// Time of the last stream that other VMs have to know, in ms.
+    shared_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct OwnStream {
+    began_ms: u64,
+    attempt: String,
+    origin: Origin,
+}
+
+/// `Batch` holds the streams that a keeper has not been told.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Batch {
+    /// Attempts that began a stream, with their origins.
+    pub(crate) rows: Vec<(String, Origin)>,
+    /// Number of the row behind the last one.
+    pub(crate) next: u64,
+}
+
+impl Origins {
+    /// Records a stream that this VM began; `shared` tells whether other VMs have to know it.
+    pub fn record(&self, now_ms: u64, attempt: &str, origin: &Origin, shared: bool) {
+        if attempt.len() > ATTEMPT_MAX_BYTES {
+            return;
+        }
+        let mut state = self.lock();
+        state
+            .recent
+            .record(now_ms, attempt.to_owned(), origin.clone());
+        state.own.push_back(OwnStream {
+            began_ms: now_ms,
+            attempt: attempt.to_owned(),
+            origin: origin.clone(),
+        });
+        state.expire(now_ms);
+        if shared {
+            state.shared_ms = Some(now_ms);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Records streams that another VM began.
+    pub fn accept(&self, now_ms: u64, rows: impl IntoIterator<Item = (String, Origin)>) {
+        let mut state = self.lock();
+        for (attempt, origin) in rows {
+            state.recent.record(now_ms, attempt, origin);
+        }
+    }
+
+    /// Returns where the stream began that an attempt brought.
+    pub fn find(&self, now_ms: u64, attempt: &str) -> Option<Origin> {
+        self.lock().recent.find(now_ms, attempt)
+    }
+
+    /// Waits until there may be something to tell.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Wakes the task that tells the keepers, if other VMs had to know a stream recently.
+    pub(crate) fn keepers_changed(&self, now_ms: u64) {
+        let shared_ms = self.lock().shared_ms;
+        if shared_ms.is_some_and(|shared_ms| now_ms < shared_ms + STREAM_TTL_MS) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns the streams that a keeper has not been told.
+    pub(crate) fn untold(&self, now_ms: u64, keeper: &str) -> Batch {
+        let mut state = self.lock();
+        state.expire(now_ms);
+        let from = state.told.get(keeper).copied().unwrap_or_default();
+        let skipped = usize::try_from(from.saturating_sub(state.first)).unwrap_or(usize::MAX);
+        let rows = state.own.iter().skip(skipped);
+        Batch {
+            rows: rows
+                .map(|stream| (stream.attempt.clone(), stream.origin.clone()))
+                .collect(),
+            next: state.first + state.own.len() as u64,
+        }
+    }
+
+    /// Records that a keeper was told all rows before `next`.
+    pub(crate) fn record_told(&self, keeper: &str, next: u64) {
+        self.lock().told.insert(keeper.to_owned(), next);
+    }
+
+    /// Forgets what former keepers were told.
+    pub(crate) fn retain_keepers(&self, keepers: &[String]) {
+        self.lock()
+            .told
+            .retain(|keeper, _| keepers.contains(keeper));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Removes own streams that can no longer be taken up, or that are too many.
+    fn expire(&mut self, now_ms: u64) {
+        let expired = |stream: &OwnStream| now_ms >= stream.began_ms + STREAM_TTL_MS;
+        while self.own.len() > OWN_MAX || self.own.front().is_some_and(expired) {
+            self.own.pop_front();
+            self.first += 1;
+        }
+    }
+}
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -70,6 +70,7 @@
         service: &admitted.service,
         artifacts: &artifacts,
         attempted: &admitted.attempted,
+        build: admitted.build_choice(),
     };
     let now_ms = context.clock.now_ms();
     context.fleet.pick(now_ms, &requirements, random())
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -16,10 +16,22 @@
 use crate::fleet::Fleet;
 use crate::meters::Meters;
 use crate::options::Options;
+use crate::origin::{Origin, Origins};
 use crate::rate::Rates;
 use crate::view::View;
 
-/// `PeerClient` requests units and adapters that this VM lacks from the leader and other VMs.
+/// `OriginAnswer` states what is known of where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum OriginAnswer {
+    /// It began there.
+    Known(Origin),
+    /// All VMs that were asked answered that they do not know it.
+    Unknown,
+    /// None of those that answered knows it, and others did not answer.
+    Unanswered,
+}
+
+/// `PeerClient` requests units, adapters and knowledge that this VM lacks from the leader and other VMs.
 pub(crate) trait PeerClient: Debug + Send + Sync + 'static {
     /// Draws units of a workspace's rate from the leader.
     fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = DrawResult> + Send;
@@ -27,6 +39,13 @@
     /// Borrows units of a workspace's rate from other VMs, used while no leader answers; returns the number lent.
     fn borrow(&self, workspace: &Workspace, units: u64) -> impl Future<Output = u64> + Send;
 
+    /// Asks other VMs where the stream of a service began that an attempt brought.
+    fn find_origin(
+        &self,
+        service: &Service,
+        attempt: Option<&str>,
+    ) -> impl Future<Output = OriginAnswer> + Send;
+
     /// Requests an adapter that no endpoint holds; returns once an endpoint holds it or none will soon.
     fn request_adapter(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
 }
@@ -41,6 +60,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) rates: Arc<Rates>,
+    pub(crate) origins: Arc<Origins>,
     pub(crate) peer_client: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
     /// Rate at which endpoints refuse requests, by service.
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -25,6 +25,7 @@
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
+use crate::serve::take_up;
 use crate::serve::{Context, PeerClient};
 use crate::wire::{HeadCodec, strip_connection_headers};
 
@@ -116,7 +117,8 @@
                 format!("bytes={head_bytes}"),
             ));
         }
-        let admitted = self.admit(&config, head, body, metadata, arrived_ms)?;
+        let mut admitted = self.admit(&config, head, body, metadata, arrived_ms)?;
+        take_up::resolve(&self.context, &mut admitted).await?;
         let artifacts = admitted.artifacts();
         let tokens = admitted.metadata.tokens.unwrap_or_default();
         self.context.fleet.record_demand(&artifacts, tokens.answer);
@@ -179,6 +181,7 @@
             body,
             metadata,
             service,
+            build: None,
             workspace,
             units,
             priority,
@@ -233,7 +236,8 @@
             Cause::NoEndpoint
         };
         let artifacts = admitted.artifacts();
-        let detail = format!("service={} artifacts={artifacts:?}", admitted.service);
+        let (service, build) = (&admitted.service, &admitted.build);
+        let detail = format!("service={service} build={build:?} artifacts={artifacts:?}");
         Err(Refusal::new(cause, detail).with_retry_after(RETRY_AFTER_NO_ENDPOINT))
     }
 
@@ -313,6 +317,9 @@
             EndpointAnswer::Streamed(head, answer, length) => {
                 // The request runs there even if its answer is interrupted.
                 admitted.possible_runs += 1;
+                if head.status.is_success() {
+                    take_up::record(&self.context, &mut admitted, &pick);
+                }
                 let (caller, body) = Body::streamed(length);
                 self.log_answer(&admitted, &pick, &head);
                 let relay = AnswerRelay {
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -11,7 +11,8 @@
 mod relay;
 mod request;
 mod sse;
+mod take_up;
 
-pub(crate) use context::{Context, PeerClient};
+pub(crate) use context::{Context, OriginAnswer, PeerClient};
 pub(crate) use handler::Handler;
 pub(crate) use refusal::Cause;
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -6,6 +6,9 @@
 use quetzalpick_core::verdict::Verdict;
 use strum::{Display, IntoStaticStr};
 
+/// Retry delay if VMs that may know the answer did not reply, as the next leader will know it.
+pub(crate) const RETRY_AFTER_UNANSWERED: Duration = Duration::from_millis(500);
+
 /// `Cause` classifies why a request is not served; it determines the status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -28,6 +31,8 @@
     NoConfig,
     /// The view of this VM is too old to check keys.
     StaleView,
+    /// It is not known which build began the stream that the request takes up, or that build is not reachable by the route.
+    UnknownBuild,
     /// No endpoint that accepts requests holds the required artifacts.
     NoEndpoint,
     /// All attempted endpoints declined the request or were unreachable.
@@ -49,9 +54,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfig | Self::StaleView | Self::NoEndpoint | Self::EndpointsRefused => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::StaleView
+            | Self::UnknownBuild
+            | Self::NoEndpoint
+            | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -9,12 +9,12 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
-use crate::config::Kind;
 use crate::fleet::Pick;
 use crate::serve::attempt::{pick, record_failure, send};
 use crate::serve::body::Interrupted;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
+use crate::serve::take_up;
 use crate::serve::{Context, PeerClient};
 use crate::wire::HeadCodec;
 
@@ -51,7 +51,6 @@
 impl<E: HeadCodec, S: PeerClient> AnswerRelay<E, S> {
     /// Relays until the answer ends.
     pub(crate) async fn run(mut self) {
-        let resumable = matches!(self.admitted.route.kind, Kind::Stream { resumable: true });
         loop {
             let end = self.forward().await;
             let now_ms = self.context.clock.now_ms();
@@ -69,6 +68,7 @@
             };
             self.record_failure(now_ms);
             // An incomplete event of the former endpoint is dropped.
+            let resumable = self.admitted.is_resumable();
             if !(resumable && self.progress.can_continue() && self.resume().await) {
                 return self.abort("broken", &reason).await;
             }
@@ -118,6 +118,10 @@
     async fn resume(&mut self) -> bool {
         let after = self.progress.last_event_id();
         let context = Arc::clone(&self.context);
+        if after.is_none() && !self.admitted.metadata.takes_up_stream() {
+            // The caller has no event yet, so that any build may begin the stream anew.
+            self.admitted.build = None;
+        }
         while self.admitted.has_runs_left() && context.withdraw() {
             let Some(pick) = pick(&context, &self.admitted) else {
                 return false;
@@ -133,6 +137,7 @@
                         pick.build.as_str(),
                         self.pick.build.as_str(),
                     );
+                    take_up::record(&context, &mut self.admitted, &pick);
                     self.pick = pick;
                     let (head, answer) = answer.into_parts();
                     self.progress = Progress::new(self.admitted.route.kind, &head, after);
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -5,7 +5,8 @@
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::retry::Deadline;
 
-use crate::config::Route;
+use crate::config::{Kind, Route};
+use crate::fleet::{Build, BuildChoice};
 use crate::metadata::Metadata;
 
 /// `Admitted` holds a request, the route and limits that apply to it, and its attempts so far.
@@ -16,6 +17,8 @@
     pub(crate) metadata: Metadata,
     pub(crate) route: Route,
     pub(crate) service: Service,
+    /// Build at which its stream must go on, once one has begun it.
+    pub(crate) build: Option<Build>,
     pub(crate) workspace: Option<Workspace>,
     /// Units charged to the workspace.
     pub(crate) units: u64,
@@ -41,6 +44,20 @@
         self.metadata.attempt.as_deref().unwrap_or("-")
     }
 
+    /// Returns whether its answer is a stream that another endpoint may resume.
+    pub(crate) fn is_resumable(&self) -> bool {
+        matches!(self.route.kind, Kind::Stream { resumable: true })
+    }
+
+    /// Returns the builds that may run it.
+    pub(crate) fn build_choice(&self) -> BuildChoice<'_> {
+        match &self.build {
+            Some(build) => BuildChoice::Only(build),
+            None if self.is_resumable() => BuildChoice::Settled,
+            None => BuildChoice::Any,
+        }
+    }
+
     /// Returns the artifacts that an endpoint must hold.
     pub(crate) fn artifacts(&self) -> Vec<&Artifact> {
         self.metadata.artifacts().collect()
--- a/crates/quetzalpick-entry/src/view/endpoints.rs
+++ b/crates/quetzalpick-entry/src/view/endpoints.rs
@@ -58,6 +58,7 @@
                 sleep(RELAY_PAUSE).await;
                 continue;
             }
+            let sent_ms = self.clock.now_ms();
             let read = match next {
                 Some(from) => {
                     let read = self.topics.read(Topic::Endpoints, from, Duration::ZERO);
@@ -67,7 +68,11 @@
             };
             // After a trim, the newest records are read at once.
             let failed = matches!(&read, Err(error) if !matches!(error, Error::Trimmed { .. }));
+            let reaches_end = matches!(&read, Ok(records) if records.reaches_end());
             let (from, pause) = self.apply_read(next, read, &mut status, &mut expiries);
+            if reaches_end {
+                self.fleet.record_read(sent_ms);
+            }
             next = from;
             if failed {
                 self.view.pause(pause).await;
@@ -101,7 +106,7 @@
                 self.apply(from.is_none(), records.records, expiries);
                 self.expire_pending(now_ms, expiries);
                 self.fleet
-                    .remove_expired(now_ms.saturating_sub(REMOVE_AFTER_MS));
+                    .remove_expired(now_ms, now_ms.saturating_sub(REMOVE_AFTER_MS));
                 (Some(next), pause)
             }
             Err(Error::Trimmed { oldest }) => {
