Do not resume a stream whose events have no ids

What callers saw: a resumable stream without event ids was sent from its start again behind what the caller had, up to three times in one answer. Cause: no id of a last event stood for no event at all. Change: an answer that has forwarded events can be continued only if one of them named its id. Evidence: framing::a_stream_without_event_ids_is_not_repeated_after_an_interruption got events 1, 2, 1, 2, 1, 2 before, and 1, 2 with a connection closed before the end now.

--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -55,7 +55,11 @@
     /// Returns whether another stream can continue behind what was forwarded.
     pub(crate) fn can_continue(&self) -> bool {
         let events = self.events.as_ref();
-        events.is_some_and(EventSplitter::is_at_event_end)
+        events.is_some_and(|events| {
+            // Events without ids cannot be named to another endpoint.
+            let has_position = events.last_id().is_some() || events.events() == 0;
+            events.is_at_event_end() && has_position
+        })
     }
 
     /// Returns the id of the last complete event.
