Keep broken-off answers from looking complete to HTTP/1.0 callers

What callers saw: a caller that speaks HTTP/1.0 got an interrupted stream, or an interrupted answer without a length, as a complete one. Change: such a caller is refused at once on stream routes (505, not run); an answer of unknown length is read in full before its status is written, and counts as failed if it breaks off or is too long. Answers with a length are passed on as before. Ruled out: resetting the connection, which would also discard what the caller has not read of complete answers before.

--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -118,6 +118,10 @@
             ));
         }
         let mut admitted = self.admit(&config, head, body, metadata, arrived_ms)?;
+        if admitted.route.kind.is_stream() && !admitted.supports_chunks() {
+            let detail = format!("version={:?}", admitted.head.version);
+            return Err(Refusal::new(Cause::HttpVersion, detail));
+        }
         take_up::resolve(&self.context, &mut admitted).await?;
         let artifacts = admitted.artifacts();
         let tokens = admitted.metadata.tokens.unwrap_or_default();
@@ -247,8 +251,12 @@
         let answer = send(&self.context, admitted, pick, last_event_id).await?;
         let (head, mut body) = answer.into_parts();
         let length = hyper::body::Body::size_hint(&body).exact();
-        let is_short = length.is_some_and(|length| length <= BUFFERED_MAX_BYTES);
-        if admitted.route.kind.is_stream() || !is_short {
+        let is_buffered = match length {
+            Some(length) => length <= BUFFERED_MAX_BYTES,
+            // Buffered in full, as this caller could not tell that the rest is missing.
+            None => !admitted.supports_chunks(),
+        };
+        if admitted.route.kind.is_stream() || !is_buffered {
             let length = length.filter(|_| !admitted.route.kind.is_stream());
             return Ok(EndpointAnswer::Streamed(head, body, length));
         }
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -21,6 +21,8 @@
     HeadTooLarge,
     /// The body did not arrive in time.
     TooSlow,
+    /// The caller's HTTP version cannot mark the end of a stream.
+    HttpVersion,
     /// No route matches the request.
     NoRoute,
     /// The key is missing or unknown.
@@ -51,6 +53,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::HttpVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -1,6 +1,7 @@
 //! The state of an admitted request.
 
 use bytes::Bytes;
+use http::Version;
 use http::request::Parts;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::retry::Deadline;
@@ -44,6 +45,11 @@
         self.metadata.attempt.as_deref().unwrap_or("-")
     }
 
+    /// Returns whether the caller can tell a complete answer of unknown length from an interrupted one.
+    pub(crate) fn supports_chunks(&self) -> bool {
+        self.head.version >= Version::HTTP_11
+    }
+
     /// Returns whether its answer is a stream that another endpoint may resume.
     pub(crate) fn is_resumable(&self) -> bool {
         matches!(self.route.kind, Kind::Stream { resumable: true })
