Do not report origins to a leader before this one

A VM that came to lead kept the former leader as a keeper and would have sent its report anew every 300 ms for as long as that one stayed silent. Found while reading the change; not seen in a run, and no test of its own: the lookup tests cover who is asked.

--- a/crates/quetzalpick-entry/src/exchange/keepers.rs
+++ b/crates/quetzalpick-entry/src/exchange/keepers.rs
@@ -13,7 +13,7 @@
 }
 
 impl Keepers {
-    /// Replaces what is known; an unknown address leaves the former one, which may still know streams.
+    /// Replaces the leader, `None` if this VM leads, and the deputy; a leader without a deputy leaves the former one.
     pub(crate) fn update(&mut self, leader: Option<String>, deputy: Option<String>) {
         for address in [&leader, &deputy].into_iter().flatten() {
             self.recent.retain(|recent| recent != address);
@@ -21,7 +21,7 @@
         }
         let surplus = self.recent.len().saturating_sub(RECENT_MAX);
         self.recent.drain(..surplus);
-        self.leader = leader.or(self.leader.take());
+        self.leader = leader;
         self.deputy = deputy.or(self.deputy.take());
     }
 
