Take the first answer to a request for an origin

All VMs that were asked were waited for, so that one silent VM delayed each stream that a caller took up by 100 ms. Either answer, the origin itself or the only possible build, is certain, so that the first one decides.

--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -3,7 +3,9 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use quetzalpick_core::id::Service;
 use quetzalpick_core::table::Table;
 use quetzalpick_node::peer::Transport;
@@ -89,11 +91,13 @@
             let calls = addresses
                 .iter()
                 .map(|address| self.call_vm(address, path::ORIGIN, &request, REQUEST_TIMEOUT));
-            let replies: Vec<Option<OriginReply>> = join_all(calls).await;
-            if let Some(origin) = known_origin(service, &replies) {
-                return OriginAnswer::Known(origin);
+            let mut replies: FuturesUnordered<_> = calls.collect();
+            while let Some(reply) = replies.next().await {
+                all_answered &= reply.is_some();
+                if let Some(origin) = reply.and_then(|reply| known_origin(service, reply)) {
+                    return OriginAnswer::Known(origin);
+                }
             }
-            all_answered &= replies.iter().all(Option::is_some);
         }
         if all_answered {
             OriginAnswer::Unknown
@@ -103,13 +107,11 @@
     }
 }
 
-/// Returns the origin that replies tell: that of the stream itself, or else the only one that is possible.
-fn known_origin(service: &Service, replies: &[Option<OriginReply>]) -> Option<Origin> {
-    let answered = || replies.iter().flatten();
-    let known = answered().find_map(|reply| reply.origin.clone());
-    known.or_else(|| {
-        let build = answered().find_map(|reply| reply.sole_build.clone())?;
-        let service = service.clone();
-        Some(Origin { service, build })
-    })
+/// Returns the origin that a reply tells: that of the stream itself, or else the only one that is possible.
+fn known_origin(service: &Service, reply: OriginReply) -> Option<Origin> {
+    let of_service = |build| Origin {
+        service: service.clone(),
+        build,
+    };
+    reply.origin.or(reply.sole_build.map(of_service))
 }
