Prefer a new build to ejected endpoints of known ones

While a build settles, endpoints of other builds go first; if all of these were ejected, the choice would have been one of them although a sound endpoint of the new build could serve. Found while reading the change; not seen in a run.

--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
-use quetzalpick_core::route::{self, Candidate, Choice, choose};
+use quetzalpick_core::route::{self, Candidate, Choice, Reason, choose};
 use quetzalpick_core::table::Table;
 
 use crate::exchange::EndpointsRelay;
@@ -278,6 +278,7 @@
                     builds.is_settled(now_ms, service, build)
                 };
                 let settled = select.among(&rows, is_settled);
+                let settled = settled.filter(|(_, choice)| choice.reason != Reason::Ejected);
                 settled.or_else(|| select.among(&rows, |_| true))
             }
         };
