Let streams of unknown origin go on while only one build is known

Cause: these callers do not name the attempt that began the stream, and for 30 s after a start no VM can be certain that a service has had one build only. Change: a VM that is not certain and finds no origin asks the others for the builds that they know. If all of them and its own view know one build, the stream goes on there; a VM that reaches neither the log service nor any other VM refuses. All VMs are asked at once; the origin itself decides as soon as one tells it. Evidence: builds::a_stream_of_unknown_origin_goes_on_while_one_build_serves got a 503 before. The tests with two builds pass as before. What this gives up: a build whose last runner left just before every VM that answers was started is not known to any of them.

--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -24,7 +24,7 @@
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
-use crate::serve::{OriginAnswer, PeerClient};
+use crate::serve::{OriginSearch, PeerClient};
 use crate::view::View;
 
 /// Minimum pause between two statuses.
@@ -280,8 +280,8 @@
         lent.into_iter().flatten().sum()
     }
 
-    async fn find_origin(&self, service: &Service, attempt: Option<&str>) -> OriginAnswer {
-        self.ask_origin(service, attempt).await
+    async fn find_origin(&self, service: &Service, attempt: Option<&str>) -> OriginSearch {
+        self.search_origin(service, attempt).await
     }
 
     async fn request_adapter(&self, adapter: &Artifact) {
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -157,8 +157,8 @@
 pub(crate) struct OriginReply {
     /// Where the stream began, if the receiver knows it.
     pub(crate) origin: Option<Origin>,
-    /// The build at which all recent streams of the service began, if that is certain.
-    pub(crate) sole_build: Option<Build>,
+    /// Builds at which recent streams of the service may have begun, as far as the receiver knows.
+    pub(crate) builds: Vec<Build>,
 }
 
 /// `AdapterRequest` requests an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -15,7 +15,7 @@
 use crate::exchange::{Client, Keepers};
 use crate::origin::Origin;
 use crate::place::EngineControl;
-use crate::serve::OriginAnswer;
+use crate::serve::OriginSearch;
 
 /// Pause in which streams are collected for one report.
 const REPORT_PAUSE: Duration = Duration::from_millis(50);
@@ -73,45 +73,39 @@
         told
     }
 
-    /// Asks the keepers, and then some other VMs, where a stream began.
-    pub(super) async fn ask_origin(
+    /// Asks the keepers and some other VMs where a stream began.
+    pub(super) async fn search_origin(
         &self,
         service: &Service,
         attempt: Option<&str>,
-    ) -> OriginAnswer {
+    ) -> OriginSearch {
         let request = OriginRequest {
             service: service.clone(),
             attempt: attempt.map(str::to_owned),
         };
-        let keepers = self.with_keepers(|keepers| keepers.recent().to_vec());
-        let mut others = self.peer_addresses();
-        others.retain(|address| !keepers.contains(address));
-        let mut all_answered = true;
-        for addresses in [keepers, others] {
-            let calls = addresses
-                .iter()
-                .map(|address| self.call_vm(address, path::ORIGIN, &request, REQUEST_TIMEOUT));
-            let mut replies: FuturesUnordered<_> = calls.collect();
-            while let Some(reply) = replies.next().await {
-                all_answered &= reply.is_some();
-                if let Some(origin) = reply.and_then(|reply| known_origin(service, reply)) {
-                    return OriginAnswer::Known(origin);
-                }
+        let mut addresses = self.with_keepers(|keepers| keepers.recent().to_vec());
+        addresses.extend(self.peer_addresses());
+        addresses.sort_unstable();
+        addresses.dedup();
+        let calls = addresses
+            .iter()
+            .map(|address| self.call_vm(address, path::ORIGIN, &request, REQUEST_TIMEOUT));
+        let mut replies: FuturesUnordered<_> = calls.collect();
+        let mut search = OriginSearch {
+            asked: addresses.len(),
+            ..OriginSearch::default()
+        };
+        while let Some(reply) = replies.next().await {
+            let Some(OriginReply { origin, builds }) = reply else {
+                continue;
+            };
+            search.answered += 1;
+            search.builds.extend(builds);
+            if origin.is_some() {
+                search.origin = origin;
+                break;
             }
         }
-        if all_answered {
-            OriginAnswer::Unknown
-        } else {
-            OriginAnswer::Unanswered
-        }
+        search
     }
 }
-
-/// Returns the origin that a reply tells: that of the stream itself, or else the only one that is possible.
-fn known_origin(service: &Service, reply: OriginReply) -> Option<Origin> {
-    let of_service = |build| Origin {
-        service: service.clone(),
-        build,
-    };
-    reply.origin.or(reply.sole_build.map(of_service))
-}
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -74,7 +74,7 @@
         let attempt = request.attempt.as_deref();
         OriginReply {
             origin: attempt.and_then(|attempt| self.origins.find(now_ms, attempt)),
-            sole_build: self.fleet.sole_build(now_ms, &request.service),
+            builds: self.fleet.known_builds(now_ms, &request.service),
         }
     }
 }
--- a/crates/quetzalpick-entry/src/fleet/builds.rs
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -76,26 +76,45 @@
             .any(|seen| seen.build == *build && now_ms >= seen.first_ms + SETTLE_MS)
     }
 
-    /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
+    /// Returns whether the entries were read recently enough to know every build that another VM may use.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        self.read_ms
+            .is_some_and(|read_ms| now_ms <= read_ms + SETTLE_MS)
+    }
+
+    /// Returns the builds at which a stream of a service may have begun that may be taken up now, as far as this VM
+    /// knows; sorted.
     ///
     /// `present` are the builds of the service's endpoints at present.
+    pub fn known<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &Service,
+        present: impl Iterator<Item = &'a Build>,
+    ) -> Vec<&'a Build> {
+        let recent = self.of(service).iter();
+        let recent = recent.filter(|seen| now_ms < seen.last_ms + STREAM_TTL_MS);
+        let mut known: Vec<&Build> = present.chain(recent.map(|seen| &seen.build)).collect();
+        known.sort_unstable();
+        known.dedup();
+        known
+    }
+
+    /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
     pub fn sole<'a>(
         &'a self,
         now_ms: u64,
         service: &Service,
         present: impl Iterator<Item = &'a Build>,
     ) -> Option<&'a Build> {
-        let is_current = self
-            .read_ms
-            .is_some_and(|read_ms| now_ms <= read_ms + SETTLE_MS);
-        if !is_current || now_ms < self.complete_since_ms + STREAM_TTL_MS {
+        let is_complete = now_ms >= self.complete_since_ms + STREAM_TTL_MS;
+        if !is_complete || !self.is_current(now_ms) {
             return None;
         }
-        let recent = self.of(service).iter();
-        let recent = recent.filter(|seen| now_ms < seen.last_ms + STREAM_TTL_MS);
-        let mut builds = present.chain(recent.map(|seen| &seen.build));
-        let sole = builds.next()?;
-        builds.all(|build| build == sole).then_some(sole)
+        match self.known(now_ms, service, present).as_slice() {
+            [build] => Some(build),
+            _ => None,
+        }
     }
 
     fn of(&self, service: &Service) -> &[Sighting] {
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -228,6 +228,21 @@
         read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
     }
 
+    /// Returns whether the entries were read recently enough to know every build that another VM may use.
+    pub(crate) fn is_current(&self, now_ms: u64) -> bool {
+        lock(&self.builds).is_current(now_ms)
+    }
+
+    /// Returns the builds at which a stream of a service may have begun that may be taken up now, as far as this VM
+    /// knows; sorted.
+    pub(crate) fn known_builds(&self, now_ms: u64, service: &Service) -> Vec<Build> {
+        let rows = self.rows();
+        let of_service = rows.values().filter(|row| row.spec.service == *service);
+        let builds = lock(&self.builds);
+        let known = builds.known(now_ms, service, of_service.map(|row| &row.spec.build));
+        known.into_iter().cloned().collect()
+    }
+
     /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
     pub fn sole_build(&self, now_ms: u64, service: &Service) -> Option<Build> {
         let rows = self.rows();
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -13,22 +13,24 @@
 
 use crate::clock::Clock;
 use crate::exchange::DrawResult;
-use crate::fleet::Fleet;
+use crate::fleet::{Build, Fleet};
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::origin::{Origin, Origins};
 use crate::rate::Rates;
 use crate::view::View;
 
-/// `OriginAnswer` states what is known of where a stream began.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum OriginAnswer {
-    /// It began there.
-    Known(Origin),
-    /// All VMs that were asked answered that they do not know it.
-    Unknown,
-    /// None of those that answered knows it, and others did not answer.
-    Unanswered,
+/// `OriginSearch` holds what other VMs know of where a stream began.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct OriginSearch {
+    /// Where it began, if one of them knows.
+    pub(crate) origin: Option<Origin>,
+    /// Builds at which it may have begun, as far as they know.
+    pub(crate) builds: Vec<Build>,
+    /// Number of VMs that were asked.
+    pub(crate) asked: usize,
+    /// Number of VMs that answered.
+    pub(crate) answered: usize,
 }
 
 /// `PeerClient` requests units, adapters and knowledge that this VM lacks from the leader and other VMs.
@@ -44,7 +46,7 @@
         &self,
         service: &Service,
         attempt: Option<&str>,
-    ) -> impl Future<Output = OriginAnswer> + Send;
+    ) -> impl Future<Output = OriginSearch> + Send;
 
     /// Requests an adapter that no endpoint holds; returns once an endpoint holds it or none will soon.
     fn request_adapter(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -13,6 +13,6 @@
 mod sse;
 mod take_up;
 
-pub(crate) use context::{Context, OriginAnswer, PeerClient};
+pub(crate) use context::{Context, OriginSearch, PeerClient};
 pub(crate) use handler::Handler;
 pub(crate) use refusal::Cause;
--- a/crates/quetzalpick-entry/src/serve/take_up.rs
+++ b/crates/quetzalpick-entry/src/serve/take_up.rs
@@ -1,10 +1,10 @@
 //! Streams that callers take up again: they go on at the build that began them.
 
-use crate::fleet::Pick;
+use crate::fleet::{Build, Pick};
 use crate::origin::Origin;
 use crate::serve::refusal::{Cause, RETRY_AFTER_UNANSWERED, Refusal};
 use crate::serve::request::Admitted;
-use crate::serve::{Context, OriginAnswer, PeerClient};
+use crate::serve::{Context, PeerClient};
 
 /// Determines the service and the build at which a stream goes on that the caller takes up; does nothing for others.
 ///
@@ -18,49 +18,64 @@
     if !admitted.is_resumable() || !admitted.metadata.takes_up_stream() {
         return Ok(());
     }
-    let (answer, source) = find(context, admitted).await;
-    match answer {
-        OriginAnswer::Known(origin) if admitted.route.leads_to(&origin.service) => {
-            log::info!(
-                "entry: request={} takes up attempt={} build={} source={source}",
-                admitted.id(),
-                admitted.metadata.resumes.as_deref().unwrap_or("-"),
-                origin.build.as_str(),
-            );
-            admitted.service = origin.service;
-            admitted.build = Some(origin.build);
-            Ok(())
-        }
-        OriginAnswer::Known(origin) => {
-            let detail = format!("the route no longer leads to service={}", origin.service);
-            Err(Refusal::new(Cause::UnknownBuild, detail))
-        }
-        OriginAnswer::Unknown => Err(Refusal::new(Cause::UnknownBuild, "no VM knows the stream")),
-        OriginAnswer::Unanswered => {
-            let refusal = Refusal::new(Cause::UnknownBuild, "VMs that may know did not answer");
-            Err(refusal.with_retry_after(RETRY_AFTER_UNANSWERED))
-        }
+    let (origin, source) = find(context, admitted).await?;
+    if !admitted.route.leads_to(&origin.service) {
+        let detail = format!("the route no longer leads to service={}", origin.service);
+        return Err(Refusal::new(Cause::UnknownBuild, detail));
     }
+    log::info!(
+        "entry: request={} takes up attempt={} build={} source={source}",
+        admitted.id(),
+        admitted.metadata.resumes.as_deref().unwrap_or("-"),
+        origin.build.as_str(),
+    );
+    admitted.service = origin.service;
+    admitted.build = Some(origin.build);
+    Ok(())
 }
 
 /// Finds out where a stream began, and names the source for the log.
 async fn find<E, S: PeerClient>(
     context: &Context<E, S>,
     admitted: &Admitted,
-) -> (OriginAnswer, &'static str) {
+) -> Result<(Origin, &'static str), Refusal> {
     let now_ms = context.clock.now_ms();
     let attempt = admitted.metadata.resumes.as_deref();
     if let Some(origin) = attempt.and_then(|attempt| context.origins.find(now_ms, attempt)) {
-        return (OriginAnswer::Known(origin), "memory");
+        return Ok((origin, "memory"));
     }
     let service = &admitted.service;
+    let at = |build| Origin {
+        service: service.clone(),
+        build,
+    };
     if let Some(build) = context.fleet.sole_build(now_ms, service) {
-        let service = service.clone();
-        let origin = Origin { service, build };
-        return (OriginAnswer::Known(origin), "only-build");
+        return Ok((at(build), "only-build"));
+    }
+    let search = context.peer_client.find_origin(service, attempt).await;
+    if let Some(origin) = search.origin {
+        return Ok((origin, "other-vms"));
+    }
+    let mut builds = search.builds;
+    builds.extend(context.fleet.known_builds(now_ms, service));
+    builds.sort_unstable();
+    builds.dedup();
+    // A VM that reaches neither the log service nor other VMs may have missed a build.
+    let is_informed = context.fleet.is_current(now_ms) || search.answered > 0;
+    match <[Build; 1]>::try_from(builds) {
+        Ok([build]) if is_informed => Ok((at(build), "known-builds")),
+        builds => {
+            let count = builds.map_or_else(|builds| builds.len(), |builds| builds.len());
+            let (asked, answered) = (search.asked, search.answered);
+            let detail = format!("builds={count} asked={asked} answered={answered}");
+            let refusal = Refusal::new(Cause::UnknownBuild, detail);
+            if attempt.is_some() && answered < asked {
+                Err(refusal.with_retry_after(RETRY_AFTER_UNANSWERED))
+            } else {
+                Err(refusal)
+            }
+        }
     }
-    let answer = context.peer_client.find_origin(service, attempt).await;
-    (answer, "other-vms")
 }
 
 /// Records at which build a resumable stream runs, once its endpoint has accepted it.
