--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -25,6 +25,7 @@
 use crate::place::EngineControl;
 use crate::rate::Rates;
 use crate::serve::{OriginSearch, PeerClient};
+use crate::sync::lock;
 use crate::view::View;
 
 /// Minimum pause between two statuses.
@@ -139,7 +140,7 @@
         }
         self.update_keepers(reply.deputy.clone());
         if !reply.peers.is_empty() {
-            *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = reply.peers.clone();
+            *lock(&self.peers) = reply.peers.clone();
         }
         if let Some(copies) = &reply.copies {
             self.apply_copies(copies);
@@ -190,7 +191,7 @@
         let others = |address: &String| address != self.lead.address();
         let leader = self.lead.leader_address().filter(others);
         let changed = {
-            let mut keepers = self.keepers.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut keepers = lock(&self.keepers);
             let former = keepers.present();
             keepers.update(leader, deputy.filter(others));
             keepers.present() != former
@@ -201,8 +202,7 @@
     }
 
     pub(super) fn peer_addresses(&self) -> Vec<String> {
-        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        peers.clone()
+        lock(&self.peers).clone()
     }
 
     /// Returns the version of the copies that this VM has.
--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -1,6 +1,5 @@
 //! Tells the keepers of origins where this VM's streams began, and asks other VMs about theirs.
 
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -16,6 +15,7 @@
 use crate::origin::Origin;
 use crate::place::EngineControl;
 use crate::serve::OriginSearch;
+use crate::sync::lock;
 
 /// Pause in which streams are collected for one report.
 const REPORT_PAUSE: Duration = Duration::from_millis(50);
@@ -47,7 +47,7 @@
     }
 
     fn with_keepers<T>(&self, read: impl FnOnce(&Keepers) -> T) -> T {
-        read(&self.keepers.lock().unwrap_or_else(PoisonError::into_inner))
+        read(&lock(&self.keepers))
     }
 
     /// Reports to one keeper; returns whether it knows all of this VM's streams now.
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -1,7 +1,7 @@
 //! The table of endpoints and the demand for models.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
 use quetzalpick_core::route::{self, Candidate, Choice, Reason, choose};
@@ -11,6 +11,7 @@
 use crate::fleet::row::Row;
 use crate::fleet::{Build, Builds, Pick, Spec};
 use crate::place::{Demand, Work};
+use crate::sync::lock;
 
 /// `Requirements` holds the criteria by which an endpoint is selected for a request.
 #[derive(Debug, Clone, Copy)]
@@ -57,10 +58,6 @@
 /// Time after a contact for which the leader's reports are used, in ms.
 const LEADER_REPORTS_TTL_MS: u64 = 2_000;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// `Selection` holds the inputs of one selection of an endpoint.
 #[derive(Debug, Clone, Copy)]
 struct Selection<'a> {
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -1,7 +1,7 @@
 //! The leader's state, and its answers to the other VMs.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use quetzalpick_core::election::{Candidate, Election, Heartbeat};
@@ -20,6 +20,7 @@
 use crate::lead::copy_index::CopyIndex;
 use crate::lead::statuses::Statuses;
 use crate::place::Planner;
+use crate::sync::lock;
 use crate::view::View;
 
 /// Number of other VMs whose addresses a VM receives.
@@ -63,10 +64,6 @@
     copies_version: watch::Sender<u64>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl<N> Leadership<N> {
     /// Creates the leadership of a VM that doesn't lead yet.
     pub(crate) fn new(
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod reload;
 mod serve;
 pub mod settings;
+mod sync;
 mod view;
 pub mod wire;
 
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -1,7 +1,7 @@
 //! The origins that this VM knows, and what it has told the VMs that keep them.
 
 use std::collections::VecDeque;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use quetzalpick_core::table::Table;
 use tokio::sync::Notify;
@@ -9,6 +9,7 @@
 use crate::fleet::STREAM_TTL_MS;
 use crate::origin::Origin;
 use crate::origin::recent::Recent;
+use crate::sync::lock;
 
 /// Longest attempt id that is recorded, in bytes.
 const ATTEMPT_MAX_BYTES: usize = 128;
@@ -128,7 +129,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -1,6 +1,6 @@
 //! Token buckets that enforce this VM's part of the workspaces' rates.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use quetzalpick_core::id;
@@ -8,6 +8,7 @@
 use quetzalpick_core::table::Table;
 
 use crate::config::{Config, Workspace};
+use crate::sync::lock;
 
 /// `Shortage` describes a charge that the bucket couldn't cover.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +72,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Sets the limit of what all VMs together may overdraw of a workspace's rate.
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -18,6 +18,7 @@
 use crate::options::Options;
 use crate::origin::{Origin, Origins};
 use crate::rate::Rates;
+use crate::sync::lock;
 use crate::view::View;
 
 /// `OriginSearch` holds what other VMs know of where a stream began.
@@ -134,13 +135,12 @@
         service: &Service,
         act: impl FnOnce(&mut RefusalRate, &RetryAfter) -> T,
     ) -> T {
-        let refusal_rates = self.refusal_rates.lock();
-        let mut refusal_rates = refusal_rates.unwrap_or_else(PoisonError::into_inner);
+        let mut refusal_rates = lock(&self.refusal_rates);
         let refusal_rate = refusal_rates.get_or_insert_with(service.clone(), RefusalRate::default);
         act(refusal_rate, &RetryAfter::default())
     }
 
     fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
-        act(&mut self.budget.lock().unwrap_or_else(PoisonError::into_inner))
+        act(&mut lock(&self.budget))
     }
 }
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -1,6 +1,6 @@
 //! Follows the published configuration, in its topic or as relayed by the leader.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::exchange::ViewRelay;
+use crate::sync::lock;
 use crate::view::DependencyStatus;
 use crate::wire::RecordCodec;
 
@@ -149,7 +150,7 @@
     }
 
     fn lock<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
-        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+        act(&mut lock(&self.state))
     }
 }
 
