--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -4,11 +4,13 @@
 mod builds;
 mod pick;
 mod row;
+mod selection;
 mod spec;
 mod table;
 
 pub use build::Build;
 pub use builds::{Builds, SETTLE_MS, STREAM_TTL_MS};
 pub use pick::Pick;
+pub use selection::{BuildChoice, Requirements};
 pub use spec::{Spec, State};
-pub use table::{BuildChoice, Fleet, Requirements};
+pub use table::Fleet;
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -4,39 +4,16 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
-use quetzalpick_core::route::{self, Candidate, Choice, Reason, choose};
+use quetzalpick_core::route;
 use quetzalpick_core::table::Table;
 
 use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
-use crate::fleet::{Build, Builds, Pick, Spec};
+use crate::fleet::selection::Selection;
+use crate::fleet::{Build, Builds, Pick, Requirements, Spec};
 use crate::place::{Demand, Work};
 use crate::sync::lock;
 
-/// `Requirements` holds the criteria by which an endpoint is selected for a request.
-#[derive(Debug, Clone, Copy)]
-pub struct Requirements<'a> {
-    /// Service that it must belong to.
-    pub service: &'a Service,
-    /// Models and adapters that it must hold.
-    pub artifacts: &'a [&'a Artifact],
-    /// Endpoints of earlier attempts, which are avoided.
-    pub attempted: &'a [Endpoint],
-    /// Builds that it may run.
-    pub build: BuildChoice<'a>,
-}
-
-/// `BuildChoice` restricts the builds of the endpoints that may be selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BuildChoice<'a> {
-    /// Any build.
-    Any,
-    /// Builds that all VMs know already; others only if none of these can take the request.
-    Settled,
-    /// This build, as it began the stream.
-    Only(&'a Build),
-}
-
 /// `Fleet` tracks all endpoints as observed by this VM, and selects endpoints for requests.
 #[derive(Debug)]
 pub struct Fleet {
@@ -58,43 +35,6 @@
 /// Time after a contact for which the leader's reports are used, in ms.
 const LEADER_REPORTS_TTL_MS: u64 = 2_000;
 
-/// `Selection` holds the inputs of one selection of an endpoint.
-#[derive(Debug, Clone, Copy)]
-struct Selection<'a> {
-    now_ms: u64,
-    requirements: &'a Requirements<'a>,
-    /// Number of VMs that share the endpoints.
-    members: u32,
-    domain: &'a Domain,
-    options: &'a route::Options,
-    random: u64,
-}
-
-impl Selection<'_> {
-    /// Selects among the endpoints that meet the requirements and the condition.
-    fn among(
-        &self,
-        rows: &Table<Endpoint, Row>,
-        condition: impl Fn(&Row) -> bool,
-    ) -> Option<(Endpoint, Choice)> {
-        let serving = rows
-            .iter()
-            .filter(|(_, row)| row.serves(self.requirements) && condition(row));
-        let attempted = self.requirements.attempted;
-        let candidates: Vec<Candidate<'_>> = serving
-            .map(|(name, row)| row.candidate(name, attempted.contains(name), self.members))
-            .collect();
-        let choice = choose(
-            self.now_ms,
-            self.domain,
-            &candidates,
-            self.options,
-            self.random,
-        )?;
-        Some((candidates[choice.index].endpoint.clone(), choice))
-    }
-}
-
 impl Fleet {
     /// Creates an empty fleet for a VM in the failure domain `domain`.
     pub fn new(domain: Domain, options: route::Options) -> Self {
@@ -271,30 +211,15 @@
         random: u64,
     ) -> Option<Pick> {
         let mut rows = self.rows();
-        let members = self.member_count.load(Ordering::Relaxed);
-        let select = Selection {
+        let selection = Selection {
             now_ms,
             requirements,
-            members,
+            members: self.member_count.load(Ordering::Relaxed),
             domain: &self.domain,
             options: &self.options,
             random,
         };
-        let selected = match requirements.build {
-            BuildChoice::Any => select.among(&rows, |_| true),
-            BuildChoice::Only(build) => select.among(&rows, |row| row.spec.build == *build),
-            BuildChoice::Settled => {
-                let builds = lock(&self.builds);
-                let is_settled = |row: &Row| {
-                    let Spec { service, build, .. } = &row.spec;
-                    builds.is_settled(now_ms, service, build)
-                };
-                let settled = select.among(&rows, is_settled);
-                let settled = settled.filter(|(_, choice)| choice.reason != Reason::Ejected);
-                settled.or_else(|| select.among(&rows, |_| true))
-            }
-        };
-        let (endpoint, choice) = selected?;
+        let (endpoint, choice) = selection.select(&rows, &lock(&self.builds))?;
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others_in_flight;
         row.in_flight += 1;
