Give the attempts of a request a file of their own

Its second half, the attempts and the answer of the endpoint, moved to serve::dispatch; no behaviour changes.

--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -1,4 +1,4 @@
-//! Handler of the callers' listener: admission, attempts and the answer.
+//! Handler of the callers' listener: admission and refusals.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,7 +9,6 @@
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use quetzalpick_client::http::Body as Answer;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::http::body::{self, collect};
@@ -17,33 +16,19 @@
 use rand::random;
 
 use crate::config::Config;
-use crate::fleet::Pick;
 use crate::metadata::{Metadata, Tokens};
-use crate::serve::attempt::{Failure, pick, record_failure, send};
 use crate::serve::body::Body;
-use crate::serve::progress::Progress;
 use crate::serve::refusal::{Cause, Refusal};
-use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
-use crate::serve::take_up;
-use crate::serve::{Context, PeerClient};
-use crate::wire::{HeadCodec, strip_connection_headers};
+use crate::serve::{Context, PeerClient, take_up};
+use crate::wire::HeadCodec;
 
 /// Timeout for the arrival of a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Longest answer that is buffered in full, in bytes, so that another endpoint can replace it if it is interrupted.
-const BUFFERED_MAX_BYTES: u64 = 64 * 1024;
-
-/// Maximum number of endpoints that a request is sent to, including those that decline it.
-const SENDS_MAX: usize = 4;
-
 /// Retry delay until the first configuration has been read, which takes little time.
 const RETRY_AFTER_NO_CONFIG: Duration = Duration::from_millis(250);
 
-/// Retry delay if no endpoint holds the required artifacts: a load takes about as long.
-const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(1_000);
-
 /// Retry delay if the view is stale because this VM cannot reach the log service.
 const RETRY_AFTER_STALE_VIEW: Duration = Duration::from_millis(600);
 
@@ -204,174 +189,6 @@
         Err(Refusal::new(Cause::StaleView, detail).with_retry_after(RETRY_AFTER_STALE_VIEW))
     }
 
-    /// Sends a request to endpoints until one answers it or no further attempt is allowed.
-    async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
-        loop {
-            let pick = match pick(&self.context, &admitted) {
-                Some(pick) => pick,
-                None => self.pick_after_load(&admitted).await?,
-            };
-            admitted.attempted.push(pick.endpoint.clone());
-            let failure = match self.attempt(&admitted, &pick).await {
-                Ok(answer) => {
-                    self.context.record_acceptance(&admitted.service);
-                    return Ok(self.answer_caller(admitted, pick, answer));
-                }
-                Err(failure) => failure,
-            };
-            record_failure(&self.context, &mut admitted, &pick, &failure);
-            if !self.may_retry(&admitted, &failure) {
-                return Err(self.final_refusal(&admitted, &failure));
-            }
-        }
-    }
-
-    /// Picks an endpoint after requesting the adapter that no endpoint holds.
-    async fn pick_after_load(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
-        if let Some(adapter) = &admitted.metadata.adapter {
-            self.context.peer_client.request_adapter(adapter).await;
-            if let Some(pick) = pick(&self.context, admitted) {
-                return Ok(pick);
-            }
-        }
-        let cause = if admitted.possible_runs > 0 {
-            Cause::EndpointFailed
-        } else {
-            Cause::NoEndpoint
-        };
-        let artifacts = admitted.artifacts();
-        let (service, build) = (&admitted.service, &admitted.build);
-        let detail = format!("service={service} build={build:?} artifacts={artifacts:?}");
-        Err(Refusal::new(cause, detail).with_retry_after(RETRY_AFTER_NO_ENDPOINT))
-    }
-
-    /// Sends a request to an endpoint; a short answer that is no stream is buffered in full.
-    async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<EndpointAnswer, Failure> {
-        let last_event_id = admitted.metadata.last_event_id;
-        let answer = send(&self.context, admitted, pick, last_event_id).await?;
-        let (head, mut body) = answer.into_parts();
-        let length = hyper::body::Body::size_hint(&body).exact();
-        let is_buffered = match length {
-            Some(length) => length <= BUFFERED_MAX_BYTES,
-            // Buffered in full, as this caller could not tell that the rest is missing.
-            None => !admitted.supports_chunks(),
-        };
-        if admitted.route.kind.is_stream() || !is_buffered {
-            let length = length.filter(|_| !admitted.route.kind.is_stream());
-            return Ok(EndpointAnswer::Streamed(head, body, length));
-        }
-        let bytes = body.collect_up_to(BUFFERED_MAX_BYTES as usize).await;
-        let bytes = bytes.map_err(Failure::may_have_run)?;
-        if head.status.is_server_error() && self.prefers_another(admitted) {
-            let reason = format!("the endpoint failed with status {}", head.status);
-            return Err(Failure::may_have_run(reason));
-        }
-        Ok(EndpointAnswer::Buffered(head, bytes))
-    }
-
-    /// Returns whether a failed answer should be replaced by that of another endpoint.
-    fn prefers_another(&self, admitted: &Admitted) -> bool {
-        admitted.route.kind.may_repeat() && admitted.possible_runs + 1 < admitted.route.attempts
-    }
-
-    /// Returns whether a request may be sent again; unless the endpoint was unreachable, that costs a retry of the budget.
-    fn may_retry(&self, admitted: &Admitted, failure: &Failure) -> bool {
-        let left_ms = admitted.left_ms(self.context.clock.now_ms());
-        let allowed = failure
-            .verdict
-            .allows_retry(admitted.route.kind.may_repeat());
-        allowed
-            && admitted.has_runs_left()
-            && admitted.attempted.len() < SENDS_MAX
-            && left_ms.is_none_or(|left_ms| left_ms > 0)
-            // An attempt that reached no endpoint added no load.
-            && (failure.is_unreachable() || self.context.withdraw())
-    }
-
-    /// Creates the refusal of a request that is not sent again.
-    fn final_refusal(&self, admitted: &Admitted, failure: &Failure) -> Refusal {
-        let left_ms = admitted.left_ms(self.context.clock.now_ms());
-        let cause = if admitted.possible_runs == 0 {
-            Cause::EndpointsRefused
-        } else if left_ms == Some(0) {
-            Cause::TimedOut
-        } else {
-            Cause::EndpointFailed
-        };
-        let refusal = Refusal::new(cause, &failure.reason);
-        match cause {
-            Cause::EndpointsRefused => {
-                let retry_after = self.context.record_refusal(&admitted.service);
-                refusal.with_retry_after(retry_after)
-            }
-            _ => refusal,
-        }
-    }
-
-    /// Turns the endpoint's answer into the response to the caller, and starts the relay of a streamed one.
-    fn answer_caller(
-        &self,
-        mut admitted: Admitted,
-        pick: Pick,
-        answer: EndpointAnswer,
-    ) -> Response<Body> {
-        match answer {
-            EndpointAnswer::Buffered(head, bytes) => {
-                let now_ms = self.context.clock.now_ms();
-                self.context.fleet.record_success(now_ms, &pick.endpoint);
-                self.log_answer(&admitted, &pick, &head);
-                respond(head, Body::full(bytes))
-            }
-            EndpointAnswer::Streamed(head, answer, length) => {
-                // The request runs there even if its answer is interrupted.
-                admitted.possible_runs += 1;
-                if head.status.is_success() {
-                    take_up::record(&self.context, &mut admitted, &pick);
-                }
-                let (caller, body) = Body::streamed(length);
-                self.log_answer(&admitted, &pick, &head);
-                let relay = AnswerRelay {
-                    context: Arc::clone(&self.context),
-                    progress: Progress::new(
-                        admitted.route.kind,
-                        &head,
-                        admitted.metadata.last_event_id,
-                    ),
-                    admitted,
-                    pick,
-                    answer,
-                    caller,
-                };
-                tokio::spawn(relay.run());
-                respond(head, body)
-            }
-        }
-    }
-
-    /// Logs an answered request with its endpoint and the reason of the selection.
-    fn log_answer(&self, admitted: &Admitted, pick: &Pick, head: &http::response::Parts) {
-        let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
-        let resumes = admitted.metadata.resumes.as_ref();
-        let resumes = resumes.map_or_else(String::new, |id| format!(" resumes={id}"));
-        log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}",
-            admitted.id(),
-            head.status.as_u16(),
-            admitted.route.name,
-            admitted
-                .workspace
-                .as_ref()
-                .map_or("-", |name| name.as_str()),
-            admitted.units,
-            pick.endpoint,
-            pick.build.as_str(),
-            pick.reason,
-            pick.load,
-            admitted.attempted.len(),
-            admitted.config_version,
-        );
-    }
-
     /// Logs and counts a refusal, and builds its response.
     fn refuse(&self, attempt_id: Option<&str>, refusal: &Refusal) -> Response<Body> {
         let Refusal {
@@ -395,20 +212,6 @@
     }
 }
 
-/// `EndpointAnswer` holds the head of an endpoint's answer and its body, complete or still arriving.
-enum EndpointAnswer {
-    /// The complete body.
-    Buffered(http::response::Parts, Bytes),
-    /// A body to relay, and its length if known.
-    Streamed(http::response::Parts, Answer, Option<u64>),
-}
-
-/// Builds the response to the caller without hop-by-hop headers.
-fn respond(mut head: http::response::Parts, body: Body) -> Response<Body> {
-    strip_connection_headers(&mut head.headers);
-    Response::from_parts(head, body)
-}
-
 /// Returns the host of a request, without its port.
 fn host(head: &Parts) -> &str {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -14,8 +14,7 @@
 use crate::serve::body::Interrupted;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
-use crate::serve::take_up;
-use crate::serve::{Context, PeerClient};
+use crate::serve::{Context, PeerClient, take_up};
 use crate::wire::HeadCodec;
 
 /// Time after the deadline in which the last fragment of an answer may still arrive, in ms.
