Record where a stream began at its first event

Cause: the origin was recorded when an endpoint accepted the request. Endpoint r-0 (v1) accepted it and brought no event; 752 ms later the VM sent it again to r-1 (v2), as any build may begin a stream that has no event yet, and recorded v2 in place of v1. The caller left after five events and took the stream up 25 ms later at another VM, which asked a keeper that had been told v1 and not yet v2. Change: the origin is recorded when the first event goes to the caller, so that a stream has one origin for good and no report can be outdated. Ruled out: a lost or reordered report, as the log shows no second report before the request.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -8,6 +8,7 @@
 use quetzalpick_client::http::Body as Answer;
 
 use crate::fleet::Pick;
+use crate::serve::PeerClient;
 use crate::serve::attempt::{Failure, pick, record_failure, send};
 use crate::serve::body::Body;
 use crate::serve::handler::Handler;
@@ -15,7 +16,6 @@
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
-use crate::serve::{PeerClient, take_up};
 use crate::wire::{HeadCodec, strip_connection_headers};
 
 /// Longest answer that is buffered in full, in bytes, so that another endpoint can replace it if it is interrupted.
@@ -149,9 +149,6 @@
             EndpointAnswer::Streamed(head, answer, length) => {
                 // The request runs there even if its answer is interrupted.
                 admitted.possible_runs += 1;
-                if head.status.is_success() {
-                    take_up::record(&self.context, &mut admitted, &pick);
-                }
                 let (caller, body) = Body::streamed(length);
                 self.log_answer(&admitted, &pick, &head);
                 let relay = AnswerRelay {
@@ -161,6 +158,7 @@
                         &head,
                         admitted.metadata.last_event_id,
                     ),
+                    origin_recorded: false,
                     admitted,
                     pick,
                     answer,
--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Returns whether the answer is a stream of events.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        self.events.is_some()
+    }
+
     /// Returns the framing of the endpoint's answer.
     pub(crate) fn framing(&self) -> Framing {
         self.framing
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -44,6 +44,8 @@
     pub(crate) pick: Pick,
     pub(crate) answer: Answer,
     pub(crate) progress: Progress,
+    /// Whether it is recorded where the stream began.
+    pub(crate) origin_recorded: bool,
     pub(crate) caller: Sender<Result<Bytes, Interrupted>>,
 }
 
@@ -97,14 +99,24 @@
                 }
                 Ok(None) => return self.end(),
             };
-            if let Some(fragment) = fragment
-                && self.caller.send(Ok(fragment)).await.is_err()
-            {
+            let Some(fragment) = fragment else {
+                continue;
+            };
+            self.record_origin();
+            if self.caller.send(Ok(fragment)).await.is_err() {
                 return End::CallerGone;
             }
         }
     }
 
+    /// Records where the stream began, once its caller receives an event; before that, any build may begin it anew.
+    fn record_origin(&mut self) {
+        if !self.origin_recorded && self.progress.is_event_stream() {
+            self.origin_recorded = true;
+            take_up::record(&self.context, &mut self.admitted, &self.pick);
+        }
+    }
+
     /// Classifies the end of the answer's bytes: an interrupted answer may look like a complete one.
     fn end(&self) -> End {
         match self.progress.missing_end() {
@@ -117,10 +129,6 @@
     async fn resume(&mut self) -> bool {
         let after = self.progress.last_event_id();
         let context = Arc::clone(&self.context);
-        if after.is_none() && !self.admitted.metadata.takes_up_stream() {
-            // The caller has no event yet, so that any build may begin the stream anew.
-            self.admitted.build = None;
-        }
         while self.admitted.has_runs_left() && context.withdraw() {
             let Some(pick) = pick(&context, &self.admitted) else {
                 return false;
@@ -136,7 +144,6 @@
                         pick.build.as_str(),
                         self.pick.build.as_str(),
                     );
-                    take_up::record(&context, &mut self.admitted, &pick);
                     self.pick = pick;
                     let (head, answer) = answer.into_parts();
                     self.progress = Progress::new(self.admitted.route.kind, &head, after);
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -18,7 +18,7 @@
     pub(crate) metadata: Metadata,
     pub(crate) route: Route,
     pub(crate) service: Service,
-    /// Build at which its stream must go on, once one has begun it.
+    /// Build at which its stream must go on, once its caller has an event.
     pub(crate) build: Option<Build>,
     pub(crate) workspace: Option<Workspace>,
     /// Units charged to the workspace.
--- a/crates/quetzalpick-entry/src/serve/take_up.rs
+++ b/crates/quetzalpick-entry/src/serve/take_up.rs
@@ -78,7 +78,7 @@
     }
 }
 
-/// Records at which build a resumable stream runs, once its endpoint has accepted it.
+/// Records at which build a resumable stream runs, when it brings its caller the first event.
 pub(crate) fn record<E, S>(context: &Context<E, S>, admitted: &mut Admitted, pick: &Pick) {
     if !admitted.is_resumable() {
         return;
