--- a/crates/quetzalpick-entry/src/serve/sse.rs
+++ b/crates/quetzalpick-entry/src/serve/sse.rs
@@ -75,7 +75,7 @@
 
 /// Returns the id of the last event that has one.
 fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
+    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
     let text = std::str::from_utf8(ids.next()?).ok()?;
     text.trim().parse().ok()
