--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -150,7 +150,7 @@
             copies_version: AtomicU64::default(),
             endpoints_version: AtomicU64::default(),
             peers: Mutex::default(),
-            keepers: Mutex::default(),
+            registrars: Mutex::default(),
             origins: Arc::clone(&origins),
         });
         let vm = options.vm.clone();
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -13,11 +13,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
-use crate::exchange::keepers::Keepers;
 use crate::exchange::message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult, Status,
     StatusReply, path,
 };
+use crate::exchange::registrars::Registrars;
 use crate::exchange::service::{decode, encode};
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
@@ -64,7 +64,7 @@
     /// Addresses of some other VMs, from the leader's last reply.
     pub(crate) peers: Mutex<Vec<String>>,
     /// VMs that keep the origins of streams.
-    pub(crate) keepers: Mutex<Keepers>,
+    pub(crate) registrars: Mutex<Registrars>,
     pub(crate) origins: Arc<Origins>,
 }
 
@@ -141,7 +141,7 @@
             self.endpoints_version.store(0, Ordering::Relaxed);
             log::info!("exchange: leader fence={} former={former}", reply.fence);
         }
-        self.update_keepers(reply.deputy.clone());
+        self.update_registrars(reply.deputy.clone());
         if !reply.peers.is_empty() {
             *lock(&self.peers) = reply.peers.clone();
         }
@@ -189,18 +189,18 @@
         }
     }
 
-    /// Applies the addresses of the leader and its deputy; new keepers of origins are told this VM's streams.
-    fn update_keepers(&self, deputy: Option<String>) {
+    /// Applies the addresses of the leader and its deputy; new registrars of origins are told this VM's streams.
+    fn update_registrars(&self, deputy: Option<String>) {
         let others = |address: &String| address != self.lead.address();
         let leader = self.lead.leader_address().filter(others);
         let changed = {
-            let mut keepers = lock(&self.keepers);
-            let former = keepers.present();
-            keepers.update(leader, deputy.filter(others));
-            keepers.present() != former
+            let mut registrars = lock(&self.registrars);
+            let former = registrars.present();
+            registrars.update(leader, deputy.filter(others));
+            registrars.present() != former
         };
         if changed {
-            self.origins.keepers_changed(self.clock.now_ms());
+            self.origins.registrars_changed(self.clock.now_ms());
         }
     }
 
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -137,7 +137,7 @@
     pub(crate) endpoints_age_ms: Option<u64>,
 }
 
-/// `OriginReport` tells a keeper where streams of the sender began.
+/// `OriginReport` tells a registrar where streams of the sender began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OriginReport {
     /// Origins, each with the attempts that began a stream there.
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -1,15 +1,15 @@
 //! Messages between VMs: periodic statuses and the leader's replies, draws, loans, and requests for adapters.
 
 mod client;
-mod keepers;
 mod message;
 mod origins;
+mod registrars;
 mod service;
 
 pub(crate) use client::Client;
-pub(crate) use keepers::Keepers;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
     EndpointsRelay, Status, StatusReply, ViewRelay,
 };
+pub(crate) use registrars::Registrars;
 pub(crate) use service::{PeerHandler, decode as decode_claim, encode as encode_claim};
--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -1,4 +1,4 @@
-//! Tells the keepers of origins where this VM's streams began, and asks other VMs about theirs.
+//! Tells the registrars of origins where this VM's streams began, and asks other VMs about theirs.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::exchange::message::{OriginReply, OriginReport, OriginRequest, path};
-use crate::exchange::{Client, Keepers};
+use crate::exchange::{Client, Registrars};
 use crate::origin::Origin;
 use crate::place::EngineControl;
 use crate::serve::OriginSearch;
@@ -20,13 +20,13 @@
 /// Shortest pause in which streams are collected for one report.
 const REPORT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Pause between two reports per member, used with many VMs so that the keepers' work stays constant.
+/// Pause between two reports per member, used with many VMs so that the registrars' work stays constant.
 const MEMBER_PAUSE: Duration = Duration::from_millis(1);
 
-/// Longest time for a keeper's answer to a report.
+/// Longest time for a registrar's answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Pause after a report that a keeper did not answer.
+/// Pause after a report that a registrar did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Longest time for another VM's answer to a request for an origin.
@@ -38,24 +38,24 @@
         loop {
             self.origins.changed().await;
             sleep(REPORT_PAUSE.max(MEMBER_PAUSE * self.member_count())).await;
-            let keepers = self.with_keepers(Keepers::present);
-            self.origins.retain_keepers(&keepers);
-            let reports = keepers.iter().map(|keeper| self.report_to(keeper));
+            let registrars = self.with_registrars(Registrars::present);
+            self.origins.retain_registrars(&registrars);
+            let reports = registrars.iter().map(|registrar| self.report_to(registrar));
             let told = join_all(reports).await;
             if told.contains(&false) {
                 sleep(RETRY_PAUSE).await;
-                self.origins.keepers_changed(self.clock.now_ms());
+                self.origins.registrars_changed(self.clock.now_ms());
             }
         }
     }
 
-    fn with_keepers<T>(&self, read: impl FnOnce(&Keepers) -> T) -> T {
-        read(&lock(&self.keepers))
+    fn with_registrars<T>(&self, read: impl FnOnce(&Registrars) -> T) -> T {
+        read(&lock(&self.registrars))
     }
 
-    /// Reports to one keeper; returns whether it knows all of this VM's streams now.
-    async fn report_to(&self, keeper: &str) -> bool {
-        let batch = self.origins.untold(self.clock.now_ms(), keeper);
+    /// Reports to one registrar; returns whether it knows all of this VM's streams now.
+    async fn report_to(&self, registrar: &str) -> bool {
+        let batch = self.origins.untold(self.clock.now_ms(), registrar);
         if batch.rows.is_empty() {
             return true;
         }
@@ -67,16 +67,16 @@
             rows: rows.iter().map(|(o, a)| (o.clone(), a.clone())).collect(),
         };
         let answer = self
-            .call_vm(keeper, path::ORIGINS, &report, REPORT_TIMEOUT)
+            .call_vm(registrar, path::ORIGINS, &report, REPORT_TIMEOUT)
             .await;
         let told = answer == Some(true);
         if told {
-            self.origins.record_told(keeper, batch.next);
+            self.origins.record_told(registrar, batch.next);
         }
         told
     }
 
-    /// Asks the keepers and some other VMs where a stream began.
+    /// Asks the registrars and some other VMs where a stream began.
     pub(super) async fn search_origin(
         &self,
         service: &Service,
@@ -86,7 +86,7 @@
             service: service.clone(),
             attempt: attempt.map(str::to_owned),
         };
-        let mut addresses = self.with_keepers(|keepers| keepers.recent().to_vec());
+        let mut addresses = self.with_registrars(|registrars| registrars.recent().to_vec());
         addresses.extend(self.peer_addresses());
         addresses.sort_unstable();
         addresses.dedup();
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -17,7 +17,7 @@
 /// Most streams of this VM that are kept for other VMs.
 const OWN_MAX: usize = 16_384;
 
-/// `Origins` stores where streams began, and tracks which of its own streams each keeper was told.
+/// `Origins` stores where streams began, and tracks which of its own streams each registrar was told.
 #[derive(Debug, Default)]
 pub struct Origins {
     state: Mutex<State>,
@@ -31,7 +31,7 @@
     own: VecDeque<OwnStream>,
     /// Number of the first row of `own`, counted from the start of the process.
     first: u64,
-    /// Number of the next row of `own` to tell, by the address of the keeper.
+    /// Number of the next row of `own` to tell, by the address of the registrar.
     told: Table<String, u64>,
     /// Time of the last stream that other VMs have to know, in ms.
     shared_ms: Option<u64>,
@@ -44,7 +44,7 @@
     origin: Origin,
 }
 
-/// `Batch` holds the streams that a keeper has not been told.
+/// `Batch` holds the streams that a registrar has not been told.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Batch {
     /// Attempts that began a stream, with their origins.
@@ -93,19 +93,19 @@
         self.changed.notified().await;
     }
 
-    /// Wakes the task that tells the keepers, if other VMs had to know a stream recently.
-    pub(crate) fn keepers_changed(&self, now_ms: u64) {
+    /// Wakes the task that tells the registrars, if other VMs had to know a stream recently.
+    pub(crate) fn registrars_changed(&self, now_ms: u64) {
         let shared_ms = self.lock().shared_ms;
         if shared_ms.is_some_and(|shared_ms| now_ms < shared_ms + STREAM_TTL_MS) {
             self.changed.notify_one();
         }
     }
 
-    /// Returns the streams that a keeper has not been told.
-    pub(crate) fn untold(&self, now_ms: u64, keeper: &str) -> Batch {
+    /// Returns the streams that a registrar has not been told.
+    pub(crate) fn untold(&self, now_ms: u64, registrar: &str) -> Batch {
         let mut state = self.lock();
         state.expire(now_ms);
-        let from = state.told.get(keeper).copied().unwrap_or_default();
+        let from = state.told.get(registrar).copied().unwrap_or_default();
         let skipped = usize::try_from(from.saturating_sub(state.first)).unwrap_or(usize::MAX);
         let rows = state.own.iter().skip(skipped);
         Batch {
@@ -116,16 +116,16 @@
         }
     }
 
-    /// Records that a keeper was told all rows before `next`.
-    pub(crate) fn record_told(&self, keeper: &str, next: u64) {
-        self.lock().told.insert(keeper.to_owned(), next);
+    /// Records that a registrar was told all rows before `next`.
+    pub(crate) fn record_told(&self, registrar: &str, next: u64) {
+        self.lock().told.insert(registrar.to_owned(), next);
     }
 
-    /// Forgets what former keepers were told.
-    pub(crate) fn retain_keepers(&self, keepers: &[String]) {
+    /// Forgets what former registrars were told.
+    pub(crate) fn retain_registrars(&self, registrars: &[String]) {
         self.lock()
             .told
-            .retain(|keeper, _| keepers.contains(keeper));
+            .retain(|registrar, _| registrars.contains(registrar));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
