--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod errors;
 pub mod id;
 pub mod lease;
+pub mod limit;
 pub mod payload;
 pub mod plan;
 pub mod quorum;
--- /dev/null
+++ b/crates/quetzalpick-core/src/limit/rate.rs
@@ -0,0 +1,33 @@
+//! The limit itself: a number of requests a second.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Thousandths of a request in one request.
+const PERMILLE: f64 = 1_000.0;
+
+/// `Rate` is a number of requests a second, with three decimals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate(u64);
+
+impl Rate {
+    /// Creates a rate of `per_s` requests a second, rounded down to thousandths; `None` if that is negative or no number.
+    pub fn try_from_per_s(per_s: f64) -> Option<Self> {
+        let is_rate = per_s.is_finite() && per_s >= 0.0;
+        // A rate beyond the range of the integer becomes the largest one.
+        is_rate.then(|| Self((per_s * PERMILLE) as u64))
+    }
+
+    /// Returns the number of requests in 1,000 s.
+    pub fn per_1000_s(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0 as f64 / PERMILLE)
+    }
+}
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -175,8 +175,13 @@
         let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
         let resumes = admitted.metadata.resumes.as_ref();
         let resumes = resumes.map_or_else(String::new, |id| format!(" resumes={id}"));
+        let limit = match self.context.head_codec.limit(&head.headers) {
+            Ok(Some(limit)) => format!(" limit={limit}"),
+            Ok(None) => String::new(),
+            Err(error) => format!(" limit=\"{error}\""),
+        };
         log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}{limit}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -10,6 +10,7 @@
 };
 use http::{HeaderMap, StatusCode, request};
 use quetzalpick_core::id::{Endpoint, Workspace};
+use quetzalpick_core::limit::Rate;
 
 use crate::config::Config;
 use crate::errors::Result;
@@ -65,6 +66,14 @@
     /// Classifies the head of an endpoint's answer to the request with the given attempt id.
     fn proof(&self, status: StatusCode, headers: &HeaderMap, attempt_id: Option<&str>) -> Proof;
 
+    /// Decodes the limit that an endpoint names in the head of an answer: the requests a second that it takes from all VMs
+    /// together; `None` if it names none.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Malformed` if the limit cannot be decoded.
+    fn limit(&self, headers: &HeaderMap) -> Result<Option<Rate>>;
+
     /// Adds the attempt id and the retry delay to the headers of an answer that this VM generates.
     fn add_answer_headers(
         &self,
