Divide the limits that endpoints name between all VMs

The class: an endpoint states what it can take, and the choice of endpoints neither reads nor shares it.

Change: each VM keeps what an endpoint last said, ordered by the times of request and answer, since answers overtake each other: a limit ends only with the answer to a request that was sent after it was named, or with a new incarnation. Limits travel to the leader with the statuses and from it to all VMs. An endpoint with a limit gets a request only with a permit, which the leader draws from one bucket per endpoint; a VM told to wait leaves the endpoint out of its choice until then. First attempts, repeats and resumed streams all pick through the same function, and the leader's own reports and orders are charged. Without a leader each VM draws its share of half of the limit in slots of 250 ms, rounded at random, so that nothing is saved up and the sum holds for 6 or 370 VMs. If all candidates are at their limits, the caller is refused at once, as not run, with the time until the next permit.

--- a/crates/quetzalpick-core/src/limit/mod.rs
+++ b/crates/quetzalpick-core/src/limit/mod.rs
@@ -1,5 +1,17 @@
 //! Request limits that endpoints name: how many requests a second an endpoint takes from all VMs together.
+//!
+//! The leader divides a limit: a VM sends to such an endpoint with a permit that it has drawn. A VM that finds no leader has a
+//! small share of its own.
 
+mod permits;
 mod rate;
+mod share;
+mod statement;
 
+pub use permits::Permits;
 pub use rate::Rate;
+pub use share::Share;
+pub use statement::Statement;
+
+/// Millionths of a request in one request.
+const MICRO: u64 = 1_000_000;
--- /dev/null
+++ b/crates/quetzalpick-core/src/limit/permits.rs
@@ -0,0 +1,75 @@
+//! The leader's permits for one endpoint: a token bucket that fills at the endpoint's limit.
+
+use crate::limit::{MICRO, Rate};
+
+/// Time whose permits may be saved, in ms.
+const BURST_MS: u64 = 1_000;
+
+/// `Permits` counts the requests that an endpoint may still get; it starts empty, so that a new leader adds nothing to what the
+/// former one has granted.
+#[derive(Debug, Clone)]
+pub struct Permits {
+    rate: Rate,
+    /// Millionths of a request that may be sent; negative after calls that were sent without a permit.
+    level: i64,
+    filled_ms: u64,
+    /// Time up to which the permits to come are promised to VMs that were told to wait, in ms.
+    promised_ms: u64,
+}
+
+impl Permits {
+    /// Creates an empty bucket.
+    pub fn new(now_ms: u64, rate: Rate) -> Self {
+        Self {
+            rate,
+            level: 0,
+            filled_ms: now_ms,
+            promised_ms: now_ms,
+        }
+    }
+
+    /// Draws the permit for one request.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the VM should draw again, in ms, at most `wait_max_ms`: VMs are told to come one after the other.
+    pub fn draw(&mut self, now_ms: u64, rate: Rate, wait_max_ms: u64) -> Result<(), u64> {
+        self.fill(now_ms, rate);
+        if self.level >= to_signed(MICRO) {
+            self.level -= to_signed(MICRO);
+            return Ok(());
+        }
+        let missing = to_signed(MICRO).saturating_sub(self.level).unsigned_abs();
+        let next_ms = now_ms + rate.ms_for(missing);
+        let turn_ms = next_ms.max(self.promised_ms + rate.ms_for(MICRO));
+        self.promised_ms = turn_ms.min(now_ms + wait_max_ms);
+        Err(self.promised_ms - now_ms)
+    }
+
+    /// Charges a call that is sent whatever the limit is, such as an order; later requests wait for it.
+    pub fn charge(&mut self, now_ms: u64, rate: Rate) {
+        self.fill(now_ms, rate);
+        self.level = self
+            .level
+            .saturating_sub(to_signed(MICRO))
+            .max(-capacity(rate));
+    }
+
+    /// Adds the permits since the last call at the rate that was in force, and sets the new one.
+    fn fill(&mut self, now_ms: u64, rate: Rate) {
+        let elapsed_ms = now_ms.saturating_sub(self.filled_ms);
+        let added = to_signed(self.rate.micro_in(elapsed_ms));
+        self.level = self.level.saturating_add(added).min(capacity(rate));
+        self.filled_ms = self.filled_ms.max(now_ms);
+        self.rate = rate;
+    }
+}
+
+/// Returns the most permits that may be saved, in millionths of a request.
+fn capacity(rate: Rate) -> i64 {
+    to_signed(rate.micro_in(BURST_MS).max(MICRO))
+}
+
+fn to_signed(micro: u64) -> i64 {
+    i64::try_from(micro).unwrap_or(i64::MAX)
+}
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -164,6 +164,7 @@
             origins,
             peer_client: client,
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
+            leaderless_until_ms: AtomicU64::default(),
             refusal_rates: Mutex::default(),
             lifecycle: Lifecycle::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -14,12 +14,12 @@
 
 use crate::clock::Clock;
 use crate::exchange::message::{
-    AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult, Status,
-    StatusReply, path,
+    AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
+    PermitRequest, PermitResult, Status, StatusReply, path,
 };
 use crate::exchange::registrars::Registrars;
 use crate::exchange::service::{decode, encode};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Notice};
 use crate::lead::Leadership;
 use crate::origin::Origins;
 use crate::place::EngineControl;
@@ -126,6 +126,7 @@
             loads: self.fleet.loads(),
             suspected: self.fleet.suspected(now_ms),
             work: self.fleet.work(now_ms),
+            limits: self.fleet.limits_to_tell(now_ms),
         }
     }
 
@@ -264,6 +265,15 @@
         result.unwrap_or(DrawResult::NotLeading)
     }
 
+    async fn request_permit(&self, limit: Notice) -> PermitResult {
+        let request = PermitRequest { limit };
+        if self.lead.is_leading() {
+            return self.lead.draw_permit(&request);
+        }
+        let result = self.call_leader(path::PERMIT, &request, DRAW_TIMEOUT).await;
+        result.unwrap_or(PermitResult::NotLeading)
+    }
+
     async fn borrow(&self, workspace: &Workspace, units: u64) -> u64 {
         let peers = self.peer_addresses();
         // Each VM is asked for enough that half of them suffice.
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -5,7 +5,7 @@
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{Build, Spec};
+use crate::fleet::{Build, Notice, Spec};
 use crate::origin::Origin;
 use crate::place::Work;
 
@@ -21,6 +21,8 @@
     pub(crate) const ORIGINS: &str = "/entry/origins";
     /// Takes an `OriginRequest` and returns an `OriginReply`.
     pub(crate) const ORIGIN: &str = "/entry/origin";
+    /// Takes a `PermitRequest` and returns a `PermitResult`.
+    pub(crate) const PERMIT: &str = "/entry/permit";
     /// Takes an `AdapterRequest` and returns an `AdapterReply`.
     pub(crate) const ADAPTER: &str = "/entry/want";
 }
@@ -45,6 +47,24 @@
     NotLeading,
 }
 
+/// `PermitRequest` requests the permit for one request to an endpoint that names a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PermitRequest {
+    /// The limit as known to the sender.
+    pub(crate) limit: Notice,
+}
+
+/// `PermitResult` states whether the leader granted a `PermitRequest`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PermitResult {
+    /// The request may be sent now.
+    Granted,
+    /// A permit may be available after this time, in ms.
+    Unavailable(u64),
+    /// The receiver does not lead.
+    NotLeading,
+}
+
 /// `Status` reports a VM's load, demand and known versions to the leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Status {
@@ -69,6 +89,8 @@
     pub(crate) suspected: Vec<Endpoint>,
     /// Demand, by model and adapter.
     pub(crate) work: Vec<(Artifact, Work)>,
+    /// Limits of endpoints that changed recently.
+    pub(crate) limits: Vec<Notice>,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
@@ -107,6 +129,8 @@
     pub(crate) complete: bool,
     /// Endpoints with their entries; `None` for those that are gone.
     pub(crate) rows: Vec<(Endpoint, Option<Spec>)>,
+    /// Limits of these endpoints.
+    pub(crate) limits: Vec<Notice>,
 }
 
 /// `StatusReply` answers a `Status` with the leader's state, as far as it changed.
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) use client::Client;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
-    EndpointsRelay, Status, StatusReply, ViewRelay,
+    EndpointsRelay, PermitRequest, PermitResult, Status, StatusReply, ViewRelay,
 };
 pub(crate) use registrars::Registrars;
 pub(crate) use service::{PeerHandler, decode as decode_claim, encode as encode_claim};
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -42,6 +42,7 @@
         match path {
             path::STATUS => encode(&self.lead.answer_status(decode(&body)?)),
             path::DRAW => encode(&self.lead.draw(&decode(&body)?)),
+            path::PERMIT => encode(&self.lead.draw_permit(&decode(&body)?)),
             path::LEND => encode(&self.lend(&decode(&body)?)),
             path::ORIGINS => encode(&self.accept_origins(decode(&body)?)),
             path::ORIGIN => encode(&self.find_origin(&decode(&body)?)),
--- /dev/null
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -0,0 +1,122 @@
+//! The limits that endpoints name, as far as this VM knows them.
+
+use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::limit::{Rate, Statement};
+
+use crate::fleet::row::Row;
+use crate::fleet::{BuildChoice, Fleet, Notice, Pick, Requirements};
+
+impl Fleet {
+    /// Applies what an endpoint says about its limit in an answer to this VM.
+    pub(crate) fn observe_limit(&self, now_ms: u64, pick: &Pick, statement: Statement) {
+        let mut rows = self.rows();
+        let row = rows.get_mut(&pick.endpoint);
+        let Some(row) = row.filter(|row| row.spec.started_ms == pick.started_ms) else {
+            return;
+        };
+        let former = row.limited.rate();
+        if row.limited.observe(now_ms, statement) {
+            row.version = self.next_version();
+            log_change(&pick.endpoint, statement.rate, former, "answer");
+        }
+    }
+
+    /// Records an answer whose limit could not be decoded; returns whether it is the endpoint's first one.
+    pub(crate) fn record_malformed_limit(&self, endpoint: &Endpoint) -> bool {
+        let mut rows = self.rows();
+        let row = rows.get_mut(endpoint);
+        row.is_some_and(|row| !std::mem::replace(&mut row.limited.malformed_logged, true))
+    }
+
+    /// Applies what endpoints said about their limits to other VMs.
+    pub(crate) fn learn_limits(&self, now_ms: u64, notices: &[Notice]) {
+        let mut rows = self.rows();
+        for notice in notices {
+            let row = rows.get_mut(&notice.endpoint);
+            let Some(row) = row.filter(|row| row.spec.started_ms == notice.started_ms) else {
+                continue;
+            };
+            let former = row.limited.rate();
+            if row.limited.learn(now_ms, notice.statement(now_ms)) {
+                row.version = self.next_version();
+                log_change(&notice.endpoint, notice.rate, former, "other-vm");
+            }
+        }
+    }
+
+    /// Returns the limits that the leader is to be told.
+    pub(crate) fn limits_to_tell(&self, now_ms: u64) -> Vec<Notice> {
+        let rows = self.rows();
+        let told = rows.iter().filter(|(_, row)| row.limited.is_told(now_ms));
+        told.filter_map(|(name, row)| row.notice(now_ms, name))
+            .collect()
+    }
+
+    /// Returns the limit in force of an endpoint.
+    pub(crate) fn limit(&self, endpoint: &Endpoint) -> Option<Rate> {
+        self.rows().get(endpoint)?.limited.rate()
+    }
+
+    /// Returns what other VMs are told about the limit of an endpoint; `None` if it names none.
+    pub(crate) fn limit_notice(&self, now_ms: u64, endpoint: &Endpoint) -> Option<Notice> {
+        let rows = self.rows();
+        let notice = rows.get(endpoint)?.notice(now_ms, endpoint)?;
+        notice.rate.is_some().then_some(notice)
+    }
+
+    /// Takes a request from this VM's share of an endpoint's limit, which is used without a leader.
+    ///
+    /// # Errors
+    ///
+    /// The time until the next share, in ms, if this one is used up.
+    pub(crate) fn take_share(
+        &self,
+        now_ms: u64,
+        endpoint: &Endpoint,
+        members: u64,
+        random: u64,
+    ) -> Result<(), u64> {
+        let mut rows = self.rows();
+        let limited = rows.get_mut(endpoint).map(|row| &mut row.limited);
+        match limited.and_then(|limited| Some((limited.rate()?, limited))) {
+            Some((rate, limited)) => limited.share.take(now_ms, rate, members, random),
+            None => Ok(()),
+        }
+    }
+
+    /// Pauses sends to an endpoint until `until_ms`, because there is no permit before.
+    pub(crate) fn pause(&self, until_ms: u64, endpoint: &Endpoint) {
+        if let Some(row) = self.rows().get_mut(endpoint) {
+            row.limited.pause(until_ms);
+        }
+    }
+
+    /// Returns the time until the first of the endpoints that meet the requirements may get a request again, in ms; `None` if
+    /// none of them waits for a permit.
+    pub(crate) fn limit_wait_ms(
+        &self,
+        now_ms: u64,
+        requirements: &Requirements<'_>,
+    ) -> Option<u64> {
+        let runs_build = |row: &Row| match requirements.build {
+            BuildChoice::Only(build) => row.spec.build == *build,
+            BuildChoice::Any | BuildChoice::Settled => true,
+        };
+        let rows = self.rows();
+        let serving = rows
+            .values()
+            .filter(|row| row.serves(requirements) && row.accepts_requests() && runs_build(row));
+        let limited = serving.filter(|row| row.limited.rate().is_some());
+        limited.map(|row| row.limited.wait_ms(now_ms)).min()
+    }
+}
+
+/// Logs that an endpoint's limit changes.
+fn log_change(endpoint: &Endpoint, limit: Option<Rate>, former: Option<Rate>, source: &str) {
+    let text = |rate: Option<Rate>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+    log::info!(
+        "entry: endpoint={endpoint} limit={} former={} source={source}",
+        text(limit),
+        text(former)
+    );
+}
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -2,6 +2,9 @@
 
 mod build;
 mod builds;
+mod limited;
+mod limits;
+mod notice;
 mod pick;
 mod row;
 mod selection;
@@ -10,6 +13,7 @@
 
 pub use build::Build;
 pub use builds::{Builds, SETTLE_MS, STREAM_TTL_MS};
+pub use notice::Notice;
 pub use pick::Pick;
 pub use selection::{BuildChoice, Requirements};
 pub use spec::{Spec, State};
--- a/crates/quetzalpick-entry/src/fleet/pick.rs
+++ b/crates/quetzalpick-entry/src/fleet/pick.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::limit::Rate;
 use quetzalpick_core::route::Reason;
 
 use crate::fleet::{Build, Fleet};
@@ -17,6 +18,10 @@
     pub address: SocketAddr,
     /// Version of its software.
     pub build: Build,
+    /// Wall-clock time of its start, in ms since 1970, which identifies its incarnation.
+    pub started_ms: Option<u64>,
+    /// Limit that it named: it must not get the request without a permit.
+    pub limit: Option<Rate>,
     /// Reason of the selection, for the log.
     pub reason: Reason,
     /// Requests in flight at the endpoint at selection, own and reported ones.
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -3,7 +3,8 @@
 use quetzalpick_core::id::{Artifact, Endpoint};
 use quetzalpick_core::route::{Candidate, Health, Load};
 
-use crate::fleet::{Requirements, Spec, State};
+use crate::fleet::limited::Limited;
+use crate::fleet::{Notice, Requirements, Spec, State};
 
 /// Time for which an endpoint counts as unreachable after a failed connection, in ms; afterwards it may be used again.
 const UNREACHABLE_MS: u64 = 1_500;
@@ -26,7 +27,9 @@
     pub(crate) copy_missing_ms: Option<u64>,
     /// Time at which its entry expired, in ms; it may be renewed after an outage of the log service.
     pub(crate) expired_ms: Option<u64>,
-    /// Version of the fleet at which its entry last changed.
+    /// The limit that it names, and this VM's permits.
+    pub(crate) limited: Limited,
+    /// Version of the fleet at which its entry or its limit last changed.
     pub(crate) version: u64,
     /// Models and adapters that it holds, as reported by the leader or else by itself; sorted.
     copies: Vec<Artifact>,
@@ -51,6 +54,7 @@
             unreachable_ms: None,
             copy_missing_ms: None,
             expired_ms: None,
+            limited: Limited::default(),
             version: 0,
             missing_copies: Vec::new(),
         }
@@ -112,6 +116,18 @@
         copy_missing || self.is_unreachable(now_ms)
     }
 
+    /// Returns what other VMs are told about its limit; `None` before its first answer.
+    pub(crate) fn notice(&self, now_ms: u64, name: &Endpoint) -> Option<Notice> {
+        let statement = self.limited.statement()?;
+        Some(Notice {
+            endpoint: name.clone(),
+            started_ms: self.spec.started_ms,
+            rate: statement.rate,
+            sent_ago_ms: now_ms.saturating_sub(statement.sent_ms),
+            received_ago_ms: now_ms.saturating_sub(statement.received_ms),
+        })
+    }
+
     /// Returns it as a candidate for a request; `members` VMs send requests there at the same rate.
     pub(crate) fn candidate<'a>(
         &'a self,
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -18,6 +18,8 @@
     pub attempted: &'a [Endpoint],
     /// Builds that it may run.
     pub build: BuildChoice<'a>,
+    /// Whether endpoints may be selected that name a limit.
+    pub allows_limited: bool,
 }
 
 /// `BuildChoice` restricts the builds of the endpoints that may be selected.
@@ -65,15 +67,22 @@
         }
     }
 
+    /// Returns whether an endpoint may get a request now as far as its limit is known.
+    fn is_within_limit(&self, row: &Row) -> bool {
+        let limited = &row.limited;
+        let may_draw = self.requirements.allows_limited && limited.wait_ms(self.now_ms) == 0;
+        limited.rate().is_none() || may_draw
+    }
+
     /// Selects among the endpoints that meet the requirements and the condition.
     fn among(
         &self,
         rows: &Table<Endpoint, Row>,
         condition: impl Fn(&Row) -> bool,
     ) -> Option<(Endpoint, Choice)> {
-        let serving = rows
-            .iter()
-            .filter(|(_, row)| row.serves(self.requirements) && condition(row));
+        let serving = rows.iter().filter(|(_, row)| {
+            row.serves(self.requirements) && condition(row) && self.is_within_limit(row)
+        });
         let attempted = self.requirements.attempted;
         let candidates: Vec<Candidate<'_>> = serving
             .map(|(name, row)| row.candidate(name, attempted.contains(name), self.members))
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    fn rows(&self) -> MutexGuard<'_, Table<Endpoint, Row>> {
+    pub(super) fn rows(&self) -> MutexGuard<'_, Table<Endpoint, Row>> {
         lock(&self.rows)
     }
 
@@ -89,7 +89,7 @@
         }
     }
 
-    fn next_version(&self) -> u64 {
+    pub(super) fn next_version(&self) -> u64 {
         self.version.fetch_add(1, Ordering::Relaxed) + 1
     }
 
@@ -131,26 +131,31 @@
                 self.expire(now_ms, &endpoint);
             }
         }
+        self.learn_limits(now_ms, &relay.limits);
     }
 
-    /// Returns the entries that changed since the version that a VM has, if any; 0 stands for a VM without entries.
-    pub(crate) fn relay(&self, known_version: u64) -> Option<EndpointsRelay> {
+    /// Returns the entries and limits that changed since the version that a VM has, if any; 0 stands for a VM without entries.
+    pub(crate) fn relay(&self, now_ms: u64, known_version: u64) -> Option<EndpointsRelay> {
         let version = self.version.load(Ordering::Relaxed);
         if version == known_version {
             return None;
         }
         let complete = known_version <= self.removed_version.load(Ordering::Relaxed);
         let rows = self.rows();
-        let changed = rows
-            .iter()
-            .filter(|(_, row)| complete || row.version > known_version);
+        let changed = || {
+            let rows = rows.iter();
+            rows.filter(|(_, row)| complete || row.version > known_version)
+        };
         let entry = |row: &Row| row.expired_ms.is_none().then(|| row.spec.clone());
         Some(EndpointsRelay {
             version,
             complete,
-            rows: changed
+            rows: changed()
                 .map(|(name, row)| (name.clone(), entry(row)))
                 .collect(),
+            limits: changed()
+                .filter_map(|(name, row)| row.notice(now_ms, name))
+                .collect(),
         })
     }
 
@@ -228,6 +233,8 @@
             endpoint,
             address: row.spec.address,
             build: row.spec.build.clone(),
+            started_ms: row.spec.started_ms,
+            limit: row.limited.rate(),
             reason: choice.reason,
             load,
             fleet: Arc::clone(self),
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -94,6 +94,7 @@
             return;
         }
         self.lead.refill_buckets(config);
+        self.lead.retain_permits();
         let work = self.lead.with_statuses(Statuses::work);
         let suspected = self.lead.with_statuses(Statuses::suspected);
         self.lead.with_leader_state(|state, now_ms| {
@@ -113,6 +114,7 @@
             state.planner.record_report_request(now_ms, &endpoint)
         });
         let requested_ms = self.clock.now_ms();
+        lead.charge_permit(&endpoint);
         tokio::spawn(async move {
             match lead.engines.report(address, &endpoint).await {
                 Ok(report) => {
@@ -150,6 +152,7 @@
                 return;
             }
             lead.with_election(|election, now_ms| election.record_action(now_ms));
+            lead.charge_permit(&endpoint);
             let holder = lead.holder();
             let answer = lead
                 .engines
--- a/crates/quetzalpick-entry/src/meters.rs
+++ b/crates/quetzalpick-entry/src/meters.rs
@@ -13,6 +13,7 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     sends: Counter<u64>,
+    permits: Counter<u64>,
     streams: Counter<u64>,
     answer_ms: Histogram<f64>,
     stream_ms: Histogram<f64>,
@@ -37,6 +38,10 @@
                 "quetzalpick_entry_sends",
                 "Requests sent to endpoints, repeats included.",
             ),
+            permits: counter(
+                "quetzalpick_entry_permits",
+                "Requests for the permit to send to an endpoint at its limit, by outcome.",
+            ),
             streams: counter(
                 "quetzalpick_entry_streams",
                 "Relayed answers, by their end and by the framing of the endpoint's answer.",
@@ -70,6 +75,11 @@
         self.sends.add(1, &[]);
     }
 
+    /// Counts a request for a permit.
+    pub(crate) fn permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a relayed answer and records its duration.
     pub(crate) fn relayed(&self, end: &'static str, framing: Framing, took_ms: u64) {
         let framing: &'static str = framing.into();
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -47,6 +47,13 @@
     overdraft: Overdraft,
 }
 
+impl State {
+    /// Returns whether all other VMs count this one.
+    fn counts_here(&self, now_ms: u64) -> bool {
+        self.listed && now_ms >= self.floor_from_ms
+    }
+}
+
 /// `Rates` charges requests to workspaces, whose buckets refill at this VM's floor: the part of a rate that it may use without
 /// a leader.
 #[derive(Debug)]
@@ -105,6 +112,12 @@
         self.state().member_count
     }
 
+    /// Returns the number of VMs that share what is divided without a leader; `None` while other VMs may not count this one.
+    pub(crate) fn known_member_count(&self, now_ms: u64) -> Option<usize> {
+        let state = self.state();
+        state.counts_here(now_ms).then_some(state.member_count)
+    }
+
     /// Replaces the configured workspaces: creates and refills their buckets, and removes those of others.
     pub(crate) fn update_workspaces(&self, now_ms: u64, config: &Config) {
         let mut state = self.state();
@@ -224,7 +237,7 @@
 
     /// Returns the part of each rate that is reserved for this VM.
     fn floor_parts(&self, state: &State, now_ms: u64) -> Parts {
-        if state.listed && now_ms >= state.floor_from_ms {
+        if state.counts_here(now_ms) {
             floor(state.member_count, self.floor_permille)
         } else {
             0
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -11,8 +11,8 @@
 
 use crate::config::Kind;
 use crate::fleet::{Pick, Requirements};
-use crate::serve::Context;
 use crate::serve::request::Admitted;
+use crate::serve::{Context, PeerClient, permit};
 use crate::wire::{Forwarding, HeadCodec, Proof};
 
 /// Timeout for a connection to an endpoint.
@@ -33,6 +33,9 @@
 /// Multiple of the pause objective after which a resumable stream is resumed at another endpoint.
 const PAUSE_MULTIPLE: u64 = 5;
 
+/// Maximum number of permits that are requested for one attempt; then only endpoints without a limit are picked.
+const DRAWS_MAX: usize = 8;
+
 /// `Failure` describes an attempt without an answer of the endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Failure {
@@ -63,17 +66,24 @@
     }
 }
 
-/// Picks an endpoint that was not attempted yet, or else any.
-pub(crate) fn pick<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
+/// Picks an endpoint that was not attempted yet, or else any, and obtains a permit if it names a limit.
+pub(crate) async fn pick<E, S: PeerClient>(
+    context: &Context<E, S>,
+    admitted: &Admitted,
+) -> Option<Pick> {
     let artifacts = admitted.artifacts();
-    let requirements = Requirements {
-        service: &admitted.service,
-        artifacts: &artifacts,
-        attempted: &admitted.attempted,
-        build: admitted.build_choice(),
-    };
-    let now_ms = context.clock.now_ms();
-    context.fleet.pick(now_ms, &requirements, random())
+    for draws in 0.. {
+        let requirements = Requirements {
+            allows_limited: draws < DRAWS_MAX,
+            ..admitted.requirements(&artifacts)
+        };
+        let now_ms = context.clock.now_ms();
+        let pick = context.fleet.pick(now_ms, &requirements, random())?;
+        if pick.limit.is_none() || permit::obtain(context, &pick).await {
+            return Some(pick);
+        }
+    }
+    None
 }
 
 /// Records a failure in the endpoint's health, and whether the request may have run there.
@@ -130,10 +140,14 @@
         reason: error.to_string(),
     })?;
     let attempt_id = admitted.metadata.attempt.as_deref();
-    match context
+    let proof = context
         .head_codec
-        .proof(answer.status(), answer.headers(), attempt_id)
-    {
+        .proof(answer.status(), answer.headers(), attempt_id);
+    if proof != Proof::Mismatched {
+        let is_own = proof != Proof::NotRun { misdirected: true };
+        permit::observe(context, pick, now_ms, answer.headers(), is_own);
+    }
+    match proof {
         Proof::Answer => Ok(answer),
         Proof::NotRun { misdirected } => Err(declined(answer, misdirected).await),
         Proof::Mismatched => {
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -1,6 +1,7 @@
 //! Shared state of an entry's requests.
 
 use std::fmt::Debug;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -12,8 +13,8 @@
 use rand::random;
 
 use crate::clock::Clock;
-use crate::exchange::DrawResult;
-use crate::fleet::{Build, Fleet};
+use crate::exchange::{DrawResult, PermitResult};
+use crate::fleet::{Build, Fleet, Notice};
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::origin::{Origin, Origins};
@@ -39,6 +40,9 @@
     /// Draws units of a workspace's rate from the leader.
     fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = DrawResult> + Send;
 
+    /// Requests the permit for one request to an endpoint that names a limit from the leader.
+    fn request_permit(&self, limit: Notice) -> impl Future<Output = PermitResult> + Send;
+
     /// Borrows units of a workspace's rate from other VMs, used while no leader answers; returns the number lent.
     fn borrow(&self, workspace: &Workspace, units: u64) -> impl Future<Output = u64> + Send;
 
@@ -66,6 +70,8 @@
     pub(crate) origins: Arc<Origins>,
     pub(crate) peer_client: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
+    /// No permit is requested before this time, in ms, because no leader answered.
+    pub(crate) leaderless_until_ms: AtomicU64,
     /// Rate at which endpoints refuse requests, by service.
     pub(crate) refusal_rates: Mutex<Table<Service, RefusalRate>>,
     pub(crate) lifecycle: Lifecycle,
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -31,7 +31,7 @@
     /// Sends a request to endpoints until one answers it or no further attempt is allowed.
     pub(super) async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
         loop {
-            let pick = match pick(&self.context, &admitted) {
+            let pick = match pick(&self.context, &admitted).await {
                 Some(pick) => pick,
                 None => self.pick_after_load(&admitted).await?,
             };
@@ -52,9 +52,12 @@
 
     /// Picks an endpoint after requesting the adapter that no endpoint holds.
     async fn pick_after_load(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
+        if let Some(refusal) = self.limit_refusal(admitted) {
+            return Err(refusal);
+        }
         if let Some(adapter) = &admitted.metadata.adapter {
             self.context.peer_client.request_adapter(adapter).await;
-            if let Some(pick) = pick(&self.context, admitted) {
+            if let Some(pick) = pick(&self.context, admitted).await {
                 return Ok(pick);
             }
         }
@@ -69,6 +72,24 @@
         Err(Refusal::new(cause, detail).with_retry_after(RETRY_AFTER_NO_ENDPOINT))
     }
 
+    /// Creates the refusal of a request whose endpoints are all at their limits; `None` if that is not why none was picked.
+    fn limit_refusal(&self, admitted: &Admitted) -> Option<Refusal> {
+        let context = &self.context;
+        let artifacts = admitted.artifacts();
+        let now_ms = context.clock.now_ms();
+        let requirements = admitted.requirements(&artifacts);
+        let wait_ms = context.fleet.limit_wait_ms(now_ms, &requirements)?;
+        let cause = if admitted.possible_runs > 0 {
+            Cause::EndpointFailed
+        } else {
+            Cause::EndpointsLimited
+        };
+        let detail = format!("service={} wait_ms={wait_ms}", admitted.service);
+        let spread = context.record_refusal(&admitted.service);
+        let retry_after = spread.max(Duration::from_millis(wait_ms));
+        Some(Refusal::new(cause, detail).with_retry_after(retry_after))
+    }
+
     /// Sends a request to an endpoint; a short answer that is no stream is buffered in full.
     async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<EndpointAnswer, Failure> {
         let last_event_id = admitted.metadata.last_event_id;
@@ -175,11 +196,9 @@
         let took_ms = self.context.clock.now_ms() - admitted.arrived_ms;
         let resumes = admitted.metadata.resumes.as_ref();
         let resumes = resumes.map_or_else(String::new, |id| format!(" resumes={id}"));
-        let limit = match self.context.head_codec.limit(&head.headers) {
-            Ok(Some(limit)) => format!(" limit={limit}"),
-            Ok(None) => String::new(),
-            Err(error) => format!(" limit=\"{error}\""),
-        };
+        // A limit that cannot be decoded is logged once.
+        let limit = self.context.head_codec.limit(&head.headers).ok().flatten();
+        let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
         log::info!(
             "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}{limit}",
             admitted.id(),
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -37,6 +37,8 @@
     UnknownBuild,
     /// No endpoint that accepts requests holds the required artifacts.
     NoEndpoint,
+    /// All endpoints that hold the required artifacts are at the limits that they name.
+    EndpointsLimited,
     /// All attempted endpoints declined the request or were unreachable.
     EndpointsRefused,
     /// The endpoint failed, and the request may have run.
@@ -61,6 +63,7 @@
             | Self::StaleView
             | Self::UnknownBuild
             | Self::NoEndpoint
+            | Self::EndpointsLimited
             | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -130,7 +130,7 @@
         let after = self.progress.last_event_id();
         let context = Arc::clone(&self.context);
         while self.admitted.has_runs_left() && context.withdraw() {
-            let Some(pick) = pick(&context, &self.admitted) else {
+            let Some(pick) = pick(&context, &self.admitted).await else {
                 return false;
             };
             self.admitted.attempted.push(pick.endpoint.clone());
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -7,7 +7,7 @@
 use quetzalpick_core::retry::Deadline;
 
 use crate::config::{Kind, Route};
-use crate::fleet::{Build, BuildChoice};
+use crate::fleet::{Build, BuildChoice, Requirements};
 use crate::metadata::Metadata;
 
 /// `Admitted` holds a request, the route and limits that apply to it, and its attempts so far.
@@ -69,6 +69,17 @@
         self.metadata.artifacts().collect()
     }
 
+    /// Returns the criteria by which its endpoint is selected; `artifacts` are those that the endpoint must hold.
+    pub(crate) fn requirements<'a>(&'a self, artifacts: &'a [&'a Artifact]) -> Requirements<'a> {
+        Requirements {
+            service: &self.service,
+            artifacts,
+            attempted: &self.attempted,
+            build: self.build_choice(),
+            allows_limited: true,
+        }
+    }
+
     /// Returns the time left for the answer, in ms.
     pub(crate) fn left_ms(&self, now_ms: u64) -> Option<u64> {
         let deadlines = [self.caller_deadline, self.route_deadline];
