Keep permits for requests that only an endpoint at its limit can take

A limit was spent on whatever came first, also on requests that another endpoint would have taken, and those for models that only this endpoint holds were refused.

Change: a request draws a permit as optional if an endpoint without a limit is healthy and can take it, and half of the permits that may be saved are kept for requests that require one. An optional draw that fails pauses only optional ones. A VM without a leader keeps its share for requests that require it.

--- a/crates/quetzalpick-core/src/limit/mod.rs
+++ b/crates/quetzalpick-core/src/limit/mod.rs
@@ -8,7 +8,7 @@
 mod share;
 mod statement;
 
-pub use permits::Permits;
+pub use permits::{Need, Permits};
 pub use rate::Rate;
 pub use share::Share;
 pub use statement::Statement;
--- a/crates/quetzalpick-core/src/limit/permits.rs
+++ b/crates/quetzalpick-core/src/limit/permits.rs
@@ -1,10 +1,23 @@
 //! The leader's permits for one endpoint: a token bucket that fills at the endpoint's limit.
 
+use serde::{Deserialize, Serialize};
+use strum::Display;
+
 use crate::limit::{MICRO, Rate};
 
 /// Time whose permits may be saved, in ms.
 const BURST_MS: u64 = 1_000;
 
+/// `Need` tells what becomes of a request without a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Need {
+    /// Another endpoint takes it.
+    Optional,
+    /// It is refused.
+    Required,
+}
+
 /// `Permits` counts the requests that an endpoint may still get; it starts empty, so that a new leader adds nothing to what the
 /// former one has granted.
 #[derive(Debug, Clone)]
@@ -28,21 +41,38 @@
         }
     }
 
-    /// Draws the permit for one request.
+    /// Draws the permit for one request. Half of the permits that may be saved are kept for requests that require one.
     ///
     /// # Errors
     ///
-    /// The time after which the VM should draw again, in ms, at most `wait_max_ms`: VMs are told to come one after the other.
-    pub fn draw(&mut self, now_ms: u64, rate: Rate, wait_max_ms: u64) -> Result<(), u64> {
+    /// The time after which the VM should draw again, in ms, at most `wait_max_ms`. VMs that require a permit are told to come
+    /// one after the other.
+    pub fn draw(
+        &mut self,
+        now_ms: u64,
+        rate: Rate,
+        need: Need,
+        wait_max_ms: u64,
+    ) -> Result<(), u64> {
         self.fill(now_ms, rate);
-        if self.level >= to_signed(MICRO) {
+        let kept = match need {
+            Need::Optional => (capacity(rate) - to_signed(MICRO)) / 2,
+            Need::Required => 0,
+        };
+        let missing = to_signed(MICRO)
+            .saturating_add(kept)
+            .saturating_sub(self.level);
+        if missing <= 0 {
             self.level -= to_signed(MICRO);
             return Ok(());
         }
-        let missing = to_signed(MICRO).saturating_sub(self.level).unsigned_abs();
-        let next_ms = now_ms + rate.ms_for(missing);
+        let next_ms = now_ms.saturating_add(rate.ms_for(missing.unsigned_abs()));
+        let latest_ms = now_ms.saturating_add(wait_max_ms);
+        if need == Need::Optional {
+            return Err(next_ms.min(latest_ms) - now_ms);
+        }
         let turn_ms = next_ms.max(self.promised_ms + rate.ms_for(MICRO));
-        self.promised_ms = turn_ms.min(now_ms + wait_max_ms);
+        self.promised_ms = turn_ms.min(latest_ms);
         Err(self.promised_ms - now_ms)
     }
 
--- a/crates/quetzalpick-core/tests/limit.rs
+++ b/crates/quetzalpick-core/tests/limit.rs
@@ -1,6 +1,6 @@
 //! Tests of limits that endpoints name: which statement is in force, and that all VMs together keep to a limit.
 
-use quetzalpick_core::limit::{Permits, Rate, Share, Statement};
+use quetzalpick_core::limit::{Need, Permits, Rate, Share, Statement};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -55,15 +55,56 @@
 fn permits_come_at_the_limit_and_are_saved_for_a_second() {
     let limit = rate(4.0);
     let mut permits = Permits::new(0, limit);
-    assert_eq!(permits.draw(0, limit, WAIT_MAX_MS), Err(250));
-    assert_eq!(permits.draw(250, limit, WAIT_MAX_MS), Ok(()));
-    assert_eq!(permits.draw(250, limit, WAIT_MAX_MS), Err(250));
-    let at_once = (0..10).filter(|_| permits.draw(60_000, limit, WAIT_MAX_MS).is_ok());
+    assert_eq!(
+        permits.draw(0, limit, Need::Required, WAIT_MAX_MS),
+        Err(250)
+    );
+    assert_eq!(
+        permits.draw(250, limit, Need::Required, WAIT_MAX_MS),
+        Ok(())
+    );
+    assert_eq!(
+        permits.draw(250, limit, Need::Required, WAIT_MAX_MS),
+        Err(250)
+    );
+    let at_once = (0..10).filter(|_| {
+        permits
+            .draw(60_000, limit, Need::Required, WAIT_MAX_MS)
+            .is_ok()
+    });
     assert_eq!(at_once.count(), 4);
     // A lower limit holds from the call that names it.
     let lower = rate(1.0);
-    assert_eq!(permits.draw(60_500, lower, WAIT_MAX_MS), Ok(()));
-    assert_eq!(permits.draw(60_500, lower, WAIT_MAX_MS), Err(500));
+    assert_eq!(
+        permits.draw(60_500, lower, Need::Required, WAIT_MAX_MS),
+        Ok(())
+    );
+    assert_eq!(
+        permits.draw(60_500, lower, Need::Required, WAIT_MAX_MS),
+        Err(500)
+    );
+}
+
+#[test]
+fn half_of_the_permits_are_kept_for_requests_that_require_one() {
+    let limit = rate(5.0);
+    let mut permits = Permits::new(0, limit);
+    let mut drawn = |now_ms, need| {
+        let draws = (0..10).filter(|_| permits.draw(now_ms, limit, need, WAIT_MAX_MS).is_ok());
+        draws.count()
+    };
+    assert_eq!(drawn(1_000, Need::Optional), 3);
+    assert_eq!(drawn(1_000, Need::Required), 2);
+    // While others require all permits, none is to spare.
+    for now_ms in (1_200..5_000).step_by(200) {
+        assert_eq!(drawn(now_ms, Need::Optional), 0);
+        assert_eq!(drawn(now_ms, Need::Required), 1);
+    }
+    // Otherwise all of them are.
+    let optional = (5_000..10_000)
+        .step_by(100)
+        .map(|ms| drawn(ms, Need::Optional));
+    assert_eq!(optional.sum::<usize>(), 23);
 }
 
 #[test]
@@ -71,7 +112,7 @@
     let limit = rate(10.0);
     let mut permits = Permits::new(0, limit);
     let waits: Vec<_> = (0..7)
-        .map(|_| permits.draw(0, limit, WAIT_MAX_MS))
+        .map(|_| permits.draw(0, limit, Need::Required, WAIT_MAX_MS))
         .collect();
     assert_eq!(waits, [100, 200, 300, 400, 500, 500, 500].map(Err));
 }
@@ -82,8 +123,15 @@
     let mut permits = Permits::new(0, limit);
     (0..3).for_each(|_| permits.charge(0, limit));
     // The debt is bounded by the permits of a second.
-    assert!(permits.draw(1_499, limit, WAIT_MAX_MS).is_err());
-    assert_eq!(permits.draw(1_500, limit, WAIT_MAX_MS), Ok(()));
+    assert!(
+        permits
+            .draw(1_499, limit, Need::Required, WAIT_MAX_MS)
+            .is_err()
+    );
+    assert_eq!(
+        permits.draw(1_500, limit, Need::Required, WAIT_MAX_MS),
+        Ok(())
+    );
 }
 
 #[test]
@@ -92,7 +140,11 @@
     let mut permits = Permits::new(0, limit);
     let drawn: Vec<u64> = (0..400)
         .map(|n| n * 100)
-        .filter(|now_ms| permits.draw(*now_ms, limit, WAIT_MAX_MS).is_ok())
+        .filter(|now_ms| {
+            permits
+                .draw(*now_ms, limit, Need::Required, WAIT_MAX_MS)
+                .is_ok()
+        })
         .collect();
     assert_eq!(drawn, [10_000, 20_000, 30_000]);
 }
@@ -139,8 +191,8 @@
     fn obtain(&mut self, now_ms: u64, vm: usize) -> Result<(), u64> {
         let (limit, members) = (self.limit, self.shares.len() as u64);
         match (&mut self.leader, self.policy) {
-            (_, Policy::EachAlone) => self.own[vm].draw(now_ms, limit, WAIT_MAX_MS),
-            (Some(permits), _) => permits.draw(now_ms, limit, WAIT_MAX_MS),
+            (_, Policy::EachAlone) => self.own[vm].draw(now_ms, limit, Need::Required, WAIT_MAX_MS),
+            (Some(permits), _) => permits.draw(now_ms, limit, Need::Required, WAIT_MAX_MS),
             (None, _) => self.shares[vm].take(now_ms, limit, members, self.random.random()),
         }
     }
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -7,6 +7,7 @@
 
 use futures::future::join_all;
 use quetzalpick_core::id::{Artifact, Service, Workspace};
+use quetzalpick_core::limit::Need;
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -265,8 +266,8 @@
         result.unwrap_or(DrawResult::NotLeading)
     }
 
-    async fn request_permit(&self, limit: Notice) -> PermitResult {
-        let request = PermitRequest { limit };
+    async fn request_permit(&self, limit: Notice, need: Need) -> PermitResult {
+        let request = PermitRequest { limit, need };
         if self.lead.is_leading() {
             return self.lead.draw_permit(&request);
         }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -2,6 +2,7 @@
 
 use quetzalpick_core::election::Heartbeat;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
+use quetzalpick_core::limit::Need;
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +53,8 @@
 pub(crate) struct PermitRequest {
     /// The limit as known to the sender.
     pub(crate) limit: Notice,
+    /// What becomes of the request without a permit.
+    pub(crate) need: Need,
 }
 
 /// `PermitResult` states whether the leader granted a `PermitRequest`.
--- a/crates/quetzalpick-entry/src/fleet/limited.rs
+++ b/crates/quetzalpick-entry/src/fleet/limited.rs
@@ -1,6 +1,6 @@
 //! An endpoint's limit as known to this VM, and when this VM may send it a request.
 
-use quetzalpick_core::limit::{Rate, Share, Statement};
+use quetzalpick_core::limit::{Need, Rate, Share, Statement};
 
 /// Time for which a change is told to the leader, in ms: longer than two intervals between statuses.
 const TOLD_MS: u64 = 5_000;
@@ -14,6 +14,8 @@
     changed_ms: Option<u64>,
     /// No permit is drawn before this time, in ms.
     paused_until_ms: u64,
+    /// No permit is drawn before this time for a request that another endpoint can take, in ms.
+    optional_paused_until_ms: u64,
     /// This VM's share without a leader.
     pub(crate) share: Share,
     /// Whether a malformed limit has been logged.
@@ -64,6 +66,7 @@
         let changes = former != statement.rate;
         if changes {
             self.paused_until_ms = 0;
+            self.optional_paused_until_ms = 0;
         }
         changes
     }
@@ -74,15 +77,22 @@
             .is_some_and(|changed_ms| now_ms < changed_ms + TOLD_MS)
     }
 
-    /// Pauses sends, because there is no permit before `until_ms`.
-    pub(crate) fn pause(&mut self, until_ms: u64) {
-        self.paused_until_ms = until_ms;
+    /// Pauses draws, because there is no permit before `until_ms`.
+    pub(crate) fn pause(&mut self, until_ms: u64, need: Need) {
+        match need {
+            Need::Optional => self.optional_paused_until_ms = until_ms,
+            Need::Required => self.paused_until_ms = until_ms,
+        }
     }
 
     /// Returns the time until a permit may be drawn, in ms; 0 if that is now.
-    pub(crate) fn wait_ms(&self, now_ms: u64) -> u64 {
+    pub(crate) fn wait_ms(&self, now_ms: u64, need: Need) -> u64 {
+        let until_ms = match need {
+            Need::Optional => self.optional_paused_until_ms.max(self.paused_until_ms),
+            Need::Required => self.paused_until_ms,
+        };
         if self.rate().is_some() {
-            self.paused_until_ms.saturating_sub(now_ms)
+            until_ms.saturating_sub(now_ms)
         } else {
             0
         }
--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -1,7 +1,7 @@
 //! The limits that endpoints name, as far as this VM knows them.
 
 use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::limit::{Rate, Statement};
+use quetzalpick_core::limit::{Need, Rate, Statement};
 
 use crate::fleet::row::Row;
 use crate::fleet::{BuildChoice, Fleet, Notice, Pick, Requirements};
@@ -84,10 +84,10 @@
         }
     }
 
-    /// Pauses sends to an endpoint until `until_ms`, because there is no permit before.
-    pub(crate) fn pause(&self, until_ms: u64, endpoint: &Endpoint) {
+    /// Pauses draws of permits for an endpoint until `until_ms`, because there is none before.
+    pub(crate) fn pause(&self, until_ms: u64, endpoint: &Endpoint, need: Need) {
         if let Some(row) = self.rows().get_mut(endpoint) {
-            row.limited.pause(until_ms);
+            row.limited.pause(until_ms, need);
         }
     }
 
@@ -107,7 +107,9 @@
             .values()
             .filter(|row| row.serves(requirements) && row.accepts_requests() && runs_build(row));
         let limited = serving.filter(|row| row.limited.rate().is_some());
-        limited.map(|row| row.limited.wait_ms(now_ms)).min()
+        limited
+            .map(|row| row.limited.wait_ms(now_ms, Need::Required))
+            .min()
     }
 }
 
--- a/crates/quetzalpick-entry/src/fleet/pick.rs
+++ b/crates/quetzalpick-entry/src/fleet/pick.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::limit::Rate;
+use quetzalpick_core::limit::Need;
 use quetzalpick_core::route::Reason;
 
 use crate::fleet::{Build, Fleet};
@@ -20,8 +20,8 @@
     pub build: Build,
     /// Wall-clock time of its start, in ms since 1970, which identifies its incarnation.
     pub started_ms: Option<u64>,
-    /// Limit that it named: it must not get the request without a permit.
-    pub limit: Option<Rate>,
+    /// Set if the endpoint names a limit, so that the request must not be sent without a permit.
+    pub permit: Option<Need>,
     /// Reason of the selection, for the log.
     pub reason: Reason,
     /// Requests in flight at the endpoint at selection, own and reported ones.
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -1,9 +1,11 @@
 //! The selection of an endpoint for a request.
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
+use quetzalpick_core::limit::Need;
 use quetzalpick_core::route::{self, Candidate, Choice, Reason, choose};
 use quetzalpick_core::table::Table;
 
+use crate::fleet::limited::Limited;
 use crate::fleet::row::Row;
 use crate::fleet::{Build, Builds, Spec};
 
@@ -45,43 +47,94 @@
     pub(crate) random: u64,
 }
 
+/// `Limits` tells which endpoints that name a limit may be selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Limits {
+    /// None of them.
+    None,
+    /// Those that may have permits to spare.
+    Spare,
+    /// Those that may have any permit.
+    Any,
+}
+
+impl Limits {
+    /// Returns whether an endpoint may be selected.
+    fn allow(self, now_ms: u64, limited: &Limited) -> bool {
+        let may_draw = |need| limited.wait_ms(now_ms, need) == 0;
+        limited.rate().is_none()
+            || match self {
+                Self::None => false,
+                Self::Spare => may_draw(Need::Optional),
+                Self::Any => may_draw(Need::Required),
+            }
+    }
+}
+
 impl Selection<'_> {
-    /// Selects an endpoint; `None` if none that accepts requests meets the requirements.
+    /// Selects an endpoint, and tells how a permit is needed if it names a limit; `None` if none that accepts requests meets the
+    /// requirements.
     pub(crate) fn select(
         &self,
         rows: &Table<Endpoint, Row>,
         builds: &Builds,
+    ) -> Option<(Endpoint, Choice, Option<Need>)> {
+        let within = |limits| self.by_build(rows, builds, limits);
+        let healthy = |limits| {
+            within(limits).filter(|(_, choice): &(_, Choice)| choice.reason != Reason::Ejected)
+        };
+        let limits = if self.requirements.allows_limited {
+            [Limits::Spare, Limits::Any]
+        } else {
+            [Limits::None, Limits::None]
+        };
+        let selected = healthy(limits[0]).or_else(|| within(limits[1]));
+        let (endpoint, choice) = selected?;
+        let row = rows.get(&endpoint)?;
+        let permit = row.limited.rate().map(|_| {
+            let has_other = healthy(Limits::None).is_some();
+            if has_other {
+                Need::Optional
+            } else {
+                Need::Required
+            }
+        });
+        Some((endpoint, choice, permit))
+    }
+
+    /// Selects among the endpoints of the builds that may run the request.
+    fn by_build(
+        &self,
+        rows: &Table<Endpoint, Row>,
+        builds: &Builds,
+        limits: Limits,
     ) -> Option<(Endpoint, Choice)> {
         match self.requirements.build {
-            BuildChoice::Any => self.among(rows, |_| true),
-            BuildChoice::Only(build) => self.among(rows, |row| row.spec.build == *build),
+            BuildChoice::Any => self.among(rows, limits, |_| true),
+            BuildChoice::Only(build) => self.among(rows, limits, |row| row.spec.build == *build),
             BuildChoice::Settled => {
                 let is_settled = |row: &Row| {
                     let Spec { service, build, .. } = &row.spec;
                     builds.is_settled(self.now_ms, service, build)
                 };
-                let settled = self.among(rows, is_settled);
+                let settled = self.among(rows, limits, is_settled);
                 let settled = settled.filter(|(_, choice)| choice.reason != Reason::Ejected);
-                settled.or_else(|| self.among(rows, |_| true))
+                settled.or_else(|| self.among(rows, limits, |_| true))
             }
         }
     }
 
-    /// Returns whether an endpoint may get a request now as far as its limit is known.
-    fn is_within_limit(&self, row: &Row) -> bool {
-        let limited = &row.limited;
-        let may_draw = self.requirements.allows_limited && limited.wait_ms(self.now_ms) == 0;
-        limited.rate().is_none() || may_draw
-    }
-
     /// Selects among the endpoints that meet the requirements and the condition.
     fn among(
         &self,
         rows: &Table<Endpoint, Row>,
+        limits: Limits,
         condition: impl Fn(&Row) -> bool,
     ) -> Option<(Endpoint, Choice)> {
         let serving = rows.iter().filter(|(_, row)| {
-            row.serves(self.requirements) && condition(row) && self.is_within_limit(row)
+            row.serves(self.requirements)
+                && condition(row)
+                && limits.allow(self.now_ms, &row.limited)
         });
         let attempted = self.requirements.attempted;
         let candidates: Vec<Candidate<'_>> = serving
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -224,7 +224,7 @@
             options: &self.options,
             random,
         };
-        let (endpoint, choice) = selection.select(&rows, &lock(&self.builds))?;
+        let (endpoint, choice, permit) = selection.select(&rows, &lock(&self.builds))?;
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others_in_flight;
         row.in_flight += 1;
@@ -234,7 +234,7 @@
             address: row.spec.address,
             build: row.spec.build.clone(),
             started_ms: row.spec.started_ms,
-            limit: row.limited.rate(),
+            permit,
             reason: choice.reason,
             load,
             fleet: Arc::clone(self),
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -295,7 +295,7 @@
                 return PermitResult::Granted;
             };
             let permits = state.permits(now_ms, endpoint, rate);
-            match permits.draw(now_ms, rate, wait_max_ms) {
+            match permits.draw(now_ms, rate, request.need, wait_max_ms) {
                 Ok(()) => PermitResult::Granted,
                 Err(wait_ms) => PermitResult::Unavailable(wait_ms),
             }
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -79,7 +79,7 @@
         };
         let now_ms = context.clock.now_ms();
         let pick = context.fleet.pick(now_ms, &requirements, random())?;
-        if pick.limit.is_none() || permit::obtain(context, &pick).await {
+        if permit::obtain(context, &pick).await {
             return Some(pick);
         }
     }
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -7,6 +7,7 @@
 
 use quetzalpick_client::http::Pool;
 use quetzalpick_core::id::{Artifact, Service, Workspace};
+use quetzalpick_core::limit::Need;
 use quetzalpick_core::retry::{Budget, RefusalRate, RetryAfter};
 use quetzalpick_core::table::Table;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
@@ -41,7 +42,11 @@
     fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = DrawResult> + Send;
 
     /// Requests the permit for one request to an endpoint that names a limit from the leader.
-    fn request_permit(&self, limit: Notice) -> impl Future<Output = PermitResult> + Send;
+    fn request_permit(
+        &self,
+        limit: Notice,
+        need: Need,
+    ) -> impl Future<Output = PermitResult> + Send;
 
     /// Borrows units of a workspace's rate from other VMs, used while no leader answers; returns the number lent.
     fn borrow(&self, workspace: &Workspace, units: u64) -> impl Future<Output = u64> + Send;
--- a/crates/quetzalpick-entry/src/serve/permit.rs
+++ b/crates/quetzalpick-entry/src/serve/permit.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 
 use http::HeaderMap;
-use quetzalpick_core::limit::Statement;
+use quetzalpick_core::limit::{Need, Statement};
 use rand::random;
 use strum::Display;
 
@@ -30,15 +30,17 @@
     OwnShare,
 }
 
-/// Obtains a permit for a request to the picked endpoint; returns false if the endpoint must not get it now.
+/// Obtains a permit for a request to the picked endpoint if that names a limit; returns false if the endpoint must not get the
+/// request now.
 pub(crate) async fn obtain<E, S: PeerClient>(context: &Context<E, S>, pick: &Pick) -> bool {
     let fleet = &context.fleet;
     let now_ms = context.clock.now_ms();
-    let Some(notice) = fleet.limit_notice(now_ms, &pick.endpoint) else {
+    let notice = fleet.limit_notice(now_ms, &pick.endpoint);
+    let (Some(need), Some(notice)) = (pick.permit, notice) else {
         return true;
     };
     if now_ms >= context.leaderless_until_ms.load(Ordering::Relaxed) {
-        let result = context.peer_client.request_permit(notice).await;
+        let result = context.peer_client.request_permit(notice, need).await;
         let answered_ms = context.clock.now_ms();
         match result {
             // This process may have stood still in between.
@@ -50,7 +52,7 @@
                 return is_valid;
             }
             PermitResult::Unavailable(wait_ms) => {
-                pause(context, pick, wait_ms, Source::Leader);
+                pause(context, pick, need, wait_ms, Source::Leader);
                 return false;
             }
             PermitResult::NotLeading => {
@@ -61,33 +63,35 @@
             }
         }
     }
-    take_share(context, pick)
+    take_share(context, pick, need)
 }
 
 /// Takes the request from this VM's own share of the limit; returns whether that suffices.
-fn take_share<E, S>(context: &Context<E, S>, pick: &Pick) -> bool {
+fn take_share<E, S>(context: &Context<E, S>, pick: &Pick, need: Need) -> bool {
     let now_ms = context.clock.now_ms();
     let endpoint = &pick.endpoint;
     let fleet = &context.fleet;
-    let taken = match context.rates.known_member_count(now_ms) {
+    // The share is small: it is kept for requests that no other endpoint can take.
+    let members = context.rates.known_member_count(now_ms);
+    let taken = match members.filter(|_| need == Need::Required) {
         Some(members) => fleet.take_share(now_ms, endpoint, members as u64, random()),
         None => Err(LEADERLESS_PAUSE_MS),
     };
     match taken {
         Ok(()) => context.meters.permit("own-share"),
-        Err(wait_ms) => pause(context, pick, wait_ms, Source::OwnShare),
+        Err(wait_ms) => pause(context, pick, need, wait_ms, Source::OwnShare),
     }
     taken.is_ok()
 }
 
 /// Sends the endpoint no further requests for a while.
-fn pause<E, S>(context: &Context<E, S>, pick: &Pick, wait_ms: u64, source: Source) {
+fn pause<E, S>(context: &Context<E, S>, pick: &Pick, need: Need, wait_ms: u64, source: Source) {
     let wait_ms = wait_ms.max(PAUSE_MIN_MS);
     let until_ms = context.clock.now_ms() + wait_ms;
-    context.fleet.pause(until_ms, &pick.endpoint);
+    context.fleet.pause(until_ms, &pick.endpoint, need);
     context.meters.permit("unavailable");
     log::info!(
-        "entry: endpoint={} at its limit wait_ms={wait_ms} source={source}",
+        "entry: endpoint={} at its limit need={need} wait_ms={wait_ms} source={source}",
         pick.endpoint
     );
 }
