Load models elsewhere whose endpoints take fewer requests than they get

A model whose only copies are at endpoints with a limit counted as served, and copies there as good as others.

Change: the planner is told the limits. A copy at such an engine counts only for a model that no other engine holds, and for as many requests as the limit allows; what exceeds that weighs like refused work. Nothing is loaded at such an engine, and an adapter that only it holds is loaded beside another copy of its model. The last copy elsewhere is not evicted in favour of one at such an engine.

Ruled out: counting such a model as unserved, as it would evict the last copies of others.

--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -57,6 +57,15 @@
         self.rows().get(endpoint)?.limited.rate()
     }
 
+    /// Returns the endpoints that name a limit, sorted.
+    pub(crate) fn limits(&self) -> Vec<(Endpoint, Rate)> {
+        let rows = self.rows();
+        let limited = rows
+            .iter()
+            .filter_map(|(name, row)| Some((name, row.limited.rate()?)));
+        limited.map(|(name, rate)| (name.clone(), rate)).collect()
+    }
+
     /// Returns what other VMs are told about the limit of an endpoint; `None` if it names none.
     pub(crate) fn limit_notice(&self, now_ms: u64, endpoint: &Endpoint) -> Option<Notice> {
         let rows = self.rows();
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -96,12 +96,14 @@
         self.lead.refill_buckets(config);
         self.lead.retain_permits();
         let work = self.lead.with_statuses(Statuses::work);
+        let limits = self.fleet.limits();
         let suspected = self.lead.with_statuses(Statuses::suspected);
         self.lead.with_leader_state(|state, now_ms| {
             let planner = &mut state.planner;
             planner.observe(now_ms, config, self.fleet.specs());
             planner.mark_unreachable(&self.fleet.unreachable(now_ms));
             planner.set_suspected(&suspected);
+            planner.set_limits(&limits);
             planner.set_demand(now_ms, work);
         });
     }
--- a/crates/quetzalpick-entry/src/place/engine_state.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state.rs
@@ -1,6 +1,7 @@
 //! The leader's state of one engine: its copies and its open order.
 
 use quetzalpick_core::id::Artifact;
+use quetzalpick_core::limit::Rate;
 
 use crate::fleet::{Spec, State};
 use crate::place::copy::{is_adapter, model_of};
@@ -60,6 +61,8 @@
     pub(crate) suspected: bool,
     /// Whether it failed to report while suspected, and hasn't reported since.
     pub(crate) down: bool,
+    /// Limit of requests that it names.
+    pub(crate) limit: Option<Rate>,
 }
 
 impl EngineState {
@@ -78,6 +81,7 @@
             unreachable: false,
             suspected: false,
             down: false,
+            limit: None,
             spec,
         };
         // The entry may be outdated, and is used only until the first report.
@@ -102,6 +106,11 @@
         self.has_entry && !self.unreachable && self.spec.state == State::Ready
     }
 
+    /// Returns whether it can be relied on for as many requests as it gets.
+    pub(crate) fn takes_load(&self) -> bool {
+        self.is_usable() && self.limit.is_none()
+    }
+
     /// Returns whether an order may be sent to it now.
     pub(crate) fn is_idle(&self, now_ms: u64) -> bool {
         let free = self.open_order.is_none() && now_ms >= self.busy_until_ms;
--- a/crates/quetzalpick-entry/src/place/mod.rs
+++ b/crates/quetzalpick-entry/src/place/mod.rs
@@ -4,6 +4,7 @@
 mod copy;
 mod demand;
 mod engine_state;
+mod limited;
 mod model;
 mod order;
 mod planner;
--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -4,7 +4,7 @@
 use quetzalpick_core::table::Table;
 
 use crate::config;
-use crate::place::{EngineState, Work};
+use crate::place::{EngineState, Work, limited};
 
 /// `ModelDemand` relates the demand for one model to its present and expected copies.
 #[derive(Debug, Clone)]
@@ -15,6 +15,8 @@
     /// Copies that serve and that no order unloads.
     pub(crate) kept_copies: u64,
     pub(crate) work: Work,
+    /// Work that its copies refuse, as all of them are at engines that name a limit.
+    pub(crate) refused: Work,
     /// Work that one engine can run concurrently.
     pub(crate) batch: Work,
 }
@@ -26,7 +28,7 @@
 const FIRST_COPY_VALUE: Work = 5_000;
 
 /// Typical run time of a request, in ms.
-const REQUEST_RUN_MS: f64 = 1_000.0;
+pub(super) const REQUEST_RUN_MS: f64 = 1_000.0;
 
 /// Typical time for which demand persists, in ms.
 const DEMAND_DURATION_MS: u64 = 8_000;
@@ -34,7 +36,7 @@
 /// Milliseconds in one second.
 const MS_PER_S: u64 = 1_000;
 
-/// Weight of work for a model without any copy, because all of its requests are refused.
+/// Weight of work that is refused, such as all work for a model without any copy.
 const REFUSED_FACTOR: Work = 20;
 
 impl ModelDemand<'_> {
@@ -42,7 +44,7 @@
     pub(crate) fn gain(&self) -> Work {
         match self.copies {
             0 => self.availability_value(),
-            copies => self.wait_saved(copies),
+            copies => self.wait_saved(copies) + self.refused * REFUSED_FACTOR,
         }
     }
 
@@ -92,20 +94,28 @@
         copies: 0,
         kept_copies: 0,
         work: work.get(&model.name).copied().unwrap_or_default(),
+        refused: 0,
         batch: u64::from(spec.batch) * WORK_PER_REQUEST,
     };
     let mut model_demands: Vec<ModelDemand<'a>> = spec.models.iter().map(demand).collect();
     model_demands.sort_by_key(|demand| &demand.model.name);
-    for engine in engines.values().filter(|engine| engine.is_usable()) {
+    for engine in engines.values().filter(|engine| engine.takes_load()) {
         for model in engine.models() {
-            let Ok(index) = model_demands.binary_search_by_key(&model, |demand| &demand.model.name)
-            else {
+            let Some(index) = find(&model_demands, model) else {
                 continue;
             };
-            model_demands[index].copies += u64::from(engine.will_hold(model));
-            model_demands[index].kept_copies += u64::from(engine.will_keep(model));
+            let demand = &mut model_demands[index];
+            demand.copies += u64::from(engine.will_hold(model));
+            demand.kept_copies += u64::from(engine.will_keep(model));
         }
     }
+    limited::add_copies(&mut model_demands, engines);
     model_demands.sort_by_key(|demand| std::cmp::Reverse(demand.gain()));
     model_demands
 }
+
+/// Returns the index of a model in a list that is sorted by model.
+pub(super) fn find(model_demands: &[ModelDemand<'_>], model: &Artifact) -> Option<usize> {
+    let index = model_demands.binary_search_by_key(&model, |demand| &demand.model.name);
+    index.ok()
+}
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -7,10 +7,12 @@
 use std::net::SocketAddr;
 
 use quetzalpick_core::id::{Artifact, Endpoint, Service};
+use quetzalpick_core::limit::Rate;
 use quetzalpick_core::table::Table;
 
 use crate::config::{Config, EngineSpec, Model};
 use crate::fleet::Spec;
+use crate::place::copy::model_of;
 use crate::place::{EngineState, Order, OrderResult, Report, Work};
 
 /// `Options` sets the thresholds and limits of placement.
@@ -223,10 +225,20 @@
         self.adapter_requests.insert(adapter, now_ms);
     }
 
-    /// Returns whether any usable engine holds an artifact.
+    /// Returns whether any engine that counts for an artifact holds it.
     pub fn is_held(&self, artifact: &Artifact) -> bool {
-        let mut usable = self.engines.values().filter(|engine| engine.is_usable());
-        usable.any(|engine| engine.holds(artifact))
+        let mut engines = self.engines_for(artifact);
+        engines.any(|(_, engine)| engine.holds(artifact))
+    }
+
+    /// Returns the usable engines that count for a model or adapter: one that names a limit counts only if no other engine holds
+    /// the model.
+    fn engines_for(&self, artifact: &Artifact) -> impl Iterator<Item = (&Endpoint, &EngineState)> {
+        let model = model_of(artifact);
+        let mut engines = self.engines.values();
+        let others_hold = engines.any(|engine| engine.takes_load() && engine.holds(&model));
+        let usable = self.engines.iter().filter(|(_, engine)| engine.is_usable());
+        usable.filter(move |(_, engine)| engine.takes_load() || !others_hold)
     }
 
     /// Applies the result of an engine's open order, `None` if it wasn't answered, and returns that order.
@@ -270,6 +282,14 @@
         }
     }
 
+    /// Replaces the limits that engines name, sorted by engine.
+    pub fn set_limits(&mut self, limits: &[(Endpoint, Rate)]) {
+        for (endpoint, engine) in self.engines.iter_mut() {
+            let index = limits.binary_search_by_key(&endpoint, |(name, _)| name);
+            engine.limit = index.ok().map(|index| limits[index].1);
+        }
+    }
+
     /// Returns the engines whose reports are due to be requested.
     pub fn due_reports(&self, now_ms: u64) -> Vec<(Endpoint, SocketAddr)> {
         let is_due = |engine: &EngineState| engine.has_entry && engine.is_report_due(now_ms);
@@ -333,7 +353,7 @@
     /// Returns the work at each engine if demand is spread evenly over copies.
     fn work_by_engine(&self) -> Table<Endpoint, Work> {
         let mut copy_counts: Table<&Artifact, u64> = Table::default();
-        let usable = self.engines.values().filter(|engine| engine.is_usable());
+        let usable = self.engines.values().filter(|engine| engine.takes_load());
         for model in usable.flat_map(EngineState::held_models) {
             *copy_counts.get_or_insert_with(model, || 0) += 1;
         }
--- a/crates/quetzalpick-entry/src/place/planner/adapters.rs
+++ b/crates/quetzalpick-entry/src/place/planner/adapters.rs
@@ -17,10 +17,11 @@
     ) {
         let requested: Vec<Artifact> = self.adapter_requests.keys().cloned().collect();
         for adapter in requested {
-            let usable = self.engines.values().filter(|engine| engine.is_usable());
-            if usable.into_iter().any(|engine| engine.will_hold(&adapter)) {
+            let mut engines = self.engines_for(&adapter);
+            if engines.any(|(_, engine)| engine.will_hold(&adapter)) {
                 continue;
             }
+            drop(engines);
             let model = model_of(&adapter);
             let Some((endpoint, action, artifact)) =
                 self.next_adapter_step(now_ms, service, &model, &adapter)
@@ -49,11 +50,8 @@
         let is_candidate = |engine: &EngineState| {
             engine.spec.service == *service.name && engine.is_idle(now_ms) && engine.holds(model)
         };
-        let engines: Vec<_> = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| is_candidate(engine))
-            .collect();
+        let engines = self.engines_for(adapter);
+        let engines: Vec<_> = engines.filter(|(_, engine)| is_candidate(engine)).collect();
         let with_capacity = engines
             .iter()
             .filter(|(_, engine)| fits_adapter(service.spec, engine, adapter));
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -167,6 +167,7 @@
         let model = &demand.model.name;
         let is_candidate = |engine: &EngineState| {
             let is_free = engine.is_idle(now_ms) && engine.reserved_for.is_none();
+            let is_free = is_free && engine.limit.is_none();
             engine.spec.service == *service.name
                 && is_free
                 && !engine.copies.iter().any(|c| c.artifact == *model)
--- a/crates/quetzalpick-entry/tests/place/main.rs
+++ b/crates/quetzalpick-entry/tests/place/main.rs
@@ -1,6 +1,7 @@
 //! Simulates the planner against engines with lost answers, delayed orders and lagging reports.
 
 mod engine;
+mod limited;
 mod limits;
 mod moves;
 mod simulation;
--- a/crates/quetzalpick-entry/tests/place/simulation.rs
+++ b/crates/quetzalpick-entry/tests/place/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of engines, leader changes, and a network that loses answers and delays orders.
 
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
+use quetzalpick_core::limit::Rate;
 use quetzalpick_core::table::Table;
 use quetzalpick_entry::config::{self, Config, Limits, Model};
 use quetzalpick_entry::fleet::{Build, Spec, State};
@@ -80,6 +81,8 @@
     pub(crate) faults: bool,
     /// Engines that cannot be reached.
     pub(crate) down: Vec<usize>,
+    /// Engines that name a limit, with the requests a second; sorted.
+    pub(crate) limits: Vec<(usize, f64)>,
     pub(crate) work: Table<Artifact, Work>,
     /// Number of orders for models that engines accepted without delay.
     pub(crate) accepted_model_orders: usize,
@@ -122,6 +125,7 @@
             planner: Planner::new(0, Options::default()),
             faults,
             down: Vec::new(),
+            limits: Vec::new(),
             work: Table::default(),
             accepted_model_orders: 0,
             load_times: Vec::new(),
@@ -174,6 +178,11 @@
         let down: Vec<Endpoint> = self.down.iter().map(|n| endpoint(*n)).collect();
         self.planner.mark_unreachable(&down);
         self.planner.set_suspected(&down);
+        let limits = self.limits.iter();
+        let limits: Vec<_> = limits
+            .map(|(n, per_s)| (endpoint(*n), Rate::try_from_per_s(*per_s).unwrap()))
+            .collect();
+        self.planner.set_limits(&limits);
         self.planner.set_demand(now_ms, self.work.clone());
         self.planner.finish_adapter_loads(now_ms);
         for (name, _) in self.planner.due_reports(now_ms) {
