Let a flush of the log wait while the queue is full

Cause: Queue::flush gave up at once if the queue was full, so that the last lines, and the count of dropped ones, could be missing when a process ended. It waits for room now, within the same time limit.

The test was wrong in one point as well: a batch holds up to 64 KiB, 7,282 of its lines, so that batch and queue together could take all 10,000 lines and none was dropped. It sends 20,000; the assertion is the same.

--- a/crates/quetzalpick-node/src/telemetry/queue.rs
+++ b/crates/quetzalpick-node/src/telemetry/queue.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,6 +21,9 @@
 /// Longest time that a flush waits for queued lines to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Pause between two attempts to add a flush to a full queue.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// `Options` limits the rate of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
@@ -116,11 +119,18 @@
     }
 
     fn flush(&self) {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
         let (notify, written) = sync_channel(1);
-        if self.sender.try_send(Message::Flush(notify)).is_ok() {
-            // Lines that are not written by then are lost when the process ends.
-            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        let mut message = Message::Flush(notify);
+        while let Err(TrySendError::Full(unsent)) = self.sender.try_send(message) {
+            if Instant::now() >= deadline {
+                return;
+            }
+            message = unsent;
+            thread::sleep(FLUSH_PAUSE);
         }
+        // Lines that are not written by then are lost when the process ends.
+        let _ = written.recv_timeout(deadline.saturating_duration_since(Instant::now()));
     }
 }
 
--- a/crates/quetzalpick-node/tests/logs.rs
+++ b/crates/quetzalpick-node/tests/logs.rs
@@ -92,8 +92,9 @@
 fn blocked_output_does_not_block_logging() {
     let (release, output, target) = blocked_output();
     let queue = queue(target, u32::MAX);
-    (0..10_000).for_each(|_| line(&queue, Level::Info, "decision"));
-    for _ in 0..10_000 {
+    // More than one batch and the queue hold together.
+    (0..20_000).for_each(|_| line(&queue, Level::Info, "decision"));
+    for _ in 0..20_000 {
         let _ = release.send(());
     }
     drop(release);
