Answer requests that arrive while a listener stops

What callers saw: with a planned stop under load, a request on a connection that the system had established, but that the process had not accepted yet, was cut off by a reset; one that was accepted and not read yet was closed without an answer.

Cause: the listener was dropped with its queue, and hyper closes a connection at once on which nothing was read, whatever waits in the kernel. Change: at a stop the queue is accepted to its end before the listener closes, and connections are told to finish 50 ms later, so that requests on their way are read and answered. All listeners gain from it.

Evidence: shutdown_answers_requests_on_connections_that_were_not_accepted_yet failed on each run and passes, with free slots and with none. What remains: a connection that is established between the last accept and the close of the listener is reset, as before.

--- a/crates/quetzalpick-node/src/http/server.rs
+++ b/crates/quetzalpick-node/src/http/server.rs
@@ -4,26 +4,33 @@
 use std::error;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
+use hyper_util::server::graceful::GracefulConnection;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::unconstrained;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::errors::{Error, Result};
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after the start of a stop in which persistent connections still take requests that are on their way.
+const STOP_GRACE: Duration = Duration::from_millis(50);
+
 /// `Handler` answers requests; each connection uses a clone of it.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Body of the answers; an error of the body closes the connection before the end of the answer.
@@ -103,7 +110,7 @@
     /// After the cancellation no connection is accepted, and persistent connections are closed after their current
     /// answer.
     pub async fn run(self, handler: impl Handler, stop: CancellationToken) -> bool {
-        let graceful = GracefulShutdown::new();
+        let connections = TaskTracker::new();
         let slots = Arc::new(Semaphore::new(self.options.connections));
         loop {
             let (stream, peer, slot) = tokio::select! {
@@ -111,20 +118,33 @@
                 accepted = self.accept(&slots) => accepted,
             };
             let connection = self.connection(stream, peer, handler.clone());
-            let connection = graceful.watch(connection);
-            tokio::spawn(async move {
-                // Connection errors are caused by callers; the handler deals with unfinished requests.
-                if let Err(error) = connection.await {
-                    log::debug!("http: connection of {peer} failed: {error}");
-                }
+            let served = serve(connection, peer, stop.clone());
+            connections.spawn(async move {
+                served.await;
                 drop(slot);
             });
         }
+        // Connections that wait to be accepted may carry requests already.
+        for (stream, peer) in self.queued().await {
+            let connection = self.connection(stream, peer, handler.clone());
+            connections.spawn(serve(connection, peer, stop.clone()));
+        }
         // Closing the listener frees the port for the process that replaces this one.
+        let drain = self.options.drain;
         drop(self.listener);
-        timeout(self.options.drain, graceful.shutdown())
-            .await
-            .is_ok()
+        connections.close();
+        timeout(drain, connections.wait()).await.is_ok()
+    }
+
+    /// Accepts the connections that the system has established already.
+    async fn queued(&self) -> Vec<(TcpStream, SocketAddr)> {
+        let mut queued = Vec::new();
+        // The first turn lets the runtime learn of connections that are not accepted yet.
+        tokio::task::yield_now().await;
+        while let Some(Ok(accepted)) = unconstrained(self.listener.accept()).now_or_never() {
+            queued.push(accepted);
+        }
+        queued
     }
 
     /// Accepts a connection once one of the slots is free.
@@ -152,7 +172,7 @@
         stream: TcpStream,
         peer: SocketAddr,
         handler: H,
-    ) -> impl GracefulConnection<Error = hyper::Error> + use<H> {
+    ) -> impl GracefulConnection<Error = hyper::Error> + Send + use<H> {
         // Nagle's algorithm would delay the last part of an answer; an error here only costs that time.
         let _ = stream.set_nodelay(true);
         let handler = Arc::new(handler);
@@ -168,3 +188,28 @@
             .serve_connection(TokioIo::new(stream), service)
     }
 }
+
+/// Serves a connection to its end, which is its current answer once `stop` is cancelled. A request that is on its way at that moment
+/// is answered too.
+async fn serve(
+    connection: impl GracefulConnection<Error = hyper::Error>,
+    peer: SocketAddr,
+    stop: CancellationToken,
+) {
+    let mut connection = pin!(connection);
+    let stopped = async {
+        stop.cancelled().await;
+        sleep(STOP_GRACE).await;
+    };
+    let served = tokio::select! {
+        served = &mut connection => served,
+        () = stopped => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    // Connection errors are caused by callers; the handler deals with unfinished requests.
+    if let Err(error) = served {
+        log::debug!("http: connection of {peer} failed: {error}");
+    }
+}
--- a/crates/quetzalpick-node/tests/http.rs
+++ b/crates/quetzalpick-node/tests/http.rs
@@ -157,6 +157,45 @@
     drop(idle);
 }
 
+/// Connects and sends a request without giving the server's task a turn.
+fn send_in_one_turn(address: SocketAddr) -> TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    let request = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello";
+    std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+    stream.set_nonblocking(true).unwrap();
+    TcpStream::from_std(stream).unwrap()
+}
+
+#[tokio::test]
+async fn shutdown_answers_requests_on_connections_that_were_not_accepted_yet() {
+    // With one slot, the second connection waits until the shutdown.
+    for connections in [4096, 1] {
+        let options = Options {
+            connections,
+            ..Options::default()
+        };
+        let server = Server::try_bind("127.0.0.1:0", options).await.unwrap();
+        let address = server.address();
+        let (arrived, _arrivals) = mpsc::unbounded_channel();
+        let resume = CancellationToken::new();
+        let stop = CancellationToken::new();
+        let work = tokio::spawn(server.run(Echo { arrived, resume }, stop.clone()));
+        let idle = TcpStream::connect(address).await.unwrap();
+        for _ in 0..10 {
+            tokio::task::yield_now().await;
+        }
+        let mut callers: Vec<_> = (0..8).map(|_| send_in_one_turn(address)).collect();
+        stop.cancel();
+        for caller in &mut callers {
+            let mut answer = String::new();
+            let _ = caller.read_to_string(&mut answer).await;
+            assert_eq!(status(&answer), "HTTP/1.1 200 OK", "{connections}");
+        }
+        assert!(work.await.unwrap());
+        drop(idle);
+    }
+}
+
 /// `ServingPhase` is ready exactly in the phase `Serving`.
 #[derive(Debug, Clone)]
 struct ServingPhase(Lifecycle);
