Take the limit from the request for a permit if the leader does not know the endpoint

Found in reading: a leader whose entries lagged behind did not find the endpoint, or another incarnation of it, and granted every request for a permit. It goes by the limit that the request states now.

Endpoints that never named a limit are left out of the notices between VMs, and the choice by limits has clearer names.

--- a/crates/quetzalpick-entry/src/fleet/limited.rs
+++ b/crates/quetzalpick-entry/src/fleet/limited.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Limited {
     /// The statement in force; `None` before the endpoint's first answer.
     statement: Option<Statement>,
+    /// Whether the endpoint ever named a limit.
+    ever_named: bool,
     /// When this VM had something to tell the leader, in ms.
     changed_ms: Option<u64>,
     /// No permit is drawn before this time, in ms.
@@ -28,9 +30,9 @@
         self.statement.and_then(|statement| statement.rate)
     }
 
-    /// Returns the statement in force.
+    /// Returns the statement in force, if the endpoint ever named a limit.
     pub(crate) fn statement(&self) -> Option<Statement> {
-        self.statement
+        self.statement.filter(|_| self.ever_named)
     }
 
     /// Applies what the endpoint said to this VM; returns whether the limit in force changes.
@@ -63,6 +65,7 @@
         }
         let former = self.rate();
         self.statement = Some(statement);
+        self.ever_named |= statement.rate.is_some();
         let changes = former != statement.rate;
         if changes {
             self.paused_until_ms = 0;
@@ -71,8 +74,8 @@
         changes
     }
 
-    /// Returns whether the leader is to be told.
-    pub(crate) fn is_told(&self, now_ms: u64) -> bool {
+    /// Returns whether the leader may not know of the last change yet.
+    pub(crate) fn changed_recently(&self, now_ms: u64) -> bool {
         self.changed_ms
             .is_some_and(|changed_ms| now_ms < changed_ms + TOLD_MS)
     }
--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -47,8 +47,11 @@
     /// Returns the limits that the leader is to be told.
     pub(crate) fn limits_to_tell(&self, now_ms: u64) -> Vec<Notice> {
         let rows = self.rows();
-        let told = rows.iter().filter(|(_, row)| row.limited.is_told(now_ms));
-        told.filter_map(|(name, row)| row.notice(now_ms, name))
+        let changed = rows
+            .iter()
+            .filter(|(_, row)| row.limited.changed_recently(now_ms));
+        changed
+            .filter_map(|(name, row)| row.notice(now_ms, name))
             .collect()
     }
 
@@ -57,6 +60,14 @@
         self.rows().get(endpoint)?.limited.rate()
     }
 
+    /// Returns the limit in force of the incarnation that a notice concerns, after that notice was applied.
+    pub(crate) fn limit_after(&self, notice: &Notice) -> Option<Rate> {
+        let rows = self.rows();
+        let row = rows.get(&notice.endpoint);
+        let row = row.filter(|row| row.spec.started_ms == notice.started_ms);
+        row.map_or(notice.rate, |row| row.limited.rate())
+    }
+
     /// Returns the endpoints that name a limit, sorted.
     pub(crate) fn limits(&self) -> Vec<(Endpoint, Rate)> {
         let rows = self.rows();
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -116,7 +116,7 @@
         copy_missing || self.is_unreachable(now_ms)
     }
 
-    /// Returns what other VMs are told about its limit; `None` before its first answer.
+    /// Returns what other VMs are told about its limit; `None` if it never named one.
     pub(crate) fn notice(&self, now_ms: u64, name: &Endpoint) -> Option<Notice> {
         let statement = self.limited.statement()?;
         Some(Notice {
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -47,26 +47,26 @@
     pub(crate) random: u64,
 }
 
-/// `Limits` tells which endpoints that name a limit may be selected.
+/// `Allowed` tells which endpoints may be selected as far as their limits are concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Limits {
-    /// None of them.
-    None,
-    /// Those that may have permits to spare.
+enum Allowed {
+    /// Those that name no limit.
+    Unlimited,
+    /// Also those that may have permits to spare.
     Spare,
-    /// Those that may have any permit.
-    Any,
+    /// Also those that may have any permit.
+    AnyPermit,
 }
 
-impl Limits {
+impl Allowed {
     /// Returns whether an endpoint may be selected.
-    fn allow(self, now_ms: u64, limited: &Limited) -> bool {
+    fn includes(self, now_ms: u64, limited: &Limited) -> bool {
         let may_draw = |need| limited.wait_ms(now_ms, need) == 0;
         limited.rate().is_none()
             || match self {
-                Self::None => false,
+                Self::Unlimited => false,
                 Self::Spare => may_draw(Need::Optional),
-                Self::Any => may_draw(Need::Required),
+                Self::AnyPermit => may_draw(Need::Required),
             }
     }
 }
@@ -79,26 +79,21 @@
         rows: &Table<Endpoint, Row>,
         builds: &Builds,
     ) -> Option<(Endpoint, Choice, Option<Need>)> {
-        let within = |limits| self.by_build(rows, builds, limits);
-        let healthy = |limits| {
-            within(limits).filter(|(_, choice): &(_, Choice)| choice.reason != Reason::Ejected)
-        };
-        let limits = if self.requirements.allows_limited {
-            [Limits::Spare, Limits::Any]
+        let best = |allowed| self.by_build(rows, builds, allowed);
+        let is_healthy = |(_, choice): &(Endpoint, Choice)| choice.reason != Reason::Ejected;
+        let selected = if self.requirements.allows_limited {
+            let spare = best(Allowed::Spare).filter(is_healthy);
+            spare.or_else(|| best(Allowed::AnyPermit))
         } else {
-            [Limits::None, Limits::None]
+            best(Allowed::Unlimited)
         };
-        let selected = healthy(limits[0]).or_else(|| within(limits[1]));
         let (endpoint, choice) = selected?;
-        let row = rows.get(&endpoint)?;
-        let permit = row.limited.rate().map(|_| {
-            let has_other = healthy(Limits::None).is_some();
-            if has_other {
-                Need::Optional
-            } else {
-                Need::Required
-            }
-        });
+        let limit = rows.get(&endpoint)?.limited.rate();
+        let need = || match best(Allowed::Unlimited).filter(is_healthy) {
+            Some(_) => Need::Optional,
+            None => Need::Required,
+        };
+        let permit = limit.map(|_| need());
         Some((endpoint, choice, permit))
     }
 
@@ -107,19 +102,19 @@
         &self,
         rows: &Table<Endpoint, Row>,
         builds: &Builds,
-        limits: Limits,
+        allowed: Allowed,
     ) -> Option<(Endpoint, Choice)> {
         match self.requirements.build {
-            BuildChoice::Any => self.among(rows, limits, |_| true),
-            BuildChoice::Only(build) => self.among(rows, limits, |row| row.spec.build == *build),
+            BuildChoice::Any => self.among(rows, allowed, |_| true),
+            BuildChoice::Only(build) => self.among(rows, allowed, |row| row.spec.build == *build),
             BuildChoice::Settled => {
                 let is_settled = |row: &Row| {
                     let Spec { service, build, .. } = &row.spec;
                     builds.is_settled(self.now_ms, service, build)
                 };
-                let settled = self.among(rows, limits, is_settled);
+                let settled = self.among(rows, allowed, is_settled);
                 let settled = settled.filter(|(_, choice)| choice.reason != Reason::Ejected);
-                settled.or_else(|| self.among(rows, limits, |_| true))
+                settled.or_else(|| self.among(rows, allowed, |_| true))
             }
         }
     }
@@ -128,13 +123,13 @@
     fn among(
         &self,
         rows: &Table<Endpoint, Row>,
-        limits: Limits,
+        allowed: Allowed,
         condition: impl Fn(&Row) -> bool,
     ) -> Option<(Endpoint, Choice)> {
         let serving = rows.iter().filter(|(_, row)| {
             row.serves(self.requirements)
                 && condition(row)
-                && limits.allow(self.now_ms, &row.limited)
+                && allowed.includes(self.now_ms, &row.limited)
         });
         let attempted = self.requirements.attempted;
         let candidates: Vec<Candidate<'_>> = serving
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -291,7 +291,7 @@
             .learn_limits(now_ms, std::slice::from_ref(&request.limit));
         let wait_max_ms = self.permit_wait_max_ms();
         let result = self.with_leader_state(|state, now_ms| {
-            let Some(rate) = self.fleet.limit(endpoint) else {
+            let Some(rate) = self.fleet.limit_after(&request.limit) else {
                 return PermitResult::Granted;
             };
             let permits = state.permits(now_ms, endpoint, rate);
