Load an adapter elsewhere before refusing its request for a limit

The refusal for limits stood before the request for the adapter.

Evidence: limit::an_adapter_that_only_an_endpoint_at_its_limit_holds_is_loaded_elsewhere waits 30 s in vain before and passes.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -50,17 +50,17 @@
         }
     }
 
-    /// Picks an endpoint after requesting the adapter that no endpoint holds.
+    /// Picks an endpoint after requesting the adapter that no endpoint holds, or only endpoints at their limits.
     async fn pick_after_load(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
-        if let Some(refusal) = self.limit_refusal(admitted) {
-            return Err(refusal);
-        }
         if let Some(adapter) = &admitted.metadata.adapter {
             self.context.peer_client.request_adapter(adapter).await;
             if let Some(pick) = pick(&self.context, admitted).await {
                 return Ok(pick);
             }
         }
+        if let Some(refusal) = self.limit_refusal(admitted) {
+            return Err(refusal);
+        }
         let cause = if admitted.possible_runs > 0 {
             Cause::EndpointFailed
         } else {
