--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -178,20 +178,27 @@
     /// Returns the builds at which a stream of a service may have begun that may be taken up now, as far as this VM
     /// knows; sorted.
     pub(crate) fn known_builds(&self, now_ms: u64, service: &Service) -> Vec<Build> {
-        let rows = self.rows();
-        let of_service = rows.values().filter(|row| row.spec.service == *service);
+        let present = self.present_builds(service);
         let builds = lock(&self.builds);
-        let known = builds.known(now_ms, service, of_service.map(|row| &row.spec.build));
+        let known = builds.known(now_ms, service, present.iter());
         known.into_iter().cloned().collect()
     }
 
     /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
     pub fn sole_build(&self, now_ms: u64, service: &Service) -> Option<Build> {
-        let rows = self.rows();
-        let of_service = rows.values().filter(|row| row.spec.service == *service);
+        let present = self.present_builds(service);
         let builds = lock(&self.builds);
-        let sole = builds.sole(now_ms, service, of_service.map(|row| &row.spec.build));
-        sole.cloned()
+        builds.sole(now_ms, service, present.iter()).cloned()
+    }
+
+    /// Returns the builds of a service's endpoints, one for each run of equal ones.
+    fn present_builds(&self, service: &Service) -> Vec<Build> {
+        let rows = self.rows();
+        let specs = rows.values().map(|row| &row.spec);
+        let of_service = specs.filter(|spec| spec.service == *service);
+        let mut builds: Vec<&Build> = of_service.map(|spec| &spec.build).collect();
+        builds.dedup();
+        builds.into_iter().cloned().collect()
     }
 
     /// Removes the endpoints whose entries expired before `before_ms` and that run no requests of this VM.
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -6,7 +6,7 @@
 
 use quetzalpick_core::election::{Candidate, Election, Heartbeat};
 use quetzalpick_core::id::{Endpoint, Vm, Workspace};
-use quetzalpick_core::limit::{Permits, Rate};
+use quetzalpick_core::limit::Permits;
 use quetzalpick_core::rate::{Bucket, leader_part};
 use quetzalpick_core::table::Table;
 use tokio::sync::{Notify, watch};
@@ -15,8 +15,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Quota};
 use crate::exchange::{
-    AdapterReply, AdapterRequest, CopiesVersion, DrawRequest, DrawResult, PermitRequest,
-    PermitResult, Status, StatusReply,
+    AdapterReply, AdapterRequest, CopiesVersion, DrawRequest, DrawResult, Status, StatusReply,
 };
 use crate::fleet::Fleet;
 use crate::lead::copy_index::CopyIndex;
@@ -28,12 +27,6 @@
 /// Number of other VMs whose addresses a VM receives.
 const PEER_SAMPLE: usize = 8;
 
-/// Longest wait for a permit with few VMs, in ms.
-const PERMIT_WAIT_MS: u64 = 500;
-
-/// Longest wait for a permit per VM, in ms.
-const PERMIT_WAIT_PER_VM_MS: u64 = 5;
-
 /// Longest time for which a request for an adapter waits.
 const ADAPTER_WAIT: Duration = Duration::from_millis(200);
 
@@ -45,7 +38,7 @@
     /// The leader's part of each workspace's rate.
     buckets: Table<Workspace, Bucket>,
     /// Permits of the endpoints that name a limit.
-    permits: Table<Endpoint, Permits>,
+    pub(super) permits: Table<Endpoint, Permits>,
     /// When the state was created, in ms.
     since_ms: u64,
     copy_index: CopyIndex,
@@ -55,10 +48,10 @@
 #[derive(Debug)]
 pub(crate) struct Leadership<N> {
     me: Candidate,
-    clock: Clock,
+    pub(super) clock: Clock,
     view: Arc<View>,
-    fleet: Arc<Fleet>,
-    member_count: AtomicU64,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) member_count: AtomicU64,
     /// The list of members; `None` unless this VM has read it while it leads.
     member_list: Mutex<Option<Table<Vm, ()>>>,
     floor_permille: u64,
@@ -283,49 +276,6 @@
         result.unwrap_or(DrawResult::NotLeading)
     }
 
-    /// Draws the permit for one request to an endpoint that names a limit.
-    pub(crate) fn draw_permit(&self, request: &PermitRequest) -> PermitResult {
-        let now_ms = self.clock.now_ms();
-        let endpoint = &request.limit.endpoint;
-        self.fleet
-            .learn_limits(now_ms, std::slice::from_ref(&request.limit));
-        let wait_max_ms = self.permit_wait_max_ms();
-        let result = self.with_leader_state(|state, now_ms| {
-            let Some(rate) = self.fleet.limit_after(&request.limit) else {
-                return PermitResult::Granted;
-            };
-            let permits = state.permits(now_ms, endpoint, rate);
-            match permits.draw(now_ms, rate, request.need, wait_max_ms) {
-                Ok(()) => PermitResult::Granted,
-                Err(wait_ms) => PermitResult::Unavailable(wait_ms),
-            }
-        });
-        result.unwrap_or(PermitResult::NotLeading)
-    }
-
-    /// Returns the longest wait for a permit, in ms; it grows with the VMs, so that the leader's work does not.
-    fn permit_wait_max_ms(&self) -> u64 {
-        let members = self.member_count.load(Ordering::Relaxed);
-        PERMIT_WAIT_MS.max(PERMIT_WAIT_PER_VM_MS * members)
-    }
-
-    /// Charges a call of this VM to an endpoint that may name a limit, as the call is sent in any case.
-    pub(crate) fn charge_permit(&self, endpoint: &Endpoint) {
-        if let Some(rate) = self.fleet.limit(endpoint) {
-            self.with_leader_state(|state, now_ms| {
-                state.permits(now_ms, endpoint, rate).charge(now_ms, rate);
-            });
-        }
-    }
-
-    /// Drops the permits of endpoints that name no limit any more.
-    pub(crate) fn retain_permits(&self) {
-        self.with_leader_state(|state, _| {
-            let is_limited = |endpoint: &Endpoint| self.fleet.limit(endpoint).is_some();
-            state.permits.retain(|endpoint, _| is_limited(endpoint));
-        });
-    }
-
     /// Refills the leader's buckets, and creates those that haven't been drawn from yet.
     pub(crate) fn refill_buckets(&self, config: &Config) {
         self.with_leader_state(|state, now_ms| {
@@ -392,13 +342,6 @@
         bucket
     }
 
-    /// Returns the permits of an endpoint that names a limit.
-    fn permits(&mut self, now_ms: u64, endpoint: &Endpoint, rate: Rate) -> &mut Permits {
-        let new_permits = || Permits::new(now_ms, rate);
-        self.permits
-            .get_or_insert_with(endpoint.clone(), new_permits)
-    }
-
     /// Updates the index with the planner's copies; returns the new version if they changed.
     fn publish(&mut self) -> Option<u64> {
         let engines = self.planner.engines();
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -4,6 +4,7 @@
 mod election;
 mod executor;
 mod leadership;
+mod permits;
 mod statuses;
 
 pub(crate) use election::ElectionDriver;
