Bound how long an answer may take that arrives byte by byte

What callers saw: an endpoint that sent a byte now and then held a request without end: its booking was answered 20 s after a deadline of 0.5 s (as long as the test sends), a lookup was not given to another endpoint, and a refusal of that kind used up the time of the next attempt. Operators of similar systems told of stalled answers that never ended; it can happen here.

Cause: the time limit for pauses starts anew with each byte, and nothing bounded the whole of a buffered answer. Change: a buffered answer has as long as its head (until the deadline, or until another endpoint is tried), the body of a refusal 50 ms, in the gate too, and the body of a call to the store or to an engine as long as a pause.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, StatusCode};
 use quetzalpick_core::verdict::Verdict;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
 use crate::errors::{Result, busy, malformed, refused, unanswered};
 use crate::http::{Pool, Request, Timeouts};
@@ -54,11 +55,11 @@
         .map_err(|e| unanswered(target, Verdict::NotRun, e))
 }
 
-/// Sends a request and reads the complete answer, whose body may have up to `max_bytes` bytes.
+/// Sends a request and reads the complete answer, whose body may have up to `max_bytes` bytes and take as long as a pause may.
 ///
 /// # Errors
 ///
-/// Any error of the pool, and `Error::Malformed` if the body is longer.
+/// Any error of the pool, `Error::Malformed` if the body is longer, and `Error::Unanswered` if it takes longer.
 pub async fn send(
     pool: &Pool,
     target: &str,
@@ -68,7 +69,13 @@
 ) -> Result<Answer> {
     let response = pool.send(target, request, timeouts).await?;
     let (head, mut body) = response.into_parts();
-    let body = body.collect_up_to(max_bytes).await?;
+    // Each byte of a body that trickles in would extend the timeout for pauses.
+    let collected = timeout(timeouts.body_idle, body.collect_up_to(max_bytes)).await;
+    let body = collected.map_err(|_| {
+        let limit_ms = timeouts.body_idle.as_millis();
+        let reason = format!("the answer did not end within {limit_ms} ms");
+        unanswered(target, Verdict::MayHaveRun, reason)
+    })??;
     Ok(Answer {
         target: target.to_owned(),
         status: head.status,
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -8,6 +8,7 @@
 use quetzalpick_client::http::{Body, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
+use tokio::time::timeout;
 
 use crate::config::Kind;
 use crate::fleet::{Pick, Requirements};
@@ -215,14 +216,39 @@
     }
 }
 
+/// Reads a short answer to its end, within the time that its head had too.
+///
+/// # Errors
+///
+/// `Failure` if the answer is interrupted or takes longer.
+pub(crate) async fn collect<E, S>(
+    context: &Context<E, S>,
+    admitted: &Admitted,
+    mut body: Body,
+    max_bytes: usize,
+) -> Result<Bytes, Failure> {
+    let left_ms = admitted.left_ms(context.clock.now_ms());
+    let limit = timeouts(admitted, left_ms.unwrap_or(DEFAULT_TIMEOUT_MS)).head;
+    // Each byte of a body that trickles in would extend the timeout for pauses.
+    let collected = timeout(limit, body.collect_up_to(max_bytes)).await;
+    let bytes = collected.map_err(|_| {
+        let limit_ms = limit.as_millis();
+        Failure::may_have_run(format!("the answer did not end within {limit_ms} ms"))
+    })?;
+    bytes.map_err(Failure::may_have_run)
+}
+
 /// Creates the failure of a request that the endpoint declined, and keeps the connection if possible.
 async fn declined(answer: Response<Body>, misdirected: bool) -> Failure {
     /// Longest body that is read, in bytes.
     const BODY_MAX_BYTES: usize = 4096;
+    /// Longest time for which it is read.
+    const BODY_TIMEOUT: Duration = Duration::from_millis(50);
     let status = answer.status();
     let mut body = answer.into_body();
     // The body is read only so that the connection can be reused.
-    if body.collect_up_to(BODY_MAX_BYTES).await.is_err() {
+    let collected = timeout(BODY_TIMEOUT, body.collect_up_to(BODY_MAX_BYTES)).await;
+    if !matches!(collected, Ok(Ok(_))) {
         body.discard();
     }
     Failure {
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -9,7 +9,7 @@
 
 use crate::fleet::Pick;
 use crate::serve::PeerClient;
-use crate::serve::attempt::{Failure, pick, record_failure, send};
+use crate::serve::attempt::{Failure, collect, pick, record_failure, send};
 use crate::serve::body::Body;
 use crate::serve::handler::Handler;
 use crate::serve::progress::Progress;
@@ -94,7 +94,7 @@
     async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<EndpointAnswer, Failure> {
         let last_event_id = admitted.metadata.last_event_id;
         let answer = send(&self.context, admitted, pick, last_event_id).await?;
-        let (head, mut body) = answer.into_parts();
+        let (head, body) = answer.into_parts();
         let length = hyper::body::Body::size_hint(&body).exact();
         let is_buffered = match length {
             Some(length) => length <= BUFFERED_MAX_BYTES,
@@ -105,8 +105,7 @@
             let length = length.filter(|_| !admitted.route.kind.is_stream());
             return Ok(EndpointAnswer::Streamed(head, body, length));
         }
-        let bytes = body.collect_up_to(BUFFERED_MAX_BYTES as usize).await;
-        let bytes = bytes.map_err(Failure::may_have_run)?;
+        let bytes = collect(&self.context, admitted, body, BUFFERED_MAX_BYTES as usize).await?;
         if head.status.is_server_error() && self.prefers_another(admitted) {
             let reason = format!("the endpoint failed with status {}", head.status);
             return Err(Failure::may_have_run(reason));
--- a/crates/quetzalpick-gate/src/serve/attempts.rs
+++ b/crates/quetzalpick-gate/src/serve/attempts.rs
@@ -26,6 +26,9 @@
 /// Maximum size of the body of an endpoint's refusal that is read so that its connection can be reused, in bytes.
 const REFUSAL_MAX_BYTES: usize = 64 * 1024;
 
+/// Longest time for which it is read.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Time that callers are asked to wait before a retry if the endpoint states none.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -337,7 +340,8 @@
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map(Duration::from_secs);
     // Reading the body lets the connection be reused; if that fails, the connection is closed, which does no harm.
-    let _ = response.into_body().collect_up_to(REFUSAL_MAX_BYTES).await;
+    let mut body = response.into_body();
+    let _ = tokio::time::timeout(REFUSAL_TIMEOUT, body.collect_up_to(REFUSAL_MAX_BYTES)).await;
     Err(Failure {
         retry_after,
         ..Failure::new(Verdict::NotRun, cause)
