Keep slow streams that no other endpoint can continue, and replace those that send bytes without events

What callers saw: a resumable stream whose endpoint paused for 0.75 s was cut even if nothing else could go on, and began anew at the same endpoint; and one whose endpoint sent a comment now and then was never given to another endpoint, but cut at its deadline.

Cause: the pause was measured by the connection, which closes at its end whether there is another endpoint or not, and starts anew with each byte. Change: the relay measures the pause between events. At its end it looks for another endpoint first, gives the present one up only if there is one and the retry budget allows it, and otherwise waits on and looks again after another pause. As before, the former endpoint's connection is closed before the other one gets the request.

What remains: a stream that may not be resumed, or has no runs left, is still ended by its deadline or its caller only.

--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -10,7 +10,6 @@
 use rand::random;
 use tokio::time::timeout;
 
-use crate::config::Kind;
 use crate::fleet::{Pick, Requirements};
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient, permit};
@@ -28,12 +27,6 @@
 /// Multiple of the latency objective after which a repeatable request is abandoned at an endpoint that does not answer.
 const OBJECTIVE_MULTIPLE: u64 = 3;
 
-/// Objective for the pause between a resumable stream's events if the route sets none, in ms.
-const PAUSE_DEFAULT_MS: u64 = 500;
-
-/// Multiple of the pause objective after which a resumable stream is resumed at another endpoint.
-const PAUSE_MULTIPLE: u64 = 5;
-
 /// Maximum number of permits that are requested for one attempt; then only endpoints without a limit are picked.
 const DRAWS_MAX: usize = 8;
 
@@ -191,7 +184,7 @@
     Ok(request)
 }
 
-/// Returns the timeouts of an attempt, which are shorter if another attempt may follow.
+/// Returns the timeouts of an attempt; the head's is shorter if another attempt may follow.
 fn timeouts(admitted: &Admitted, left_ms: u64) -> Timeouts {
     let route = &admitted.route;
     let total_ms = left_ms + LATE_MS;
@@ -202,17 +195,10 @@
         }
         _ => total_ms,
     };
-    let fragment_ms = match route.kind {
-        Kind::Stream { resumable: true } if another_may_follow => {
-            let pause_ms = route.pause_ms.unwrap_or(PAUSE_DEFAULT_MS);
-            (pause_ms * PAUSE_MULTIPLE).min(total_ms)
-        }
-        _ => total_ms,
-    };
     Timeouts {
         connect: CONNECT_TIMEOUT.min(Duration::from_millis(total_ms)),
         head: Duration::from_millis(head_ms),
-        body_idle: Duration::from_millis(fragment_ms),
+        body_idle: Duration::from_millis(total_ms),
     }
 }
 
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -181,7 +181,8 @@
                     origin_recorded: false,
                     admitted,
                     pick,
-                    answer,
+                    answer: Some(answer),
+                    pause_from_ms: self.context.clock.now_ms(),
                     caller,
                 };
                 tokio::spawn(relay.run());
--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -32,6 +32,11 @@
         self.events.is_some()
     }
 
+    /// Returns the number of complete events.
+    pub(crate) fn events(&self) -> u64 {
+        self.events.as_ref().map_or(0, EventSplitter::events)
+    }
+
     /// Returns the framing of the endpoint's answer.
     pub(crate) fn framing(&self) -> Framing {
         self.framing
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -23,6 +23,12 @@
 /// Timeout for a complete answer if neither the caller nor the operator sets one, in ms.
 const DEFAULT_ANSWER_TIMEOUT_MS: u64 = 3_600_000;
 
+/// Objective for the pause between a resumable stream's events if the route sets none, in ms.
+const PAUSE_DEFAULT_MS: u64 = 500;
+
+/// Multiple of the pause objective after which a resumable stream goes on at another endpoint.
+const PAUSE_MULTIPLE: u64 = 5;
+
 /// `End` classifies how an answer ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum End {
@@ -34,6 +40,8 @@
     TimedOut,
     /// The endpoint interrupted the answer.
     Interrupted(String),
+    /// The stream has brought no event for longer than its route allows.
+    Stalled,
 }
 
 /// `AnswerRelay` forwards one answer from an endpoint to the caller.
@@ -42,8 +50,11 @@
     pub(crate) context: Arc<Context<E, S>>,
     pub(crate) admitted: Admitted,
     pub(crate) pick: Pick,
-    pub(crate) answer: Answer,
+    /// The answer; `None` once it was given up.
+    pub(crate) answer: Option<Answer>,
     pub(crate) progress: Progress,
+    /// Time from which the pause before the next event is measured, in ms: the last event, or the last search for another endpoint.
+    pub(crate) pause_from_ms: u64,
     /// Whether it is recorded where the stream began.
     pub(crate) origin_recorded: bool,
     pub(crate) caller: Sender<Result<Bytes, Interrupted>>,
@@ -66,11 +77,16 @@
                 End::CallerGone => return self.log("caller-gone", ""),
                 End::TimedOut => return self.abort("timed-out", "the deadline has passed").await,
                 End::Interrupted(reason) => reason,
+                End::Stalled => {
+                    if self.replace_stalled(now_ms).await {
+                        continue;
+                    }
+                    return self.abort("broken", "the stream stalled").await;
+                }
             };
             self.record_failure(now_ms);
             // An incomplete event of the former endpoint is dropped.
-            let resumable = self.admitted.is_resumable();
-            if !(resumable && self.progress.can_continue() && self.resume().await) {
+            if !self.resume().await {
                 return self.abort("broken", &reason).await;
             }
         }
@@ -84,18 +100,24 @@
                 .admitted
                 .left_ms(now_ms)
                 .unwrap_or(DEFAULT_ANSWER_TIMEOUT_MS);
-            let limit = Duration::from_millis(left_ms + LATE_MS);
+            let end_ms = now_ms.saturating_add(left_ms).saturating_add(LATE_MS);
+            let pause_end_ms = self.pause_end_ms().unwrap_or(u64::MAX);
+            let limit = Duration::from_millis(end_ms.min(pause_end_ms).saturating_sub(now_ms));
+            let Some(answer) = &mut self.answer else {
+                return End::Interrupted("the answer was given up".to_owned());
+            };
             let frame = tokio::select! {
                 biased;
                 () = self.caller.closed() => return End::CallerGone,
-                frame = timeout(limit, self.answer.frame()) => frame,
+                frame = timeout(limit, answer.frame()) => frame,
             };
             let fragment = match frame {
+                Err(_) if pause_end_ms < end_ms => return End::Stalled,
                 Err(_) => return End::TimedOut,
                 Ok(Some(Err(error))) => return End::Interrupted(error.to_string()),
                 Ok(Some(Ok(frame))) => {
                     let bytes = frame.into_data().unwrap_or_default();
-                    self.progress.push(bytes)
+                    self.push(bytes)
                 }
                 Ok(None) => return self.end(),
             };
@@ -125,41 +147,98 @@
         }
     }
 
+    /// Adds bytes of the answer and returns what can be forwarded; a pause ends with an event.
+    fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        let events = self.progress.events();
+        let fragment = self.progress.push(bytes);
+        if self.progress.events() > events {
+            self.pause_from_ms = self.context.clock.now_ms();
+        }
+        fragment
+    }
+
+    /// Replaces a stalled stream by one of another endpoint, or waits on if no other can go on now; returns whether there is a
+    /// stream to relay.
+    async fn replace_stalled(&mut self, now_ms: u64) -> bool {
+        let Some(pick) = self.other_endpoint().await else {
+            self.pause_from_ms = now_ms;
+            let (request, endpoint) = (self.admitted.id(), &self.pick.endpoint);
+            log::info!("entry: request={request} slow endpoint={endpoint} replaced=false");
+            return true;
+        };
+        self.record_failure(now_ms);
+        // The former endpoint stops before another one goes on.
+        self.answer = None;
+        self.resume_at(pick).await || self.resume().await
+    }
+
+    /// Returns the time at which the present pause is too long, in ms; `None` if the stream cannot go on elsewhere.
+    fn pause_end_ms(&self) -> Option<u64> {
+        if !self.may_go_on_elsewhere() {
+            return None;
+        }
+        let pause_ms = self.admitted.route.pause_ms.unwrap_or(PAUSE_DEFAULT_MS);
+        Some(self.pause_from_ms + pause_ms * PAUSE_MULTIPLE)
+    }
+
+    /// Returns whether the stream may go on at another endpoint, after the events that its caller has.
+    fn may_go_on_elsewhere(&self) -> bool {
+        let admitted = &self.admitted;
+        admitted.is_resumable() && self.progress.can_continue() && admitted.has_runs_left()
+    }
+
+    /// Picks an endpoint, other than the present one, at which the stream may go on, and withdraws a retry for it.
+    async fn other_endpoint(&mut self) -> Option<Pick> {
+        let pick = pick(&self.context, &self.admitted).await?;
+        let is_other = pick.endpoint != self.pick.endpoint;
+        (is_other && self.context.withdraw()).then_some(pick)
+    }
+
     /// Resumes an interrupted stream at another endpoint after its last event; returns whether an endpoint accepted.
     async fn resume(&mut self) -> bool {
-        let after = self.progress.last_event_id();
-        let context = Arc::clone(&self.context);
-        while self.admitted.has_runs_left() && context.withdraw() {
-            let Some(pick) = pick(&context, &self.admitted).await else {
+        while self.may_go_on_elsewhere() && self.context.withdraw() {
+            let Some(pick) = pick(&self.context, &self.admitted).await else {
                 return false;
             };
-            self.admitted.attempted.push(pick.endpoint.clone());
-            match send(&context, &self.admitted, &pick, after).await {
-                Ok(answer) if answer.status().is_success() => {
-                    self.admitted.possible_runs += 1;
-                    log::info!(
-                        "entry: request={} resumed endpoint={} build={} former_build={} after={after:?}",
-                        self.admitted.id(),
-                        pick.endpoint,
-                        pick.build.as_str(),
-                        self.pick.build.as_str(),
-                    );
-                    self.pick = pick;
-                    let (head, answer) = answer.into_parts();
-                    self.progress = Progress::new(self.admitted.route.kind, &head, after);
-                    self.answer = answer;
-                    return true;
-                }
-                Ok(answer) => {
-                    answer.into_body().discard();
-                    return false;
-                }
-                Err(failure) => record_failure(&context, &mut self.admitted, &pick, &failure),
+            if self.resume_at(pick).await {
+                return true;
             }
         }
         false
     }
 
+    /// Resumes a stream at a picked endpoint; returns whether that accepted.
+    async fn resume_at(&mut self, pick: Pick) -> bool {
+        let context = Arc::clone(&self.context);
+        let after = self.progress.last_event_id();
+        self.admitted.attempted.push(pick.endpoint.clone());
+        let answer = match send(&context, &self.admitted, &pick, after).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                record_failure(&context, &mut self.admitted, &pick, &failure);
+                return false;
+            }
+        };
+        self.admitted.possible_runs += 1;
+        let (head, answer) = answer.into_parts();
+        if !head.status.is_success() {
+            answer.discard();
+            return false;
+        }
+        log::info!(
+            "entry: request={} resumed endpoint={} build={} former_build={} after={after:?}",
+            self.admitted.id(),
+            pick.endpoint,
+            pick.build.as_str(),
+            self.pick.build.as_str(),
+        );
+        self.pick = pick;
+        self.progress = Progress::new(self.admitted.route.kind, &head, after);
+        self.pause_from_ms = context.clock.now_ms();
+        self.answer = Some(answer);
+        true
+    }
+
     fn record_failure(&self, now_ms: u64) {
         let endpoint = &self.pick.endpoint;
         if self.context.fleet.record_failure(now_ms, endpoint) {
