Do not take a standstill of the process for a pause of its endpoints

What callers saw: when a VM's process had stood still for longer than the pause of a resumable stream (0.75 s), sound streams were given up and run again at other endpoints as it woke. Operators of similar systems told of processes that were only slow and lost their running work.

Cause: the pause was measured from the last event that the process had read, although it was the process that did not read. The same holds for a caller that does not read. Change: a timer that fires 100 ms late or more tells of a standstill, and the pause begins anew; the time in which the caller takes no bytes does not count.

The caller that does not read has no test of its own.

--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -29,6 +29,9 @@
 /// Multiple of the pause objective after which a resumable stream goes on at another endpoint.
 const PAUSE_MULTIPLE: u64 = 5;
 
+/// Delay of a timer from which on this process is assumed to have stood still.
+const STANDSTILL: Duration = Duration::from_millis(100);
+
 /// `End` classifies how an answer ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum End {
@@ -94,40 +97,61 @@
 
     /// Forwards fragments until the answer ends.
     async fn forward(&mut self) -> End {
+        loop {
+            let bytes = match self.next_bytes().await {
+                Ok(bytes) => bytes,
+                Err(end) => return end,
+            };
+            let events = self.progress.events();
+            let Some(fragment) = self.progress.push(bytes) else {
+                continue;
+            };
+            self.record_origin();
+            if self.caller.send(Ok(fragment)).await.is_err() {
+                return End::CallerGone;
+            }
+            if self.progress.events() > events {
+                // The time for which the caller did not read is no pause of the endpoint.
+                self.pause_from_ms = self.context.clock.now_ms();
+            }
+        }
+    }
+
+    /// Waits for the next bytes of the answer.
+    ///
+    /// # Errors
+    ///
+    /// How the answer ended, if no more are to be expected.
+    async fn next_bytes(&mut self) -> Result<Bytes, End> {
         loop {
             let now_ms = self.context.clock.now_ms();
-            let left_ms = self
-                .admitted
-                .left_ms(now_ms)
-                .unwrap_or(DEFAULT_ANSWER_TIMEOUT_MS);
+            let left_ms = self.admitted.left_ms(now_ms);
+            let left_ms = left_ms.unwrap_or(DEFAULT_ANSWER_TIMEOUT_MS);
             let end_ms = now_ms.saturating_add(left_ms).saturating_add(LATE_MS);
             let pause_end_ms = self.pause_end_ms().unwrap_or(u64::MAX);
             let limit = Duration::from_millis(end_ms.min(pause_end_ms).saturating_sub(now_ms));
             let Some(answer) = &mut self.answer else {
-                return End::Interrupted("the answer was given up".to_owned());
+                return Err(End::Interrupted("the answer was given up".to_owned()));
             };
             let frame = tokio::select! {
                 biased;
-                () = self.caller.closed() => return End::CallerGone,
+                () = self.caller.closed() => return Err(End::CallerGone),
                 frame = timeout(limit, answer.frame()) => frame,
             };
-            let fragment = match frame {
-                Err(_) if pause_end_ms < end_ms => return End::Stalled,
-                Err(_) => return End::TimedOut,
-                Ok(Some(Err(error))) => return End::Interrupted(error.to_string()),
-                Ok(Some(Ok(frame))) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    self.push(bytes)
-                }
-                Ok(None) => return self.end(),
-            };
-            let Some(fragment) = fragment else {
-                continue;
-            };
-            self.record_origin();
-            if self.caller.send(Ok(fragment)).await.is_err() {
-                return End::CallerGone;
+            let waited_ms = self.context.clock.now_ms().saturating_sub(now_ms);
+            let stood_still = Duration::from_millis(waited_ms) > limit + STANDSTILL;
+            if stood_still {
+                self.pause_from_ms = now_ms + waited_ms;
             }
+            return match frame {
+                // The answer may have gone on while this process stood still.
+                Err(_) if stood_still && pause_end_ms < end_ms => continue,
+                Err(_) if pause_end_ms < end_ms => Err(End::Stalled),
+                Err(_) => Err(End::TimedOut),
+                Ok(Some(Err(error))) => Err(End::Interrupted(error.to_string())),
+                Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+                Ok(None) => Err(self.end()),
+            };
         }
     }
 
@@ -147,16 +171,6 @@
         }
     }
 
-    /// Adds bytes of the answer and returns what can be forwarded; a pause ends with an event.
-    fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
-        let events = self.progress.events();
-        let fragment = self.progress.push(bytes);
-        if self.progress.events() > events {
-            self.pause_from_ms = self.context.clock.now_ms();
-        }
-        fragment
-    }
-
     /// Replaces a stalled stream by one of another endpoint, or waits on if no other can go on now; returns whether there is a
     /// stream to relay.
     async fn replace_stalled(&mut self, now_ms: u64) -> bool {
