Keep an answer that an endpoint has begun until another endpoint has accepted the request

Cause: an attempt was given up before another one was secured. A stalled stream's connection was closed when another endpoint had been picked, and if that one declined, broke off or was silent too, the caller's connection was cut. A repeatable request was given up after three latency objectives, and became 502 if no retry was left or the next endpoint did not take it.

Change: another endpoint is asked while the present one goes on, and the first to deliver wins (hedged requests). A stalled stream is kept until another endpoint has accepted it with a success; if the stalled one brings an event first, the other one is given up. A repeatable request keeps its first attempt beside the second; a slow endpoint counts as failed only if another one answers first. Retry budget, attempts of the route, permits and deadlines bind as before.

Why it works: what is under way ends only with its own end, its deadline, its caller, or with a better answer in hand. The former endpoint's connection is closed as soon as the other one has accepted, so that no two endpoints work on a stream for longer than that takes.

Ruled out: waiting in place of asking (a dark endpoint would hold its streams until callers leave), and a longer pause alone (it moves the limit and leaves the cut).

--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -24,9 +24,6 @@
 /// Time after the deadline in which an endpoint's own timeout answer may still arrive, in ms.
 const LATE_MS: u64 = 120;
 
-/// Multiple of the latency objective after which a repeatable request is abandoned at an endpoint that does not answer.
-const OBJECTIVE_MULTIPLE: u64 = 3;
-
 /// Maximum number of permits that are requested for one attempt; then only endpoints without a limit are picked.
 const DRAWS_MAX: usize = 8;
 
@@ -109,47 +106,81 @@
     );
 }
 
-/// Sends a request to a picked endpoint and returns the answer once its head has arrived.
-///
-/// # Errors
-///
-/// `Failure` if the endpoint does not answer this request.
-pub(crate) async fn send<E: HeadCodec, S>(
-    context: &Context<E, S>,
-    admitted: &Admitted,
-    pick: &Pick,
-    last_event_id: Option<u64>,
-) -> Result<Response<Body>, Failure> {
-    let now_ms = context.clock.now_ms();
-    let left_ms = admitted.left_ms(now_ms);
-    let request = request(context, admitted, pick, left_ms, last_event_id)?;
-    let timeouts = timeouts(admitted, left_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
-    let address = pick.address.to_string();
-    context.meters.sent();
-    let answer = context.pool.send(&address, request, timeouts).await;
-    let answer = answer.map_err(|error| Failure {
-        verdict: error.verdict(),
-        misdirected: false,
-        declined: false,
-        reason: error.to_string(),
-    })?;
-    let attempt_id = admitted.metadata.attempt.as_deref();
-    let proof = context
-        .head_codec
-        .proof(answer.status(), answer.headers(), attempt_id);
-    if proof != Proof::Mismatched {
-        let is_own = proof != Proof::NotRun { misdirected: true };
-        permit::observe(context, pick, now_ms, answer.headers(), is_own);
+/// `Call` is a request that is ready to be sent to a picked endpoint. It owns what it needs, so that several attempts of one
+/// request can be under way at once.
+#[derive(Debug)]
+pub(crate) struct Call {
+    request: Request<Full<Bytes>>,
+    timeouts: Timeouts,
+    attempt_id: Option<String>,
+}
+
+impl Call {
+    /// Prepares an attempt; a stream is resumed after the given event.
+    ///
+    /// # Errors
+    ///
+    /// `Failure` if a header cannot be encoded.
+    pub(crate) fn try_new<E: HeadCodec, S>(
+        context: &Context<E, S>,
+        admitted: &Admitted,
+        pick: &Pick,
+        last_event_id: Option<u64>,
+    ) -> Result<Self, Failure> {
+        let left_ms = admitted.left_ms(context.clock.now_ms());
+        Ok(Self {
+            request: request(context, admitted, pick, left_ms, last_event_id)?,
+            timeouts: timeouts(left_ms),
+            attempt_id: admitted.metadata.attempt.clone(),
+        })
     }
-    match proof {
-        Proof::Answer => Ok(answer),
-        Proof::NotRun { misdirected } => Err(declined(answer, misdirected).await),
-        Proof::Mismatched => {
-            let reason = format!("status {} is no answer to this request", answer.status());
-            answer.into_body().discard();
-            Err(Failure::may_have_run(reason))
+
+    /// Sends the request and returns the answer once its head has arrived.
+    ///
+    /// # Errors
+    ///
+    /// `Failure` if the endpoint does not answer this request.
+    pub(crate) async fn send<E: HeadCodec, S>(
+        self,
+        context: &Context<E, S>,
+        pick: &Pick,
+    ) -> Result<Response<Body>, Failure> {
+        let now_ms = context.clock.now_ms();
+        let address = pick.address.to_string();
+        context.meters.sent();
+        let answer = context
+            .pool
+            .send(&address, self.request, self.timeouts)
+            .await;
+        let answer = answer.map_err(|error| Failure {
+            verdict: error.verdict(),
+            misdirected: false,
+            declined: false,
+            reason: error.to_string(),
+        })?;
+        let attempt_id = self.attempt_id.as_deref();
+        let proof = context
+            .head_codec
+            .proof(answer.status(), answer.headers(), attempt_id);
+        if proof != Proof::Mismatched {
+            let is_own = proof != Proof::NotRun { misdirected: true };
+            permit::observe(context, pick, now_ms, answer.headers(), is_own);
+        }
+        match proof {
+            Proof::Answer => Ok(answer),
+            Proof::NotRun { misdirected } => Err(declined(answer, misdirected).await),
+            Proof::Mismatched => {
+                let reason = format!("status {} is no answer to this request", answer.status());
+                answer.into_body().discard();
+                Err(Failure::may_have_run(reason))
+            }
         }
     }
+
+    /// Returns the time in which the answer has to end, measured from its head.
+    pub(crate) fn time_limit(&self) -> Duration {
+        self.timeouts.body_idle
+    }
 }
 
 /// Builds the request for the endpoint.
@@ -184,37 +215,27 @@
     Ok(request)
 }
 
-/// Returns the timeouts of an attempt; the head's is shorter if another attempt may follow.
-fn timeouts(admitted: &Admitted, left_ms: u64) -> Timeouts {
-    let route = &admitted.route;
-    let total_ms = left_ms + LATE_MS;
-    let another_may_follow = route.kind.may_repeat() && admitted.possible_runs + 1 < route.attempts;
-    let head_ms = match route.objective_ms {
-        Some(objective_ms) if another_may_follow => {
-            (objective_ms * OBJECTIVE_MULTIPLE).min(left_ms / 2)
-        }
-        _ => total_ms,
-    };
+/// Returns the timeouts of an attempt, which lasts as long as its request may.
+fn timeouts(left_ms: Option<u64>) -> Timeouts {
+    let total_ms = left_ms.unwrap_or(DEFAULT_TIMEOUT_MS) + LATE_MS;
+    let total = Duration::from_millis(total_ms);
     Timeouts {
-        connect: CONNECT_TIMEOUT.min(Duration::from_millis(total_ms)),
-        head: Duration::from_millis(head_ms),
-        body_idle: Duration::from_millis(total_ms),
+        connect: CONNECT_TIMEOUT.min(total),
+        head: total,
+        body_idle: total,
     }
 }
 
-/// Reads a short answer to its end, within the time that its head had too.
+/// Reads a short answer to its end.
 ///
 /// # Errors
 ///
-/// `Failure` if the answer is interrupted or takes longer.
-pub(crate) async fn collect<E, S>(
-    context: &Context<E, S>,
-    admitted: &Admitted,
+/// `Failure` if the answer is interrupted or takes longer than `limit`.
+pub(crate) async fn collect(
     mut body: Body,
     max_bytes: usize,
+    limit: Duration,
 ) -> Result<Bytes, Failure> {
-    let left_ms = admitted.left_ms(context.clock.now_ms());
-    let limit = timeouts(admitted, left_ms.unwrap_or(DEFAULT_TIMEOUT_MS)).head;
     // Each byte of a body that trickles in would extend the timeout for pauses.
     let collected = timeout(limit, body.collect_up_to(max_bytes)).await;
     let bytes = collected.map_err(|_| {
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -6,16 +6,18 @@
 use bytes::Bytes;
 use http::Response;
 use quetzalpick_client::http::Body as Answer;
+use quetzalpick_core::id::Endpoint;
 
 use crate::fleet::Pick;
-use crate::serve::PeerClient;
-use crate::serve::attempt::{Failure, collect, pick, record_failure, send};
+use crate::serve::attempt::{Call, Failure, collect, pick, record_failure};
 use crate::serve::body::Body;
 use crate::serve::handler::Handler;
+use crate::serve::hedge::Hedge;
 use crate::serve::progress::Progress;
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
+use crate::serve::{Context, PeerClient};
 use crate::wire::{HeadCodec, strip_connection_headers};
 
 /// Longest answer that is buffered in full, in bytes, so that another endpoint can replace it if it is interrupted.
@@ -27,29 +29,89 @@
 /// Retry delay if no endpoint holds the required artifacts: a load takes about as long.
 const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(1_000);
 
+/// Multiple of the latency objective after which another endpoint is asked too, if the request may be repeated.
+const OBJECTIVE_MULTIPLE: u64 = 3;
+
+/// Longest time for which a request waits if its attempts have no timeout of their own.
+const NO_PATIENCE_LIMIT: Duration = Duration::from_secs(3_600);
+
 impl<E: HeadCodec, S: PeerClient> Handler<E, S> {
     /// Sends a request to endpoints until one answers it or no further attempt is allowed.
     pub(super) async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
+        let mut hedge = Hedge::new();
         loop {
-            let pick = match pick(&self.context, &admitted).await {
-                Some(pick) => pick,
-                None => self.pick_after_load(&admitted).await?,
+            if hedge.is_empty() {
+                let pick = match pick(&self.context, &admitted).await {
+                    Some(pick) => pick,
+                    None => self.pick_after_load(&admitted).await?,
+                };
+                let endpoint = pick.endpoint.clone();
+                hedge.push(endpoint, self.attempt(&mut admitted, pick));
+            }
+            let patience = self.patience(&admitted, hedge.len());
+            let Some(outcome) = hedge.next(patience).await else {
+                if let Some(pick) = self.backup(&admitted).await {
+                    let endpoint = pick.endpoint.clone();
+                    hedge.push(endpoint, self.attempt(&mut admitted, pick));
+                }
+                continue;
             };
-            admitted.attempted.push(pick.endpoint.clone());
-            let failure = match self.attempt(&admitted, &pick).await {
-                Ok(answer) => {
+            match outcome.result {
+                (pick, Ok(answer)) => {
+                    self.give_up(&mut admitted, hedge.endpoints(), outcome.earlier);
                     self.context.record_acceptance(&admitted.service);
                     return Ok(self.answer_caller(admitted, pick, answer));
                 }
-                Err(failure) => failure,
-            };
-            record_failure(&self.context, &mut admitted, &pick, &failure);
-            if !self.may_retry(&admitted, &failure) {
-                return Err(self.final_refusal(&admitted, &failure));
+                (pick, Err(failure)) => {
+                    record_failure(&self.context, &mut admitted, &pick, &failure);
+                    if hedge.is_empty() && !self.may_retry(&admitted, &failure) {
+                        return Err(self.final_refusal(&admitted, &failure));
+                    }
+                }
             }
         }
     }
 
+    /// Returns how long the attempts under way are waited for before another endpoint is asked too.
+    fn patience(&self, admitted: &Admitted, under_way: usize) -> Duration {
+        let route = &admitted.route;
+        let runs = admitted.possible_runs as usize + under_way;
+        let another_may_follow = route.kind.may_repeat()
+            && runs < route.attempts as usize
+            && admitted.attempted.len() < SENDS_MAX;
+        match route.objective_ms.filter(|_| another_may_follow) {
+            Some(objective_ms) => {
+                let left_ms = admitted.left_ms(self.context.clock.now_ms());
+                let half_ms = left_ms.map_or(u64::MAX, |left_ms| left_ms / 2);
+                Duration::from_millis((objective_ms * OBJECTIVE_MULTIPLE).min(half_ms))
+            }
+            None => NO_PATIENCE_LIMIT,
+        }
+    }
+
+    /// Picks an endpoint that has not got the request yet, and withdraws a retry for it.
+    async fn backup(&self, admitted: &Admitted) -> Option<Pick> {
+        let pick = pick(&self.context, admitted).await?;
+        let is_new = !admitted.attempted.contains(&pick.endpoint);
+        (is_new && self.context.withdraw()).then_some(pick)
+    }
+
+    /// Gives up the attempts under way after another one was answered; the first `earlier` of them were too slow.
+    fn give_up(&self, admitted: &mut Admitted, endpoints: &[Endpoint], earlier: usize) {
+        for (index, endpoint) in endpoints.iter().enumerate() {
+            let is_slow = index < earlier;
+            let now_ms = self.context.clock.now_ms();
+            if is_slow && self.context.fleet.record_failure(now_ms, endpoint) {
+                log::warn!("entry: endpoint={endpoint} ejected");
+            }
+            admitted.possible_runs += 1;
+            log::info!(
+                "entry: request={} given up endpoint={endpoint} slow={is_slow}",
+                admitted.id()
+            );
+        }
+    }
+
     /// Picks an endpoint after requesting the adapter that no endpoint holds, or only endpoints at their limits.
     async fn pick_after_load(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
         if let Some(adapter) = &admitted.metadata.adapter {
@@ -90,32 +152,23 @@
         Some(Refusal::new(cause, detail).with_retry_after(retry_after))
     }
 
-    /// Sends a request to an endpoint; a short answer that is no stream is buffered in full.
-    async fn attempt(&self, admitted: &Admitted, pick: &Pick) -> Result<EndpointAnswer, Failure> {
-        let last_event_id = admitted.metadata.last_event_id;
-        let answer = send(&self.context, admitted, pick, last_event_id).await?;
-        let (head, body) = answer.into_parts();
-        let length = hyper::body::Body::size_hint(&body).exact();
-        let is_buffered = match length {
-            Some(length) => length <= BUFFERED_MAX_BYTES,
-            // Buffered in full, as this caller could not tell that the rest is missing.
-            None => !admitted.supports_chunks(),
-        };
-        if admitted.route.kind.is_stream() || !is_buffered {
-            let length = length.filter(|_| !admitted.route.kind.is_stream());
-            return Ok(EndpointAnswer::Streamed(head, body, length));
-        }
-        let bytes = collect(&self.context, admitted, body, BUFFERED_MAX_BYTES as usize).await?;
-        if head.status.is_server_error() && self.prefers_another(admitted) {
-            let reason = format!("the endpoint failed with status {}", head.status);
-            return Err(Failure::may_have_run(reason));
+    /// Sends a request to a picked endpoint; a short answer that is no stream is buffered in full.
+    fn attempt(
+        &self,
+        admitted: &mut Admitted,
+        pick: Pick,
+    ) -> impl Future<Output = (Endpoint, (Pick, Result<EndpointAnswer, Failure>))> + use<E, S> {
+        let context = Arc::clone(&self.context);
+        let call = Call::try_new(&context, admitted, &pick, admitted.metadata.last_event_id);
+        let delivery = Delivery::of(admitted);
+        admitted.attempted.push(pick.endpoint.clone());
+        async move {
+            let answer = match call {
+                Ok(call) => delivery.fetch(&context, call, &pick).await,
+                Err(failure) => Err(failure),
+            };
+            (pick.endpoint.clone(), (pick, answer))
         }
-        Ok(EndpointAnswer::Buffered(head, bytes))
-    }
-
-    /// Returns whether a failed answer should be replaced by that of another endpoint.
-    fn prefers_another(&self, admitted: &Admitted) -> bool {
-        admitted.route.kind.may_repeat() && admitted.possible_runs + 1 < admitted.route.attempts
     }
 
     /// Returns whether a request may be sent again; unless the endpoint was unreachable, that costs a retry of the budget.
@@ -219,6 +272,60 @@
     }
 }
 
+/// `Delivery` determines how the answer to a request is taken from an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct Delivery {
+    is_stream: bool,
+    /// Whether the caller can tell the end of an answer of unknown length.
+    supports_chunks: bool,
+    /// Whether a failed answer should be replaced by that of another endpoint.
+    prefers_another: bool,
+}
+
+impl Delivery {
+    /// Returns how the answer to a request's next attempt is taken.
+    fn of(admitted: &Admitted) -> Self {
+        let Admitted {
+            route,
+            possible_runs,
+            ..
+        } = admitted;
+        Self {
+            is_stream: route.kind.is_stream(),
+            supports_chunks: admitted.supports_chunks(),
+            prefers_another: route.kind.may_repeat() && possible_runs + 1 < route.attempts,
+        }
+    }
+
+    /// Sends a request and takes the answer.
+    async fn fetch<E: HeadCodec, S>(
+        self,
+        context: &Context<E, S>,
+        call: Call,
+        pick: &Pick,
+    ) -> Result<EndpointAnswer, Failure> {
+        let limit = call.time_limit();
+        let answer = call.send(context, pick).await?;
+        let (head, body) = answer.into_parts();
+        let length = hyper::body::Body::size_hint(&body).exact();
+        let is_buffered = match length {
+            Some(length) => length <= BUFFERED_MAX_BYTES,
+            // Buffered in full, as this caller could not tell that the rest is missing.
+            None => !self.supports_chunks,
+        };
+        if self.is_stream || !is_buffered {
+            let length = length.filter(|_| !self.is_stream);
+            return Ok(EndpointAnswer::Streamed(head, body, length));
+        }
+        let bytes = collect(body, BUFFERED_MAX_BYTES as usize, limit).await?;
+        if head.status.is_server_error() && self.prefers_another {
+            let reason = format!("the endpoint failed with status {}", head.status);
+            return Err(Failure::may_have_run(reason));
+        }
+        Ok(EndpointAnswer::Buffered(head, bytes))
+    }
+}
+
 /// `EndpointAnswer` holds the head of an endpoint's answer and its body, complete or still arriving.
 enum EndpointAnswer {
     /// The complete body.
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod event_scanner;
 mod handler;
+mod hedge;
 mod permit;
 mod progress;
 mod refusal;
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -1,16 +1,18 @@
 //! Relays an endpoint's answer to the caller as it arrives, and resumes interrupted streams.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Response;
 use http_body_util::BodyExt;
 use quetzalpick_client::http::Body as Answer;
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
 use crate::fleet::Pick;
-use crate::serve::attempt::{pick, record_failure, send};
+use crate::serve::attempt::{Call, Failure, pick, record_failure};
 use crate::serve::body::Interrupted;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
@@ -67,27 +69,26 @@
     /// Relays until the answer ends.
     pub(crate) async fn run(mut self) {
         loop {
-            let end = self.forward().await;
-            let now_ms = self.context.clock.now_ms();
+            let end = match self.forward().await {
+                End::Stalled => self.ask_another().await,
+                end => Some(end),
+            };
             let reason = match end {
-                End::Complete => {
+                None | Some(End::Stalled) => continue,
+                Some(End::Complete) => {
+                    let now_ms = self.context.clock.now_ms();
                     self.context
                         .fleet
                         .record_success(now_ms, &self.pick.endpoint);
-                    self.log("complete", "");
-                    return;
+                    return self.log("complete", "");
                 }
-                End::CallerGone => return self.log("caller-gone", ""),
-                End::TimedOut => return self.abort("timed-out", "the deadline has passed").await,
-                End::Interrupted(reason) => reason,
-                End::Stalled => {
-                    if self.replace_stalled(now_ms).await {
-                        continue;
-                    }
-                    return self.abort("broken", "the stream stalled").await;
+                Some(End::CallerGone) => return self.log("caller-gone", ""),
+                Some(End::TimedOut) => {
+                    return self.abort("timed-out", "the deadline has passed").await;
                 }
+                Some(End::Interrupted(reason)) => reason,
             };
-            self.record_failure(now_ms);
+            self.record_failure();
             // An incomplete event of the former endpoint is dropped.
             if !self.resume().await {
                 return self.abort("broken", &reason).await;
@@ -98,25 +99,34 @@
     /// Forwards fragments until the answer ends.
     async fn forward(&mut self) -> End {
         loop {
-            let bytes = match self.next_bytes().await {
-                Ok(bytes) => bytes,
-                Err(end) => return end,
+            let passed_on = match self.next_bytes().await {
+                Ok(bytes) => self.pass_on(bytes).await,
+                Err(end) => Err(end),
             };
-            let events = self.progress.events();
-            let Some(fragment) = self.progress.push(bytes) else {
-                continue;
-            };
-            self.record_origin();
-            if self.caller.send(Ok(fragment)).await.is_err() {
-                return End::CallerGone;
-            }
-            if self.progress.events() > events {
-                // The time for which the caller did not read is no pause of the endpoint.
-                self.pause_from_ms = self.context.clock.now_ms();
+            if let Err(end) = passed_on {
+                return end;
             }
         }
     }
 
+    /// Forwards bytes of the answer; returns whether they completed an event.
+    async fn pass_on(&mut self, bytes: Bytes) -> Result<bool, End> {
+        let events = self.progress.events();
+        let Some(fragment) = self.progress.push(bytes) else {
+            return Ok(false);
+        };
+        self.record_origin();
+        if self.caller.send(Ok(fragment)).await.is_err() {
+            return Err(End::CallerGone);
+        }
+        let has_event = self.progress.events() > events;
+        if has_event {
+            // The time for which the caller did not read is no pause of the endpoint.
+            self.pause_from_ms = self.context.clock.now_ms();
+        }
+        Ok(has_event)
+    }
+
     /// Waits for the next bytes of the answer.
     ///
     /// # Errors
@@ -171,19 +181,72 @@
         }
     }
 
-    /// Replaces a stalled stream by one of another endpoint, or waits on if no other can go on now; returns whether there is a
-    /// stream to relay.
-    async fn replace_stalled(&mut self, now_ms: u64) -> bool {
-        let Some(pick) = self.other_endpoint().await else {
-            self.pause_from_ms = now_ms;
+    /// Asks another endpoint to go on with a stalled stream, and keeps the present one until that has accepted; returns how the
+    /// stream ended, if it did.
+    async fn ask_another(&mut self) -> Option<End> {
+        let pick = self.other_endpoint().await;
+        self.pause_from_ms = self.context.clock.now_ms();
+        let Some(pick) = pick else {
             let (request, endpoint) = (self.admitted.id(), &self.pick.endpoint);
             log::info!("entry: request={request} slow endpoint={endpoint} replaced=false");
-            return true;
+            return None;
+        };
+        let context = Arc::clone(&self.context);
+        let after = self.progress.last_event_id();
+        self.admitted.attempted.push(pick.endpoint.clone());
+        let call = match Call::try_new(&context, &self.admitted, &pick, after) {
+            Ok(call) => call,
+            Err(failure) => {
+                record_failure(&context, &mut self.admitted, &pick, &failure);
+                return None;
+            }
+        };
+        let mut end = None;
+        let answer = {
+            let mut sending = pin!(call.send(&context, &pick));
+            loop {
+                let bytes = tokio::select! {
+                    biased;
+                    bytes = self.next_bytes() => bytes,
+                    answer = &mut sending => break answer,
+                };
+                let passed_on = match bytes {
+                    Ok(bytes) => self.pass_on(bytes).await,
+                    Err(end) => Err(end),
+                };
+                match passed_on {
+                    Ok(true) => {
+                        self.give_up(&pick);
+                        return None;
+                    }
+                    Ok(false) => {}
+                    Err(End::Stalled) => self.pause_from_ms = context.clock.now_ms(),
+                    Err(End::Interrupted(reason)) => {
+                        end = Some(End::Interrupted(reason));
+                        break tokio::select! {
+                            biased;
+                            () = self.caller.closed() => return Some(End::CallerGone),
+                            answer = &mut sending => answer,
+                        };
+                    }
+                    Err(end) => return Some(end),
+                }
+            }
         };
-        self.record_failure(now_ms);
-        // The former endpoint stops before another one goes on.
-        self.answer = None;
-        self.resume_at(pick).await || self.resume().await
+        if self.accept(pick, answer, after) {
+            return None;
+        }
+        end
+    }
+
+    /// Records that an endpoint was asked to go on with the stream, but is not needed.
+    fn give_up(&mut self, pick: &Pick) {
+        self.admitted.possible_runs += 1;
+        log::info!(
+            "entry: request={} given up endpoint={} slow=false",
+            self.admitted.id(),
+            pick.endpoint
+        );
     }
 
     /// Returns the time at which the present pause is too long, in ms; `None` if the stream cannot go on elsewhere.
@@ -226,19 +289,35 @@
         let context = Arc::clone(&self.context);
         let after = self.progress.last_event_id();
         self.admitted.attempted.push(pick.endpoint.clone());
-        let answer = match send(&context, &self.admitted, &pick, after).await {
+        let answer = match Call::try_new(&context, &self.admitted, &pick, after) {
+            Ok(call) => call.send(&context, &pick).await,
+            Err(failure) => Err(failure),
+        };
+        self.accept(pick, answer, after)
+    }
+
+    /// Goes on with the answer of another endpoint, if that accepted and the caller has no more than the events up to `after`;
+    /// returns whether it does.
+    fn accept(
+        &mut self,
+        pick: Pick,
+        answer: Result<Response<Answer>, Failure>,
+        after: Option<u64>,
+    ) -> bool {
+        let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
-                record_failure(&context, &mut self.admitted, &pick, &failure);
+                record_failure(&self.context, &mut self.admitted, &pick, &failure);
                 return false;
             }
         };
-        self.admitted.possible_runs += 1;
         let (head, answer) = answer.into_parts();
-        if !head.status.is_success() {
+        if !head.status.is_success() || !self.progress.can_continue() {
+            self.give_up(&pick);
             answer.discard();
             return false;
         }
+        self.admitted.possible_runs += 1;
         log::info!(
             "entry: request={} resumed endpoint={} build={} former_build={} after={after:?}",
             self.admitted.id(),
@@ -246,14 +325,19 @@
             pick.build.as_str(),
             self.pick.build.as_str(),
         );
+        if self.answer.is_some() {
+            self.record_failure();
+        }
         self.pick = pick;
         self.progress = Progress::new(self.admitted.route.kind, &head, after);
-        self.pause_from_ms = context.clock.now_ms();
+        self.pause_from_ms = self.context.clock.now_ms();
+        // The former endpoint stops as its connection is closed.
         self.answer = Some(answer);
         true
     }
 
-    fn record_failure(&self, now_ms: u64) {
+    fn record_failure(&self) {
+        let now_ms = self.context.clock.now_ms();
         let endpoint = &self.pick.endpoint;
         if self.context.fleet.record_failure(now_ms, endpoint) {
             log::warn!("entry: endpoint={endpoint} ejected");
