Log the prompt parts of requests whose endpoint ended before their first event

What callers saw: endpoints crash one after the other under requests with one part in their prompts (BUDGET).

Change: one line a request that was broken off before its first event, with its endpoint and the parts that other prompts may share. A failure says whether the connection ended before an answer (broken off) or the time did. Nothing decides on it yet.

--- a/crates/quetzalpick-entry/src/metadata.rs
+++ b/crates/quetzalpick-entry/src/metadata.rs
@@ -56,6 +56,11 @@
         self.resumes.is_some() || self.last_event_id.is_some()
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the artifacts that an endpoint must hold to answer: the model, and the adapter if one is requested.
     pub fn artifacts(&self) -> impl Iterator<Item = &Artifact> {
         self.model.iter().chain(&self.adapter)
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::{Pick, Requirements};
 use crate::serve::request::Admitted;
-use crate::serve::{Context, PeerClient, permit};
+use crate::serve::{Context, PeerClient, crash, permit};
 use crate::wire::{Forwarding, HeadCodec, Proof};
 
 /// Timeout for a connection to an endpoint.
@@ -36,6 +36,8 @@
     pub(crate) misdirected: bool,
     /// Whether the endpoint answered that it did not run the request, other than as misdirected.
     pub(crate) declined: bool,
+    /// Whether the connection ended after the request was sent, before an answer and before its time was over.
+    pub(crate) broken_off: bool,
     /// Description for the log.
     pub(crate) reason: String,
 }
@@ -52,6 +54,7 @@
             verdict: Verdict::MayHaveRun,
             misdirected: false,
             declined: false,
+            broken_off: false,
             reason: reason.to_string(),
         }
     }
@@ -97,6 +100,9 @@
     if failure.verdict != Verdict::NotRun {
         admitted.possible_runs += 1;
     }
+    if failure.broken_off {
+        crash::record(admitted, pick);
+    }
     log::info!(
         "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
         admitted.id(),
@@ -112,6 +118,8 @@
 pub(crate) struct Call {
     request: Request<Full<Bytes>>,
     timeouts: Timeouts,
+    /// Time in which the answer has to begin, and from then on to end, in ms.
+    time_limit_ms: u64,
     attempt_id: Option<String>,
 }
 
@@ -128,9 +136,11 @@
         last_event_id: Option<u64>,
     ) -> Result<Self, Failure> {
         let left_ms = admitted.left_ms(context.clock.now_ms());
+        let time_limit_ms = left_ms.unwrap_or(DEFAULT_TIMEOUT_MS) + LATE_MS;
         Ok(Self {
             request: request(context, admitted, pick, left_ms, last_event_id)?,
-            timeouts: timeouts(left_ms),
+            timeouts: timeouts(time_limit_ms),
+            time_limit_ms,
             attempt_id: admitted.metadata.attempt.clone(),
         })
     }
@@ -152,10 +162,12 @@
             .pool
             .send(&address, self.request, self.timeouts)
             .await;
+        let in_time = context.clock.now_ms() < now_ms + self.time_limit_ms;
         let answer = answer.map_err(|error| Failure {
             verdict: error.verdict(),
             misdirected: false,
             declined: false,
+            broken_off: in_time && error.verdict() == Verdict::MayHaveRun,
             reason: error.to_string(),
         })?;
         let attempt_id = self.attempt_id.as_deref();
@@ -179,7 +191,7 @@
 
     /// Returns the time in which the answer has to end, measured from its head.
     pub(crate) fn time_limit(&self) -> Duration {
-        self.timeouts.body_idle
+        Duration::from_millis(self.time_limit_ms)
     }
 }
 
@@ -202,6 +214,7 @@
         verdict: Verdict::NotRun,
         misdirected: false,
         declined: false,
+        broken_off: false,
         reason,
     };
     let headers = context
@@ -216,9 +229,8 @@
 }
 
 /// Returns the timeouts of an attempt, which lasts as long as its request may.
-fn timeouts(left_ms: Option<u64>) -> Timeouts {
-    let total_ms = left_ms.unwrap_or(DEFAULT_TIMEOUT_MS) + LATE_MS;
-    let total = Duration::from_millis(total_ms);
+fn timeouts(time_limit_ms: u64) -> Timeouts {
+    let total = Duration::from_millis(time_limit_ms);
     Timeouts {
         connect: CONNECT_TIMEOUT.min(total),
         head: total,
@@ -262,6 +274,7 @@
         verdict: Verdict::NotRun,
         misdirected,
         declined: status != StatusCode::MISDIRECTED_REQUEST,
+        broken_off: false,
         reason: format!("the endpoint declined with status {status}"),
     }
 }
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod charge;
 mod context;
+mod crash;
 mod dispatch;
 mod event_scanner;
 mod handler;
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -16,7 +16,7 @@
 use crate::serve::body::Interrupted;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
-use crate::serve::{Context, PeerClient, take_up};
+use crate::serve::{Context, PeerClient, crash, take_up};
 use crate::wire::HeadCodec;
 
 /// Time after the deadline in which the last fragment of an answer may still arrive, in ms.
@@ -158,7 +158,7 @@
                 Err(_) if stood_still && pause_end_ms < end_ms => continue,
                 Err(_) if pause_end_ms < end_ms => Err(End::Stalled),
                 Err(_) => Err(End::TimedOut),
-                Ok(Some(Err(error))) => Err(End::Interrupted(error.to_string())),
+                Ok(Some(Err(error))) => Err(self.interrupted(error.to_string())),
                 Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
                 Ok(None) => Err(self.end()),
             };
@@ -176,11 +176,19 @@
     /// Classifies the end of the answer's bytes: an interrupted answer may look like a complete one.
     fn end(&self) -> End {
         match self.progress.missing_end() {
-            Some(reason) => End::Interrupted(reason.to_owned()),
+            Some(reason) => self.interrupted(reason.to_owned()),
             None => End::Complete,
         }
     }
 
+    /// Returns the end of an answer that the endpoint interrupted.
+    fn interrupted(&self, reason: String) -> End {
+        if self.progress.is_event_stream() && self.progress.events() == 0 {
+            crash::record(&self.admitted, &self.pick);
+        }
+        End::Interrupted(reason)
+    }
+
     /// Asks another endpoint to go on with a stalled stream, and keeps the present one until that has accepted; returns how the
     /// stream ended, if it did.
     async fn ask_another(&mut self) -> Option<End> {
