Split the election into one file a concept

What changed: election.rs (539 lines) is a folder. mod.rs lists what is public; options, candidate, claim, heartbeat, step (with the results of reads and appends), log_state and term hold one concept each. The state machine keeps its type in state_machine.rs and has three parts: results applies reads and appends, expiry decides when this VM may claim, leadership holds what concerns the own term. The paths election::X are the same.

Nothing else changed: functions and comments are moved as they were. A comparison of all lines before and after, apart from visibility, imports and headings of modules, shows only the three further impl blocks. LogState, Term and their fields became pub(crate); the methods that the parts call in each other became pub(super).

--- /dev/null
+++ b/crates/quetzalpick-core/src/election/state_machine.rs
@@ -0,0 +1,132 @@
+//! The state machine of an election on one VM: its input is what the VM observes, its output the next operation.
+
+mod expiry;
+mod leadership;
+mod results;
+
+use crate::election::log_state::LogState;
+use crate::election::term::Term;
+use crate::election::{Candidate, Claim, Heartbeat, Options, Step};
+use crate::id::Offset;
+
+/// Maximum wait between two steps, in ms.
+const WAIT_MAX_MS: u64 = 100;
+
+/// `Election` tracks the log for one VM, claims the leadership when there is no leader, and renews it.
+#[derive(Debug, Clone)]
+pub struct Election {
+    me: Candidate,
+    options: Options,
+    log_state: Option<LogState>,
+    term: Option<Term>,
+    /// When the leader last answered, in ms; `None` once it is unreachable or no longer leads.
+    last_heartbeat_ms: Option<u64>,
+    /// Earliest time of the next read, in ms.
+    next_read_ms: u64,
+    /// Whether the last read failed.
+    read_failing: bool,
+    /// When a read last succeeded after failed ones, in ms.
+    reads_recovered_ms: u64,
+    /// Send time of this leader's last action, in ms.
+    last_action_ms: Option<u64>,
+}
+
+impl Election {
+    /// Creates an election that has not read the log yet.
+    pub fn new(me: Candidate, options: Options) -> Self {
+        Self {
+            me,
+            options,
+            log_state: None,
+            term: None,
+            last_heartbeat_ms: None,
+            next_read_ms: 0,
+            read_failing: false,
+            reads_recovered_ms: 0,
+            last_action_ms: None,
+        }
+    }
+
+    /// Returns the next operation.
+    pub fn step(&self, now_ms: u64) -> Step {
+        if let Some(term) = &self.term {
+            if term.unresolved_append_ms.is_some() && now_ms >= self.next_read_ms {
+                return Step::Read(term.end);
+            }
+            if term.unresolved_append_ms.is_some() || now_ms < term.next_ms {
+                return Step::Wait(WAIT_MAX_MS);
+            }
+            return Step::Append(self.claim(now_ms, Some(term.first)), term.end);
+        }
+        if let Some(end) = self.claim_offset(now_ms) {
+            return Step::Append(self.claim(now_ms, None), end);
+        }
+        let silent_from_ms = self
+            .last_heartbeat_ms
+            .map(|heartbeat_ms| heartbeat_ms + self.options.silence_ms);
+        let earliest_read_ms = silent_from_ms.unwrap_or_default();
+        let due_ms = match self.next_expiry_ms(now_ms) {
+            // The log is read once when heartbeats stop and again when the leader has expired.
+            Some(next_expiry_ms) => next_expiry_ms.max(earliest_read_ms),
+            None => self.next_read_ms.max(earliest_read_ms),
+        };
+        if now_ms < due_ms {
+            return Step::Wait((due_ms - now_ms).min(WAIT_MAX_MS));
+        }
+        Step::Read(
+            self.log_state
+                .as_ref()
+                .map_or(Offset(0), |log_state| log_state.end),
+        )
+    }
+
+    fn claim(&self, now_ms: u64, term: Option<Offset>) -> Claim {
+        let acts_in_ms = match &self.term {
+            Some(term) => term.acts_from_ms.saturating_sub(now_ms),
+            None => self.activation_delay_ms(now_ms),
+        };
+        Claim {
+            candidate: self.me.clone(),
+            term,
+            acts_in_ms,
+            resigned_after_ms: None,
+        }
+    }
+
+    /// Records an answer of the leader, with its heartbeat if it sent one.
+    pub fn record_heartbeat(&mut self, now_ms: u64, heartbeat: Option<Heartbeat>) {
+        self.last_heartbeat_ms = Some(now_ms);
+        let known_end = self.log_state.as_ref().map(|log_state| log_state.end);
+        let Some(heartbeat) =
+            heartbeat.filter(|heartbeat| self.term.is_none() && Some(heartbeat.end) > known_end)
+        else {
+            return;
+        };
+        let claim = Claim {
+            candidate: heartbeat.leader,
+            term: None,
+            acts_in_ms: 0,
+            resigned_after_ms: None,
+        };
+        self.log_state = Some(LogState {
+            end: heartbeat.end,
+            newest: Some((Offset(heartbeat.end.0.saturating_sub(1)), claim)),
+            since_ms: now_ms.saturating_sub(heartbeat.age_ms),
+            read_ms: None,
+        });
+    }
+
+    /// Records that the assumed leader is unreachable or reports that it does not lead.
+    pub fn record_no_answer(&mut self) {
+        self.last_heartbeat_ms = None;
+    }
+
+    /// Returns the VM that is assumed to lead, which may be this one.
+    pub fn leader(&self) -> Option<&Candidate> {
+        if self.term.is_some() {
+            return Some(&self.me);
+        }
+        let (_, claim) = self.log_state.as_ref()?.newest.as_ref()?;
+        (claim.resigned_after_ms.is_none()).then_some(&claim.candidate)
+    }
+}
--- /dev/null
+++ b/crates/quetzalpick-core/src/election/state_machine/expiry.rs
@@ -0,0 +1,77 @@
+//! Expiry of the observed leader, after which this VM may claim.
+
+use super::Election;
+use crate::election::Claim;
+use crate::election::log_state::LogState;
+use crate::id::Offset;
+
+/// Time after a leader's expiry within which a VM without a claim delay has claimed, in ms.
+const PEER_CLAIM_MS: u64 = 300;
+
+impl Election {
+    /// Returns the offset at which to append a claim; `None` while there may be a leader or this VM has to wait.
+    pub(super) fn claim_offset(&self, now_ms: u64) -> Option<Offset> {
+        let log_state = self.log_state.as_ref()?;
+        let read_ms = log_state.read_ms?;
+        let own_expiry_ms = self.own_expiry_ms(log_state);
+        // Only a read after the expiry shows whether another VM has claimed.
+        let read_after_expiry = read_ms >= own_expiry_ms;
+        let has_expired =
+            now_ms >= own_expiry_ms && read_after_expiry && !self.has_recent_heartbeat(now_ms);
+        let may_claim = match &log_state.newest {
+            None if log_state.end == Offset(0) => {
+                now_ms >= log_state.since_ms + self.options.first_claim_delay_ms
+            }
+            None => has_expired,
+            Some((_, claim)) if claim.resigned_after_ms.is_some() => {
+                now_ms >= log_state.since_ms + self.options.claim_delay_ms
+            }
+            Some((_, claim)) => self.is_own_former_incarnation(claim) || has_expired,
+        };
+        may_claim.then_some(log_state.end)
+    }
+
+    /// Returns true if a claim was written by a former incarnation of this VM, which has ended.
+    pub(super) fn is_own_former_incarnation(&self, claim: &Claim) -> bool {
+        let candidate = &claim.candidate;
+        candidate.vm == self.me.vm && candidate.incarnation != self.me.incarnation
+    }
+
+    /// Returns when this VM considers the observed leader expired, in ms.
+    ///
+    /// After an outage of the log every leader has expired. Expiry then counts from the first successful read, so that VMs still
+    /// claim in the order of their delays.
+    fn own_expiry_ms(&self, log_state: &LogState) -> u64 {
+        let expiry_ms = log_state.since_ms + self.options.expiry_ms;
+        expiry_ms.max(self.reads_recovered_ms) + self.delay_ms()
+    }
+
+    /// Returns how long this VM waits after a leader's expiry before it claims, in ms.
+    fn delay_ms(&self) -> u64 {
+        let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
+        spread_ms + self.options.claim_delay_ms
+    }
+
+    /// Returns the next time at which the leader shown by a read expires, first for VMs without a claim delay and then for this VM,
+    /// in ms; `None` if that time has passed or a read after it has been made.
+    pub(super) fn next_expiry_ms(&self, now_ms: u64) -> Option<u64> {
+        let log_state = self.log_state.as_ref()?;
+        let read_ms = log_state.read_ms?;
+        let own_ms = self.own_expiry_ms(log_state);
+        // A VM with a claim delay first reads whether another VM has claimed before its own claim is due.
+        let others_ms = own_ms - self.options.claim_delay_ms.saturating_sub(PEER_CLAIM_MS);
+        let next_expiry_ms = if read_ms < others_ms {
+            others_ms
+        } else {
+            own_ms
+        };
+        (now_ms < next_expiry_ms && next_expiry_ms > self.next_read_ms).then_some(next_expiry_ms)
+    }
+
+    fn has_recent_heartbeat(&self, now_ms: u64) -> bool {
+        let silent_from_ms = self
+            .last_heartbeat_ms
+            .map(|heartbeat_ms| heartbeat_ms + self.options.silence_ms);
+        silent_from_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+}
