Split the leader's state of an engine by concept

What changed: engine_state.rs (440 lines) keeps the type, its creation, its entry and its availability (104 lines); four modules below it hold the copies, draining, the open order and the reports, each with the constants that it alone uses. This is the form that planner.rs beside it has. The paths place::EngineState and place::engine_state::DRAIN_MS are the same.

Nothing else changed: functions and comments are moved as they were. A comparison of all lines before and after, apart from visibility, imports and headings of modules, shows only the four further impl blocks. set_phase and add_held, which the modules share, became pub(super).

--- /dev/null
+++ b/crates/quetzalpick-entry/src/place/engine_state/reports.rs
@@ -0,0 +1,106 @@
+//! The engine's reports: when one is requested, and what it changes.
+
+use super::orders::OpenOrder;
+use super::{ADAPTER_LOAD_MS, EngineState};
+use crate::place::{Copy, Phase, Report};
+
+/// Time by which a report's contents may be older than the request for it, in ms.
+const REPORT_LAG_MS: u64 = 400;
+
+/// Interval between requests for an engine's reports, in ms.
+const REPORT_PAUSE_MS: u64 = 200;
+
+/// Interval between requests for the reports of an unreachable engine, in ms.
+const UNREACHABLE_PAUSE_MS: u64 = 600;
+
+impl EngineState {
+    /// Returns whether to request a report now: because the state is uncertain, the engine may be gone, or a load or unload
+    /// should have ended.
+    pub(crate) fn is_report_due(&self, now_ms: u64) -> bool {
+        let due = |copy: &Copy| match copy.phase {
+            Phase::Loading { until_ms } => now_ms >= until_ms,
+            Phase::Unloading => now_ms >= copy.since_ms + REPORT_LAG_MS,
+            Phase::Held | Phase::Draining => false,
+        };
+        let ends = self.open_order.is_none() && self.copies.iter().any(due);
+        let needed = self.needs_report || ends || self.unreachable || self.suspected;
+        needed && now_ms >= self.next_report_ms
+    }
+
+    /// Records that its report was requested.
+    pub(crate) fn record_report_request(&mut self, now_ms: u64) {
+        let pause_ms = if self.unreachable || self.suspected {
+            UNREACHABLE_PAUSE_MS
+        } else {
+            REPORT_PAUSE_MS
+        };
+        self.next_report_ms = now_ms + pause_ms;
+    }
+
+    /// Records that it didn't answer a request for its report.
+    pub(crate) fn record_report_failure(&mut self) {
+        self.unreachable = true;
+        self.down |= self.suspected;
+    }
+
+    /// Applies a report that was requested at `requested_ms`.
+    pub(crate) fn apply_report(&mut self, requested_ms: u64, now_ms: u64, report: &Report) {
+        self.unreachable = false;
+        self.down = false;
+        // Reports lag, so this one may be older than an accepted order.
+        if self
+            .accepted_orders
+            .is_some_and(|expected| report.accepted_orders < expected)
+        {
+            return;
+        }
+        // The report doesn't name the model that a busy engine is loading.
+        let is_new = self.accepted_orders != Some(report.accepted_orders);
+        if is_new && report.busy {
+            self.accepted_orders = None;
+            self.needs_report = true;
+            return;
+        }
+        // The remaining time is unknown, for instance while requests of an adapter that is being unloaded still run.
+        self.needs_report = report.busy;
+        if is_new {
+            self.reset_to_report(now_ms, report);
+        } else {
+            self.confirm_copies(requested_ms, now_ms, report);
+        }
+    }
+
+    /// Resets the copies to a report whose count of accepted orders differs from the expected one.
+    fn reset_to_report(&mut self, now_ms: u64, report: &Report) {
+        self.accepted_orders = Some(report.accepted_orders);
+        let is_superseded =
+            |open: &mut OpenOrder| open.order.expected_orders < report.accepted_orders;
+        self.open_order.take_if(is_superseded);
+        self.reserved_for = None;
+        let is_listed = |copy: &Copy| report.copies.binary_search(&copy.artifact).is_ok();
+        self.copies.retain(is_listed);
+        self.add_held(now_ms, &report.copies);
+        let until_ms = now_ms + ADAPTER_LOAD_MS;
+        for adapter in &report.loading_adapters {
+            self.set_phase(now_ms, adapter.clone(), Phase::Loading { until_ms });
+        }
+    }
+
+    /// Applies a report with the expected count of accepted orders: ends completed loads and unloads.
+    fn confirm_copies(&mut self, requested_ms: u64, now_ms: u64, report: &Report) {
+        let is_listed = |copy: &Copy| report.copies.binary_search(&copy.artifact).is_ok();
+        let is_loading_adapter = |copy: &Copy| report.loading_adapters.contains(&copy.artifact);
+        let is_old = |copy: &Copy| requested_ms >= copy.since_ms + REPORT_LAG_MS;
+        self.copies.retain(|copy| {
+            let loading = matches!(copy.phase, Phase::Loading { .. });
+            loading || is_listed(copy) || is_loading_adapter(copy) || !is_old(copy)
+        });
+        for copy in &mut self.copies {
+            let loading = matches!(copy.phase, Phase::Loading { .. });
+            if loading && is_listed(copy) {
+                copy.phase = Phase::Held;
+                copy.since_ms = now_ms;
+            }
+        }
+    }
+}
