Name and describe what was unclear in the election and the engine state

What changed: next_ms of a term is next_renewal_ms; delay_ms of the election is total_claim_delay_ms, as the options have a claim_delay_ms that is only a part of it. In the engine state is_new (of a report) is count_differs, ends is should_have_ended, and two closure parameters have the name of the value that they compare. "Limit of requests that it names" now says what is limited.

Nothing else changed: names of private items and of locals, and comments. No public name, serialized field or log line is concerned.

--- a/crates/quetzalpick-core/src/election/log_state.rs
+++ b/crates/quetzalpick-core/src/election/log_state.rs
@@ -6,7 +6,9 @@
 /// `LogState` is the newest state of the log, obtained by a read or from a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct LogState {
+    /// End offset of the log.
     pub(crate) end: Offset,
+    /// Newest record and its offset, reconstructed if the state comes from a heartbeat; `None` if no read returned a record.
     pub(crate) newest: Option<(Offset, Claim)>,
     /// When the log was first observed to end there, in ms; not before its newest record was sent.
     pub(crate) since_ms: u64,
--- a/crates/quetzalpick-core/src/election/state_machine.rs
+++ b/crates/quetzalpick-core/src/election/state_machine.rs
@@ -17,7 +17,9 @@
 pub struct Election {
     me: Candidate,
     options: Options,
+    /// Newest observed state of the log; `None` while it is unknown.
     log_state: Option<LogState>,
+    /// This VM's own term; `None` if it has none.
     term: Option<Term>,
     /// When the leader last answered, in ms; `None` once it is unreachable or no longer leads.
     last_heartbeat_ms: Option<u64>,
@@ -53,7 +55,7 @@
             if term.unresolved_append_ms.is_some() && now_ms >= self.next_read_ms {
                 return Step::Read(term.end);
             }
-            if term.unresolved_append_ms.is_some() || now_ms < term.next_ms {
+            if term.unresolved_append_ms.is_some() || now_ms < term.next_renewal_ms {
                 return Step::Wait(WAIT_MAX_MS);
             }
             return Step::Append(self.claim(now_ms, Some(term.first)), term.end);
@@ -80,6 +82,7 @@
         )
     }
 
+    /// Returns a claim of this VM, or a renewal if `term` is the offset of its term's first record.
     fn claim(&self, now_ms: u64, term: Option<Offset>) -> Claim {
         let acts_in_ms = match &self.term {
             Some(term) => term.acts_from_ms.saturating_sub(now_ms),
--- a/crates/quetzalpick-core/src/election/state_machine/expiry.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/expiry.rs
@@ -43,11 +43,11 @@
     /// claim in the order of their delays.
     fn own_expiry_ms(&self, log_state: &LogState) -> u64 {
         let expiry_ms = log_state.since_ms + self.options.expiry_ms;
-        expiry_ms.max(self.reads_recovered_ms) + self.delay_ms()
+        expiry_ms.max(self.reads_recovered_ms) + self.total_claim_delay_ms()
     }
 
     /// Returns how long this VM waits after a leader's expiry before it claims, in ms.
-    fn delay_ms(&self) -> u64 {
+    fn total_claim_delay_ms(&self) -> u64 {
         let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
         spread_ms + self.options.claim_delay_ms
     }
@@ -68,10 +68,11 @@
         (now_ms < next_expiry_ms && next_expiry_ms > self.next_read_ms).then_some(next_expiry_ms)
     }
 
+    /// Returns whether the leader answered recently enough that it is not considered silent.
     fn has_recent_heartbeat(&self, now_ms: u64) -> bool {
         let silent_from_ms = self
             .last_heartbeat_ms
             .map(|heartbeat_ms| heartbeat_ms + self.options.silence_ms);
-        silent_from_ms.is_some_and(|until_ms| now_ms < until_ms)
+        silent_from_ms.is_some_and(|silent_from_ms| now_ms < silent_from_ms)
     }
 }
--- a/crates/quetzalpick-core/src/election/state_machine/results.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/results.rs
@@ -42,7 +42,7 @@
                 acts_from_ms: now_ms + self.options.lease_ms + self.options.handover_ms,
                 end: log_state.end,
                 unresolved_append_ms: None,
-                next_ms: now_ms,
+                next_renewal_ms: now_ms,
             });
         }
         self.log_state = Some(log_state);
@@ -90,7 +90,7 @@
             Appended::At(offset) => {
                 term.renewed_ms = sent_ms;
                 term.end = Offset(offset.0 + 1);
-                term.next_ms = sent_ms + renew_ms;
+                term.next_renewal_ms = sent_ms + renew_ms;
             }
             // Only a read shows whether this record or another one was appended.
             Appended::Conflict | Appended::Unknown => {
@@ -98,7 +98,7 @@
                 self.next_read_ms = now_ms;
             }
             Appended::Failed if now_ms < term.renewed_ms + self.options.expiry_ms => {
-                term.next_ms = now_ms + renew_ms / RETRY_DIVISOR;
+                term.next_renewal_ms = now_ms + renew_ms / RETRY_DIVISOR;
             }
             Appended::Failed => self.abandon_term(now_ms),
         }
@@ -115,7 +115,7 @@
             acts_from_ms: now_ms + self.activation_delay_ms(now_ms),
             end: Offset(offset.0 + 1),
             unresolved_append_ms: None,
-            next_ms: sent_ms + self.options.renew_ms,
+            next_renewal_ms: sent_ms + self.options.renew_ms,
         });
     }
 }
--- a/crates/quetzalpick-core/src/election/term.rs
+++ b/crates/quetzalpick-core/src/election/term.rs
@@ -16,5 +16,5 @@
     /// Send time of an append whose outcome is unknown, in ms.
     pub(crate) unresolved_append_ms: Option<u64>,
     /// Earliest send time of the next renewal, in ms.
-    pub(crate) next_ms: u64,
+    pub(crate) next_renewal_ms: u64,
 }
--- a/crates/quetzalpick-entry/src/place/engine_state.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state.rs
@@ -20,11 +20,13 @@
 /// `EngineState` tracks the copies, the open order and the availability of one engine.
 #[derive(Debug, Clone)]
 pub struct EngineState {
-    /// The spec in its last entry.
+    /// The spec in its last entry, which it publishes itself.
     pub(crate) spec: Spec,
     /// Number of orders that it has accepted; `None` if a report is needed to find out.
     pub(crate) accepted_orders: Option<u64>,
+    /// Its copies; sorted by artifact.
     pub(crate) copies: Vec<Copy>,
+    /// The order whose outcome isn't known yet; `None` if there is none.
     pub(crate) open_order: Option<OpenOrder>,
     /// No order is sent before this time, in ms.
     pub(crate) busy_until_ms: u64,
@@ -44,7 +46,7 @@
     pub(crate) suspected: bool,
     /// Whether it failed to report while suspected, and hasn't reported since.
     pub(crate) down: bool,
-    /// Limit of requests that it names.
+    /// Requests a second that it takes from all VMs together; `None` if it names no limit.
     pub(crate) limit: Option<Rate>,
 }
 
--- a/crates/quetzalpick-entry/src/place/engine_state/copies.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/copies.rs
@@ -13,10 +13,12 @@
         held.map(|copy| copy.artifact.clone()).collect()
     }
 
+    /// Returns the copy of an artifact, in any phase.
     pub(crate) fn copy(&self, artifact: &Artifact) -> Option<&Copy> {
         self.copies.iter().find(|copy| copy.artifact == *artifact)
     }
 
+    /// Returns whether an artifact serves here and isn't being drained.
     pub(crate) fn holds(&self, artifact: &Artifact) -> bool {
         self.copy(artifact).is_some_and(Copy::is_held)
     }
--- a/crates/quetzalpick-entry/src/place/engine_state/drain.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/drain.rs
@@ -34,6 +34,7 @@
             .map(|copy| &copy.artifact)
     }
 
+    /// Returns the copy that is being drained.
     fn draining_copy(&self) -> Option<&Copy> {
         let is_draining = |copy: &&Copy| copy.phase == Phase::Draining;
         self.copies.iter().find(is_draining)
--- a/crates/quetzalpick-entry/src/place/engine_state/orders.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/orders.rs
@@ -11,6 +11,7 @@
 /// `OpenOrder` tracks an order whose outcome isn't known yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct OpenOrder {
+    /// The order as it was sent.
     pub(crate) order: Order,
     /// When to send it again, in ms; `None` while an attempt is in flight.
     pub(crate) resend_ms: Option<u64>,
@@ -63,7 +64,7 @@
     /// Returns the open order if it is due to be resent, and marks it as in flight.
     pub(crate) fn resend(&mut self, now_ms: u64) -> Option<Order> {
         let open = self.open_order.as_mut().filter(|_| !self.unreachable)?;
-        open.resend_ms.take_if(|at| now_ms >= *at)?;
+        open.resend_ms.take_if(|resend_ms| now_ms >= *resend_ms)?;
         Some(open.order.clone())
     }
 
--- a/crates/quetzalpick-entry/src/place/engine_state/reports.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/reports.rs
@@ -22,8 +22,8 @@
             Phase::Unloading => now_ms >= copy.since_ms + REPORT_LAG_MS,
             Phase::Held | Phase::Draining => false,
         };
-        let ends = self.open_order.is_none() && self.copies.iter().any(due);
-        let needed = self.needs_report || ends || self.unreachable || self.suspected;
+        let should_have_ended = self.open_order.is_none() && self.copies.iter().any(due);
+        let needed = self.needs_report || should_have_ended || self.unreachable || self.suspected;
         needed && now_ms >= self.next_report_ms
     }
 
@@ -55,15 +55,15 @@
             return;
         }
         // The report doesn't name the model that a busy engine is loading.
-        let is_new = self.accepted_orders != Some(report.accepted_orders);
-        if is_new && report.busy {
+        let count_differs = self.accepted_orders != Some(report.accepted_orders);
+        if count_differs && report.busy {
             self.accepted_orders = None;
             self.needs_report = true;
             return;
         }
         // The remaining time is unknown, for instance while requests of an adapter that is being unloaded still run.
         self.needs_report = report.busy;
-        if is_new {
+        if count_differs {
             self.reset_to_report(now_ms, report);
         } else {
             self.confirm_copies(requested_ms, now_ms, report);
@@ -90,6 +90,7 @@
     fn confirm_copies(&mut self, requested_ms: u64, now_ms: u64, report: &Report) {
         let is_listed = |copy: &Copy| report.copies.binary_search(&copy.artifact).is_ok();
         let is_loading_adapter = |copy: &Copy| report.loading_adapters.contains(&copy.artifact);
+        // A report may still lack a copy whose phase changed shortly before the request.
         let is_old = |copy: &Copy| requested_ms >= copy.since_ms + REPORT_LAG_MS;
         self.copies.retain(|copy| {
             let loading = matches!(copy.phase, Phase::Loading { .. });
