Bound what a second attempt beside a slow one may cost

Cause: the second attempt had no bound of its own, and what had been decided for one attempt at a time (build, deadline, permit, which failed answer counts) was not decided anew for two.

Change: two endpoints are asked for one stream for 300 ms at most; before the first event the first one is given up then, afterwards the second one, so that nothing that has begun is lost. A second endpoint is one that names no limit, is new to the request and costs a retry of the budget; its build must be that of the first event, and only events record a build. Waits for a resumption end with the caller and after three latency objectives. The time for a buffered answer counts from its sending. The last failed answer of an endpoint is delivered if no better one comes.

Left as it is: the endpoint that loses counts as failed, so that three losses in a row eject it for a second.

--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -24,6 +24,12 @@
 /// Time after the deadline in which an endpoint's own timeout answer may still arrive, in ms.
 const LATE_MS: u64 = 120;
 
+/// Multiple of the latency objective after which another endpoint is asked too, if the request may be repeated.
+pub(crate) const OBJECTIVE_MULTIPLE: u64 = 3;
+
+/// Longest time for which two endpoints are asked for one stream: both may be at work on it.
+pub(crate) const OVERLAP_MAX: Duration = Duration::from_millis(300);
+
 /// Maximum number of permits that are requested for one attempt; then only endpoints without a limit are picked.
 const DRAWS_MAX: usize = 8;
 
@@ -80,6 +86,23 @@
     None
 }
 
+/// Picks an endpoint that has not got the request yet and names no limit, and withdraws a retry for it; `None` if there is none,
+/// no retry is left or the time is over.
+pub(crate) fn pick_backup<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
+    let now_ms = context.clock.now_ms();
+    if admitted.left_ms(now_ms) == Some(0) {
+        return None;
+    }
+    let artifacts = admitted.artifacts();
+    let requirements = Requirements {
+        allows_limited: false,
+        ..admitted.requirements(&artifacts)
+    };
+    let pick = context.fleet.pick(now_ms, &requirements, random())?;
+    let is_new = !admitted.attempted.contains(&pick.endpoint);
+    (is_new && context.withdraw()).then_some(pick)
+}
+
 /// Records a failure in the endpoint's health, and whether the request may have run there.
 pub(crate) fn record_failure<E, S>(
     context: &Context<E, S>,
@@ -118,7 +141,7 @@
 pub(crate) struct Call {
     request: Request<Full<Bytes>>,
     timeouts: Timeouts,
-    /// Time in which the answer has to begin, and from then on to end, in ms.
+    /// Time in which the answer has to arrive, in ms.
     time_limit_ms: u64,
     attempt_id: Option<String>,
 }
@@ -189,7 +212,7 @@
         }
     }
 
-    /// Returns the time in which the answer has to end, measured from its head.
+    /// Returns the time in which the answer has to arrive.
     pub(crate) fn time_limit(&self) -> Duration {
         Duration::from_millis(self.time_limit_ms)
     }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, StatusCode};
 use quetzalpick_client::http::Body as Answer;
 use quetzalpick_core::id::Endpoint;
+use tokio::time::Instant;
 
 use crate::fleet::Pick;
-use crate::serve::attempt::{Call, Failure, collect, pick, record_failure};
+use crate::serve::attempt::{
+    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, collect, pick, pick_backup, record_failure,
+};
 use crate::serve::body::Body;
 use crate::serve::handler::Handler;
 use crate::serve::hedge::Hedge;
@@ -29,8 +32,8 @@
 /// Retry delay if no endpoint holds the required artifacts: a load takes about as long.
 const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(1_000);
 
-/// Multiple of the latency objective after which another endpoint is asked too, if the request may be repeated.
-const OBJECTIVE_MULTIPLE: u64 = 3;
+/// Shortest time for which an attempt is waited for before another endpoint is asked too, in ms.
+const PATIENCE_MIN_MS: u64 = 50;
 
 /// Longest time for which a request waits if its attempts have no timeout of their own.
 const NO_PATIENCE_LIMIT: Duration = Duration::from_secs(3_600);
@@ -39,77 +42,92 @@
     /// Sends a request to endpoints until one answers it or no further attempt is allowed.
     pub(super) async fn forward(&self, mut admitted: Admitted) -> Result<Response<Body>, Refusal> {
         let mut hedge = Hedge::new();
+        let start = |admitted: &mut Admitted, hedge: &mut Hedge<_>, pick: Pick| {
+            hedge.push(pick.endpoint.clone(), self.attempt(admitted, pick));
+        };
+        // The last failed answer of an endpoint, which the caller gets if there is no better one.
+        let mut failed = None;
         loop {
             if hedge.is_empty() {
-                let pick = match pick(&self.context, &admitted).await {
-                    Some(pick) => pick,
-                    None => self.pick_after_load(&admitted).await?,
-                };
-                let endpoint = pick.endpoint.clone();
-                hedge.push(endpoint, self.attempt(&mut admitted, pick));
+                match self.pick_next(&admitted).await {
+                    Ok(pick) => start(&mut admitted, &mut hedge, pick),
+                    Err(refusal) => return self.answer_failed(admitted, failed).ok_or(refusal),
+                }
             }
             let patience = self.patience(&admitted, hedge.len());
             let Some(outcome) = hedge.next(patience).await else {
-                if let Some(pick) = self.backup(&admitted).await {
-                    let endpoint = pick.endpoint.clone();
-                    hedge.push(endpoint, self.attempt(&mut admitted, pick));
+                if is_doubled(&admitted, hedge.len()) {
+                    self.give_up_oldest(&mut admitted, &mut hedge, true);
+                } else if let Some(pick) = pick_backup(&self.context, &admitted) {
+                    start(&mut admitted, &mut hedge, pick);
                 }
                 continue;
             };
-            match outcome.result {
-                (pick, Ok(answer)) => {
-                    self.give_up(&mut admitted, hedge.endpoints(), outcome.earlier);
-                    self.context.record_acceptance(&admitted.service);
-                    return Ok(self.answer_caller(admitted, pick, answer));
+            let (pick, result) = outcome.result;
+            let (failure, answer) = match result {
+                Ok(answer) if is_replaceable(&admitted, hedge.len(), &answer) => {
+                    let reason = format!("the endpoint failed with status {}", answer.status());
+                    (Failure::may_have_run(reason), Some(answer))
                 }
-                (pick, Err(failure)) => {
-                    record_failure(&self.context, &mut admitted, &pick, &failure);
-                    if hedge.is_empty() && !self.may_retry(&admitted, &failure) {
-                        return Err(self.final_refusal(&admitted, &failure));
+                Ok(answer) => {
+                    for index in 0..hedge.len() {
+                        self.give_up_oldest(&mut admitted, &mut hedge, index < outcome.earlier);
                     }
+                    return Ok(self.answer_caller(admitted, pick, answer));
                 }
+                Err(failure) => (failure, None),
+            };
+            record_failure(&self.context, &mut admitted, &pick, &failure);
+            failed = answer.map(|answer| (pick, answer)).or(failed);
+            if hedge.is_empty() && !self.may_retry(&admitted, &failure) {
+                let refusal = self.final_refusal(&admitted, &failure);
+                return self.answer_failed(admitted, failed).ok_or(refusal);
             }
         }
     }
 
-    /// Returns how long the attempts under way are waited for before another endpoint is asked too.
-    fn patience(&self, admitted: &Admitted, under_way: usize) -> Duration {
-        let route = &admitted.route;
-        let runs = admitted.possible_runs as usize + under_way;
-        let another_may_follow = route.kind.may_repeat()
-            && runs < route.attempts as usize
-            && admitted.attempted.len() < SENDS_MAX;
-        match route.objective_ms.filter(|_| another_may_follow) {
-            Some(objective_ms) => {
-                let left_ms = admitted.left_ms(self.context.clock.now_ms());
-                let half_ms = left_ms.map_or(u64::MAX, |left_ms| left_ms / 2);
-                Duration::from_millis((objective_ms * OBJECTIVE_MULTIPLE).min(half_ms))
-            }
-            None => NO_PATIENCE_LIMIT,
+    /// Picks the endpoint of the next attempt.
+    async fn pick_next(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
+        match pick(&self.context, admitted).await {
+            Some(pick) => Ok(pick),
+            None => self.pick_after_load(admitted).await,
         }
     }
 
-    /// Picks an endpoint that has not got the request yet, and withdraws a retry for it.
-    async fn backup(&self, admitted: &Admitted) -> Option<Pick> {
-        let pick = pick(&self.context, admitted).await?;
-        let is_new = !admitted.attempted.contains(&pick.endpoint);
-        (is_new && self.context.withdraw()).then_some(pick)
+    /// Returns how long the attempts under way are waited for before anything else is done.
+    fn patience(&self, admitted: &Admitted, under_way: usize) -> Duration {
+        if is_doubled(admitted, under_way) {
+            return OVERLAP_MAX;
+        }
+        let route = &admitted.route;
+        let another_may_follow =
+            may_follow(admitted, under_way) && admitted.attempted.len() < SENDS_MAX;
+        let Some(objective_ms) = route.objective_ms.filter(|_| another_may_follow) else {
+            return NO_PATIENCE_LIMIT;
+        };
+        let left_ms = admitted.left_ms(self.context.clock.now_ms());
+        let half_ms = left_ms.map_or(u64::MAX, |left_ms| left_ms / 2);
+        let patience_ms = (objective_ms * OBJECTIVE_MULTIPLE).min(half_ms);
+        Duration::from_millis(patience_ms.max(PATIENCE_MIN_MS))
     }
 
-    /// Gives up the attempts under way after another one was answered; the first `earlier` of them were too slow.
-    fn give_up(&self, admitted: &mut Admitted, endpoints: &[Endpoint], earlier: usize) {
-        for (index, endpoint) in endpoints.iter().enumerate() {
-            let is_slow = index < earlier;
-            let now_ms = self.context.clock.now_ms();
-            if is_slow && self.context.fleet.record_failure(now_ms, endpoint) {
-                log::warn!("entry: endpoint={endpoint} ejected");
-            }
-            admitted.possible_runs += 1;
-            log::info!(
-                "entry: request={} given up endpoint={endpoint} slow={is_slow}",
-                admitted.id()
-            );
+    /// Gives up the attempt that was started first; `is_slow` tells whether its endpoint was slower than another one.
+    fn give_up_oldest<F, T>(&self, admitted: &mut Admitted, hedge: &mut Hedge<F>, is_slow: bool)
+    where
+        F: Future<Output = (Endpoint, T)>,
+    {
+        let Some(endpoint) = hedge.give_up_oldest() else {
+            return;
+        };
+        let now_ms = self.context.clock.now_ms();
+        if is_slow && self.context.fleet.record_failure(now_ms, &endpoint) {
+            log::warn!("entry: endpoint={endpoint} ejected");
         }
+        admitted.possible_runs += 1;
+        log::info!(
+            "entry: request={} given up endpoint={endpoint} slow={is_slow}",
+            admitted.id()
+        );
     }
 
     /// Picks an endpoint after requesting the adapter that no endpoint holds, or only endpoints at their limits.
@@ -205,6 +223,16 @@
         }
     }
 
+    /// Turns the failed answer of an endpoint, if any, into the response to the caller.
+    fn answer_failed(
+        &self,
+        admitted: Admitted,
+        failed: Option<(Pick, EndpointAnswer)>,
+    ) -> Option<Response<Body>> {
+        let (pick, answer) = failed?;
+        Some(self.answer_caller(admitted, pick, answer))
+    }
+
     /// Turns the endpoint's answer into the response to the caller, and starts the relay of a streamed one.
     fn answer_caller(
         &self,
@@ -212,10 +240,13 @@
         pick: Pick,
         answer: EndpointAnswer,
     ) -> Response<Body> {
+        self.context.record_acceptance(&admitted.service);
         match answer {
             EndpointAnswer::Buffered(head, bytes) => {
-                let now_ms = self.context.clock.now_ms();
-                self.context.fleet.record_success(now_ms, &pick.endpoint);
+                if !head.status.is_server_error() {
+                    let now_ms = self.context.clock.now_ms();
+                    self.context.fleet.record_success(now_ms, &pick.endpoint);
+                }
                 self.log_answer(&admitted, &pick, &head);
                 respond(head, Body::full(bytes))
             }
@@ -278,22 +309,14 @@
     is_stream: bool,
     /// Whether the caller can tell the end of an answer of unknown length.
     supports_chunks: bool,
-    /// Whether a failed answer should be replaced by that of another endpoint.
-    prefers_another: bool,
 }
 
 impl Delivery {
     /// Returns how the answer to a request's next attempt is taken.
     fn of(admitted: &Admitted) -> Self {
-        let Admitted {
-            route,
-            possible_runs,
-            ..
-        } = admitted;
         Self {
-            is_stream: route.kind.is_stream(),
+            is_stream: admitted.route.kind.is_stream(),
             supports_chunks: admitted.supports_chunks(),
-            prefers_another: route.kind.may_repeat() && possible_runs + 1 < route.attempts,
         }
     }
 
@@ -304,7 +327,7 @@
         call: Call,
         pick: &Pick,
     ) -> Result<EndpointAnswer, Failure> {
-        let limit = call.time_limit();
+        let (limit, started) = (call.time_limit(), Instant::now());
         let answer = call.send(context, pick).await?;
         let (head, body) = answer.into_parts();
         let length = hyper::body::Body::size_hint(&body).exact();
@@ -317,11 +340,8 @@
             let length = length.filter(|_| !self.is_stream);
             return Ok(EndpointAnswer::Streamed(head, body, length));
         }
-        let bytes = collect(body, BUFFERED_MAX_BYTES as usize, limit).await?;
-        if head.status.is_server_error() && self.prefers_another {
-            let reason = format!("the endpoint failed with status {}", head.status);
-            return Err(Failure::may_have_run(reason));
-        }
+        let left = limit.saturating_sub(started.elapsed());
+        let bytes = collect(body, BUFFERED_MAX_BYTES as usize, left).await?;
         Ok(EndpointAnswer::Buffered(head, bytes))
     }
 }
@@ -334,6 +354,34 @@
     Streamed(http::response::Parts, Answer, Option<u64>),
 }
 
+impl EndpointAnswer {
+    /// Returns the status.
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Buffered(head, _) | Self::Streamed(head, ..) => head.status,
+        }
+    }
+}
+
+/// Returns whether one more endpoint may run a request beside those where it is under way.
+fn may_follow(admitted: &Admitted, under_way: usize) -> bool {
+    let runs = admitted.possible_runs as usize + under_way;
+    admitted.route.kind.may_repeat() && runs < admitted.route.attempts as usize
+}
+
+/// Returns whether a stream is under way at two endpoints, which must not last.
+fn is_doubled(admitted: &Admitted, under_way: usize) -> bool {
+    admitted.route.kind.is_stream() && under_way > 1
+}
+
+/// Returns whether a failed answer should be replaced by that of another endpoint, under way or to follow.
+fn is_replaceable(admitted: &Admitted, under_way: usize, answer: &EndpointAnswer) -> bool {
+    let is_failed =
+        matches!(answer, EndpointAnswer::Buffered(head, _) if head.status.is_server_error());
+    let may_repeat = admitted.route.kind.may_repeat();
+    is_failed && may_repeat && (under_way > 0 || may_follow(admitted, 1))
+}
+
 /// Builds the response to the caller without hop-by-hop headers.
 fn respond(mut head: http::response::Parts, body: Body) -> Response<Body> {
     strip_connection_headers(&mut head.headers);
--- a/crates/quetzalpick-entry/src/serve/hedge.rs
+++ b/crates/quetzalpick-entry/src/serve/hedge.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use futures::future::{AbortHandle, Abortable};
 use futures::stream::FuturesUnordered;
 use quetzalpick_core::id::Endpoint;
 use tokio::time::timeout;
@@ -19,9 +20,9 @@
 /// answered.
 #[derive(Debug)]
 pub(crate) struct Hedge<F> {
-    attempts: FuturesUnordered<F>,
+    attempts: FuturesUnordered<Abortable<F>>,
     /// Endpoints of these attempts, in the order of their starts.
-    endpoints: Vec<Endpoint>,
+    under_way: Vec<(Endpoint, AbortHandle)>,
 }
 
 impl<F, T> Hedge<F>
@@ -32,36 +33,54 @@
     pub(crate) fn new() -> Self {
         Self {
             attempts: FuturesUnordered::new(),
-            endpoints: Vec::new(),
+            under_way: Vec::new(),
         }
     }
 
-    /// Adds an attempt at an endpoint.
+    /// Adds an attempt at an endpoint that has none under way.
     pub(crate) fn push(&mut self, endpoint: Endpoint, attempt: F) {
-        self.endpoints.push(endpoint);
-        self.attempts.push(attempt);
+        let (handle, registration) = AbortHandle::new_pair();
+        self.under_way.push((endpoint, handle));
+        self.attempts.push(Abortable::new(attempt, registration));
     }
 
     /// Returns the number of attempts under way.
     pub(crate) fn len(&self) -> usize {
-        self.endpoints.len()
+        self.under_way.len()
     }
 
     /// Returns whether no attempt is under way.
     pub(crate) fn is_empty(&self) -> bool {
-        self.endpoints.is_empty()
+        self.under_way.is_empty()
     }
 
     /// Waits for the next result; `None` if none comes within `patience` or no attempt is under way.
     pub(crate) async fn next(&mut self, patience: Duration) -> Option<Outcome<T>> {
-        let (endpoint, result) = timeout(patience, self.attempts.next()).await.ok()??;
-        let earlier = self.endpoints.iter().position(|other| *other == endpoint)?;
-        self.endpoints.remove(earlier);
-        Some(Outcome { result, earlier })
+        timeout(patience, self.next_result()).await.ok()?
     }
 
-    /// Returns the endpoints of the attempts that are still under way, in the order of their starts.
-    pub(crate) fn endpoints(&self) -> &[Endpoint] {
-        &self.endpoints
+    async fn next_result(&mut self) -> Option<Outcome<T>> {
+        loop {
+            // Attempts that were given up end without a result.
+            let Ok((endpoint, result)) = self.attempts.next().await? else {
+                continue;
+            };
+            let mut endpoints = self.under_way.iter().map(|(endpoint, _)| endpoint);
+            let Some(earlier) = endpoints.position(|other| *other == endpoint) else {
+                continue;
+            };
+            self.under_way.remove(earlier);
+            return Some(Outcome { result, earlier });
+        }
+    }
+
+    /// Gives up the attempt that was started first, if any, and returns its endpoint.
+    pub(crate) fn give_up_oldest(&mut self) -> Option<Endpoint> {
+        if self.under_way.is_empty() {
+            return None;
+        }
+        let (endpoint, handle) = self.under_way.remove(0);
+        handle.abort();
+        Some(endpoint)
     }
 }
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -9,10 +9,12 @@
 use http_body_util::BodyExt;
 use quetzalpick_client::http::Body as Answer;
 use tokio::sync::mpsc::Sender;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::fleet::Pick;
-use crate::serve::attempt::{Call, Failure, pick, record_failure};
+use crate::serve::attempt::{
+    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, pick, pick_backup, record_failure,
+};
 use crate::serve::body::Interrupted;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
@@ -49,6 +51,22 @@
     Stalled,
 }
 
+/// Result of an attempt to resume a stream.
+type Answered = Result<Response<Answer>, Failure>;
+
+/// `First` tells what came first after another endpoint was asked to go on with a stalled stream.
+#[derive(Debug)]
+enum First {
+    /// The other endpoint's answer, and how the present one ended if it did.
+    Other(Box<Answered>, Option<End>),
+    /// An event of the present endpoint, to be forwarded.
+    Event(Option<Bytes>),
+    /// Neither in the time for which both may be asked.
+    Neither,
+    /// The end of the stream.
+    Ended(End),
+}
+
 /// `AnswerRelay` forwards one answer from an endpoint to the caller.
 #[derive(Debug)]
 pub(crate) struct AnswerRelay<E, S> {
@@ -90,8 +108,10 @@
             };
             self.record_failure();
             // An incomplete event of the former endpoint is dropped.
-            if !self.resume().await {
-                return self.abort("broken", &reason).await;
+            match self.resume(reason).await {
+                None => {}
+                Some(End::Interrupted(reason)) => return self.abort("broken", &reason).await,
+                Some(_) => return self.log("caller-gone", ""),
             }
         }
     }
@@ -109,22 +129,36 @@
         }
     }
 
-    /// Forwards bytes of the answer; returns whether they completed an event.
-    async fn pass_on(&mut self, bytes: Bytes) -> Result<bool, End> {
+    /// Forwards bytes of the answer.
+    async fn pass_on(&mut self, bytes: Bytes) -> Result<(), End> {
+        let (fragment, has_event) = self.push(bytes);
+        self.deliver(fragment, has_event).await
+    }
+
+    /// Adds bytes of the answer; returns what can be forwarded, and whether it completes an event.
+    fn push(&mut self, bytes: Bytes) -> (Option<Bytes>, bool) {
         let events = self.progress.events();
-        let Some(fragment) = self.progress.push(bytes) else {
-            return Ok(false);
+        let fragment = self.progress.push(bytes);
+        let has_event = self.progress.events() > events;
+        if has_event {
+            self.record_origin();
+        }
+        (fragment, has_event)
+    }
+
+    /// Forwards a fragment of the answer.
+    async fn deliver(&mut self, fragment: Option<Bytes>, has_event: bool) -> Result<(), End> {
+        let Some(fragment) = fragment else {
+            return Ok(());
         };
-        self.record_origin();
         if self.caller.send(Ok(fragment)).await.is_err() {
             return Err(End::CallerGone);
         }
-        let has_event = self.progress.events() > events;
         if has_event {
             // The time for which the caller did not read is no pause of the endpoint.
             self.pause_from_ms = self.context.clock.now_ms();
         }
-        Ok(has_event)
+        Ok(())
     }
 
     /// Waits for the next bytes of the answer.
@@ -192,59 +226,94 @@
     /// Asks another endpoint to go on with a stalled stream, and keeps the present one until that has accepted; returns how the
     /// stream ended, if it did.
     async fn ask_another(&mut self) -> Option<End> {
-        let pick = self.other_endpoint().await;
-        self.pause_from_ms = self.context.clock.now_ms();
-        let Some(pick) = pick else {
+        let context = Arc::clone(&self.context);
+        self.pause_from_ms = context.clock.now_ms();
+        let Some(pick) = pick_backup(&context, &self.admitted) else {
             let (request, endpoint) = (self.admitted.id(), &self.pick.endpoint);
             log::info!("entry: request={request} slow endpoint={endpoint} replaced=false");
             return None;
         };
-        let context = Arc::clone(&self.context);
         let after = self.progress.last_event_id();
-        self.admitted.attempted.push(pick.endpoint.clone());
-        let call = match Call::try_new(&context, &self.admitted, &pick, after) {
+        let call = match self.prepare(&pick, after) {
             Ok(call) => call,
             Err(failure) => {
                 record_failure(&context, &mut self.admitted, &pick, &failure);
                 return None;
             }
         };
-        let mut end = None;
-        let answer = {
-            let mut sending = pin!(call.send(&context, &pick));
-            loop {
-                let bytes = tokio::select! {
-                    biased;
-                    bytes = self.next_bytes() => bytes,
-                    answer = &mut sending => break answer,
-                };
-                let passed_on = match bytes {
-                    Ok(bytes) => self.pass_on(bytes).await,
-                    Err(end) => Err(end),
-                };
-                match passed_on {
-                    Ok(true) => {
-                        self.give_up(&pick);
-                        return None;
-                    }
-                    Ok(false) => {}
-                    Err(End::Stalled) => self.pause_from_ms = context.clock.now_ms(),
-                    Err(End::Interrupted(reason)) => {
-                        end = Some(End::Interrupted(reason));
-                        break tokio::select! {
-                            biased;
-                            () = self.caller.closed() => return Some(End::CallerGone),
-                            answer = &mut sending => answer,
-                        };
-                    }
-                    Err(end) => return Some(end),
+        let first = self.race(call.send(&context, &pick)).await;
+        match first {
+            First::Other(answer, end) => {
+                if self.accept(pick, *answer, after) {
+                    return None;
                 }
+                end
             }
-        };
-        if self.accept(pick, answer, after) {
-            return None;
+            First::Event(fragment) => {
+                self.give_up(&pick);
+                self.deliver(fragment, true).await.err()
+            }
+            First::Neither => {
+                self.give_up(&pick);
+                None
+            }
+            First::Ended(end) => Some(end),
         }
-        end
+    }
+
+    /// Waits for the answer of another endpoint or the next event of the present one, and forwards comments meanwhile. Both may be at
+    /// work on the stream, so that this does not last.
+    async fn race(&mut self, sending: impl Future<Output = Answered>) -> First {
+        let mut sending = pin!(sending);
+        let mut overlap = pin!(sleep(OVERLAP_MAX));
+        loop {
+            let bytes = tokio::select! {
+                biased;
+                bytes = self.next_bytes() => bytes,
+                answer = &mut sending => return First::Other(Box::new(answer), None),
+                () = &mut overlap => return First::Neither,
+            };
+            let delivered = match bytes {
+                Ok(bytes) => match self.push(bytes) {
+                    (fragment, true) => return First::Event(fragment),
+                    (fragment, false) => self.deliver(fragment, false).await,
+                },
+                Err(end) => Err(end),
+            };
+            match delivered {
+                Ok(()) => {}
+                Err(End::Stalled) => self.pause_from_ms = self.context.clock.now_ms(),
+                Err(End::Interrupted(reason)) => {
+                    let left = self.time_for_head();
+                    return tokio::select! {
+                        biased;
+                        () = self.caller.closed() => First::Ended(End::CallerGone),
+                        answer = &mut sending => {
+                            First::Other(Box::new(answer), Some(End::Interrupted(reason)))
+                        },
+                        () = sleep(left) => First::Ended(End::Interrupted(reason)),
+                    };
+                }
+                Err(end) => return First::Ended(end),
+            }
+        }
+    }
+
+    /// Prepares an attempt to resume the stream at a picked endpoint.
+    fn prepare(&mut self, pick: &Pick, after: Option<u64>) -> Result<Call, Failure> {
+        self.admitted.attempted.push(pick.endpoint.clone());
+        Call::try_new(&self.context, &self.admitted, pick, after)
+    }
+
+    /// Returns how long an endpoint that was asked to resume an interrupted stream has for the head of its answer.
+    fn time_for_head(&self) -> Duration {
+        let left_ms = self.admitted.left_ms(self.context.clock.now_ms());
+        let left_ms = left_ms.unwrap_or(DEFAULT_ANSWER_TIMEOUT_MS);
+        let objective_ms = self.admitted.route.objective_ms;
+        let patience_ms = objective_ms.map_or(left_ms, |objective_ms| {
+            (objective_ms * OBJECTIVE_MULTIPLE).min(left_ms / 2)
+        });
+        Duration::from_millis(patience_ms)
     }
 
     /// Records that an endpoint was asked to go on with the stream, but is not needed.
@@ -272,46 +341,54 @@
         admitted.is_resumable() && self.progress.can_continue() && admitted.has_runs_left()
     }
 
-    /// Picks an endpoint, other than the present one, at which the stream may go on, and withdraws a retry for it.
-    async fn other_endpoint(&mut self) -> Option<Pick> {
-        let pick = pick(&self.context, &self.admitted).await?;
-        let is_other = pick.endpoint != self.pick.endpoint;
-        (is_other && self.context.withdraw()).then_some(pick)
-    }
-
-    /// Resumes an interrupted stream at another endpoint after its last event; returns whether an endpoint accepted.
-    async fn resume(&mut self) -> bool {
-        while self.may_go_on_elsewhere() && self.context.withdraw() {
+    /// Resumes an interrupted stream at another endpoint after its last event; returns how it ended if none accepted.
+    async fn resume(&mut self, reason: String) -> Option<End> {
+        while self.may_go_on_elsewhere() && self.has_time_left() && self.context.withdraw() {
             let Some(pick) = pick(&self.context, &self.admitted).await else {
-                return false;
+                break;
             };
-            if self.resume_at(pick).await {
-                return true;
+            match self.resume_at(pick).await {
+                Ok(true) => return None,
+                Ok(false) => {}
+                Err(end) => return Some(end),
             }
         }
-        false
+        Some(End::Interrupted(reason))
+    }
+
+    fn has_time_left(&self) -> bool {
+        self.admitted.left_ms(self.context.clock.now_ms()) != Some(0)
     }
 
     /// Resumes a stream at a picked endpoint; returns whether that accepted.
-    async fn resume_at(&mut self, pick: Pick) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// `End::CallerGone` if the caller disconnects.
+    async fn resume_at(&mut self, pick: Pick) -> Result<bool, End> {
         let context = Arc::clone(&self.context);
         let after = self.progress.last_event_id();
-        self.admitted.attempted.push(pick.endpoint.clone());
-        let answer = match Call::try_new(&context, &self.admitted, &pick, after) {
-            Ok(call) => call.send(&context, &pick).await,
-            Err(failure) => Err(failure),
+        let call = self.prepare(&pick, after);
+        let time_for_head = self.time_for_head();
+        let sending = async {
+            let answer = timeout(time_for_head, call?.send(&context, &pick)).await;
+            answer.unwrap_or_else(|_| {
+                let limit_ms = time_for_head.as_millis();
+                let reason = format!("no answer within {limit_ms} ms");
+                Err(Failure::may_have_run(reason))
+            })
+        };
+        let answer = tokio::select! {
+            biased;
+            () = self.caller.closed() => return Err(End::CallerGone),
+            answer = sending => answer,
         };
-        self.accept(pick, answer, after)
+        Ok(self.accept(pick, answer, after))
     }
 
     /// Goes on with the answer of another endpoint, if that accepted and the caller has no more than the events up to `after`;
     /// returns whether it does.
-    fn accept(
-        &mut self,
-        pick: Pick,
-        answer: Result<Response<Answer>, Failure>,
-        after: Option<u64>,
-    ) -> bool {
+    fn accept(&mut self, pick: Pick, answer: Answered, after: Option<u64>) -> bool {
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => {
@@ -320,7 +397,9 @@
             }
         };
         let (head, answer) = answer.into_parts();
-        if !head.status.is_success() || !self.progress.can_continue() {
+        let build = self.admitted.build.as_ref();
+        let is_other_build = build.is_some_and(|build| *build != pick.build);
+        if !head.status.is_success() || !self.progress.can_continue() || is_other_build {
             self.give_up(&pick);
             answer.discard();
             return false;
