Find the prompt part that crashes endpoints: witnesses of the VMs and an investigation of the leader

Cause: nothing remembers what the requests had in common under which an endpoint crashed, so that each VM sends the next one to the next endpoint.

Change: the module quarantine, pure and not used by any program yet. A Witness remembers crashes with the parts of the requests that had no event, and when each part was last answered. An Investigation merges the crashes of all VMs, asks about the suspects, and quarantines a part after three crashes, or five if it was ever answered, 600 ms after it became a suspect. An answer later than the last crash releases it.

Why it works: the guilty request has no event yet, so that its parts are in each row; a sound part is answered soon by another endpoint, and crashes before an answer are no evidence; a crash with a quarantined part is explained and no evidence against the others.

Naive leaders fail: each part of a crashed request; counting without explaining; not asking for answers.

Ruled out: - Statuses at intervals only (5 ms x VMs). In 600 ms hardly a VM of 370 has its turn.

--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod payload;
 pub mod plan;
+pub mod quarantine;
 pub mod quorum;
 pub mod quota;
 pub mod rate;
--- /dev/null
+++ b/crates/quetzalpick-core/tests/quarantine/main.rs
@@ -0,0 +1,7 @@
+//! Prompt parts that crash endpoints are found in time, and sound parts are not quarantined.
+
+mod investigation;
+mod leader;
+mod simulation;
+mod witness;
+mod world;
