Send no further requests with a prompt part that crashes endpoints

Cause: the choice of an endpoint knew health, load and copies of endpoints, but nothing of what the requests had in common under which they ended. Each VM sent the next such request to the next endpoint, and its own repeats too. The class: a failure that a request brings along is put down to the endpoint alone, and forgotten with it.

Change: a VM remembers the parts of requests that were broken off before their first event, and which parts were answered (core::quarantine); it tells the leader at once, and again as soon as the leader suspects a part that it has seen answered. The leader quarantines the part that explains the crashes; all VMs have it with the answer to their next status. The parts are stored in a topic, which each VM reads when it starts and each leader at the start of its term and every 30 s. While no leader answers, a VM goes by the crashes that it has seen itself. First attempts, repeats, second attempts beside slow ones and resumed streams are checked alike; the caller is refused at once, as not run.

Why it works: the guilty request is the one without an event, so that its parts are in every row of evidence, while a sound part is answered by another endpoint within moments; a crash that a quarantined part explains accuses no other part.

Ruled out: each VM by its own crashes alone (eight VMs lose three endpoints each), and evidence through the store (reads by all VMs while nothing happens).

--- a/crates/quetzalpick-client/src/topic.rs
+++ b/crates/quetzalpick-client/src/topic.rs
@@ -31,6 +31,8 @@
     Members,
     /// Terms of the placement leader.
     Leadership,
+    /// Parts of prompts that crash endpoints, keyed by part.
+    Quarantine,
 }
 
 /// `Record` holds one record of a topic: a key, and its value or its removal.
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -8,7 +8,7 @@
 
 use quetzalpick_client::http::Pool;
 use quetzalpick_client::topic::Topics;
-use quetzalpick_core::election::{Candidate, Election};
+use quetzalpick_core::election::Candidate;
 use quetzalpick_core::id::Incarnation;
 use quetzalpick_core::retry::Budget;
 use quetzalpick_node::http::admin::{Admin, Readiness};
@@ -30,10 +30,11 @@
 use crate::options::Options;
 use crate::origin::Origins;
 use crate::place::EngineControl;
+use crate::quarantine::Quarantine;
 use crate::rate::Rates;
 use crate::reload::{Changes, reload};
 use crate::serve::{Context, Handler, PeerClient};
-use crate::view::{ConfigFollower, EndpointFollower, Membership, View};
+use crate::view::{ConfigFollower, EndpointFollower, Membership, QuarantineFollower, View};
 use crate::wire::{HeadCodec, RecordCodec};
 
 /// `Platform` holds the clients, codecs and clock through which an entry reaches other systems.
@@ -132,10 +133,12 @@
         let fleet = Arc::new(Fleet::new(options.domain.clone(), options.route.clone()));
         let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
         let origins = Arc::new(Origins::default());
+        let quarantine = Arc::new(Quarantine::default());
         let lead = Arc::new(new_leadership(
             &platform,
             &view,
             &fleet,
+            &quarantine,
             &options,
             peer_address,
         ));
@@ -152,6 +155,7 @@
             peers: Mutex::default(),
             registrars: Mutex::default(),
             origins: Arc::clone(&origins),
+            quarantine: Arc::clone(&quarantine),
         });
         let vm = options.vm.clone();
         let context = Arc::new(Context {
@@ -162,6 +166,7 @@
             fleet,
             rates,
             origins,
+            quarantine,
             peer_client: client,
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
             leaderless_until_ms: AtomicU64::default(),
@@ -273,6 +278,7 @@
     platform: &Platform<T, E, C, N, P>,
     view: &Arc<View>,
     fleet: &Arc<Fleet>,
+    quarantine: &Arc<Quarantine>,
     options: &Options,
     address: String,
 ) -> Leadership<N> {
@@ -282,12 +288,12 @@
         address,
     };
     Leadership::new(
-        Election::new(me.clone(), options.election.clone()),
         me,
+        options,
         platform.clock,
         Arc::clone(view),
         Arc::clone(fleet),
-        options.floor_permille,
+        Arc::clone(quarantine),
         platform.engines.clone(),
     )
 }
@@ -323,6 +329,12 @@
         interval: options.endpoints_interval,
         grace: options.expiry_grace,
     };
+    let quarantine = QuarantineFollower {
+        topics: platform.topics.clone(),
+        quarantine: Arc::clone(&context.quarantine),
+        lead: Arc::clone(lead),
+        view: Arc::clone(&context.view),
+    };
     let membership = Membership {
         topics: platform.topics,
         rates: Arc::clone(&context.rates),
@@ -342,6 +354,7 @@
     spawn(stop, config.run());
     spawn(stop, endpoints.run());
     spawn(stop, membership.run());
+    spawn(stop, quarantine.run());
     spawn(stop, plan_executor.run());
     spawn(stop, Arc::clone(&context.peer_client).run());
     let peer_client = Arc::clone(&context.peer_client);
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -24,6 +24,7 @@
 use crate::lead::Leadership;
 use crate::origin::Origins;
 use crate::place::EngineControl;
+use crate::quarantine::Quarantine;
 use crate::rate::Rates;
 use crate::serve::{OriginSearch, PeerClient};
 use crate::sync::lock;
@@ -35,6 +36,9 @@
 /// Pause between two statuses per member, used with many VMs so that the leader's work stays constant.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time in which urgent news are collected for one status.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Longest time for the leader's answer to a status.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -67,6 +71,7 @@
     /// VMs that keep the origins of streams.
     pub(crate) registrars: Mutex<Registrars>,
     pub(crate) origins: Arc<Origins>,
+    pub(crate) quarantine: Arc<Quarantine>,
 }
 
 impl<N: EngineControl, P: Transport> Client<N, P> {
@@ -76,7 +81,10 @@
             let interval = STATUS_INTERVAL.max(MEMBER_INTERVAL * self.member_count());
             let round = async {
                 self.report_status().await;
-                sleep(interval).await;
+                tokio::select! {
+                    () = sleep(interval) => {}
+                    () = self.quarantine.changed() => sleep(NEWS_PAUSE).await,
+                }
             };
             // A new leader receives a status immediately, even while a call to the former one is still waiting.
             tokio::select! {
@@ -96,10 +104,10 @@
         if let Some(config) = self.view.config() {
             self.rates.update_workspaces(now_ms, &config);
         }
-        let status = self.status(now_ms);
+        let (status, revision) = self.status(now_ms);
         if self.lead.is_leading() {
             let reply = self.lead.answer_status(status);
-            self.apply_reply(&reply);
+            self.apply_reply(&reply, revision);
             return;
         }
         let reply: Option<StatusReply> = self
@@ -107,17 +115,22 @@
             .await;
         match reply {
             Some(reply) if reply.heartbeat.is_some() => {
-                self.apply_reply(&reply);
+                self.apply_reply(&reply, revision);
                 self.apply_relay(now_ms, reply);
             }
-            _ => self.lead.record_no_answer(),
+            _ => {
+                self.lead.record_no_answer();
+                self.quarantine.record_no_answer();
+            }
         }
     }
 
-    fn status(&self, now_ms: u64) -> Status {
+    /// Returns this VM's status, and the revision of the evidence on prompt parts in it.
+    fn status(&self, now_ms: u64) -> (Status, u64) {
         let config = self.view.config();
         let copies_version = self.copies_version();
-        Status {
+        let report = self.quarantine.report(now_ms, copies_version.fence);
+        let status = Status {
             vm: self.lead.vm().clone(),
             address: self.lead.address().to_owned(),
             fence: copies_version.fence,
@@ -128,11 +141,15 @@
             suspected: self.fleet.suspected(now_ms),
             work: self.fleet.work(now_ms),
             limits: self.fleet.limits_to_tell(now_ms),
-        }
+            crashes: report.crashes,
+            answered: report.answered,
+            quarantine_version: report.version,
+        };
+        (status, report.revision)
     }
 
     /// Applies what a leader also applies to itself: its heartbeat, the loads of other VMs and the copies.
-    fn apply_reply(&self, reply: &StatusReply) {
+    fn apply_reply(&self, reply: &StatusReply, revision: u64) {
         let now_ms = self.clock.now_ms();
         self.lead.record_heartbeat(now_ms, reply.heartbeat.clone());
         self.fleet.record_leader_contact(now_ms);
@@ -143,6 +160,12 @@
             self.endpoints_version.store(0, Ordering::Relaxed);
             log::info!("exchange: leader fence={} former={former}", reply.fence);
         }
+        self.quarantine.apply(
+            reply.fence,
+            revision,
+            &reply.suspects,
+            reply.quarantine.as_ref(),
+        );
         self.update_registrars(reply.deputy.clone());
         if !reply.peers.is_empty() {
             *lock(&self.peers) = reply.peers.clone();
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -3,12 +3,14 @@
 use quetzalpick_core::election::Heartbeat;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
 use quetzalpick_core::limit::Need;
+use quetzalpick_core::quarantine::{Answered, Crash, Part};
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{Build, Notice, Spec};
 use crate::origin::Origin;
 use crate::place::Work;
+use crate::quarantine::Update;
 
 /// Paths of the peer listener.
 pub(crate) mod path {
@@ -94,6 +96,12 @@
     pub(crate) work: Vec<(Artifact, Work)>,
     /// Limits of endpoints that changed recently.
     pub(crate) limits: Vec<Notice>,
+    /// Endpoints that ended before they began to answer requests, unless the leader was told.
+    pub(crate) crashes: Vec<Crash>,
+    /// Answers to requests with the parts about which the leader asks.
+    pub(crate) answered: Vec<Answered>,
+    /// Version of the quarantined parts that it has from that leader.
+    pub(crate) quarantine_version: u64,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
@@ -162,6 +170,10 @@
     pub(crate) deputy: Option<String>,
     /// Time since the leader sent its last read of all entries, in ms.
     pub(crate) endpoints_age_ms: Option<u64>,
+    /// Prompt parts that may crash endpoints: the leader asks whether requests with them were answered.
+    pub(crate) suspects: Vec<Part>,
+    /// The quarantined parts, if they changed.
+    pub(crate) quarantine: Option<Update>,
 }
 
 /// `OriginReport` tells a registrar where streams of the sender began.
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -19,8 +19,11 @@
 };
 use crate::fleet::Fleet;
 use crate::lead::copy_index::CopyIndex;
+use crate::lead::quarantine::Findings;
 use crate::lead::statuses::Statuses;
+use crate::options::Options;
 use crate::place::Planner;
+use crate::quarantine::Quarantine;
 use crate::sync::lock;
 use crate::view::View;
 
@@ -39,6 +42,7 @@
     buckets: Table<Workspace, Bucket>,
     /// Permits of the endpoints that name a limit.
     pub(super) permits: Table<Endpoint, Permits>,
+    pub(super) findings: Findings,
     /// When the state was created, in ms.
     since_ms: u64,
     copy_index: CopyIndex,
@@ -51,6 +55,7 @@
     pub(super) clock: Clock,
     view: Arc<View>,
     pub(super) fleet: Arc<Fleet>,
+    pub(super) quarantine: Arc<Quarantine>,
     pub(super) member_count: AtomicU64,
     /// The list of members; `None` unless this VM has read it while it leads.
     member_list: Mutex<Option<Table<Vm, ()>>>,
@@ -61,6 +66,8 @@
     leader_state: Mutex<Option<LeaderState>>,
     /// Wakes the plan executor.
     pub(crate) wake: Notify,
+    /// Signals that this VM begins to lead or that it has quarantined a prompt part.
+    pub(crate) quarantine_changed: Notify,
     /// Signals that another VM leads.
     pub(crate) leader_changed: Notify,
     /// Version of the copies, for requests that wait for a change.
@@ -70,27 +77,30 @@
 impl<N> Leadership<N> {
     /// Creates the leadership of a VM that doesn't lead yet.
     pub(crate) fn new(
-        election: Election,
         me: Candidate,
+        options: &Options,
         clock: Clock,
         view: Arc<View>,
         fleet: Arc<Fleet>,
-        floor_permille: u64,
+        quarantine: Arc<Quarantine>,
         engines: N,
     ) -> Self {
+        let election = Election::new(me.clone(), options.election.clone());
         Self {
             me,
             clock,
             view,
             fleet,
+            quarantine,
             member_count: AtomicU64::new(1),
             member_list: Mutex::default(),
-            floor_permille,
+            floor_permille: options.floor_permille,
             engines,
             election: Mutex::new(election),
             statuses: Mutex::default(),
             leader_state: Mutex::default(),
             wake: Notify::new(),
+            quarantine_changed: Notify::new(),
             leader_changed: Notify::new(),
             copies_version: watch::Sender::new(0),
         }
@@ -165,10 +175,12 @@
             planner: Planner::new(now_ms, crate::place::Options::default()),
             buckets: Table::default(),
             permits: Table::default(),
+            findings: Findings::new(now_ms, &self.quarantine.parts()),
             since_ms: now_ms,
             copy_index: CopyIndex::new(fence, now_ms),
         });
         self.wake.notify_one();
+        self.quarantine_changed.notify_one();
     }
 
     /// Calls `act` with the leader state and the current time, in ms, if this VM leads now.
@@ -209,6 +221,7 @@
         } else {
             0
         };
+        let quarantine = self.investigate(&status);
         let reply = StatusReply {
             heartbeat: self.with_election(|election, now_ms| election.heartbeat(now_ms)),
             fence,
@@ -223,6 +236,8 @@
             listed: self.is_listed(&status.vm),
             deputy: self.with_statuses(|statuses, _| statuses.first_address(&self.me.vm)),
             endpoints_age_ms: self.fleet.read_age_ms(now_ms),
+            suspects: quarantine.suspects,
+            quarantine: quarantine.update,
         };
         self.with_statuses(|statuses, now_ms| statuses.record(now_ms, status));
         reply
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -5,6 +5,7 @@
 mod executor;
 mod leadership;
 mod permits;
+mod quarantine;
 mod statuses;
 
 pub(crate) use election::ElectionDriver;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/lead/quarantine.rs
@@ -0,0 +1,139 @@
+//! The leader's part in the quarantine of prompt parts that crash endpoints.
+
+use quetzalpick_core::quarantine::{Answered, Decision, Investigation, Options, Part};
+
+use crate::exchange::Status;
+use crate::lead::Leadership;
+use crate::quarantine::Update;
+
+/// `Findings` holds the evidence that the VMs reported to this leader, and the parts that are quarantined.
+#[derive(Debug)]
+pub(super) struct Findings {
+    investigation: Investigation,
+    /// Incremented with each change of the quarantined parts.
+    version: u64,
+    /// Whether the parts include those that former leaders stored.
+    is_complete: bool,
+}
+
+/// `Reply` holds what the leader tells a VM about prompt parts.
+#[derive(Debug, Default)]
+pub(super) struct Reply {
+    /// Parts about which all VMs are asked whether a request with them was answered.
+    pub(super) suspects: Vec<Part>,
+    /// The quarantined parts, if the VM does not have this version.
+    pub(super) update: Option<Update>,
+}
+
+impl Findings {
+    /// Starts with the parts that this VM knows to be quarantined.
+    pub(super) fn new(now_ms: u64, known: &[Part]) -> Self {
+        let mut investigation = Investigation::new(Options::default());
+        for part in known {
+            investigation.quarantine(now_ms, *part);
+        }
+        Self {
+            investigation,
+            version: 1,
+            is_complete: false,
+        }
+    }
+
+    /// Takes a VM's report into account; returns what was decided.
+    fn record(&mut self, now_ms: u64, status: &Status) -> Vec<Decision> {
+        for crash in &status.crashes {
+            self.investigation.record_crash(now_ms, crash);
+        }
+        for answered in &status.answered {
+            if self.investigation.record_answer(now_ms, answered) {
+                self.version += 1;
+                log::info!(
+                    "quarantine: part={} released reason=answered",
+                    answered.part
+                );
+            }
+        }
+        let decisions = self.investigation.decide(now_ms);
+        self.version += decisions.len() as u64;
+        decisions
+    }
+
+    /// Returns what a VM has to know that has a version of the quarantined parts.
+    fn reply(&mut self, now_ms: u64, known_version: u64) -> Reply {
+        let is_known = known_version == self.version;
+        let update = (!is_known).then(|| Update {
+            version: self.version,
+            complete: self.is_complete,
+            parts: self.investigation.quarantined().to_vec(),
+        });
+        Reply {
+            suspects: self.investigation.suspects(now_ms),
+            update,
+        }
+    }
+
+    /// Adds parts that former leaders stored.
+    fn learn(&mut self, now_ms: u64, stored: &[Part]) {
+        let known = self.investigation.quarantined().len();
+        for part in stored {
+            self.investigation.quarantine(now_ms, *part);
+        }
+        let is_changed = !self.is_complete || self.investigation.quarantined().len() > known;
+        self.is_complete = true;
+        self.version += u64::from(is_changed);
+    }
+
+    /// Releases a part.
+    fn release(&mut self, now_ms: u64, part: Part) {
+        let answered = Answered { part, ago_ms: 0 };
+        self.investigation.record_answer(now_ms, &answered);
+        self.version += 1;
+    }
+}
+
+impl<N> Leadership<N> {
+    /// Takes a VM's report on crashed endpoints into account, and returns what the VM has to know; nothing unless this VM leads.
+    pub(super) fn investigate(&self, status: &Status) -> Reply {
+        let result = self.with_leader_state(|state, now_ms| {
+            let is_same_term = status.fence == state.fence;
+            let decisions = state.findings.record(now_ms, status);
+            let known_version = if is_same_term {
+                status.quarantine_version
+            } else {
+                0
+            };
+            (decisions, state.findings.reply(now_ms, known_version))
+        });
+        let Some((decisions, reply)) = result else {
+            return Reply::default();
+        };
+        for Decision { part, crashes } in &decisions {
+            log::warn!("quarantine: part={part} quarantined crashes={crashes}");
+        }
+        if !decisions.is_empty() {
+            let parts: Vec<Part> = decisions.iter().map(|decision| decision.part).collect();
+            self.quarantine.add(&parts);
+            self.quarantine_changed.notify_one();
+        }
+        reply
+    }
+
+    /// Adds the parts that former leaders stored, and returns the quarantined parts that are not stored yet; `None` unless this VM
+    /// leads.
+    pub(crate) fn learn_quarantine(&self, stored: &[Part]) -> Option<Vec<Part>> {
+        self.with_leader_state(|state, now_ms| {
+            state.findings.learn(now_ms, stored);
+            let quarantined = state.findings.investigation.quarantined().iter();
+            let missing = quarantined.filter(|part| !stored.contains(part));
+            missing.copied().collect()
+        })
+    }
+
+    /// Releases a part whose record an operator has removed, if this VM leads.
+    pub(crate) fn release_quarantine(&self, part: Part) {
+        let released = self.with_leader_state(|state, now_ms| state.findings.release(now_ms, part));
+        if released.is_some() {
+            log::info!("quarantine: part={part} released reason=removed");
+        }
+    }
+}
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod options;
 pub mod origin;
 pub mod place;
+mod quarantine;
 mod rate;
 mod reload;
 mod serve;
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -90,7 +90,7 @@
 /// no retry is left or the time is over.
 pub(crate) fn pick_backup<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
     let now_ms = context.clock.now_ms();
-    if admitted.left_ms(now_ms) == Some(0) {
+    if admitted.left_ms(now_ms) == Some(0) || context.block(admitted).is_some() {
         return None;
     }
     let artifacts = admitted.artifacts();
@@ -124,7 +124,7 @@
         admitted.possible_runs += 1;
     }
     if failure.broken_off {
-        crash::record(admitted, pick);
+        crash::record(context, admitted, pick);
     }
     log::info!(
         "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
--- a/crates/quetzalpick-entry/src/serve/charge.rs
+++ b/crates/quetzalpick-entry/src/serve/charge.rs
@@ -7,7 +7,7 @@
 
 use crate::config::Config;
 use crate::exchange::DrawResult;
-use crate::serve::refusal::{Cause, Refusal};
+use crate::serve::refusal::{Cause, RETRY_AFTER_LEADERLESS, Refusal};
 use crate::serve::request::Admitted;
 use crate::serve::{Handler, PeerClient};
 use crate::wire::HeadCodec;
@@ -15,9 +15,6 @@
 /// Longest time before the leader is asked again after it had no units to draw, in ms.
 const EMPTY_PAUSE_MAX_MS: u64 = 300;
 
-/// Shortest retry delay if no leader answers and the floor does not suffice: a new leader takes two to three seconds.
-const RETRY_AFTER_LEADERLESS: Duration = Duration::from_millis(1_500);
-
 /// Time over which the retries of these callers are spread, in ms.
 const LEADERLESS_SPREAD_MS: u64 = 1_000;
 
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -19,7 +19,9 @@
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::origin::{Origin, Origins};
+use crate::quarantine::{Block, Quarantine};
 use crate::rate::Rates;
+use crate::serve::request::Admitted;
 use crate::sync::lock;
 use crate::view::View;
 
@@ -73,6 +75,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) rates: Arc<Rates>,
     pub(crate) origins: Arc<Origins>,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) peer_client: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
     /// No permit is requested before this time, in ms, because no leader answered.
@@ -108,6 +111,12 @@
         self.lifecycle.phase() > Phase::Serving
     }
 
+    /// Returns why a request must not be sent to endpoints because of its prompt, if so.
+    pub(crate) fn block(&self, admitted: &Admitted) -> Option<Block> {
+        let parts = admitted.metadata.shared_parts();
+        self.quarantine.block(self.clock.now_ms(), parts)
+    }
+
     /// Adds the fraction of a retry that each request earns to the budget.
     pub(crate) fn deposit(&self) {
         self.with_budget(Budget::deposit);
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -17,8 +17,9 @@
 
 use crate::config::Config;
 use crate::metadata::{Metadata, Tokens};
+use crate::quarantine::{Block, Reason};
 use crate::serve::body::Body;
-use crate::serve::refusal::{Cause, Refusal};
+use crate::serve::refusal::{Cause, RETRY_AFTER_LEADERLESS, Refusal};
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient, take_up};
 use crate::wire::HeadCodec;
@@ -32,6 +33,9 @@
 /// Retry delay if the view is stale because this VM cannot reach the log service.
 const RETRY_AFTER_STALE_VIEW: Duration = Duration::from_millis(600);
 
+/// Retry delay of a request that no endpoint gets until an operator releases a part of its prompt.
+const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
+
 /// `Handler` serves callers' requests; its clones share one context.
 #[derive(Debug)]
 pub(crate) struct Handler<E, S> {
@@ -107,6 +111,7 @@
             let detail = format!("version={:?}", admitted.head.version);
             return Err(Refusal::new(Cause::HttpVersion, detail));
         }
+        self.check_prompt(&admitted)?;
         take_up::resolve(&self.context, &mut admitted).await?;
         let artifacts = admitted.artifacts();
         let tokens = admitted.metadata.tokens.unwrap_or_default();
@@ -189,6 +194,24 @@
         Err(Refusal::new(Cause::StaleView, detail).with_retry_after(RETRY_AFTER_STALE_VIEW))
     }
 
+    /// Checks that no part of the prompt is known to crash endpoints.
+    pub(super) fn check_prompt(&self, admitted: &Admitted) -> Result<(), Refusal> {
+        let Some(Block { part, reason }) = self.context.block(admitted) else {
+            return Ok(());
+        };
+        let retry_after = match reason {
+            Reason::Quarantined => RETRY_AFTER_QUARANTINED,
+            Reason::Suspected => RETRY_AFTER_LEADERLESS,
+        };
+        let cause = if admitted.possible_runs > 0 {
+            Cause::EndpointFailed
+        } else {
+            Cause::Quarantined
+        };
+        let detail = format!("part={part} reason={reason}");
+        Err(Refusal::new(cause, detail).with_retry_after(retry_after))
+    }
+
     /// Logs and counts a refusal, and builds its response.
     fn refuse(&self, attempt_id: Option<&str>, refusal: &Refusal) -> Response<Body> {
         let Refusal {
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -9,6 +9,9 @@
 /// Retry delay if VMs that may know the answer did not reply, as the next leader will know it.
 pub(crate) const RETRY_AFTER_UNANSWERED: Duration = Duration::from_millis(500);
 
+/// Shortest retry delay of what needs a leader while none answers: a new one takes two to three seconds.
+pub(crate) const RETRY_AFTER_LEADERLESS: Duration = Duration::from_millis(1_500);
+
 /// `Cause` classifies why a request is not served; it determines the status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -35,6 +38,8 @@
     StaleView,
     /// It is not known which build began the stream that the request takes up, or that build is not reachable by the route.
     UnknownBuild,
+    /// A part of the prompt has crashed endpoints.
+    Quarantined,
     /// No endpoint that accepts requests holds the required artifacts.
     NoEndpoint,
     /// All endpoints that hold the required artifacts are at the limits that they name.
@@ -62,6 +67,7 @@
             Self::NoConfig
             | Self::StaleView
             | Self::UnknownBuild
+            | Self::Quarantined
             | Self::NoEndpoint
             | Self::EndpointsLimited
             | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -143,6 +143,11 @@
         if has_event {
             self.record_origin();
         }
+        if has_event && events == 0 {
+            let now_ms = self.context.clock.now_ms();
+            let parts = self.admitted.metadata.shared_parts();
+            self.context.quarantine.record_answer(now_ms, parts);
+        }
         (fragment, has_event)
     }
 
@@ -218,7 +223,7 @@
     /// Returns the end of an answer that the endpoint interrupted.
     fn interrupted(&self, reason: String) -> End {
         if self.progress.is_event_stream() && self.progress.events() == 0 {
-            crash::record(&self.admitted, &self.pick);
+            crash::record(&self.context, &self.admitted, &self.pick);
         }
         End::Interrupted(reason)
     }
@@ -338,7 +343,10 @@
     /// Returns whether the stream may go on at another endpoint, after the events that its caller has.
     fn may_go_on_elsewhere(&self) -> bool {
         let admitted = &self.admitted;
-        admitted.is_resumable() && self.progress.can_continue() && admitted.has_runs_left()
+        admitted.is_resumable()
+            && self.progress.can_continue()
+            && admitted.has_runs_left()
+            && self.context.block(admitted).is_none()
     }
 
     /// Resumes an interrupted stream at another endpoint after its last event; returns how it ended if none accepted.
--- a/crates/quetzalpick-entry/src/view/mod.rs
+++ b/crates/quetzalpick-entry/src/view/mod.rs
@@ -4,8 +4,10 @@
 mod dependency;
 mod endpoints;
 mod members;
+mod quarantine;
 
 pub(crate) use config::{ConfigFollower, View};
 pub(crate) use dependency::DependencyStatus;
 pub(crate) use endpoints::EndpointFollower;
 pub(crate) use members::Membership;
+pub(crate) use quarantine::QuarantineFollower;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/view/quarantine.rs
@@ -0,0 +1,116 @@
+//! Keeps the quarantined prompt parts in their topic: read at the start of a VM and while it leads, written by the leader.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quetzalpick_client::errors::{Error, Result};
+use quetzalpick_client::topic::{Record, Records, Topic, Topics};
+use quetzalpick_core::id::Offset;
+use quetzalpick_core::quarantine::Part;
+use tokio::time::timeout;
+
+use crate::lead::Leadership;
+use crate::quarantine::Quarantine;
+use crate::view::View;
+
+/// Pause between two reads of the leader, which notice what operators have removed.
+const READ_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Value of a part's record, which carries no information beyond its key.
+const VALUE: &[u8] = b"1";
+
+/// `QuarantineFollower` reads the stored parts and stores those that this VM quarantines while it leads.
+#[derive(Debug)]
+pub(crate) struct QuarantineFollower<T, N> {
+    pub(crate) topics: T,
+    pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) lead: Arc<Leadership<N>>,
+    pub(crate) view: Arc<View>,
+}
+
+impl<T: Topics, N> QuarantineFollower<T, N> {
+    /// Follows the topic until cancelled.
+    pub(crate) async fn run(self) {
+        let mut next = None;
+        let mut stored = Vec::new();
+        loop {
+            if self.synchronize(&mut next, &mut stored).await.is_err() {
+                self.view.pause(RETRY_PAUSE).await;
+                continue;
+            }
+            if self.lead.is_leading() {
+                // Both outcomes lead to the same call.
+                let _ = timeout(READ_INTERVAL, self.lead.quarantine_changed.notified()).await;
+            } else {
+                self.lead.quarantine_changed.notified().await;
+                // What was stored meanwhile is unknown.
+                next = None;
+            }
+        }
+    }
+
+    /// Reads what has changed since `next`, or all parts, and stores what is missing if this VM leads.
+    ///
+    /// # Errors
+    ///
+    /// Any error of a call; what was read remains applied.
+    async fn synchronize(&self, next: &mut Option<Offset>, stored: &mut Vec<Part>) -> Result<()> {
+        let read = match *next {
+            Some(from) => {
+                let read = self.topics.read(Topic::Quarantine, from, Duration::ZERO);
+                read.await
+            }
+            None => {
+                stored.clear();
+                self.topics.newest(Topic::Quarantine).await
+            }
+        };
+        if matches!(read, Err(Error::Trimmed { .. })) {
+            *next = None;
+        }
+        let Records {
+            records,
+            next: after,
+            ..
+        } = read.inspect_err(|error| log::debug!("quarantine: not read reason=\"{error}\""))?;
+        records.iter().for_each(|record| self.apply(record, stored));
+        *next = Some(after);
+        self.quarantine.add(stored);
+        for part in self.lead.learn_quarantine(stored).unwrap_or_default() {
+            self.store(part).await?;
+            stored.push(part);
+        }
+        Ok(())
+    }
+
+    /// Applies a record of the topic; one that names no part is ignored.
+    fn apply(&self, record: &Record, stored: &mut Vec<Part>) {
+        let Ok(part) = record.key.parse::<Part>() else {
+            log::warn!("quarantine: record ignored reason=\"the key is no part\"");
+            return;
+        };
+        match record.value {
+            Some(_) if stored.contains(&part) => {}
+            Some(_) => stored.push(part),
+            None => {
+                stored.retain(|known| *known != part);
+                self.lead.release_quarantine(part);
+            }
+        }
+    }
+
+    /// Stores a quarantined part.
+    async fn store(&self, part: Part) -> Result<()> {
+        let record = Record {
+            key: part.to_string(),
+            value: Some(Bytes::from_static(VALUE)),
+        };
+        let result = self.topics.append(Topic::Quarantine, &record, None).await;
+        log::info!("quarantine: part={part} stored={}", result.is_ok());
+        result.map(drop)
+    }
+}
