--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -3,29 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Response, StatusCode};
-use quetzalpick_client::http::Body as Answer;
+use http::Response;
 use quetzalpick_core::id::Endpoint;
-use tokio::time::Instant;
 
 use crate::fleet::Pick;
+use crate::serve::PeerClient;
 use crate::serve::attempt::{
-    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, collect, pick, pick_backup, record_failure,
+    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, pick, pick_backup, record_failure,
 };
 use crate::serve::body::Body;
+use crate::serve::delivery::{Delivery, EndpointAnswer};
 use crate::serve::handler::Handler;
 use crate::serve::hedge::Hedge;
 use crate::serve::progress::Progress;
 use crate::serve::refusal::{Cause, Refusal};
 use crate::serve::relay::AnswerRelay;
 use crate::serve::request::Admitted;
-use crate::serve::{Context, PeerClient};
 use crate::wire::{HeadCodec, strip_connection_headers};
 
-/// Longest answer that is buffered in full, in bytes, so that another endpoint can replace it if it is interrupted.
-const BUFFERED_MAX_BYTES: u64 = 64 * 1024;
-
 /// Maximum number of endpoints that a request is sent to, including those that decline it.
 const SENDS_MAX: usize = 4;
 
@@ -306,66 +301,6 @@
     }
 }
 
-/// `Delivery` determines how the answer to a request is taken from an endpoint.
-#[derive(Debug, Clone, Copy)]
-struct Delivery {
-    is_stream: bool,
-    /// Whether the caller can tell the end of an answer of unknown length.
-    supports_chunks: bool,
-}
-
-impl Delivery {
-    /// Returns how the answer to a request's next attempt is taken.
-    fn of(admitted: &Admitted) -> Self {
-        Self {
-            is_stream: admitted.route.kind.is_stream(),
-            supports_chunks: admitted.supports_chunks(),
-        }
-    }
-
-    /// Sends a request and takes the answer.
-    async fn fetch<E: HeadCodec, S>(
-        self,
-        context: &Context<E, S>,
-        call: Call,
-        pick: &Pick,
-    ) -> Result<EndpointAnswer, Failure> {
-        let (limit, started) = (call.time_limit(), Instant::now());
-        let answer = call.send(context, pick).await?;
-        let (head, body) = answer.into_parts();
-        let length = hyper::body::Body::size_hint(&body).exact();
-        let is_buffered = match length {
-            Some(length) => length <= BUFFERED_MAX_BYTES,
-            // Buffered in full, as this caller could not tell that the rest is missing.
-            None => !self.supports_chunks,
-        };
-        if self.is_stream || !is_buffered {
-            let length = length.filter(|_| !self.is_stream);
-            return Ok(EndpointAnswer::Streamed(head, body, length));
-        }
-        let left = limit.saturating_sub(started.elapsed());
-        let bytes = collect(body, BUFFERED_MAX_BYTES as usize, left).await?;
-        Ok(EndpointAnswer::Buffered(head, bytes))
-    }
-}
-
-/// `EndpointAnswer` holds the head of an endpoint's answer and its body, complete or still arriving.
-enum EndpointAnswer {
-    /// The complete body.
-    Buffered(http::response::Parts, Bytes),
-    /// A body to relay, and its length if known.
-    Streamed(http::response::Parts, Answer, Option<u64>),
-}
-
-impl EndpointAnswer {
-    /// Returns the status.
-    fn status(&self) -> StatusCode {
-        match self {
-            Self::Buffered(head, _) | Self::Streamed(head, ..) => head.status,
-        }
-    }
-}
-
 /// Returns whether one more endpoint may run a request beside those where it is under way.
 fn may_follow(admitted: &Admitted, under_way: usize) -> bool {
     let runs = admitted.possible_runs as usize + under_way;
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod charge;
 mod context;
 mod crash;
+mod delivery;
 mod dispatch;
 mod event_scanner;
 mod handler;
@@ -14,6 +15,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod resume;
 mod sse;
 mod take_up;
 
