Remove the record of a prompt part that was answered after all, and block nothing alone that this VM has seen answered

What callers saw: nothing yet; found in reading. A part that the leader had released, as a request with it was answered after its last crash, came back from its record within 30 s, and stayed blocked at the leader's own VM. While no leader answered, a VM blocked each part that it had seen in a crash, also a first part that many sound requests share, until one with it would have been answered.

Change: the leader removes the record of a released part, and does not learn it from the topic until then; only VMs that do not lead add what they read. A VM without a leader goes by crashes only for parts of which it has never seen an answer. The leader reads the topic every 10 s, so that an operator's release is in force soon.

Evidence: parts::a_part_is_released_when_a_request_with_it_is_answered_after_all failed (timeout while waiting until the part is released) and passes; parts::a_part_that_an_operator_releases_is_served_again passed before and after. The block without a leader has no test of its own for the narrower rule; parts::a_part_is_refused_even_if_the_leader_loses_the_log_meanwhile holds with it.

--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -11,3 +11,4 @@
 pub(crate) use election::ElectionDriver;
 pub(crate) use executor::PlanExecutor;
 pub(crate) use leadership::Leadership;
+pub(crate) use quarantine::Differences;
--- a/crates/quetzalpick-entry/src/lead/quarantine.rs
+++ b/crates/quetzalpick-entry/src/lead/quarantine.rs
@@ -14,6 +14,17 @@
     version: u64,
     /// Whether the parts include those that former leaders stored.
     is_complete: bool,
+    /// Parts that were answered after all, and whose records are still stored.
+    released: Vec<Part>,
+}
+
+/// `Differences` holds how the stored parts differ from those that the leader has quarantined.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Differences {
+    /// Quarantined parts that are not stored.
+    pub(crate) missing: Vec<Part>,
+    /// Stored parts that were released.
+    pub(crate) released: Vec<Part>,
 }
 
 /// `Reply` holds what the leader tells a VM about prompt parts.
@@ -36,6 +47,7 @@
             investigation,
             version: 1,
             is_complete: false,
+            released: Vec::new(),
         }
     }
 
@@ -47,6 +59,7 @@
         for answered in &status.answered {
             if self.investigation.record_answer(now_ms, answered) {
                 self.version += 1;
+                self.released.push(answered.part);
                 log::info!(
                     "quarantine: part={} released reason=answered",
                     answered.part
@@ -72,22 +85,33 @@
         }
     }
 
-    /// Adds parts that former leaders stored.
-    fn learn(&mut self, now_ms: u64, stored: &[Part]) {
+    /// Adds parts that former leaders stored, and returns how the stored ones differ.
+    fn learn(&mut self, now_ms: u64, stored: &[Part]) -> Differences {
+        self.released.retain(|part| stored.contains(part));
         let known = self.investigation.quarantined().len();
         for part in stored {
-            self.investigation.quarantine(now_ms, *part);
+            if !self.released.contains(part) {
+                self.investigation.quarantine(now_ms, *part);
+            }
         }
-        let is_changed = !self.is_complete || self.investigation.quarantined().len() > known;
+        let quarantined = self.investigation.quarantined();
+        let is_changed = !self.is_complete || quarantined.len() > known;
         self.is_complete = true;
         self.version += u64::from(is_changed);
+        let missing = quarantined.iter().filter(|part| !stored.contains(part));
+        Differences {
+            missing: missing.copied().collect(),
+            released: self.released.clone(),
+        }
     }
 
     /// Releases a part.
     fn release(&mut self, now_ms: u64, part: Part) {
         let answered = Answered { part, ago_ms: 0 };
-        self.investigation.record_answer(now_ms, &answered);
-        self.version += 1;
+        if self.investigation.record_answer(now_ms, &answered) {
+            self.version += 1;
+            log::info!("quarantine: part={part} released reason=removed");
+        }
     }
 }
 
@@ -102,38 +126,31 @@
             } else {
                 0
             };
-            (decisions, state.findings.reply(now_ms, known_version))
+            let has_released = !state.findings.released.is_empty();
+            let reply = state.findings.reply(now_ms, known_version);
+            (decisions, has_released, reply)
         });
-        let Some((decisions, reply)) = result else {
+        let Some((decisions, has_released, reply)) = result else {
             return Reply::default();
         };
         for Decision { part, crashes } in &decisions {
             log::warn!("quarantine: part={part} quarantined crashes={crashes}");
         }
-        if !decisions.is_empty() {
-            let parts: Vec<Part> = decisions.iter().map(|decision| decision.part).collect();
-            self.quarantine.add(&parts);
+        let parts: Vec<Part> = decisions.iter().map(|decision| decision.part).collect();
+        self.quarantine.add(&parts);
+        if !parts.is_empty() || has_released {
             self.quarantine_changed.notify_one();
         }
         reply
     }
 
-    /// Adds the parts that former leaders stored, and returns the quarantined parts that are not stored yet; `None` unless this VM
-    /// leads.
-    pub(crate) fn learn_quarantine(&self, stored: &[Part]) -> Option<Vec<Part>> {
-        self.with_leader_state(|state, now_ms| {
-            state.findings.learn(now_ms, stored);
-            let quarantined = state.findings.investigation.quarantined().iter();
-            let missing = quarantined.filter(|part| !stored.contains(part));
-            missing.copied().collect()
-        })
+    /// Adds the parts that former leaders stored, and returns how the stored ones differ; `None` unless this VM leads.
+    pub(crate) fn learn_quarantine(&self, stored: &[Part]) -> Option<Differences> {
+        self.with_leader_state(|state, now_ms| state.findings.learn(now_ms, stored))
     }
 
     /// Releases a part whose record an operator has removed, if this VM leads.
     pub(crate) fn release_quarantine(&self, part: Part) {
-        let released = self.with_leader_state(|state, now_ms| state.findings.release(now_ms, part));
-        if released.is_some() {
-            log::info!("quarantine: part={part} released reason=removed");
-        }
+        self.with_leader_state(|state, now_ms| state.findings.release(now_ms, part));
     }
 }
--- a/crates/quetzalpick-entry/src/quarantine/block.rs
+++ b/crates/quetzalpick-entry/src/quarantine/block.rs
@@ -9,7 +9,7 @@
 pub(crate) enum Reason {
     /// A leader has quarantined the part.
     Quarantined,
-    /// No leader answers, and this VM has seen a crash that the part may have caused.
+    /// No leader answers, and this VM has seen a crash that the part may have caused, and never an answer.
     Suspected,
 }
 
--- a/crates/quetzalpick-entry/src/quarantine/state.rs
+++ b/crates/quetzalpick-entry/src/quarantine/state.rs
@@ -101,7 +101,10 @@
         }
         let state = self.lock();
         let quarantined = |part: &Part| state.parts.binary_search(part).is_ok();
-        let suspected = |part: &Part| state.witness.suspects_alone(*part, now_ms);
+        let suspected = |part: &Part| {
+            let is_new = state.witness.answered_ms(*part).is_none();
+            is_new && state.witness.suspects_alone(*part, now_ms)
+        };
         let found = ids(parts).find(quarantined);
         let found = found.map(|part| (part, Reason::Quarantined));
         let found = found.or_else(|| {
--- a/crates/quetzalpick-entry/src/view/quarantine.rs
+++ b/crates/quetzalpick-entry/src/view/quarantine.rs
@@ -10,12 +10,12 @@
 use quetzalpick_core::quarantine::Part;
 use tokio::time::timeout;
 
-use crate::lead::Leadership;
+use crate::lead::{Differences, Leadership};
 use crate::quarantine::Quarantine;
 use crate::view::View;
 
 /// Pause between two reads of the leader, which notice what operators have removed.
-const READ_INTERVAL: Duration = Duration::from_secs(30);
+const READ_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -79,10 +79,16 @@
         } = read.inspect_err(|error| log::debug!("quarantine: not read reason=\"{error}\""))?;
         records.iter().for_each(|record| self.apply(record, stored));
         *next = Some(after);
-        self.quarantine.add(stored);
-        for part in self.lead.learn_quarantine(stored).unwrap_or_default() {
-            self.store(part).await?;
-            stored.push(part);
+        let Some(Differences { missing, released }) = self.lead.learn_quarantine(stored) else {
+            // The leader tells this VM the rest.
+            self.quarantine.add(stored);
+            return Ok(());
+        };
+        for part in missing {
+            self.write(part, Some(Bytes::from_static(VALUE))).await?;
+        }
+        for part in released {
+            self.write(part, None).await?;
         }
         Ok(())
     }
@@ -103,14 +109,16 @@
         }
     }
 
-    /// Stores a quarantined part.
-    async fn store(&self, part: Part) -> Result<()> {
+    /// Stores the record of a part, or removes it if there is no value.
+    async fn write(&self, part: Part, value: Option<Bytes>) -> Result<()> {
+        let is_removal = value.is_none();
         let record = Record {
             key: part.to_string(),
-            value: Some(Bytes::from_static(VALUE)),
+            value,
         };
         let result = self.topics.append(Topic::Quarantine, &record, None).await;
-        log::info!("quarantine: part={part} stored={}", result.is_ok());
+        let is_written = result.is_ok();
+        log::info!("quarantine: part={part} written={is_written} removal={is_removal}");
         result.map(drop)
     }
 }
