--- a/crates/quetzalpick-gate/tests/gate/rate.rs
+++ b/crates/quetzalpick-gate/tests/gate/rate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::deployment::{Deployment, LAGOS, PASTO, set_workspace};
+use crate::deployment::{Deployment, LAGOS, PASTO, add_key, set_workspace};
 
 const CHAT: &str = "/v1/chat/completions";
 /// Tokens charged for one request: 4 for the prompt and 46 for the answer.
@@ -84,3 +84,35 @@
         assert_eq!(statuses, [201; 48]);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_pause_of_the_only_donor_does_not_cause_refusals() {
+    let deployment = Deployment::start().await;
+    // The first gate holds all tokens.
+    let first = deployment.gate("vm-1").await;
+    let second = deployment.gate("vm-2").await;
+    let thaw = first.freeze().await;
+    let client = second.client.clone();
+    let booking = tokio::spawn(async move { client.book(LAGOS, "1", "1").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(thaw);
+    assert_eq!(booking.await.unwrap().unwrap().status, 201);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_donor_is_asked_if_the_first_does_not_answer() {
+    const KEY: &str = "sk-tumaco-0123456789abcdef";
+    let deployment = Deployment::start().await;
+    let first = deployment.gate("vm-1").await;
+    let second = deployment.gate("vm-2").await;
+    let _third = deployment.gate("vm-3").await;
+    // Each gate holds a third of the burst, and an order is charged 10 tokens.
+    deployment.change(set_workspace("tumaco", 1, 24, &[])).await;
+    deployment.change(add_key("tumaco-1", "tumaco", KEY)).await;
+    // The gates publish their shares every 250 ms.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let thaw = first.freeze().await;
+    let answer = second.client.book(KEY, "1", "1").await.unwrap();
+    drop(thaw);
+    assert_eq!(answer.status, 201);
+}
