Send writes after a standstill of the process instead of refusing them as if the log were down

What callers saw: 503 "the log does not take claims now", to be repeated after 1 s, for an order while the log was up and every read of it had succeeded.

Cause: a process that had stood still took that for an outage of the log. (1) The log counts as down if the last read is older than a long read and two exchange intervals, also if no read has failed since; then a write was refused at once. (2) A write that had waited longer than `not_sent_after` when the writer woke was given up before it was tried once.

Change: if no read has ended for too long, but none has failed either, a write asks for a read and waits for it for at most 250 ms; the writer appends what is due before it gives up what is late.

Evidence: writes_after_a_pause_wait_for_a_read_of_the_log and writes_during_a_pause_are_sent_after_it, on the paused clock: both failed in 3 of 3 runs (`NotSent`), each still fails in 3 of 3 with only the other half of the change, both pass.

Why it works: with a failed read, or no read within the 250 ms, a write is refused as before, which the first test also checks. A write whose last deadline has passed is not appended any more, so that `NotSent` stays true.

Standstills longer than the lease, or than all waits together, are still refused.

--- a/crates/quetzalpick-node/src/replica/submit.rs
+++ b/crates/quetzalpick-node/src/replica/submit.rs
@@ -1,5 +1,6 @@
 //! Submission of entries and waiting for their outcome.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,9 @@
 /// Extra wait beyond a write's deadline before it is answered `Unknown`, for example when the replica was stopped.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Time limit of a write's wait for a read of the log.
+const QUICK_READ_TIMEOUT: Duration = Duration::from_millis(250);
+
 impl<L: Log, T: Transport> Shared<L, T> {
     /// Appends a record with this member as author and returns the result.
     pub(crate) async fn submit(&self, record: Record, expect: Option<Revision>) -> Answer {
@@ -49,7 +53,7 @@
             return not_sent();
         };
         // During a log outage the write fails at once, because its outcome could not be read back.
-        if self.stop.is_cancelled() || self.is_log_unavailable() {
+        if self.stop.is_cancelled() || !self.check_log().await {
             return not_sent();
         }
         let now = self.clock.now();
@@ -65,6 +69,27 @@
     }
 }
 
+impl<L: Log, T: Transport> Shared<L, T> {
+    /// Returns whether the log is available; if no read has ended for too long, it first waits briefly for one.
+    async fn check_log(&self) -> bool {
+        // A process that stood still has neither read the log nor seen a read fail.
+        if self.is_log_unavailable() && !self.read_failed.load(Ordering::Relaxed) {
+            let _ = timeout(QUICK_READ_TIMEOUT, self.wait_for_read()).await;
+        }
+        !self.is_log_unavailable()
+    }
+
+    /// Requests an immediate read and waits until one has reached the head.
+    async fn wait_for_read(&self) {
+        let mut renewals = self.renewals.subscribe();
+        self.read_now.notify_one();
+        while self.is_log_unavailable() {
+            // The sender lives as long as `self`.
+            let _ = renewals.changed().await;
+        }
+    }
+}
+
 /// Creates the answer for an entry that was not appended.
 fn not_sent() -> Answer {
     Answer::NotSent {
--- a/crates/quetzalpick-node/src/replica/writer.rs
+++ b/crates/quetzalpick-node/src/replica/writer.rs
@@ -37,13 +37,14 @@
     pub(crate) async fn write(&self) {
         let mut appends = FuturesUnordered::new();
         loop {
-            self.writes.expire(self.clock.now());
+            // After a pause of this process, entries that were never tried are appended before any is given up.
             while appends.len() < APPENDS_MAX {
                 let Some(batch) = self.writes.take_batch(self.clock.now()) else {
                     break;
                 };
                 appends.push(self.append(batch));
             }
+            self.writes.expire(self.clock.now());
             let pause = self.pause(appends.len());
             tokio::select! {
                 biased;
--- a/crates/quetzalpick-node/src/replica/writes.rs
+++ b/crates/quetzalpick-node/src/replica/writes.rs
@@ -109,8 +109,9 @@
     /// Returns the due entries that fit into one append, oldest first, and marks them as in flight.
     pub(crate) fn take_batch(&self, now: u64) -> Option<Batch> {
         let mut table = lock(&self.table);
-        let is_due =
-            |write: &PendingWrite| !write.in_flight && write.due.is_some_and(|due| due <= now);
+        let is_due = |write: &PendingWrite| {
+            !write.in_flight && write.due.is_some_and(|due| due <= now) && now < write.unknown_at
+        };
         let mut due: Vec<(&Command, &mut PendingWrite)> = table
             .iter_mut()
             .filter(|(_, write)| is_due(write))
--- a/crates/quetzalpick-node/tests/replica.rs
+++ b/crates/quetzalpick-node/tests/replica.rs
@@ -207,6 +207,33 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn writes_after_a_pause_wait_for_a_read_of_the_log() {
+    let fleet = Fleet::start(1).await;
+    let process = &fleet.processes[0];
+    process.set_paused(true);
+    sleep(2_500).await;
+    process.set_paused(false);
+    assert_matches!(process.set("w-1", None).await, Answer::Accepted { .. });
+    // Control: without the log nothing is sent.
+    fleet.log.set_outage(true);
+    sleep(2_500).await;
+    assert_matches!(process.set("w-2", None).await, Answer::NotSent { .. });
+}
+
+#[tokio::test(start_paused = true)]
+async fn writes_during_a_pause_are_sent_after_it() {
+    let fleet = Fleet::start(1).await;
+    let process = &fleet.processes[0];
+    process.set_paused(true);
+    let resume = async {
+        sleep(1_500).await;
+        process.set_paused(false);
+    };
+    let (answer, ()) = tokio::join!(process.set("w-1", None), resume);
+    assert_matches!(answer, Answer::Accepted { .. });
+}
+
 #[tokio::test(start_paused = true)]
 async fn process_starts_from_a_peer_during_a_log_outage() {
     let mut fleet = Fleet::start(3).await;
