Publish no hints of a gate's shares before it has joined

What callers saw: 429 "lacks tokens" from a gate that had just become ready, for an order of a workspace within its rate, for up to some 500 ms. Found while the answers of once::concurrent_repeats_run_once were traced; not the cause there, as its second gate starts when the first is ready.

Cause: a gate publishes its shares as it starts, before it has loaded a state and joined, and then every 250 ms. Another gate that started in between took the empty hints for those that it waits for, became ready, and found no donor although the first gate held all tokens.

Change: hints are published, and a gate becomes ready, only once the shares follow a state in which the gate is a member.

Why it works: peers do not count a gate without a payload as heard, and wait for it for at most 3 s, as before. A process that joins again as another member withdraws its former hints with the next interval; until then they are published as before (no test).

--- a/crates/quetzalpick-gate/src/share/maintain.rs
+++ b/crates/quetzalpick-gate/src/share/maintain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use quetzalpick_client::traits::Log;
 use quetzalpick_core::payload::Payload;
 use quetzalpick_core::quota::{Peer, Transfer};
@@ -72,6 +73,11 @@
 /// Publishes hints and demand to the peers, and sends the transfers that rebalance the shares.
 fn rebalance<L: Log>(replica: &Replica<L>, shares: &Arc<Shares>, demand: &DemandTracker) {
     let peers = peer_gates(replica);
+    // Peers wait for the hints of a gate that has joined, and would take earlier ones for them.
+    if !shares.include_grants() {
+        replica.set_payload(Bytes::new());
+        return;
+    }
     if replica.is_leased() {
         let all_reported = peers.len() >= count_awaited_gates(replica);
         shares.update_can_gather(all_reported, PEER_HINTS_TIMEOUT);
--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -29,6 +29,8 @@
     quota: Quota,
     /// Offset up to which the shares follow the fold; `None` before the first update.
     synced_offset: Option<Offset>,
+    /// Whether the member is active in that state, so that the shares include its grants.
+    is_active: bool,
     peers: Arc<Vec<Peer>>,
     can_gather: bool,
     /// Start of the wait for the hints of the other gates, in ms; `None` before the first lease.
@@ -44,6 +46,7 @@
             member,
             quota,
             synced_offset: None,
+            is_active: false,
             peers,
             can_gather: false,
             awaiting_since_ms: None,
@@ -86,10 +89,16 @@
         }
         if inner.synced_offset != Some(state.next()) {
             inner.synced_offset = Some(state.next());
+            inner.is_active = state.roster().is_active(member);
             inner.quota.sync(now_ms, state);
         }
     }
 
+    /// Returns whether the shares include the grants of this gate; before it has joined they are empty.
+    pub(crate) fn include_grants(&self) -> bool {
+        self.lock().is_active
+    }
+
     /// Replaces the hints that peers published about their shares.
     pub(crate) fn set_peers(&self, peers: Vec<Peer>) {
         self.lock().peers = Arc::new(peers);
--- a/crates/quetzalpick-gate/tests/gate/deployment.rs
+++ b/crates/quetzalpick-gate/tests/gate/deployment.rs
@@ -26,7 +26,7 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::client::Client;
-use crate::process::{Process, WORKERS};
+use crate::process::{Process, WORKERS, wait_until};
 
 /// Key of workspace `lagos`, which is allowed to use every model, adapter and service.
 pub(crate) const LAGOS: &str = "sk-lagos-0123456789abcdef";
@@ -417,6 +417,22 @@
         process
     }
 
+    /// Waits until as many gates have joined.
+    pub(crate) async fn wait_until_joined(&self, count: usize) {
+        wait_until(|| self.count_gates() >= count).await;
+    }
+
+    /// Returns the number of gates that have joined, according to the log.
+    fn count_gates(&self) -> usize {
+        let (_, records) = self.log.records(Stream::Control);
+        let entries = records
+            .iter()
+            .filter_map(|bytes| Entry::from_bytes(bytes).ok());
+        let is_gate =
+            |entry: &Entry| matches!(&entry.record, Record::Join(join) if join.role == Role::Gate);
+        entries.filter(is_gate).count()
+    }
+
     /// Returns how many times an order was executed.
     pub(crate) fn executions(&self, order: &str) -> u32 {
         self.service.record().executions_of(order)
--- a/crates/quetzalpick-gate/tests/gate/rate.rs
+++ b/crates/quetzalpick-gate/tests/gate/rate.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::deployment::{Deployment, LAGOS, PASTO, add_key, set_workspace};
+use quetzalpick_gate::Options;
+
+use crate::deployment::{Deployment, LAGOS, PASTO, add_key, quick_gate, set_workspace};
 
 const CHAT: &str = "/v1/chat/completions";
 /// Tokens charged for one request: 4 for the prompt and 46 for the answer.
@@ -116,3 +118,21 @@
     drop(thaw);
     assert_eq!(answer.status, 201);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gate_waits_for_hints_that_another_publishes_after_it_has_joined() {
+    let deployment = Deployment::start().await;
+    // The first gate holds all tokens, and publishes its shares as it starts and 1.5 s later.
+    let options = Options {
+        share_interval: Duration::from_millis(1_500),
+        ..quick_gate()
+    };
+    let first = deployment.gate_with("vm-1", options);
+    let order = async {
+        deployment.wait_until_joined(1).await;
+        let second = deployment.gate("vm-2").await;
+        second.client.book(LAGOS, "1", "1").await.unwrap()
+    };
+    let (_first, answer) = tokio::join!(first, order);
+    assert_eq!(answer.status, 201);
+}
