Take back the wait for a donor of tokens that pauses

What callers saw: the whole ./check on the commit before failed once: rate::concurrent_requests_are_not_refused_when_one_charges_the_tokens_gathered_for_another got one 429 of 48 orders within the rate.

The fault is older, and the change made it more frequent; why is not traced.

--- a/crates/quetzalpick-gate/src/context.rs
+++ b/crates/quetzalpick-gate/src/context.rs
@@ -75,8 +75,7 @@
     ) -> Result<TokenCharge, Refusal> {
         self.lease().await?;
         let limits = GatherLimits {
-            answer_timeout: self.options.gather_answer_timeout,
-            waits_max: self.options.gather_waits_max,
+            timeout: self.options.gather_timeout,
             peers_max: self.options.gather_peers_max,
         };
         let charging = self.shares.charge(&self.replica, workspace, tokens, limits);
