Log the digest of a request, by which repeats of it are recognized

After the crashes on order-desk nobody could tell whether the same request had come again: the log names attempts, and each repeat is a new one.

--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -127,10 +127,11 @@
         crash::record(context, admitted, pick);
     }
     log::info!(
-        "entry: request={} failed endpoint={} verdict={} reason=\"{}\"",
+        "entry: request={} failed endpoint={} verdict={} digest={:016x} reason=\"{}\"",
         admitted.id(),
         pick.endpoint,
         failure.verdict,
+        admitted.digest,
         failure.reason
     );
 }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -282,7 +282,7 @@
         let limit = self.context.head_codec.limit(&head.headers).ok().flatten();
         let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
         log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} took_ms={took_ms}{resumes}{limit}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} digest={:016x} took_ms={took_ms}{resumes}{limit}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
@@ -297,6 +297,7 @@
             pick.load,
             admitted.attempted.len(),
             admitted.config_version,
+            admitted.digest,
         );
     }
 }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -19,6 +19,7 @@
 use crate::metadata::{Metadata, Tokens};
 use crate::quarantine::{Block, Reason};
 use crate::serve::body::Body;
+use crate::serve::digest::digest;
 use crate::serve::refusal::{Cause, RETRY_AFTER_LEADERLESS, Refusal};
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient, take_up};
@@ -162,7 +163,9 @@
             .ok_or_else(|| Refusal::new(Cause::NoEndpoint, "the route has no service"))?
             .clone();
         self.context.deposit();
+        let digest = digest(&head, workspace.as_ref(), &body);
         Ok(Admitted {
+            digest,
             caller_deadline: metadata
                 .timeout_ms
                 .map(|ms| Deadline::after(arrived_ms, ms)),
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod context;
 mod crash;
 mod delivery;
+mod digest;
 mod dispatch;
 mod event_scanner;
 mod handler;
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -242,10 +242,11 @@
         let framing = self.progress.framing();
         self.context.meters.relayed(outcome, framing, took_ms);
         log::info!(
-            "entry: request={} stream={outcome} endpoint={} {} took_ms={took_ms} reason=\"{reason}\"",
+            "entry: request={} stream={outcome} endpoint={} {} digest={:016x} took_ms={took_ms} reason=\"{reason}\"",
             self.admitted.id(),
             self.pick.endpoint,
             self.progress,
+            self.admitted.digest,
         );
     }
 }
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -16,6 +16,8 @@
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) metadata: Metadata,
+    /// Digest by which repeats of the request are recognized.
+    pub(crate) digest: u64,
     pub(crate) route: Route,
     pub(crate) service: Service,
     /// Build at which its stream must go on, once its caller has an event.
