--- a/crates/quetzalpick-core/src/quarantine/answered.rs
+++ b/crates/quetzalpick-core/src/quarantine/answered.rs
@@ -1,14 +1,14 @@
-//! Report of a VM on an answer to a request with a suspected part.
+//! Report of a VM on an answer to a request with a suspected feature.
 
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::Part;
+use crate::quarantine::Feature;
 
-/// `Answered` tells when a request with a part last brought its first event to a VM.
+/// `Answered` tells when a request with a feature last brought its first event to a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answered {
-    /// The part.
-    pub part: Part,
+    /// The feature.
+    pub feature: Feature,
     /// Time since the first event, in ms.
     pub ago_ms: u64,
 }
--- a/crates/quetzalpick-core/src/quarantine/blocklist.rs
+++ b/crates/quetzalpick-core/src/quarantine/blocklist.rs
@@ -1,81 +1,85 @@
-//! The parts that are quarantined.
+//! The features that are quarantined.
 
-use crate::quarantine::Part;
+use crate::quarantine::Feature;
 use crate::table::Table;
 
-/// Maximum number of quarantined parts.
-const PARTS_MAX: usize = 256;
+/// Maximum number of quarantined features of each kind.
+const FEATURES_MAX: usize = 256;
 
-/// `Entry` holds the times of one quarantined part.
+/// `Entry` holds the times of one quarantined feature.
 #[derive(Debug, Clone)]
 struct Entry {
-    /// When the part was quarantined, in ms.
+    /// When the feature was quarantined, in ms.
     added_ms: u64,
-    /// Last crash with the part, in ms.
+    /// Last crash with the feature, in ms.
     crashed_ms: u64,
 }
 
-/// `Blocklist` holds the quarantined parts; the oldest one makes room for a new one.
+/// `Blocklist` holds the quarantined features; the oldest one makes room for a new one.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Blocklist {
     /// The keys of `entries`.
-    parts: Vec<Part>,
-    entries: Table<Part, Entry>,
+    features: Vec<Feature>,
+    entries: Table<Feature, Entry>,
 }
 
 impl Blocklist {
-    /// Returns the parts, sorted.
-    pub(crate) fn parts(&self) -> &[Part] {
-        &self.parts
+    /// Returns the features, sorted.
+    pub(crate) fn features(&self) -> &[Feature] {
+        &self.features
     }
 
-    /// Returns whether a part is quarantined.
-    pub(crate) fn contains(&self, part: Part) -> bool {
-        self.entries.contains(&part)
+    /// Returns whether a feature is quarantined.
+    pub(crate) fn contains(&self, feature: Feature) -> bool {
+        self.entries.contains(&feature)
     }
 
-    /// Adds a part that last crashed an endpoint at `crashed_ms`, unless it is present.
-    pub(crate) fn insert(&mut self, now_ms: u64, part: Part, crashed_ms: u64) {
-        if self.contains(part) {
+    /// Adds a feature that last crashed an endpoint at `crashed_ms`, unless it is present.
+    pub(crate) fn insert(&mut self, now_ms: u64, feature: Feature, crashed_ms: u64) {
+        if self.contains(feature) {
             return;
         }
-        if self.entries.len() >= PARTS_MAX {
-            self.drop_oldest();
-        }
+        self.make_room(feature);
         let entry = Entry {
             added_ms: now_ms,
             crashed_ms,
         };
-        self.entries.insert(part, entry);
+        self.entries.insert(feature, entry);
         self.copy_keys();
     }
 
-    /// Records a crash with the part.
-    pub(crate) fn record_crash(&mut self, at_ms: u64, part: Part) {
-        if let Some(entry) = self.entries.get_mut(&part) {
+    /// Records a crash with the feature.
+    pub(crate) fn record_crash(&mut self, at_ms: u64, feature: Feature) {
+        if let Some(entry) = self.entries.get_mut(&feature) {
             entry.crashed_ms = entry.crashed_ms.max(at_ms);
         }
     }
 
-    /// Removes a part if it was answered after its last crash; returns whether it did.
-    pub(crate) fn release(&mut self, answered_ms: u64, part: Part) -> bool {
-        let entry = self.entries.get(&part);
+    /// Removes a feature if it was answered after its last crash; returns whether it did.
+    pub(crate) fn release(&mut self, answered_ms: u64, feature: Feature) -> bool {
+        let entry = self.entries.get(&feature);
         let releases = entry.is_some_and(|entry| answered_ms > entry.crashed_ms);
         if releases {
-            self.entries.remove(&part);
+            self.entries.remove(&feature);
             self.copy_keys();
         }
         releases
     }
 
-    fn drop_oldest(&mut self) {
-        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.added_ms);
-        if let Some(part) = oldest.map(|(part, _)| *part) {
-            self.entries.remove(&part);
+    /// Drops the oldest feature of the same kind if there are too many.
+    fn make_room(&mut self, feature: Feature) {
+        let is_alike = |other: &Feature| other.is_request() == feature.is_request();
+        let alike = || self.entries.iter().filter(|(other, _)| is_alike(other));
+        if alike().count() < FEATURES_MAX {
+            return;
+        }
+        let oldest = alike().min_by_key(|(_, entry)| entry.added_ms);
+        if let Some(oldest) = oldest.map(|(oldest, _)| *oldest) {
+            self.entries.remove(&oldest);
         }
     }
 
     fn copy_keys(&mut self) {
-        self.parts = self.entries.keys().copied().collect();
+        self.features = self.entries.keys().copied().collect();
     }
 }
--- a/crates/quetzalpick-core/src/quarantine/crash.rs
+++ b/crates/quetzalpick-core/src/quarantine/crash.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::Endpoint;
-use crate::quarantine::Part;
+use crate::quarantine::Feature;
 
-/// `Crash` describes one start of an endpoint that broke off requests before their first event, as one VM saw it.
+/// `Crash` describes one start of an endpoint that broke off requests, as one VM saw it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// The endpoint.
@@ -14,6 +14,7 @@
     pub started_ms: Option<u64>,
     /// Time since the crash, in ms: VMs have no common clock.
     pub ago_ms: u64,
-    /// Parts of the requests that were broken off, without the last part of each prompt, sorted.
-    pub parts: Vec<Part>,
+    /// The requests that were broken off, and the parts of the prompts of those without an event, but for the last part of each;
+    /// sorted.
+    pub features: Vec<Feature>,
 }
--- a/crates/quetzalpick-core/src/quarantine/decision.rs
+++ b/crates/quetzalpick-core/src/quarantine/decision.rs
@@ -1,12 +1,12 @@
-//! Decision to quarantine a part.
+//! Decision to quarantine a feature.
 
-use crate::quarantine::Part;
+use crate::quarantine::Feature;
 
-/// `Decision` names a part that is quarantined from now on.
+/// `Decision` names a feature that is quarantined from now on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Decision {
-    /// The part.
-    pub part: Part,
+    /// The feature.
+    pub feature: Feature,
     /// Crashes that are evidence against it.
     pub crashes: usize,
 }
--- a/crates/quetzalpick-core/src/quarantine/investigation.rs
+++ b/crates/quetzalpick-core/src/quarantine/investigation.rs
@@ -1,11 +1,14 @@
-//! The leader's search for the parts that explain the crashes that VMs have reported.
+//! The leader's search for the features that explain the crashes that VMs have reported.
 //!
-//! A crash with a quarantined part is explained and is evidence against no other part. A crash before an answer to a part is no
-//! evidence against this part.
+//! A crash with a quarantined part of prompts is explained and is evidence against nothing else. A crash before an answer to a
+//! feature is no evidence against this feature.
+//!
+//! A request is judged by its own crashes alone, and only if it was never answered, as none but its repeats are concerned. A part of prompts concerns many requests: it is
+//! quarantined if its crashes suffice and neither another part explains them nor one request that comes again and again.
 
 use crate::quarantine::blocklist::Blocklist;
 use crate::quarantine::rows::{Row, Rows};
-use crate::quarantine::{Answered, Crash, Decision, Options, Part};
+use crate::quarantine::{Answered, Crash, Decision, Feature, Options};
 use crate::table::Table;
 
 /// Maximum number of crashes that the leader remembers.
@@ -14,21 +17,24 @@
 /// Maximum number of suspects about which VMs are asked.
 const SUSPECTS_MAX: usize = 256;
 
-/// Weight of a crash as evidence against a part that was never answered, relative to a part that was answered before. A first
-/// part that many requests share may be in the crashes of two bad parts, and is not to be taken for the cause of both.
+/// Weight of a crash as evidence against a feature that was never answered, relative to a feature that was answered before. A first
+/// feature that many requests share may be in the crashes of two bad features, and is not to be taken for the cause of both.
 const WEIGHT_IF_NEW: usize = 3;
 
-/// `Evidence` counts the unexplained crashes with a part since it was last answered.
+/// Crashes without a certain request that are required against a part of prompts, so that the request does not explain them.
+const OTHER_CRASHES_MIN: usize = 2;
+
+/// `Evidence` counts the unexplained crashes with a feature since it was last answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Evidence {
-    part: Part,
+    feature: Feature,
     crashes: usize,
-    /// Whether no answer to the part is known.
+    /// Whether no answer to the feature is known.
     is_new: bool,
 }
 
 impl Evidence {
-    /// Returns the weight of the evidence, to compare parts.
+    /// Returns the weight of the evidence, to compare features.
     fn weight(&self) -> usize {
         if self.is_new {
             self.crashes * WEIGHT_IF_NEW
@@ -37,28 +43,30 @@
         }
     }
 
-    /// Returns whether the crashes suffice to quarantine the part.
+    /// Returns whether the crashes suffice to quarantine the feature.
     fn is_enough(&self, options: &Options) -> bool {
-        let threshold = if self.is_new {
-            options.crashes_if_new
-        } else {
-            options.crashes_if_answered
-        };
-        self.crashes >= threshold
+        match (self.is_new, self.feature) {
+            (true, _) => self.crashes >= options.crashes_if_new,
+            (false, Feature::Part(_)) => self.crashes >= options.crashes_if_answered,
+            // Many callers may send it alike, so that it is in many crashes, and its answers take long.
+            (false, Feature::Request(_)) => false,
+        }
     }
 }
 
-/// `Investigation` gathers the crashes and answers of all VMs and quarantines the parts that explain the crashes.
+/// `Investigation` gathers the crashes and answers of all VMs and quarantines the features that explain the crashes.
 #[derive(Debug, Clone)]
 pub struct Investigation {
     options: Options,
     crashes: Rows,
-    /// Last known answers to parts that are or were suspects, in ms.
-    answers: Table<Part, u64>,
+    /// Last known answers to features that are or were suspects, in ms.
+    answers: Table<Feature, u64>,
     blocklist: Blocklist,
     /// Since when each suspect has been one, in ms.
-    suspects: Table<Part, u64>,
-    /// Whether crashes, answers or quarantined parts have changed since the suspects were determined.
+    suspects: Table<Feature, u64>,
+    /// The features against which there is enough evidence, strongest first.
+    enough: Vec<Evidence>,
+    /// Whether crashes, answers or quarantined features have changed since the suspects were determined.
     is_stale: bool,
 }
 
@@ -71,6 +79,7 @@
             answers: Table::default(),
             blocklist: Blocklist::default(),
             suspects: Table::default(),
+            enough: Vec::new(),
             is_stale: false,
         }
     }
@@ -81,72 +90,78 @@
             return;
         }
         let at_ms = now_ms.saturating_sub(crash.ago_ms);
-        for part in &crash.parts {
-            self.blocklist.record_crash(at_ms, *part);
+        for feature in &crash.features {
+            self.blocklist.record_crash(at_ms, *feature);
         }
-        let parts = crash.parts.iter().copied();
+        let features = crash.features.iter().copied();
         self.is_stale |= self
             .crashes
-            .record(at_ms, &crash.endpoint, crash.started_ms, parts);
+            .record(at_ms, &crash.endpoint, crash.started_ms, features);
         self.refresh(now_ms);
     }
 
-    /// Records an answer that a VM has reported; returns whether it released a quarantined part, as one that is later than the
-    /// last crash with the part does. VMs report answers to suspects and to quarantined parts.
+    /// Records an answer that a VM has reported; returns whether it released a quarantined feature, as one that is later than the
+    /// last crash with the feature does. VMs report answers to suspects and to quarantined features.
     pub fn record_answer(&mut self, now_ms: u64, answered: &Answered) -> bool {
-        let part = answered.part;
+        let feature = answered.feature;
         let answered_ms = now_ms.saturating_sub(answered.ago_ms);
-        let is_released = self.blocklist.release(answered_ms, part);
-        let is_suspect = self.suspects.contains(&part) || self.answers.contains(&part);
-        if !is_suspect && !is_released && !self.blocklist.contains(part) {
+        let is_released = self.blocklist.release(answered_ms, feature);
+        let is_suspect = self.suspects.contains(&feature) || self.answers.contains(&feature);
+        if !is_suspect && !is_released && !self.blocklist.contains(feature) {
             return false;
         }
-        let known_ms = self.answers.get_or_insert_with(part, || answered_ms);
-        *known_ms = answered_ms.max(*known_ms);
-        // Most answers concern parts that are no suspects any more, and change nothing.
-        self.is_stale |= is_released || self.suspects.contains(&part);
+        let former_ms = self.answers.get(&feature).copied();
+        let is_news = former_ms.is_none_or(|former_ms| answered_ms > former_ms);
+        if is_news {
+            self.answers.insert(feature, answered_ms);
+        }
+        // Most answers concern features that are no suspects any more, and change nothing.
+        self.is_stale |= is_released || is_news && self.suspects.contains(&feature);
         is_released
     }
 
-    /// Returns the parts about which VMs are asked whether they have seen them answered, sorted.
-    pub fn suspects(&mut self, now_ms: u64) -> Vec<Part> {
+    /// Returns the features about which VMs are asked whether they have seen them answered, sorted.
+    pub fn suspects(&mut self, now_ms: u64) -> Vec<Feature> {
         self.refresh(now_ms);
         self.suspects.keys().copied().collect()
     }
 
-    /// Quarantines the parts against which there is enough evidence, and returns them. The strongest evidence goes first, and the
-    /// other parts are judged again without the crashes that it explains.
+    /// Quarantines the features against which there is enough evidence, and returns them. The strongest evidence goes first, and the
+    /// other features are judged again without the crashes that it explains.
     pub fn decide(&mut self, now_ms: u64) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        // A full blocklist drops parts, which may then be found again.
+        // A full blocklist drops features, which may then be found again.
         while decisions.len() < SUSPECTS_MAX {
             self.refresh(now_ms);
             let found = self.find_guilty(now_ms);
             if found.is_empty() {
                 break;
             }
-            for Evidence { part, crashes, .. } in found {
-                let crashed_ms = self.crashes.last_ms(part).unwrap_or(now_ms);
-                self.blocklist.insert(now_ms, part, crashed_ms);
-                decisions.push(Decision { part, crashes });
+            for Evidence {
+                feature, crashes, ..
+            } in found
+            {
+                let crashed_ms = self.crashes.last_ms(feature).unwrap_or(now_ms);
+                self.blocklist.insert(now_ms, feature, crashed_ms);
+                decisions.push(Decision { feature, crashes });
             }
             self.is_stale = true;
         }
         decisions
     }
 
-    /// Quarantines a part that a former leader has decided on, without evidence of its own.
-    pub fn quarantine(&mut self, now_ms: u64, part: Part) {
-        self.blocklist.insert(now_ms, part, now_ms);
+    /// Quarantines a feature that a former leader has decided on, without evidence of its own.
+    pub fn quarantine(&mut self, now_ms: u64, feature: Feature) {
+        self.blocklist.insert(now_ms, feature, now_ms);
         self.is_stale = true;
     }
 
-    /// Returns the quarantined parts, sorted.
-    pub fn quarantined(&self) -> &[Part] {
-        self.blocklist.parts()
+    /// Returns the quarantined features, sorted.
+    pub fn quarantined(&self) -> &[Feature] {
+        self.blocklist.features()
     }
 
-    /// Determines the suspects after a change.
+    /// Determines the suspects after a change: those with the strongest evidence, without requests that were broken off once.
     fn refresh(&mut self, now_ms: u64) {
         let oldest_ms = now_ms.saturating_sub(self.options.crash_ttl_ms);
         let has_expired = self.crashes.expire(oldest_ms);
@@ -156,32 +171,41 @@
         self.is_stale = false;
         self.drop_answers();
         let mut ranking = self.rank();
+        let enough = ranking.iter().filter(|e| e.is_enough(&self.options));
+        self.enough = enough.copied().collect();
+        let repeated = self.options.crashes_if_repeated;
+        ranking.retain(|evidence| !evidence.feature.is_request() || evidence.crashes >= repeated);
         ranking.truncate(SUSPECTS_MAX);
-        let suspects = ranking.into_iter().map(|Evidence { part, .. }| {
-            let since_ms = self.suspects.get(&part).copied().unwrap_or(now_ms);
-            (part, since_ms)
+        let suspects = ranking.into_iter().map(|Evidence { feature, .. }| {
+            let since_ms = self.suspects.get(&feature).copied().unwrap_or(now_ms);
+            (feature, since_ms)
         });
         self.suspects = suspects.collect();
     }
 
-    /// Drops answers to parts that are neither in a known crash nor quarantined.
+    /// Drops answers to features that are neither in a known crash nor quarantined.
     fn drop_answers(&mut self) {
         let (crashes, blocklist) = (&self.crashes, &self.blocklist);
-        self.answers.retain(|part, _| {
-            blocklist.contains(*part) || crashes.values().any(|row| row.contains(*part))
+        self.answers.retain(|feature, _| {
+            blocklist.contains(*feature) || crashes.values().any(|row| row.contains(*feature))
         });
     }
 
-    /// Returns all parts with evidence against them, those with the strongest evidence first.
+    /// Returns all features with evidence against them, those with the strongest evidence first.
     fn rank(&self) -> Vec<Evidence> {
-        let mut accused: Vec<Part> = self
+        let mut accused: Vec<Feature> = self
             .unexplained()
-            .flat_map(|row| row.parts.iter().filter(|part| self.accuses(row, **part)))
+            .flat_map(|row| {
+                row.features
+                    .iter()
+                    .filter(|feature| self.accuses(row, **feature))
+            })
             .copied()
+            .filter(|feature| !self.blocklist.contains(*feature))
             .collect();
         accused.sort_unstable();
-        let counts = accused.chunk_by(Part::eq).map(|same| Evidence {
-            part: same[0],
+        let counts = accused.chunk_by(Feature::eq).map(|same| Evidence {
+            feature: same[0],
             crashes: same.len(),
             is_new: !self.answers.contains(&same[0]),
         });
@@ -190,28 +214,51 @@
         ranking
     }
 
-    /// Iterates over the crashes without a quarantined part.
+    /// Iterates over the crashes without a quarantined part of prompts.
     fn unexplained(&self) -> impl Iterator<Item = &Row> {
-        let is_explained = |row: &Row| row.parts.iter().any(|part| self.blocklist.contains(*part));
+        let explains =
+            |feature: &Feature| !feature.is_request() && self.blocklist.contains(*feature);
+        let is_explained = move |row: &&Row| row.features.iter().any(explains);
         self.crashes.values().filter(move |row| !is_explained(row))
     }
 
-    /// Returns whether a crash with the part is later than its last known answer.
-    fn accuses(&self, row: &Row, part: Part) -> bool {
+    /// Returns whether one request explains the crashes that are evidence against a part of prompts, as it is in nearly all of them.
+    fn is_explained_by(&self, request: Feature, part: Feature) -> bool {
+        let accusing = self.unexplained().filter(|row| self.accuses(row, part));
+        let others = accusing.filter(|row| row.contains(part) && !row.contains(request));
+        others.count() < OTHER_CRASHES_MIN
+    }
+
+    /// Returns whether a crash with the feature is later than its last known answer.
+    fn accuses(&self, row: &Row, feature: Feature) -> bool {
         self.answers
-            .get(&part)
+            .get(&feature)
             .is_none_or(|answered_ms| *answered_ms <= row.at_ms)
     }
 
-    /// Returns the next part to quarantine, or several if they cannot be told apart.
+    /// Returns the next feature to quarantine, or several if they cannot be told apart.
     fn find_guilty(&self, now_ms: u64) -> Vec<Evidence> {
-        let mut ranking = self.rank();
-        ranking.retain(|evidence| evidence.is_enough(&self.options));
-        for evidence in &ranking {
-            if !self.was_heard(now_ms, evidence.part) {
+        let is_request = |evidence: &Evidence| evidence.feature.is_request();
+        let (requests, parts): (Vec<_>, Vec<_>) = self.enough.iter().partition(|e| is_request(e));
+        let was_heard = |evidence: &Evidence| self.was_heard(now_ms, evidence.feature);
+        if let Some(evidence) = requests.iter().find(|evidence| was_heard(evidence)) {
+            return vec![*evidence];
+        }
+        // Requests that are still heard may explain crashes too.
+        let quarantined = self.blocklist.features().iter().copied();
+        let heard = requests.iter().map(|evidence| evidence.feature);
+        let repeated: Vec<Feature> = heard
+            .chain(quarantined.filter(|f| f.is_request()))
+            .collect();
+        for evidence in parts.iter().filter(|evidence| was_heard(evidence)) {
+            // A part that is as new as the request may be a second cause.
+            let may_be_second =
+                evidence.is_new && evidence.crashes >= self.options.crashes_if_answered;
+            let explains = |request: &Feature| self.is_explained_by(*request, evidence.feature);
+            if !may_be_second && repeated.iter().any(explains) {
                 continue;
             }
-            let rivals = self.rivals(evidence, &ranking);
+            let rivals = self.rivals(evidence, &parts);
             if self.is_decided(evidence, &rivals) {
                 return [vec![*evidence], rivals].concat();
             }
@@ -219,23 +266,23 @@
         Vec::new()
     }
 
-    /// Returns the parts that are in some of the same crashes, with evidence that is at least as strong.
+    /// Returns the features that are in some of the same crashes, with evidence that is at least as strong.
     fn rivals(&self, evidence: &Evidence, ranking: &[Evidence]) -> Vec<Evidence> {
         let stronger = ranking
             .iter()
             .take_while(|other| other.weight() >= evidence.weight());
-        let others = stronger.filter(|other| other.part != evidence.part);
+        let others = stronger.filter(|other| other.feature != evidence.feature);
         others
-            .filter(|other| self.common(evidence.part, other.part) > 0)
+            .filter(|other| self.common(evidence.feature, other.feature) > 0)
             .copied()
             .collect()
     }
 
-    /// Returns whether a part has no rivals, or only such as cannot be told apart from it, and enough crashes to take them all.
+    /// Returns whether a feature has no rivals, or only such as cannot be told apart from it, and enough crashes to take them all.
     fn is_decided(&self, evidence: &Evidence, rivals: &[Evidence]) -> bool {
         let is_inseparable = |rival: &Evidence| {
             let are_new = evidence.is_new && rival.is_new;
-            let have_same = || self.common(evidence.part, rival.part) == evidence.crashes;
+            let have_same = || self.common(evidence.feature, rival.feature) == evidence.crashes;
             rival.crashes == evidence.crashes && (are_new || have_same())
         };
         rivals.is_empty()
@@ -243,16 +290,16 @@
                 && rivals.iter().all(is_inseparable)
     }
 
-    /// Returns the number of crashes that are evidence against both parts.
-    fn common(&self, part: Part, other: Part) -> usize {
-        let accused = |row: &&Row, part| row.contains(part) && self.accuses(row, part);
-        let rows = self.unexplained().filter(|row| accused(row, part));
+    /// Returns the number of crashes that are evidence against both features.
+    fn common(&self, feature: Feature, other: Feature) -> usize {
+        let accused = |row: &&Row, feature| row.contains(feature) && self.accuses(row, feature);
+        let rows = self.unexplained().filter(|row| accused(row, feature));
         rows.filter(|row| accused(row, other)).count()
     }
 
-    /// Returns whether the VMs had time to report answers to a part.
-    fn was_heard(&self, now_ms: u64, part: Part) -> bool {
-        let since_ms = self.suspects.get(&part);
+    /// Returns whether the VMs had time to report answers to a feature.
+    fn was_heard(&self, now_ms: u64, feature: Feature) -> bool {
+        let since_ms = self.suspects.get(&feature);
         since_ms.is_some_and(|since_ms| now_ms.saturating_sub(*since_ms) >= self.options.hearing_ms)
     }
 }
--- a/crates/quetzalpick-core/src/quarantine/rows.rs
+++ b/crates/quetzalpick-core/src/quarantine/rows.rs
@@ -1,32 +1,42 @@
 //! Bounded table of crashes, as kept by each VM and by the leader.
 
 use crate::id::Endpoint;
-use crate::quarantine::Part;
+use crate::quarantine::Feature;
 use crate::table::Table;
 
-/// Maximum number of parts in a row.
-const PARTS_MAX: usize = 256;
+/// Maximum number of features of each kind in a row.
+const FEATURES_MAX: usize = 256;
 
 /// `Row` holds what is known about one crash.
 #[derive(Debug, Clone)]
 pub(crate) struct Row {
     /// Earliest time at which the crash was seen, in ms.
     pub(crate) at_ms: u64,
-    /// Parts of the requests that were broken off before their first event, sorted.
-    pub(crate) parts: Vec<Part>,
+    /// What the requests that were broken off may have in common, sorted.
+    pub(crate) features: Vec<Feature>,
 }
 
 impl Row {
-    /// Returns whether a request with the part was broken off.
-    pub(crate) fn contains(&self, part: Part) -> bool {
-        self.parts.binary_search(&part).is_ok()
+    /// Returns whether a request with the feature was broken off.
+    pub(crate) fn contains(&self, feature: Feature) -> bool {
+        self.features.binary_search(&feature).is_ok()
     }
 
-    /// Adds a part unless the row is full; returns whether it is new.
-    fn insert(&mut self, part: Part) -> bool {
-        match self.parts.binary_search(&part) {
-            Err(index) if self.parts.len() < PARTS_MAX => {
-                self.parts.insert(index, part);
+    /// Returns the number of features of the same kind as another one.
+    fn count_like(&self, feature: Feature) -> usize {
+        let is_request = feature.is_request();
+        let alike = self
+            .features
+            .iter()
+            .filter(|f| f.is_request() == is_request);
+        alike.count()
+    }
+
+    /// Adds a feature unless the row is full; returns whether it is new.
+    fn insert(&mut self, feature: Feature) -> bool {
+        match self.features.binary_search(&feature) {
+            Err(index) if self.count_like(feature) < FEATURES_MAX => {
+                self.features.insert(index, feature);
                 true
             }
             _ => false,
@@ -56,7 +66,7 @@
         at_ms: u64,
         endpoint: &Endpoint,
         started_ms: Option<u64>,
-        parts: impl IntoIterator<Item = Part>,
+        features: impl IntoIterator<Item = Feature>,
     ) -> bool {
         let key = (endpoint.clone(), started_ms);
         let is_new = !self.rows.contains(&key);
@@ -65,11 +75,14 @@
         }
         let row = self.rows.get_or_insert_with(key, || Row {
             at_ms,
-            parts: Vec::new(),
+            features: Vec::new(),
         });
         let is_earlier = at_ms < row.at_ms;
         row.at_ms = row.at_ms.min(at_ms);
-        let added = parts.into_iter().filter(|part| row.insert(*part)).count();
+        let added = features
+            .into_iter()
+            .filter(|feature| row.insert(*feature))
+            .count();
         is_new || is_earlier || added > 0
     }
 
@@ -90,10 +103,10 @@
         self.rows.values()
     }
 
-    /// Returns the time of the last crash that broke off a request with the part, in ms.
-    pub(crate) fn last_ms(&self, part: Part) -> Option<u64> {
-        let with_part = self.values().filter(|row| row.contains(part));
-        with_part.map(|row| row.at_ms).max()
+    /// Returns the time of the last crash that broke off a request with the feature, in ms.
+    pub(crate) fn last_ms(&self, feature: Feature) -> Option<u64> {
+        let with_feature = self.values().filter(|row| row.contains(feature));
+        with_feature.map(|row| row.at_ms).max()
     }
 
     /// Drops the oldest crash if the table is full.
--- a/crates/quetzalpick-core/tests/quarantine/investigation.rs
+++ b/crates/quetzalpick-core/tests/quarantine/investigation.rs
@@ -2,23 +2,23 @@
 
 use insta::assert_snapshot;
 use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::quarantine::{Answered, Crash, Decision, Investigation, Options, Part};
+use quetzalpick_core::quarantine::{Answered, Crash, Decision, Feature, Investigation, Options};
 
 /// Time after the first crash at which all VMs have been asked, in ms.
 const HEARD_MS: u64 = 5_000;
 
-fn crash(endpoint: usize, ago_ms: u64, parts: &[u64]) -> Crash {
+fn crash(endpoint: usize, ago_ms: u64, features: &[u64]) -> Crash {
     Crash {
         endpoint: Endpoint::try_new(format!("e{endpoint}")).expect("the name is valid"),
         started_ms: Some(0),
         ago_ms,
-        parts: parts.iter().copied().map(Part).collect(),
+        features: features.iter().copied().map(Feature::Part).collect(),
     }
 }
 
-fn answered(part: u64, ago_ms: u64) -> Answered {
+fn answered(feature: u64, ago_ms: u64) -> Answered {
     Answered {
-        part: Part(part),
+        feature: Feature::Part(feature),
         ago_ms,
     }
 }
@@ -26,16 +26,19 @@
 /// Returns an investigation with one crash a list of parts, 100 ms apart from 1,000 ms on.
 fn investigation(crashes: &[&[u64]]) -> Investigation {
     let mut investigation = Investigation::new(Options::default());
-    for (number, parts) in crashes.iter().enumerate() {
+    for (number, features) in crashes.iter().enumerate() {
         let now_ms = 1_000 + 100 * number as u64;
-        investigation.record_crash(now_ms, &crash(number, 0, parts));
+        investigation.record_crash(now_ms, &crash(number, 0, features));
     }
     investigation
 }
 
 fn decided(investigation: &mut Investigation, now_ms: u64) -> Vec<(u64, usize)> {
     let decisions = investigation.decide(now_ms).into_iter();
-    let pairs = decisions.map(|Decision { part, crashes }| (part.0, crashes));
+    let pairs = decisions.map(|Decision { feature, crashes }| {
+        let (_, id) = feature.into();
+        (id, crashes)
+    });
     pairs.collect()
 }
 
@@ -45,7 +48,7 @@
     assert_eq!(decided(&mut two, HEARD_MS), []);
     let mut three = investigation(&[&[9, 1], &[9, 2], &[9, 3]]);
     assert_eq!(decided(&mut three, HEARD_MS), [(9, 3)]);
-    assert_eq!(three.quarantined(), [Part(9)]);
+    assert_eq!(three.quarantined(), [Feature::Part(9)]);
     assert_eq!(decided(&mut three, HEARD_MS), []);
 }
 
@@ -127,7 +130,7 @@
     let crashes: [&[u64]; 6] = [&[8, 9], &[8, 9], &[8, 9], &[8, 9], &[8], &[9]];
     let mut new = investigation(&crashes);
     assert_eq!(decided(&mut new, HEARD_MS), [(8, 5), (9, 5)]);
-    // Of two parts that were answered before, the next crash tells which one is the cause.
+    // Of two features that were answered before, the next crash tells which one is the cause.
     let mut known = investigation(&crashes);
     known.record_answer(2_000, &answered(8, 1_500));
     known.record_answer(2_000, &answered(9, 1_500));
@@ -165,10 +168,10 @@
 #[test]
 fn a_part_that_a_former_leader_quarantined_explains_crashes() {
     let mut investigation = investigation(&[&[9, 1], &[9, 1], &[9, 1]]);
-    investigation.quarantine(1_300, Part(9));
+    investigation.quarantine(1_300, Feature::Part(9));
     assert_eq!(investigation.suspects(1_300), []);
     assert_eq!(decided(&mut investigation, HEARD_MS), []);
-    assert_eq!(investigation.quarantined(), [Part(9)]);
+    assert_eq!(investigation.quarantined(), [Feature::Part(9)]);
 }
 
 #[test]
@@ -190,7 +193,7 @@
 #[test]
 fn crashes_expire() {
     let mut investigation = investigation(&[&[9], &[9], &[9]]);
-    assert_eq!(investigation.suspects(61_000), [Part(9)]);
+    assert_eq!(investigation.suspects(61_000), [Feature::Part(9)]);
     assert_eq!(decided(&mut investigation.clone(), 61_000), [(9, 3)]);
     assert_eq!(decided(&mut investigation, 61_001), []);
     investigation.record_crash(70_000, &crash(4, 60_000, &[9]));
@@ -201,14 +204,16 @@
 fn quarantined_parts_and_suspects_are_bounded() {
     let mut investigation = Investigation::new(Options::default());
     for number in 0..300 {
-        investigation.quarantine(number, Part(number));
+        investigation.quarantine(number, Feature::Part(number));
     }
-    let expected: Vec<Part> = (44..300).map(Part).collect();
+    let expected: Vec<Feature> = (44..300).map(Feature::Part).collect();
     assert_eq!(investigation.quarantined(), expected);
     for number in 0..1_100 {
-        let parts: Vec<u64> = (0..3).map(|part| 10_000 + 3 * number + part).collect();
+        let features: Vec<u64> = (0..3)
+            .map(|feature| 10_000 + 3 * number + feature)
+            .collect();
         let endpoint = number as usize;
-        investigation.record_crash(1_000 + number, &crash(endpoint, 0, &parts));
+        investigation.record_crash(1_000 + number, &crash(endpoint, 0, &features));
     }
     assert_eq!(investigation.suspects(3_000).len(), 256);
 }
--- a/crates/quetzalpick-core/tests/quarantine/main.rs
+++ b/crates/quetzalpick-core/tests/quarantine/main.rs
@@ -2,6 +2,7 @@
 
 mod investigation;
 mod leader;
+mod requests;
 mod simulation;
 mod witness;
 mod world;
--- /dev/null
+++ b/crates/quetzalpick-core/tests/quarantine/requests.rs
@@ -0,0 +1,100 @@
+//! The rules by which the leader finds a request that crashes endpoints again and again.
+
+use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::quarantine::{Answered, Crash, Feature, Investigation, Options, Witness};
+
+use Feature::{Part, Request};
+
+/// Time after the first crash at which all VMs have been asked, in ms.
+const HEARD_MS: u64 = 5_000;
+
+/// Returns an investigation with one crash a list of features, 100 ms apart from 1,000 ms on.
+fn investigation(crashes: &[&[Feature]]) -> Investigation {
+    let mut investigation = Investigation::new(Options::default());
+    for (number, features) in crashes.iter().enumerate() {
+        let crash = Crash {
+            endpoint: Endpoint::try_new(format!("e{number}")).expect("the name is valid"),
+            started_ms: Some(0),
+            ago_ms: 0,
+            features: features.to_vec(),
+        };
+        investigation.record_crash(1_000 + 100 * number as u64, &crash);
+    }
+    investigation
+}
+
+/// Returns what is quarantined once all VMs were heard.
+fn decided(mut investigation: Investigation) -> Vec<Feature> {
+    investigation.decide(HEARD_MS);
+    investigation.quarantined().to_vec()
+}
+
+#[test]
+fn a_request_is_quarantined_after_three_crashes_whatever_else_they_broke_off() {
+    let crashes: [&[Feature]; 3] = [
+        &[Request(1), Request(9)],
+        &[Request(2), Request(9)],
+        &[Request(2), Request(9)],
+    ];
+    assert_eq!(decided(investigation(&crashes[..2])), []);
+    assert_eq!(decided(investigation(&crashes)), [Request(9)]);
+}
+
+#[test]
+fn a_request_that_was_ever_answered_is_not_quarantined() {
+    let mut investigation = investigation(&[&[Request(9)] as &[Feature]; 6]);
+    investigation.record_answer(
+        1_600,
+        &Answered {
+            feature: Request(9),
+            ago_ms: 1_500,
+        },
+    );
+    assert_eq!(decided(investigation), []);
+}
+
+#[test]
+fn vms_are_not_asked_about_requests_that_were_broken_off_once() {
+    let mut investigation = investigation(&[&[Request(1), Request(9)], &[Part(3), Request(9)]]);
+    assert_eq!(investigation.suspects(1_200), [Part(3), Request(9)]);
+}
+
+#[test]
+fn a_part_is_not_quarantined_for_crashes_that_one_request_explains() {
+    let crashes: [&[Feature]; 4] = [&[Part(3), Request(9)]; 4];
+    assert_eq!(decided(investigation(&crashes)), [Request(9)]);
+}
+
+#[test]
+fn a_part_is_quarantined_although_its_requests_were_repeated() {
+    let crashes: [&[Feature]; 5] = [
+        &[Part(3), Request(8)],
+        &[Part(3), Request(8)],
+        &[Part(3), Request(8)],
+        &[Part(3), Request(9)],
+        &[Part(3), Request(9)],
+    ];
+    assert_eq!(decided(investigation(&crashes)), [Part(3), Request(8)]);
+}
+
+#[test]
+fn features_keep_their_kind_as_text() {
+    for feature in [Part(0x1f), Request(0x1f)] {
+        assert_eq!(feature.to_string().parse(), Ok(feature));
+    }
+    assert_eq!(Request(0x1f).to_string(), "request-000000000000001f");
+    assert!("request-xyz".parse::<Feature>().is_err());
+}
+
+#[test]
+fn a_vm_without_a_leader_suspects_a_request_after_three_crashes_and_no_answer() {
+    let mut witness = Witness::new(Options::default());
+    for number in 1..=3 {
+        assert!(!witness.suspects_alone(Request(9), 1_000));
+        let endpoint = Endpoint::try_new(format!("e{number}")).expect("the name is valid");
+        witness.record_crash(1_000, &endpoint, None, [Request(9)]);
+    }
+    assert!(witness.suspects_alone(Request(9), 1_000));
+    witness.record_answer(1_001, [Request(9)].into_iter());
+    assert!(!witness.suspects_alone(Request(9), 1_001));
+}
--- a/crates/quetzalpick-core/tests/quarantine/simulation.rs
+++ b/crates/quetzalpick-core/tests/quarantine/simulation.rs
@@ -88,6 +88,16 @@
                 check(Kind::Mixed, $vms);
             }
 
+            #[test]
+            fn a_repeated_request_is_quarantined_in_time() {
+                check(Kind::Repeated, $vms);
+            }
+
+            #[test]
+            fn a_part_and_a_repeated_request_are_quarantined_in_time() {
+                check(Kind::PartAndRequest, $vms);
+            }
+
             #[test]
             fn crashes_for_other_reasons_quarantine_nothing() {
                 check_ordinary($vms);
--- a/crates/quetzalpick-core/tests/quarantine/world.rs
+++ b/crates/quetzalpick-core/tests/quarantine/world.rs
@@ -1,7 +1,7 @@
 //! VMs, endpoints and a leader in virtual time: requests with a bad part crash the endpoints that begin to answer them.
 
 use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::quarantine::{Answered, Crash, Options, Part, Witness};
+use quetzalpick_core::quarantine::{Answered, Crash, Feature, Options, Witness};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -25,6 +25,15 @@
 /// Crashes before the requests with a part are counted.
 const CRASHES: usize = 5;
 
+/// Crashes before the repeats of a request are counted.
+const CRASHES_OF_REQUEST: usize = 3;
+
+/// Longest time for which an answer lasts after its first event, in ms.
+const ANSWER_MAX_MS: u64 = 1_200;
+
+/// Number of different requests that many callers send alike; together they are a quarter of all requests.
+const ALIKE: u64 = 5;
+
 /// Sound requests a second.
 const SOUND_PER_S: f64 = 300.0;
 
@@ -43,6 +52,10 @@
     Turned,
     /// Two middle parts.
     Two,
+    /// One request, again and again, which crashes endpoints before its first event or, with odd seeds, some time after it.
+    Repeated,
+    /// A middle part, and one request with other parts.
+    PartAndRequest,
     /// A middle part, while a third of the endpoints crash at once for another reason.
     Mixed,
     /// None; endpoints crash for other reasons, one by one and a third of them at once.
@@ -78,11 +91,13 @@
         (5 * self.vms as u64).max(250)
     }
 
-    fn bad_parts(&self) -> Vec<Part> {
+    fn bad_features(&self) -> Vec<Feature> {
         match self.kind {
-            Kind::Extra | Kind::Mixed => vec![Part(0xbad)],
+            Kind::Extra | Kind::Mixed => vec![Feature::Part(0xbad)],
             Kind::Turned => vec![first_part(0)],
-            Kind::Two => vec![Part(0xbad), Part(0xbadd)],
+            Kind::Two => vec![Feature::Part(0xbad), Feature::Part(0xbadd)],
+            Kind::Repeated => vec![Feature::Request(0xbad)],
+            Kind::PartAndRequest => vec![Feature::Part(0xbad), Feature::Request(0xbad)],
             Kind::Ordinary => Vec::new(),
         }
     }
@@ -97,36 +112,40 @@
     }
 }
 
-fn first_part(number: u64) -> Part {
-    Part(0xf0 + number)
+fn first_part(number: u64) -> Feature {
+    Feature::Part(0xf0 + number)
 }
 
-fn second_part(number: u64) -> Part {
-    Part(0x5000 + number)
+fn second_part(number: u64) -> Feature {
+    Feature::Part(0x5000 + number)
 }
 
 /// `Vm` is one entry VM.
 struct Vm {
     witness: Witness,
-    suspects: Vec<Part>,
-    quarantined: Vec<Part>,
+    suspects: Vec<Feature>,
+    quarantined: Vec<Feature>,
     status_ms: u64,
 }
 
-/// `Flight` is a request without an event.
+/// `Flight` is a request at an endpoint.
 struct Flight {
+    /// When its first event is due, in ms.
     begins_ms: u64,
+    /// When its answer ends, in ms.
+    ends_ms: u64,
+    has_begun: bool,
     vm: usize,
     endpoint: usize,
-    parts: Vec<Part>,
+    features: Vec<Feature>,
 }
 
 /// `Message` is on its way to a VM or the leader.
 enum Message {
-    FirstEvent(usize, Vec<Part>),
-    Broken(usize, usize, u64, Vec<Part>),
+    Answered(usize, Vec<Feature>),
+    Broken(usize, usize, u64, Vec<Feature>),
     Status(usize, Vec<Crash>, Vec<Answered>),
-    Reply(usize, Vec<Part>, Vec<Part>),
+    Reply(usize, Vec<Feature>, Vec<Feature>),
 }
 
 /// `Outcome` is what a run showed.
@@ -137,9 +156,9 @@
     /// Most requests with one bad part that reached endpoints later than 3 s after the fifth crash.
     pub(crate) late: usize,
     /// Sound parts that were quarantined.
-    pub(crate) wrong: Vec<Part>,
+    pub(crate) wrong: Vec<Feature>,
     /// Bad parts that were quarantined.
-    pub(crate) right: Vec<Part>,
+    pub(crate) right: Vec<Feature>,
     /// Statuses that VMs sent.
     pub(crate) statuses: usize,
 }
@@ -149,13 +168,15 @@
     scenario: Scenario,
     leader: L,
     random: Pcg64Mcg,
+    /// Random numbers for what concerns whole requests, so that the draws for parts do not depend on it.
+    request_random: Pcg64Mcg,
     now_ms: u64,
     vms: Vec<Vm>,
     /// When each endpoint was last started, in ms; in the future if it is down.
     started_ms: Vec<u64>,
     flights: Vec<Flight>,
     messages: Vec<(u64, Message)>,
-    bad_parts: Vec<Part>,
+    bad_features: Vec<Feature>,
     /// Crashes by each bad part, in ms.
     crashed_ms: Vec<Vec<u64>>,
     /// Times at which requests with each bad part were sent, in ms.
@@ -174,17 +195,18 @@
             status_ms: random.random_range(0..scenario.interval_ms()),
         });
         let vms = vms.collect();
-        let bad_parts = scenario.bad_parts();
+        let bad_features = scenario.bad_features();
         Self {
             restart_ms: WARM_UP_MS + random.random_range(0..800) * STEP_MS,
             vms,
             started_ms: vec![0; scenario.endpoints()],
             flights: Vec::new(),
             messages: Vec::new(),
-            crashed_ms: vec![Vec::new(); bad_parts.len()],
-            sent_ms: vec![Vec::new(); bad_parts.len()],
-            bad_parts,
+            crashed_ms: vec![Vec::new(); bad_features.len()],
+            sent_ms: vec![Vec::new(); bad_features.len()],
+            bad_features,
             now_ms: 0,
+            request_random: Pcg64Mcg::seed_from_u64(u64::MAX - scenario.seed),
             scenario,
             leader,
             random,
@@ -204,11 +226,16 @@
     }
 
     fn late(&self) -> usize {
-        let parts = self.crashed_ms.iter().zip(&self.sent_ms);
-        let late = parts.map(|(crashed_ms, sent_ms)| {
-            let fifth_ms = crashed_ms.get(CRASHES - 1);
-            fifth_ms.map_or(0, |fifth_ms| {
-                let from_ms = fifth_ms + STABLE_MS;
+        let times = self.crashed_ms.iter().zip(&self.sent_ms);
+        let late = self.bad_features.iter().zip(times);
+        let late = late.map(|(feature, (crashed_ms, sent_ms))| {
+            let crashes = if feature.is_request() {
+                CRASHES_OF_REQUEST
+            } else {
+                CRASHES
+            };
+            crashed_ms.get(crashes - 1).map_or(0, |crashed_ms| {
+                let from_ms = crashed_ms + STABLE_MS;
                 sent_ms.iter().filter(|sent_ms| **sent_ms > from_ms).count()
             })
         });
@@ -219,6 +246,7 @@
         self.restart_vms();
         self.crash_for_other_reasons();
         self.begin_answers();
+        self.end_answers();
         self.deliver();
         self.send_statuses();
         self.send_requests();
@@ -260,47 +288,78 @@
         self.started_ms[endpoint] = self.now_ms + DOWN_MS;
         let is_broken = |flight: &mut Flight| flight.endpoint == endpoint;
         let broken: Vec<Flight> = self.flights.extract_if(.., is_broken).collect();
-        for Flight { vm, parts, .. } in broken {
-            let message = Message::Broken(vm, endpoint, started_ms, parts);
-            self.post(message);
+        for flight in broken {
+            let is_known = |feature: &Feature| feature.is_request() || !flight.has_begun;
+            let features = flight.features.iter().copied().filter(is_known).collect();
+            let message = Message::Broken(flight.vm, endpoint, started_ms, features);
+            if flight.has_begun {
+                self.post_with(message, |world| &mut world.request_random);
+            } else {
+                self.post(message);
+            }
         }
     }
 
-    fn is_bad(&self, part: Part) -> bool {
-        self.now_ms >= WARM_UP_MS && self.bad_parts.contains(&part)
+    fn is_bad(&self, feature: Feature) -> bool {
+        self.now_ms >= WARM_UP_MS && self.bad_features.contains(&feature)
     }
 
-    /// Lets endpoints begin the answers that are due, which crashes them if the request has a bad part.
+    /// Lets endpoints begin the answers that are due, which crashes them if the request has a bad feature.
     fn begin_answers(&mut self) {
         let now_ms = self.now_ms;
-        while let Some(index) = self.flights.iter().position(|f| f.begins_ms <= now_ms) {
-            let Flight {
-                endpoint,
-                vm,
-                parts,
-                begins_ms,
-            } = self.flights.swap_remove(index);
-            let bad = parts.iter().copied().find(|part| self.is_bad(*part));
-            let Some(bad) = bad else {
-                self.post(Message::FirstEvent(vm, parts));
+        let is_due = |flight: &Flight| !flight.has_begun && flight.begins_ms <= now_ms;
+        while let Some(index) = self.flights.iter().position(is_due) {
+            if self.crash_with(index, self.scenario.seed % 2 == 1) {
                 continue;
-            };
-            let index = self.bad_parts.iter().position(|part| *part == bad);
-            self.crashed_ms[index.expect("the part is bad")].push(now_ms);
-            self.flights.push(Flight {
-                endpoint,
-                vm,
-                parts,
-                begins_ms,
-            });
-            self.crash(endpoint);
+            }
+            let flight = &mut self.flights[index];
+            flight.has_begun = true;
+            let parts = flight.features.iter().filter(|f| !f.is_request());
+            let message = Message::Answered(flight.vm, parts.copied().collect());
+            self.post(message);
+        }
+    }
+
+    /// Lets endpoints end the answers that are due, or crash on their requests.
+    fn end_answers(&mut self) {
+        let now_ms = self.now_ms;
+        let is_due = |flight: &Flight| flight.has_begun && flight.ends_ms <= now_ms;
+        while let Some(index) = self.flights.iter().position(is_due) {
+            if self.crash_with(index, false) {
+                continue;
+            }
+            let Flight { vm, features, .. } = self.flights.swap_remove(index);
+            let request = features.into_iter().filter(|feature| feature.is_request());
+            let message = Message::Answered(vm, request.collect());
+            self.post_with(message, |world| &mut world.request_random);
         }
     }
 
+    /// Lets an endpoint crash if a flight there has a bad feature, unless that is a request and these are spared; returns whether it
+    /// did.
+    fn crash_with(&mut self, flight: usize, spares_requests: bool) -> bool {
+        let Flight {
+            endpoint, features, ..
+        } = &self.flights[flight];
+        let endpoint = *endpoint;
+        let is_bad = |f: &&Feature| self.is_bad(**f) && !(spares_requests && f.is_request());
+        let Some(bad) = features.iter().find(is_bad) else {
+            return false;
+        };
+        let index = self.bad_features.iter().position(|feature| feature == bad);
+        self.crashed_ms[index.expect("the feature is bad")].push(self.now_ms);
+        self.crash(endpoint);
+        true
+    }
+
     /// Sends a message that arrives after up to 15 ms.
     fn post(&mut self, message: Message) {
-        let at_ms = self.now_ms + self.random.random_range(1..=3) * STEP_MS;
-        self.messages.push((at_ms, message));
+        self.post_with(message, |world| &mut world.random);
+    }
+
+    fn post_with(&mut self, message: Message, random: impl Fn(&mut Self) -> &mut Pcg64Mcg) {
+        let delay_ms = random(self).random_range(1..=3) * STEP_MS;
+        self.messages.push((self.now_ms + delay_ms, message));
     }
 
     fn deliver(&mut self) {
@@ -311,12 +370,12 @@
             .collect();
         for (_, message) in due {
             match message {
-                Message::FirstEvent(vm, parts) => {
+                Message::Answered(vm, features) => {
                     let witness = &mut self.vms[vm].witness;
-                    witness.record_answer(now_ms, parts.into_iter());
+                    witness.record_answer(now_ms, features.into_iter());
                 }
-                Message::Broken(vm, endpoint, started_ms, parts) => {
-                    self.receive_broken(vm, endpoint, started_ms, parts);
+                Message::Broken(vm, endpoint, started_ms, features) => {
+                    self.receive_broken(vm, endpoint, started_ms, features);
                 }
                 Message::Status(vm, crashes, answers) => {
                     self.receive_status(vm, &crashes, &answers)
@@ -328,11 +387,17 @@
         }
     }
 
-    fn receive_broken(&mut self, vm: usize, endpoint: usize, started_ms: u64, parts: Vec<Part>) {
+    fn receive_broken(
+        &mut self,
+        vm: usize,
+        endpoint: usize,
+        started_ms: u64,
+        features: Vec<Feature>,
+    ) {
         let name = Endpoint::try_new(format!("e{endpoint}")).expect("the name is valid");
         let vm = &mut self.vms[vm];
         vm.witness
-            .record_crash(self.now_ms, &name, Some(started_ms), parts);
+            .record_crash(self.now_ms, &name, Some(started_ms), features);
         if self.scenario.protocol == Protocol::Prompt {
             vm.status_ms = self.now_ms;
         }
@@ -354,23 +419,24 @@
         self.post(Message::Reply(vm, suspects, quarantined));
     }
 
-    /// Notes which parts are quarantined.
-    fn note(&mut self, quarantined: &[Part]) {
-        for part in quarantined {
-            let is_bad = self.is_bad(*part);
+    /// Notes which features are quarantined, without the part that only the bad request has.
+    fn note(&mut self, quarantined: &[Feature]) {
+        let own = second_part(SECOND_PARTS);
+        for feature in quarantined.iter().filter(|feature| **feature != own) {
+            let is_bad = self.is_bad(*feature);
             let Outcome { right, wrong, .. } = &mut self.outcome;
-            let parts = if is_bad { right } else { wrong };
-            if !parts.contains(part) {
-                parts.push(*part);
+            let features = if is_bad { right } else { wrong };
+            if !features.contains(feature) {
+                features.push(*feature);
             }
         }
     }
 
-    fn receive_reply(&mut self, vm: usize, suspects: Vec<Part>, quarantined: Vec<Part>) {
+    fn receive_reply(&mut self, vm: usize, suspects: Vec<Feature>, quarantined: Vec<Feature>) {
         let vm = &mut self.vms[vm];
-        let has_news = suspects
-            .iter()
-            .any(|part| !vm.suspects.contains(part) && vm.witness.answered_ms(*part).is_some());
+        let has_news = suspects.iter().any(|feature| {
+            !vm.suspects.contains(feature) && vm.witness.answered_ms(*feature).is_some()
+        });
         if has_news && self.scenario.protocol == Protocol::Prompt {
             vm.status_ms = self.now_ms;
         }
@@ -397,65 +463,79 @@
         let probability = |per_s: f64| per_s * STEP_MS as f64 / 1_000.0;
         for _ in 0..2 {
             if self.random.random_bool(probability(SOUND_PER_S / 2.0)) {
-                let parts = self.sound_parts();
-                if !parts.iter().any(|part| self.is_bad(*part)) {
-                    self.send(parts);
+                let features = self.sound_features();
+                if !features.iter().any(|feature| self.is_bad(*feature)) {
+                    self.send(features);
                 }
             }
         }
         if self.now_ms < WARM_UP_MS {
             return;
         }
-        for index in 0..self.bad_parts.len() {
+        for index in 0..self.bad_features.len() {
             if self
                 .random
                 .random_bool(probability(self.scenario.bad_per_s))
             {
-                let parts = self.parts_with(self.bad_parts[index]);
-                if self.send(parts) {
+                let features = self.features_with(self.bad_features[index]);
+                if self.send(features) {
                     self.sent_ms[index].push(self.now_ms);
                 }
             }
         }
     }
 
-    fn sound_parts(&mut self) -> Vec<Part> {
+    /// Returns the features of a sound request. Some requests are alike.
+    fn sound_features(&mut self) -> Vec<Feature> {
+        let number = self.request_random.random_range(0..4 * ALIKE);
+        let request = if number < ALIKE {
+            number
+        } else {
+            self.request_random.random::<u32>().into()
+        };
         vec![
             first_part(self.random.random_range(0..FIRST_PARTS)),
             second_part(self.random.random_range(0..SECOND_PARTS)),
+            Feature::Request(request),
         ]
     }
 
-    /// Returns the parts of a bad request. With odd seeds all of them have the same first part, which is sound.
-    fn parts_with(&mut self, bad: Part) -> Vec<Part> {
-        let mut parts = self.sound_parts();
+    /// Returns the features of a bad request. With odd seeds all of them have the same first part, which is sound.
+    fn features_with(&mut self, bad: Feature) -> Vec<Feature> {
+        let mut features = self.sound_features();
         if self.scenario.seed % 2 == 1 {
-            parts[0] = first_part(1);
+            features[0] = first_part(1);
         }
-        if self.scenario.kind == Kind::Turned {
-            parts[0] = bad;
-        } else {
-            parts.insert(1, bad);
+        match bad {
+            // Its second part is its own.
+            Feature::Request(_) => {
+                features[1] = second_part(SECOND_PARTS);
+                features[2] = bad;
+            }
+            Feature::Part(_) if self.scenario.kind == Kind::Turned => features[0] = bad,
+            Feature::Part(_) => features.insert(1, bad),
         }
-        parts
+        features
     }
 
     /// Sends a request to any endpoint that is up, from a VM that has not quarantined its parts; returns whether it was sent.
-    fn send(&mut self, parts: Vec<Part>) -> bool {
+    fn send(&mut self, features: Vec<Feature>) -> bool {
         let vm = self.random.random_range(0..self.vms.len());
         let is_up = |endpoint: &usize| self.started_ms[*endpoint] <= self.now_ms;
         let up: Vec<usize> = (0..self.started_ms.len()).filter(is_up).collect();
         let quarantined = &self.vms[vm].quarantined;
-        if up.is_empty() || parts.iter().any(|part| quarantined.contains(part)) {
+        if up.is_empty() || features.iter().any(|feature| quarantined.contains(feature)) {
             return false;
         }
         let endpoint = up[self.random.random_range(0..up.len())];
         let begins_ms = self.now_ms + self.random.random_range(32..=156);
         self.flights.push(Flight {
             begins_ms,
+            ends_ms: begins_ms + self.request_random.random_range(32..=ANSWER_MAX_MS),
+            has_begun: false,
             vm,
             endpoint,
-            parts,
+            features,
         });
         true
     }
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Returns this VM's status, and the revision of the evidence on prompt parts in it.
+    /// Returns this VM's status, and the revision of the evidence on crashes in it.
     fn status(&self, now_ms: u64) -> (Status, u64) {
         let config = self.view.config();
         let copies_version = self.copies_version();
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -3,7 +3,7 @@
 use quetzalpick_core::election::Heartbeat;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
 use quetzalpick_core::limit::Need;
-use quetzalpick_core::quarantine::{Answered, Crash, Part};
+use quetzalpick_core::quarantine::{Answered, Crash, Feature};
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
@@ -96,11 +96,11 @@
     pub(crate) work: Vec<(Artifact, Work)>,
     /// Limits of endpoints that changed recently.
     pub(crate) limits: Vec<Notice>,
-    /// Endpoints that ended before they began to answer requests, unless the leader was told.
+    /// Endpoints that ended while they ran requests, unless the leader was told.
     pub(crate) crashes: Vec<Crash>,
-    /// Answers to requests with the parts about which the leader asks.
+    /// Answers to requests with the features about which the leader asks.
     pub(crate) answered: Vec<Answered>,
-    /// Version of the quarantined parts that it has from that leader.
+    /// Version of the quarantined features that it has from that leader.
     pub(crate) quarantine_version: u64,
 }
 
@@ -170,9 +170,9 @@
     pub(crate) deputy: Option<String>,
     /// Time since the leader sent its last read of all entries, in ms.
     pub(crate) endpoints_age_ms: Option<u64>,
-    /// Prompt parts that may crash endpoints: the leader asks whether requests with them were answered.
-    pub(crate) suspects: Vec<Part>,
-    /// The quarantined parts, if they changed.
+    /// Features of requests that may crash endpoints: the leader asks whether requests with them were answered.
+    pub(crate) suspects: Vec<Feature>,
+    /// The quarantined features, if they changed.
     pub(crate) quarantine: Option<Update>,
 }
 
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -66,7 +66,7 @@
     leader_state: Mutex<Option<LeaderState>>,
     /// Wakes the plan executor.
     pub(crate) wake: Notify,
-    /// Signals that this VM begins to lead or that it has quarantined a prompt part.
+    /// Signals that this VM begins to lead or that it has quarantined a feature.
     pub(crate) quarantine_changed: Notify,
     /// Signals that another VM leads.
     pub(crate) leader_changed: Notify,
@@ -175,7 +175,7 @@
             planner: Planner::new(now_ms, crate::place::Options::default()),
             buckets: Table::default(),
             permits: Table::default(),
-            findings: Findings::new(now_ms, &self.quarantine.parts()),
+            findings: Findings::new(now_ms, &self.quarantine.features()),
             since_ms: now_ms,
             copy_index: CopyIndex::new(fence, now_ms),
         });
--- a/crates/quetzalpick-entry/src/lead/quarantine.rs
+++ b/crates/quetzalpick-entry/src/lead/quarantine.rs
@@ -1,47 +1,47 @@
-//! The leader's part in the quarantine of prompt parts that crash endpoints.
+//! The leader's part in the quarantine of what crashes endpoints.
 
-use quetzalpick_core::quarantine::{Answered, Decision, Investigation, Options, Part};
+use quetzalpick_core::quarantine::{Answered, Decision, Feature, Investigation, Options};
 
 use crate::exchange::Status;
 use crate::lead::Leadership;
 use crate::quarantine::Update;
 
-/// `Findings` holds the evidence that the VMs reported to this leader, and the parts that are quarantined.
+/// `Findings` holds the evidence that the VMs reported to this leader, and the features that are quarantined.
 #[derive(Debug)]
 pub(super) struct Findings {
     investigation: Investigation,
-    /// Incremented with each change of the quarantined parts.
+    /// Incremented with each change of the quarantined features.
     version: u64,
-    /// Whether the parts include those that former leaders stored.
+    /// Whether the features include those that former leaders stored.
     is_complete: bool,
     /// Parts that were answered after all, and whose records are still stored.
-    released: Vec<Part>,
+    released: Vec<Feature>,
 }
 
-/// `Differences` holds how the stored parts differ from those that the leader has quarantined.
+/// `Differences` holds how the stored features differ from those that the leader has quarantined.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Differences {
-    /// Quarantined parts that are not stored.
-    pub(crate) missing: Vec<Part>,
-    /// Stored parts that were released.
-    pub(crate) released: Vec<Part>,
+    /// Quarantined features that are not stored.
+    pub(crate) missing: Vec<Feature>,
+    /// Stored features that were released.
+    pub(crate) released: Vec<Feature>,
 }
 
-/// `Reply` holds what the leader tells a VM about prompt parts.
+/// `Reply` holds what the leader tells a VM about the quarantine.
 #[derive(Debug, Default)]
 pub(super) struct Reply {
     /// Parts about which all VMs are asked whether a request with them was answered.
-    pub(super) suspects: Vec<Part>,
-    /// The quarantined parts, if the VM does not have this version.
+    pub(super) suspects: Vec<Feature>,
+    /// The quarantined features, if the VM does not have this version.
     pub(super) update: Option<Update>,
 }
 
 impl Findings {
-    /// Starts with the parts that this VM knows to be quarantined.
-    pub(super) fn new(now_ms: u64, known: &[Part]) -> Self {
+    /// Starts with the features that this VM knows to be quarantined.
+    pub(super) fn new(now_ms: u64, known: &[Feature]) -> Self {
         let mut investigation = Investigation::new(Options::default());
-        for part in known {
-            investigation.quarantine(now_ms, *part);
+        for feature in known {
+            investigation.quarantine(now_ms, *feature);
         }
         Self {
             investigation,
@@ -59,10 +59,10 @@
         for answered in &status.answered {
             if self.investigation.record_answer(now_ms, answered) {
                 self.version += 1;
-                self.released.push(answered.part);
+                self.released.push(answered.feature);
                 log::info!(
-                    "quarantine: part={} released reason=answered",
-                    answered.part
+                    "quarantine: feature={} released reason=answered",
+                    answered.feature
                 );
             }
         }
@@ -71,13 +71,13 @@
         decisions
     }
 
-    /// Returns what a VM has to know that has a version of the quarantined parts.
+    /// Returns what a VM has to know that has a version of the quarantined features.
     fn reply(&mut self, now_ms: u64, known_version: u64) -> Reply {
         let is_known = known_version == self.version;
         let update = (!is_known).then(|| Update {
             version: self.version,
             complete: self.is_complete,
-            parts: self.investigation.quarantined().to_vec(),
+            features: self.investigation.quarantined().to_vec(),
         });
         Reply {
             suspects: self.investigation.suspects(now_ms),
@@ -85,32 +85,34 @@
         }
     }
 
-    /// Adds parts that former leaders stored, and returns how the stored ones differ.
-    fn learn(&mut self, now_ms: u64, stored: &[Part]) -> Differences {
-        self.released.retain(|part| stored.contains(part));
+    /// Adds features that former leaders stored, and returns how the stored ones differ.
+    fn learn(&mut self, now_ms: u64, stored: &[Feature]) -> Differences {
+        self.released.retain(|feature| stored.contains(feature));
         let known = self.investigation.quarantined().len();
-        for part in stored {
-            if !self.released.contains(part) {
-                self.investigation.quarantine(now_ms, *part);
+        for feature in stored {
+            if !self.released.contains(feature) {
+                self.investigation.quarantine(now_ms, *feature);
             }
         }
         let quarantined = self.investigation.quarantined();
         let is_changed = !self.is_complete || quarantined.len() > known;
         self.is_complete = true;
         self.version += u64::from(is_changed);
-        let missing = quarantined.iter().filter(|part| !stored.contains(part));
+        let missing = quarantined
+            .iter()
+            .filter(|feature| !stored.contains(feature));
         Differences {
             missing: missing.copied().collect(),
             released: self.released.clone(),
         }
     }
 
-    /// Releases a part.
-    fn release(&mut self, now_ms: u64, part: Part) {
-        let answered = Answered { part, ago_ms: 0 };
+    /// Releases a feature.
+    fn release(&mut self, now_ms: u64, feature: Feature) {
+        let answered = Answered { feature, ago_ms: 0 };
         if self.investigation.record_answer(now_ms, &answered) {
             self.version += 1;
-            log::info!("quarantine: part={part} released reason=removed");
+            log::info!("quarantine: feature={feature} released reason=removed");
         }
     }
 }
@@ -133,24 +135,24 @@
         let Some((decisions, has_released, reply)) = result else {
             return Reply::default();
         };
-        for Decision { part, crashes } in &decisions {
-            log::warn!("quarantine: part={part} quarantined crashes={crashes}");
+        for Decision { feature, crashes } in &decisions {
+            log::warn!("quarantine: feature={feature} quarantined crashes={crashes}");
         }
-        let parts: Vec<Part> = decisions.iter().map(|decision| decision.part).collect();
-        self.quarantine.add(&parts);
-        if !parts.is_empty() || has_released {
+        let features: Vec<Feature> = decisions.iter().map(|decision| decision.feature).collect();
+        self.quarantine.add(&features);
+        if !features.is_empty() || has_released {
             self.quarantine_changed.notify_one();
         }
         reply
     }
 
-    /// Adds the parts that former leaders stored, and returns how the stored ones differ; `None` unless this VM leads.
-    pub(crate) fn learn_quarantine(&self, stored: &[Part]) -> Option<Differences> {
+    /// Adds the features that former leaders stored, and returns how the stored ones differ; `None` unless this VM leads.
+    pub(crate) fn learn_quarantine(&self, stored: &[Feature]) -> Option<Differences> {
         self.with_leader_state(|state, now_ms| state.findings.learn(now_ms, stored))
     }
 
-    /// Releases a part whose record an operator has removed, if this VM leads.
-    pub(crate) fn release_quarantine(&self, part: Part) {
-        self.with_leader_state(|state, now_ms| state.findings.release(now_ms, part));
+    /// Releases a feature whose record an operator has removed, if this VM leads.
+    pub(crate) fn release_quarantine(&self, feature: Feature) {
+        self.with_leader_state(|state, now_ms| state.findings.release(now_ms, feature));
     }
 }
--- a/crates/quetzalpick-entry/src/quarantine/mod.rs
+++ b/crates/quetzalpick-entry/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Prompt parts that crash endpoints: what this VM has seen of them, and which requests it does not send.
+//! Requests that crash endpoints: what this VM has seen of them, and which requests it does not send.
 
 mod block;
 mod state;
--- a/crates/quetzalpick-entry/src/quarantine/state.rs
+++ b/crates/quetzalpick-entry/src/quarantine/state.rs
@@ -2,15 +2,14 @@
 
 use std::sync::{Mutex, MutexGuard};
 
-use quetzalpick_core::quarantine::{Answered, Crash, Options, Part, Witness};
+use quetzalpick_core::quarantine::{Answered, Crash, Feature, Options, Witness};
 use tokio::sync::Notify;
 
 use crate::fleet::Pick;
-use crate::metadata;
 use crate::quarantine::{Block, Reason, Update};
 use crate::sync::lock;
 
-/// `Quarantine` stores the quarantined parts, and what this VM has seen of parts that crash endpoints.
+/// `Quarantine` stores the quarantined features, and what this VM has seen of requests that crash endpoints.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     state: Mutex<State>,
@@ -25,12 +24,12 @@
     revision: u64,
     /// Leader, by its fencing number, and the revision that it was told.
     told: (u64, u64),
-    /// Quarantined parts, sorted.
-    parts: Vec<Part>,
-    /// Leader, by its fencing number, and the version of its parts that this VM has.
+    /// Quarantined features, sorted.
+    features: Vec<Feature>,
+    /// Leader, by its fencing number, and the version of its features that this VM has.
     version: (u64, u64),
     /// Parts about which the leader asks.
-    suspects: Vec<Part>,
+    suspects: Vec<Feature>,
     /// Whether the leader did not answer the last status.
     is_alone: bool,
 }
@@ -40,9 +39,9 @@
 pub(crate) struct Report {
     /// Crashes that this leader has not been told.
     pub(crate) crashes: Vec<Crash>,
-    /// Answers to requests with suspected parts.
+    /// Answers to requests with suspected features.
     pub(crate) answered: Vec<Answered>,
-    /// Version of the quarantined parts that this VM has from this leader.
+    /// Version of the quarantined features that this VM has from this leader.
     pub(crate) version: u64,
     /// Revision of this VM's evidence.
     pub(crate) revision: u64,
@@ -54,7 +53,7 @@
             witness: Witness::new(Options::default()),
             revision: 0,
             told: (0, 0),
-            parts: Vec::new(),
+            features: Vec::new(),
             version: (0, 0),
             suspects: Vec::new(),
             is_alone: false,
@@ -66,52 +65,51 @@
     }
 }
 
-/// Returns the identifiers of parts.
-fn ids(parts: &[metadata::Part]) -> impl Iterator<Item = Part> {
-    parts.iter().map(|part| Part(part.id))
-}
-
 impl Quarantine {
-    /// Records that a request with these parts was answered.
-    pub(crate) fn record_answer(&self, now_ms: u64, parts: &[metadata::Part]) {
-        if !parts.is_empty() {
-            self.lock().witness.record_answer(now_ms, ids(parts));
-        }
+    /// Records that requests with these features were answered.
+    pub(crate) fn record_answer(&self, now_ms: u64, features: impl Iterator<Item = Feature>) {
+        self.lock().witness.record_answer(now_ms, features);
     }
 
-    /// Records that an endpoint ended before it began to answer a request with these parts.
-    pub(crate) fn record_crash(&self, now_ms: u64, pick: &Pick, parts: &[metadata::Part]) {
+    /// Records that an endpoint ended while it ran a request with these features.
+    pub(crate) fn record_crash(
+        &self,
+        now_ms: u64,
+        pick: &Pick,
+        features: impl IntoIterator<Item = Feature>,
+    ) {
         let mut state = self.lock();
         state
             .witness
-            .record_crash(now_ms, &pick.endpoint, pick.started_ms, ids(parts));
+            .record_crash(now_ms, &pick.endpoint, pick.started_ms, features);
         state.revision += 1;
         self.changed.notify_one();
     }
 
-    /// Waits until the leader has to know something at once: a crash, or an answer to a part that it began to suspect.
+    /// Waits until the leader has to know something at once: a crash, or an answer to a feature that it began to suspect.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
 
-    /// Returns why a request with these parts must not be sent, if so.
-    pub(crate) fn block(&self, now_ms: u64, parts: &[metadata::Part]) -> Option<Block> {
-        if parts.is_empty() {
-            return None;
-        }
+    /// Returns why a request with these features must not be sent, if so.
+    pub(crate) fn block(
+        &self,
+        now_ms: u64,
+        mut features: impl Iterator<Item = Feature> + Clone,
+    ) -> Option<Block> {
         let state = self.lock();
-        let quarantined = |part: &Part| state.parts.binary_search(part).is_ok();
-        let suspected = |part: &Part| {
-            let is_new = state.witness.answered_ms(*part).is_none();
-            is_new && state.witness.suspects_alone(*part, now_ms)
+        let quarantined = |feature: &Feature| state.features.binary_search(feature).is_ok();
+        let suspected = |feature: &Feature| {
+            let is_new = state.witness.answered_ms(*feature).is_none();
+            is_new && state.witness.suspects_alone(*feature, now_ms)
         };
-        let found = ids(parts).find(quarantined);
-        let found = found.map(|part| (part, Reason::Quarantined));
+        let found = features.clone().find(quarantined);
+        let found = found.map(|feature| (feature, Reason::Quarantined));
         let found = found.or_else(|| {
-            let part = ids(parts).find(|part| state.is_alone && suspected(part))?;
-            Some((part, Reason::Suspected))
+            let feature = features.find(|feature| state.is_alone && suspected(feature))?;
+            Some((feature, Reason::Suspected))
         });
-        found.map(|(part, reason)| Block { part, reason })
+        found.map(|(feature, reason)| Block { feature, reason })
     }
 
     /// Returns what to tell the leader with a fencing number.
@@ -125,8 +123,8 @@
             state.witness.crashes(now_ms)
         };
         let (known_fence, version) = state.version;
-        // An answer to a quarantined part releases it.
-        let asked = [&state.suspects[..], &state.parts[..]].concat();
+        // An answer to a quarantined feature releases it.
+        let asked = [&state.suspects[..], &state.features[..]].concat();
         Report {
             crashes,
             answered: state.witness.answers_to(now_ms, &asked),
@@ -140,25 +138,25 @@
         &self,
         fence: u64,
         revision: u64,
-        suspects: &[Part],
+        suspects: &[Feature],
         update: Option<&Update>,
     ) {
         let mut state = self.lock();
         state.told = (fence, revision);
         state.is_alone = false;
-        let is_news = |part: &&Part| {
-            !state.suspects.contains(part) && state.witness.answered_ms(**part).is_some()
+        let is_news = |feature: &&Feature| {
+            !state.suspects.contains(feature) && state.witness.answered_ms(**feature).is_some()
         };
-        if suspects.iter().any(|part| is_news(&part)) {
+        if suspects.iter().any(|feature| is_news(&feature)) {
             self.changed.notify_one();
         }
         state.suspects = suspects.to_vec();
         let Some(update) = update else { return };
         state.version = (fence, update.version);
         if update.complete {
-            state.parts.clear();
+            state.features.clear();
         }
-        state.add(&update.parts);
+        state.add(&update.features);
     }
 
     /// Records that no leader answered.
@@ -166,14 +164,14 @@
         self.lock().is_alone = true;
     }
 
-    /// Adds quarantined parts.
-    pub(crate) fn add(&self, parts: &[Part]) {
-        self.lock().add(parts);
+    /// Adds quarantined features.
+    pub(crate) fn add(&self, features: &[Feature]) {
+        self.lock().add(features);
     }
 
-    /// Returns the quarantined parts, sorted.
-    pub(crate) fn parts(&self) -> Vec<Part> {
-        self.lock().parts.clone()
+    /// Returns the quarantined features, sorted.
+    pub(crate) fn features(&self) -> Vec<Feature> {
+        self.lock().features.clone()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -182,9 +180,9 @@
 }
 
 impl State {
-    fn add(&mut self, parts: &[Part]) {
-        self.parts.extend(parts);
-        self.parts.sort_unstable();
-        self.parts.dedup();
+    fn add(&mut self, features: &[Feature]) {
+        self.features.extend(features);
+        self.features.sort_unstable();
+        self.features.dedup();
     }
 }
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
+use quetzalpick_client::errors::Error;
 use quetzalpick_client::http::{Body, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
@@ -42,7 +43,7 @@
     pub(crate) misdirected: bool,
     /// Whether the endpoint answered that it did not run the request, other than as misdirected.
     pub(crate) declined: bool,
-    /// Whether the connection ended after the request was sent, before an answer and before its time was over.
+    /// Whether the connection ended after the request was sent, before the end of an answer and before its time was over.
     pub(crate) broken_off: bool,
     /// Description for the log.
     pub(crate) reason: String,
@@ -124,7 +125,7 @@
         admitted.possible_runs += 1;
     }
     if failure.broken_off {
-        crash::record(context, admitted, pick);
+        crash::record(context, admitted, pick, false);
     }
     log::info!(
         "entry: request={} failed endpoint={} verdict={} digest={:016x} reason=\"{}\"",
@@ -266,7 +267,7 @@
 ///
 /// # Errors
 ///
-/// `Failure` if the answer is interrupted or takes longer than `limit`.
+/// `Failure` if the answer is interrupted, is too long or takes longer than `limit`.
 pub(crate) async fn collect(
     mut body: Body,
     max_bytes: usize,
@@ -278,7 +279,10 @@
         let limit_ms = limit.as_millis();
         Failure::may_have_run(format!("the answer did not end within {limit_ms} ms"))
     })?;
-    bytes.map_err(Failure::may_have_run)
+    bytes.map_err(|error| Failure {
+        broken_off: matches!(error, Error::Unanswered { .. }),
+        ..Failure::may_have_run(error)
+    })
 }
 
 /// Creates the failure of a request that the endpoint declined, and keeps the connection if possible.
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -111,10 +111,10 @@
         self.lifecycle.phase() > Phase::Serving
     }
 
-    /// Returns why a request must not be sent to endpoints because of its prompt, if so.
+    /// Returns why a request must not be sent to endpoints as it may crash them, if so.
     pub(crate) fn block(&self, admitted: &Admitted) -> Option<Block> {
-        let parts = admitted.metadata.shared_parts();
-        self.quarantine.block(self.clock.now_ms(), parts)
+        let now_ms = self.clock.now_ms();
+        self.quarantine.block(now_ms, admitted.features())
     }
 
     /// Adds the fraction of a retry that each request earns to the budget.
--- a/crates/quetzalpick-entry/src/serve/crash.rs
+++ b/crates/quetzalpick-entry/src/serve/crash.rs
@@ -1,22 +1,28 @@
-//! Requests whose endpoint ended before their first event: a part of their prompt may be what crashed it.
+//! Requests whose endpoint ended while it ran them: they may be what crashed it.
+
+use quetzalpick_core::quarantine::Feature;
 
 use crate::fleet::Pick;
 use crate::serve::Context;
 use crate::serve::request::Admitted;
 
-/// Records that an endpoint broke off a request before its first event.
-pub(crate) fn record<E, S>(context: &Context<E, S>, admitted: &Admitted, pick: &Pick) {
-    let parts = admitted.metadata.shared_parts();
-    if parts.is_empty() {
-        return;
-    }
-    let now_ms = context.clock.now_ms();
-    context.quarantine.record_crash(now_ms, pick, parts);
-    let parts: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+/// Records that an endpoint broke off a request. The parts of its prompt are suspected only if it had no event yet: endpoints crash on
+/// a part before that, and on a request at any time.
+pub(crate) fn record<E, S>(
+    context: &Context<E, S>,
+    admitted: &Admitted,
+    pick: &Pick,
+    has_event: bool,
+) {
+    let parts = admitted.part_features().filter(|_| !has_event);
+    let features: Vec<Feature> = parts.chain([admitted.repeat_feature()]).collect();
+    let names: Vec<String> = features.iter().map(Feature::to_string).collect();
     log::info!(
-        "entry: request={} broken off before its first event endpoint={} parts={}",
+        "entry: request={} broken off endpoint={} event={has_event} features={}",
         admitted.id(),
         pick.endpoint,
-        parts.join(",")
+        names.join(",")
     );
+    let now_ms = context.clock.now_ms();
+    context.quarantine.record_crash(now_ms, pick, features);
 }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -83,7 +83,7 @@
 
     /// Picks the endpoint of the next attempt.
     async fn pick_next(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
-        self.check_prompt(admitted)?;
+        self.check_quarantine(admitted)?;
         match pick(&self.context, admitted).await {
             Some(pick) => Ok(pick),
             None => self.pick_after_load(admitted).await,
@@ -242,8 +242,8 @@
                 if !head.status.is_server_error() {
                     let now_ms = self.context.clock.now_ms();
                     self.context.fleet.record_success(now_ms, &pick.endpoint);
-                    let parts = admitted.metadata.shared_parts();
-                    self.context.quarantine.record_answer(now_ms, parts);
+                    let features = admitted.features();
+                    self.context.quarantine.record_answer(now_ms, features);
                 }
                 self.log_answer(&admitted, &pick, &head);
                 respond(head, Body::full(bytes))
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -34,7 +34,7 @@
 /// Retry delay if the view is stale because this VM cannot reach the log service.
 const RETRY_AFTER_STALE_VIEW: Duration = Duration::from_millis(600);
 
-/// Retry delay of a request that no endpoint gets until an operator releases a part of its prompt.
+/// Retry delay of a request that no endpoint gets until an operator releases it or a part of its prompt.
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
 
 /// `Handler` serves callers' requests; its clones share one context.
@@ -112,7 +112,7 @@
             let detail = format!("version={:?}", admitted.head.version);
             return Err(Refusal::new(Cause::HttpVersion, detail));
         }
-        self.check_prompt(&admitted)?;
+        self.check_quarantine(&admitted)?;
         take_up::resolve(&self.context, &mut admitted).await?;
         let artifacts = admitted.artifacts();
         let tokens = admitted.metadata.tokens.unwrap_or_default();
@@ -197,9 +197,9 @@
         Err(Refusal::new(Cause::StaleView, detail).with_retry_after(RETRY_AFTER_STALE_VIEW))
     }
 
-    /// Checks that no part of the prompt is known to crash endpoints.
-    pub(super) fn check_prompt(&self, admitted: &Admitted) -> Result<(), Refusal> {
-        let Some(Block { part, reason }) = self.context.block(admitted) else {
+    /// Checks that the request is not known to crash endpoints.
+    pub(super) fn check_quarantine(&self, admitted: &Admitted) -> Result<(), Refusal> {
+        let Some(Block { feature, reason }) = self.context.block(admitted) else {
             return Ok(());
         };
         let retry_after = match reason {
@@ -211,7 +211,7 @@
         } else {
             Cause::Quarantined
         };
-        let detail = format!("part={part} reason={reason}");
+        let detail = format!("feature={feature} reason={reason}");
         Err(Refusal::new(cause, detail).with_retry_after(retry_after))
     }
 
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -38,7 +38,7 @@
     StaleView,
     /// It is not known which build began the stream that the request takes up, or that build is not reachable by the route.
     UnknownBuild,
-    /// A part of the prompt has crashed endpoints.
+    /// The request, or a part of its prompt, has crashed endpoints.
     Quarantined,
     /// No endpoint that accepts requests holds the required artifacts.
     NoEndpoint,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use quetzalpick_client::http::Body as Answer;
+use quetzalpick_client::http::{Body as Answer, Framing};
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 
@@ -77,6 +77,8 @@
                     self.context
                         .fleet
                         .record_success(now_ms, &self.pick.endpoint);
+                    let request = [self.admitted.repeat_feature()].into_iter();
+                    self.context.quarantine.record_answer(now_ms, request);
                     return self.log("complete", "");
                 }
                 Some(End::CallerGone) => return self.log("caller-gone", ""),
@@ -124,7 +126,7 @@
         }
         if has_event && events == 0 {
             let now_ms = self.context.clock.now_ms();
-            let parts = self.admitted.metadata.shared_parts();
+            let parts = self.admitted.part_features();
             self.context.quarantine.record_answer(now_ms, parts);
         }
         (fragment, has_event)
@@ -180,7 +182,10 @@
                 Err(_) if stood_still && pause_end_ms < end_ms => continue,
                 Err(_) if pause_end_ms < end_ms => Err(End::Stalled),
                 Err(_) => Err(End::TimedOut),
-                Ok(Some(Err(error))) => Err(self.interrupted(error.to_string())),
+                Ok(Some(Err(error))) => {
+                    self.record_crash();
+                    Err(End::Interrupted(error.to_string()))
+                }
                 Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
                 Ok(None) => Err(self.end()),
             };
@@ -197,18 +202,24 @@
 
     /// Classifies the end of the answer's bytes: an interrupted answer may look like a complete one.
     fn end(&self) -> End {
-        match self.progress.missing_end() {
-            Some(reason) => self.interrupted(reason.to_owned()),
-            None => End::Complete,
+        let Some(reason) = self.progress.missing_end() else {
+            return End::Complete;
+        };
+        // Otherwise the endpoint has ended the answer itself, and goes on.
+        if self.progress.framing() == Framing::ConnectionEnd {
+            self.record_crash();
         }
+        End::Interrupted(reason.to_owned())
     }
 
-    /// Returns the end of an answer that the endpoint interrupted.
-    fn interrupted(&self, reason: String) -> End {
-        if self.progress.is_event_stream() && self.progress.events() == 0 {
-            crash::record(&self.context, &self.admitted, &self.pick);
+    /// Records that the endpoint may have crashed, unless the deadline has passed, at which endpoints stop.
+    fn record_crash(&self) {
+        let now_ms = self.context.clock.now_ms();
+        if self.admitted.left_ms(now_ms) == Some(0) {
+            return;
         }
-        End::Interrupted(reason)
+        let has_event = !self.progress.is_event_stream() || self.progress.events() > 0;
+        crash::record(&self.context, &self.admitted, &self.pick, has_event);
     }
 
     /// Returns the time at which the present pause is too long, in ms; `None` if the stream cannot go on elsewhere.
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -4,6 +4,7 @@
 use http::Version;
 use http::request::Parts;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
+use quetzalpick_core::quarantine::Feature;
 use quetzalpick_core::retry::Deadline;
 
 use crate::config::{Kind, Route};
@@ -47,6 +48,23 @@
         self.metadata.attempt.as_deref().unwrap_or("-")
     }
 
+    /// Returns the features that other requests may share, which may be why endpoints crash: the parts of its prompt but for the last
+    /// one, and the request itself, as it may be repeated.
+    pub(crate) fn features(&self) -> impl Iterator<Item = Feature> + Clone {
+        self.part_features().chain([self.repeat_feature()])
+    }
+
+    /// Returns the parts of its prompt that other requests may share.
+    pub(crate) fn part_features(&self) -> impl Iterator<Item = Feature> + Clone {
+        let parts = self.metadata.shared_parts().iter();
+        parts.map(|part| Feature::Part(part.id))
+    }
+
+    /// Returns what only its repeats share with it.
+    pub(crate) fn repeat_feature(&self) -> Feature {
+        Feature::Request(self.digest)
+    }
+
     /// Returns whether the caller can tell a complete answer of unknown length from an interrupted one.
     pub(crate) fn supports_chunks(&self) -> bool {
         self.head.version >= Version::HTTP_11
--- a/crates/quetzalpick-entry/src/view/quarantine.rs
+++ b/crates/quetzalpick-entry/src/view/quarantine.rs
@@ -1,4 +1,4 @@
-//! Keeps the quarantined prompt parts in their topic: read at the start of a VM and while it leads, written by the leader.
+//! Keeps the quarantined features in their topic: read at the start of a VM and while it leads, written by the leader.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +7,7 @@
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
 use quetzalpick_core::id::Offset;
-use quetzalpick_core::quarantine::Part;
+use quetzalpick_core::quarantine::Feature;
 use tokio::time::timeout;
 
 use crate::lead::{Differences, Leadership};
@@ -20,10 +20,10 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Value of a part's record, which carries no information beyond its key.
+/// Value of a feature's record, which carries no information beyond its key.
 const VALUE: &[u8] = b"1";
 
-/// `QuarantineFollower` reads the stored parts and stores those that this VM quarantines while it leads.
+/// `QuarantineFollower` reads the stored features and stores those that this VM quarantines while it leads.
 #[derive(Debug)]
 pub(crate) struct QuarantineFollower<T, N> {
     pub(crate) topics: T,
@@ -53,12 +53,16 @@
         }
     }
 
-    /// Reads what has changed since `next`, or all parts, and stores what is missing if this VM leads.
+    /// Reads what has changed since `next`, or all features, and stores what is missing if this VM leads.
     ///
     /// # Errors
     ///
     /// Any error of a call; what was read remains applied.
-    async fn synchronize(&self, next: &mut Option<Offset>, stored: &mut Vec<Part>) -> Result<()> {
+    async fn synchronize(
+        &self,
+        next: &mut Option<Offset>,
+        stored: &mut Vec<Feature>,
+    ) -> Result<()> {
         let read = match *next {
             Some(from) => {
                 let read = self.topics.read(Topic::Quarantine, from, Duration::ZERO);
@@ -84,41 +88,41 @@
             self.quarantine.add(stored);
             return Ok(());
         };
-        for part in missing {
-            self.write(part, Some(Bytes::from_static(VALUE))).await?;
+        for feature in missing {
+            self.write(feature, Some(Bytes::from_static(VALUE))).await?;
         }
-        for part in released {
-            self.write(part, None).await?;
+        for feature in released {
+            self.write(feature, None).await?;
         }
         Ok(())
     }
 
-    /// Applies a record of the topic; one that names no part is ignored.
-    fn apply(&self, record: &Record, stored: &mut Vec<Part>) {
-        let Ok(part) = record.key.parse::<Part>() else {
-            log::warn!("quarantine: record ignored reason=\"the key is no part\"");
+    /// Applies a record of the topic; one that names no feature is ignored.
+    fn apply(&self, record: &Record, stored: &mut Vec<Feature>) {
+        let Ok(feature) = record.key.parse::<Feature>() else {
+            log::warn!("quarantine: record ignored reason=\"the key is no feature\"");
             return;
         };
         match record.value {
-            Some(_) if stored.contains(&part) => {}
-            Some(_) => stored.push(part),
+            Some(_) if stored.contains(&feature) => {}
+            Some(_) => stored.push(feature),
             None => {
-                stored.retain(|known| *known != part);
-                self.lead.release_quarantine(part);
+                stored.retain(|known| *known != feature);
+                self.lead.release_quarantine(feature);
             }
         }
     }
 
-    /// Stores the record of a part, or removes it if there is no value.
-    async fn write(&self, part: Part, value: Option<Bytes>) -> Result<()> {
+    /// Stores the record of a feature, or removes it if there is no value.
+    async fn write(&self, feature: Feature, value: Option<Bytes>) -> Result<()> {
         let is_removal = value.is_none();
         let record = Record {
-            key: part.to_string(),
+            key: feature.to_string(),
             value,
         };
         let result = self.topics.append(Topic::Quarantine, &record, None).await;
         let is_written = result.is_ok();
-        log::info!("quarantine: part={part} written={is_written} removal={is_removal}");
+        log::info!("quarantine: feature={feature} written={is_written} removal={is_removal}");
         result.map(drop)
     }
 }
