--- a/crates/quetzalpick-client/src/http/connection.rs
+++ b/crates/quetzalpick-client/src/http/connection.rs
@@ -1,14 +1,14 @@
 //! A single HTTP/1 connection to an external system.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 use super::Options;
@@ -22,9 +22,16 @@
 }
 
 impl Connection {
-    /// Connects to an address and starts the task that drives the connection.
-    pub(crate) async fn try_connect(address: SocketAddr, options: &Options) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
+    /// Connects to an address, from a source address if one is given, and starts the task that drives the connection.
+    pub(crate) async fn try_connect(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        options: &Options,
+    ) -> io::Result<Self> {
+        let stream = match source {
+            Some(source) => connect_from(source, address).await?,
+            None => TcpStream::connect(address).await?,
+        };
         stream.set_nodelay(true)?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(options.head_max_bytes)
@@ -38,6 +45,17 @@
     }
 }
 
+/// Connects to an address from a source address.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -1,8 +1,8 @@
 //! A pool of idle connections, and the verdict of each call.
 
 use std::future::Future;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hyper::header::{HOST, HeaderValue};
@@ -32,6 +32,8 @@
 struct Shared {
     options: Options,
     idle: Mutex<Table<SocketAddr, Vec<IdleConnection>>>,
+    /// Source address of new connections; `None` leaves it to the system.
+    source: Mutex<Option<IpAddr>>,
 }
 
 /// `PoolHandle` returns a connection to the pool that it was taken from.
@@ -66,12 +68,20 @@
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(options: Options) -> Self {
-        let idle = Mutex::default();
+        let shared = Shared {
+            options,
+            ..Shared::default()
+        };
         Self {
-            shared: Arc::new(Shared { options, idle }),
+            shared: Arc::new(shared),
         }
     }
 
+    /// Sets the source address of new connections, on hosts with several; `None` leaves it to the system.
+    pub fn set_source(&self, source: Option<IpAddr>) {
+        *lock(&self.shared.source) = source;
+    }
+
     /// Sends a request to an IP address and port and returns the answer as soon as its head has arrived.
     ///
     /// An idle connection that turns out to be closed before any byte of the request was sent is replaced by a new one.
@@ -101,7 +111,8 @@
                 SendOutcome::NoAnswer(reason) => return Err(may_have_run(address, reason)),
             }
         }
-        let connecting = Connection::try_connect(peer, &self.shared.options);
+        let source = *lock(&self.shared.source);
+        let connecting = Connection::try_connect(peer, source, &self.shared.options);
         let connection = with_timeout(timeouts.connect, connecting)
             .await
             .map_err(not_run)?
@@ -145,11 +156,7 @@
 
     /// Takes the most recently used idle connection that is neither expired nor known to be closed.
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self
-            .shared
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.shared.idle);
         let connections = idle.get_mut(&address)?;
         while let Some(IdleConnection { connection, since }) = connections.pop() {
             let fresh = since.elapsed() < self.shared.options.idle_timeout;
@@ -163,11 +170,7 @@
     /// Adds an idle connection, and drops the oldest ones above the limit.
     fn put_back(&self, address: SocketAddr, connection: Connection) {
         let options = &self.shared.options;
-        let mut idle = self
-            .shared
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.shared.idle);
         let since = Instant::now();
         let connections = idle.get_or_insert_with(address, Vec::new);
         connections.push(IdleConnection { connection, since });
@@ -182,6 +185,11 @@
     }
 }
 
+/// Locks a mutex; what it guards is valid also if another thread has panicked.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Awaits a future for at most `limit`; the error is a message that names the limit.
 async fn with_timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, String> {
     timeout(limit, future)
