Send requests to endpoints through another VM while a VM's own link to them is lost

Cause: a VM learned of each endpoint alone that it could not be connected to, never of its own link, and could do nothing if it knew: it sent to endpoints itself or not at all. Class: one way to the endpoints, without another one.

Change: core::link counts endpoints in a row that could not be connected to, with no connection established in between. From the second one on the VM sends through other VMs, each attempt by itself: choice of the endpoint, charge, permits, verdicts and resumption stay where they are. The peer listener passes a request on to an endpoint that its VM knows by name, streams the answer back with the framing that the endpoint gave it, and says truly whether anything was sent. A VM whose own link is lost declines at once. The link is probed every 0.5 s while it is lost, and also while nothing comes from any endpoint for 0.3 s although several have requests, as open connections may hang. Without another VM that can be used the request is sent directly.

Why it works: two endpoints that refuse at a time may both have ended; then the other VMs cannot connect either and say so, at the price of one call. Ruled out: becoming unready (a zone without half of its VMs gets all of them back, and open connections stay), and handing the whole request to another VM, which would charge it twice.

--- a/crates/quetzalpick-client/src/http/framing.rs
+++ b/crates/quetzalpick-client/src/http/framing.rs
@@ -2,10 +2,10 @@
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
-use strum::{Display, IntoStaticStr};
+use strum::{Display, EnumString, IntoStaticStr};
 
 /// `Framing` states how the end of an answer's body is marked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Framing {
     /// The head announces the length.
@@ -19,6 +19,10 @@
 impl Framing {
     /// Returns the framing that the head of an answer announces.
     pub fn of(head: &Parts) -> Self {
+        // An answer that another VM has passed on has the framing of that VM.
+        if let Some(framing) = head.extensions.get::<Self>() {
+            return *framing;
+        }
         let headers = &head.headers;
         // A transfer encoding overrides a length.
         let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     idle: Mutex<Table<SocketAddr, Vec<IdleConnection>>>,
     /// Source address of new connections; `None` leaves it to the system.
     source: Mutex<Option<IpAddr>>,
+    /// Number of connections that were established.
+    connections: AtomicU64,
 }
 
 /// `PoolHandle` returns a connection to the pool that it was taken from.
@@ -111,12 +114,8 @@
                 SendOutcome::NoAnswer(reason) => return Err(may_have_run(address, reason)),
             }
         }
-        let source = *lock(&self.shared.source);
-        let connecting = Connection::try_connect(peer, source, &self.shared.options);
-        let connection = with_timeout(timeouts.connect, connecting)
-            .await
-            .map_err(not_run)?
-            .map_err(|e| not_run(format!("cannot connect: {e}")))?;
+        let connection = self.try_connect(peer, timeouts.connect).await;
+        let connection = connection.map_err(not_run)?;
         match self.send_over(peer, connection, request, timeouts).await {
             SendOutcome::Answered(response) => Ok(response),
             SendOutcome::Unsent(_, reason) => Err(not_run(reason)),
@@ -124,6 +123,40 @@
         }
     }
 
+    /// Returns the number of connections that were established so far.
+    pub fn connection_count(&self) -> u64 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Establishes a connection within a time limit and keeps it for requests; returns whether that succeeded.
+    pub async fn probe(&self, address: SocketAddr, limit: Duration) -> bool {
+        let connection = self.try_connect(address, limit).await;
+        let is_connected = connection.is_ok();
+        if let Ok(connection) = connection {
+            self.put_back(address, connection);
+        }
+        is_connected
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        *lock(&self.shared.idle) = Table::default();
+    }
+
+    /// Establishes a connection within a time limit.
+    async fn try_connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, String> {
+        let source = *lock(&self.shared.source);
+        let connecting = Connection::try_connect(address, source, &self.shared.options);
+        let connection = with_timeout(limit, connecting).await?;
+        let connection = connection.map_err(|e| format!("cannot connect: {e}"))?;
+        self.shared.connections.fetch_add(1, Ordering::Relaxed);
+        Ok(connection)
+    }
+
     /// Sends a request over one connection.
     async fn send_over(
         &self,
--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod lease;
 pub mod limit;
+pub mod link;
 pub mod payload;
 pub mod plan;
 pub mod quarantine;
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::exchange::{Client, PeerHandler};
 use crate::fleet::Fleet;
 use crate::lead::{ElectionDriver, Leadership, PlanExecutor};
+use crate::link::{Link, Monitor};
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::origin::Origins;
@@ -134,6 +135,7 @@
         let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
         let origins = Arc::new(Origins::default());
         let quarantine = Arc::new(Quarantine::default());
+        let link = Arc::new(Link::default());
         let lead = Arc::new(new_leadership(
             &platform,
             &view,
@@ -156,6 +158,7 @@
             registrars: Mutex::default(),
             origins: Arc::clone(&origins),
             quarantine: Arc::clone(&quarantine),
+            avoided: Mutex::default(),
         });
         let vm = options.vm.clone();
         let context = Arc::new(Context {
@@ -167,6 +170,7 @@
             rates,
             origins,
             quarantine,
+            link,
             peer_client: client,
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
             leaderless_until_ms: AtomicU64::default(),
@@ -181,6 +185,8 @@
             rates: Arc::clone(&context.rates),
             fleet: Arc::clone(&context.fleet),
             origins: Arc::clone(&context.origins),
+            link: Arc::clone(&context.link),
+            pool: context.pool.clone(),
             clock,
         };
         let transport = platform.transport.clone();
@@ -351,6 +357,13 @@
         view: Arc::clone(&context.view),
         clock,
     };
+    let monitor = Monitor {
+        link: Arc::clone(&context.link),
+        fleet: Arc::clone(&context.fleet),
+        pool: context.pool.clone(),
+        clock,
+    };
+    spawn(stop, monitor.run());
     spawn(stop, config.run());
     spawn(stop, endpoints.run());
     spawn(stop, membership.run());
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use quetzalpick_core::id::{Artifact, Service, Workspace};
+use quetzalpick_client::errors::Result as CallResult;
+use quetzalpick_client::http::{Request, Response, Timeouts};
+use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::limit::Need;
+use quetzalpick_core::table::Table;
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -72,6 +75,8 @@
     pub(crate) registrars: Mutex<Registrars>,
     pub(crate) origins: Arc<Origins>,
     pub(crate) quarantine: Arc<Quarantine>,
+    /// VMs that could not pass requests on recently, and until when they are avoided, in ms.
+    pub(crate) avoided: Mutex<Table<String, u64>>,
 }
 
 impl<N: EngineControl, P: Transport> Client<N, P> {
@@ -321,6 +326,15 @@
         self.search_origin(service, attempt).await
     }
 
+    async fn forward(
+        &self,
+        endpoint: &Endpoint,
+        request: Request,
+        timeouts: Timeouts,
+    ) -> CallResult<Response> {
+        self.send_through_others(endpoint, request, timeouts).await
+    }
+
     async fn request_adapter(&self, adapter: &Artifact) {
         let request = AdapterRequest {
             adapter: adapter.clone(),
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -1,12 +1,14 @@
 //! Messages between VMs: periodic statuses and the leader's replies, draws, loans, and requests for adapters.
 
 mod client;
+mod forward;
 mod message;
 mod origins;
 mod registrars;
 mod service;
 
 pub(crate) use client::Client;
+pub(crate) use forward::Via;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
     EndpointsRelay, PermitRequest, PermitResult, Status, StatusReply, ViewRelay,
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -1,8 +1,13 @@
 //! Handles calls from other VMs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
+use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
+use quetzalpick_core::id::Endpoint;
+use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::peer::Service;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -11,10 +16,21 @@
 use crate::exchange::message::{DrawRequest, OriginReply, OriginReport, OriginRequest, path};
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
+use crate::link::Link;
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
 
+/// Time after which a VM that reaches no endpoints may be asked again.
+const LOST_LINK_PAUSE: Duration = Duration::from_secs(1);
+
+/// Timeouts of a request that is passed on for another VM, which gives up earlier.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(300),
+    head: Duration::from_secs(3_600),
+    body_idle: Duration::from_secs(3_600),
+};
+
 /// `PeerHandler` dispatches calls to the peer listener by path; its clones share their state.
 #[derive(Debug)]
 pub(crate) struct PeerHandler<N> {
@@ -22,6 +38,9 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) origins: Arc<Origins>,
+    pub(crate) link: Arc<Link>,
+    /// Connections to endpoints.
+    pub(crate) pool: Pool,
     pub(crate) clock: Clock,
 }
 
@@ -32,6 +51,8 @@
             rates: Arc::clone(&self.rates),
             fleet: Arc::clone(&self.fleet),
             origins: Arc::clone(&self.origins),
+            link: Arc::clone(&self.link),
+            pool: self.pool.clone(),
             clock: self.clock,
         }
     }
@@ -50,6 +71,33 @@
             _ => None,
         }
     }
+
+    async fn forward(&self, endpoint: &str, request: Request) -> CallResult<Response> {
+        if self.link.is_lost() {
+            return Err(Error::Busy {
+                target: endpoint.to_owned(),
+                retry_after: LOST_LINK_PAUSE,
+            });
+        }
+        let not_run = |reason: &str| unanswered(endpoint, Verdict::NotRun, reason);
+        let name = Endpoint::try_new(endpoint).map_err(|_| not_run("malformed name"))?;
+        let address = self.fleet.address(&name);
+        let address = address.ok_or_else(|| not_run("not known here"))?;
+        let answer = self
+            .pool
+            .send(&address.to_string(), request, TIMEOUTS)
+            .await;
+        match &answer {
+            Ok(_) => self.link.record_heard(self.clock.now_ms()),
+            Err(error) if error.verdict() == Verdict::NotRun => {
+                let (known, connections) = (self.fleet.count(), self.pool.connection_count());
+                let now_ms = self.clock.now_ms();
+                self.link.record_failure(now_ms, &name, known, connections);
+            }
+            Err(_) => {}
+        }
+        answer
+    }
 }
 
 impl<N> PeerHandler<N> {
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -1,5 +1,6 @@
 //! The table of endpoints and the demand for models.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -248,6 +249,16 @@
         })
     }
 
+    /// Returns the address of an endpoint.
+    pub(crate) fn address(&self, endpoint: &Endpoint) -> Option<SocketAddr> {
+        self.rows().get(endpoint).map(|row| row.spec.address)
+    }
+
+    /// Returns the number of endpoints.
+    pub(crate) fn count(&self) -> usize {
+        self.rows().len()
+    }
+
     /// Replaces an endpoint's copies by those that the leader reports.
     pub fn set_copies(&self, now_ms: u64, endpoint: &Endpoint, copies: &[Artifact]) {
         self.record_leader_contact(now_ms);
--- a/crates/quetzalpick-entry/src/lib.rs
+++ b/crates/quetzalpick-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod exchange;
 pub mod fleet;
 mod lead;
+mod link;
 pub mod metadata;
 mod meters;
 mod options;
--- /dev/null
+++ b/crates/quetzalpick-entry/src/link/monitor.rs
@@ -0,0 +1,87 @@
+//! Probes the link while it is lost, or while all endpoints are silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use quetzalpick_client::http::Pool;
+use quetzalpick_core::id::Endpoint;
+use rand::random;
+use tokio::time::sleep;
+
+use crate::clock::Clock;
+use crate::fleet::{Fleet, Spec};
+use crate::link::Link;
+
+/// Pause between two looks at the link.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Endpoints that are connected to in one probe.
+const PROBED: usize = 3;
+
+/// Timeout for a connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// `Monitor` probes the link of this VM.
+#[derive(Debug)]
+pub(crate) struct Monitor {
+    pub(crate) link: Arc<Link>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) pool: Pool,
+    pub(crate) clock: Clock,
+}
+
+impl Monitor {
+    /// Probes until cancelled.
+    pub(crate) async fn run(self) {
+        loop {
+            tokio::select! {
+                () = sleep(INTERVAL) => {}
+                () = self.link.lost.notified() => self.pool.close_idle(),
+            }
+            let busy = self.fleet.loads();
+            if self.link.begin_probe(self.clock.now_ms(), busy.len()) {
+                self.probe().await;
+            }
+        }
+    }
+
+    /// Connects to some endpoints at a time, and records whether one of them can be reached.
+    async fn probe(&self) {
+        let probes = self
+            .choose()
+            .into_iter()
+            .map(|(endpoint, spec)| async move {
+                let is_connected = self.pool.probe(spec.address, CONNECT_TIMEOUT).await;
+                (endpoint, is_connected)
+            });
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        let mut failed = Vec::new();
+        while let Some((endpoint, is_connected)) = probes.next().await {
+            if is_connected {
+                return self.link.record_connection(self.clock.now_ms());
+            }
+            failed.push(endpoint);
+        }
+        let known = self.fleet.count();
+        for endpoint in failed {
+            let connections = self.pool.connection_count();
+            self.link
+                .record_failure(self.clock.now_ms(), &endpoint, known, connections);
+        }
+    }
+
+    /// Chooses endpoints at random.
+    fn choose(&self) -> Vec<(Endpoint, Spec)> {
+        let mut specs = self.fleet.specs();
+        let count = PROBED.min(specs.len());
+        for index in 0..count {
+            let rest = (specs.len() - index) as u64;
+            let offset = usize::try_from(random::<u64>() % rest).unwrap_or_default();
+            specs.swap(index, index + offset);
+        }
+        specs.truncate(count);
+        specs
+    }
+}
--- a/crates/quetzalpick-entry/src/meters.rs
+++ b/crates/quetzalpick-entry/src/meters.rs
@@ -13,6 +13,7 @@
     answers: Counter<u64>,
     refusals: Counter<u64>,
     sends: Counter<u64>,
+    forwarded: Counter<u64>,
     permits: Counter<u64>,
     streams: Counter<u64>,
     answer_ms: Histogram<f64>,
@@ -38,6 +39,10 @@
                 "quetzalpick_entry_sends",
                 "Requests sent to endpoints, repeats included.",
             ),
+            forwarded: counter(
+                "quetzalpick_entry_forwarded",
+                "Requests sent to endpoints through other VMs, by whether they were answered.",
+            ),
             permits: counter(
                 "quetzalpick_entry_permits",
                 "Requests for the permit to send to an endpoint at its limit, by outcome.",
@@ -75,6 +80,12 @@
         self.sends.add(1, &[]);
     }
 
+    /// Counts a request sent to an endpoint through another VM.
+    pub(crate) fn forwarded(&self, answered: bool) {
+        self.forwarded
+            .add(1, &[KeyValue::new("answered", answered)]);
+    }
+
     /// Counts a request for a permit.
     pub(crate) fn permit(&self, outcome: &'static str) {
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use quetzalpick_client::errors::Error;
-use quetzalpick_client::http::{Body, Timeouts};
+use quetzalpick_client::errors::{Error, Result as CallResult};
+use quetzalpick_client::http::{Body, Request as HttpRequest, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
 use tokio::time::timeout;
@@ -175,18 +175,14 @@
     /// # Errors
     ///
     /// `Failure` if the endpoint does not answer this request.
-    pub(crate) async fn send<E: HeadCodec, S>(
+    pub(crate) async fn send<E: HeadCodec, S: PeerClient>(
         self,
         context: &Context<E, S>,
         pick: &Pick,
     ) -> Result<Response<Body>, Failure> {
         let now_ms = context.clock.now_ms();
-        let address = pick.address.to_string();
         context.meters.sent();
-        let answer = context
-            .pool
-            .send(&address, self.request, self.timeouts)
-            .await;
+        let answer = transmit(context, pick, self.request, self.timeouts).await;
         let in_time = context.clock.now_ms() < now_ms + self.time_limit_ms;
         let answer = answer.map_err(|error| Failure {
             verdict: error.verdict(),
@@ -220,6 +216,58 @@
     }
 }
 
+/// Sends a request to an endpoint: through another VM if this VM's link to the endpoints is lost, and directly otherwise or if no other
+/// VM can be used.
+async fn transmit<E, S: PeerClient>(
+    context: &Context<E, S>,
+    pick: &Pick,
+    request: HttpRequest,
+    timeouts: Timeouts,
+) -> CallResult<Response<Body>> {
+    if context.link.is_lost()
+        && let Some(answer) = forward(context, pick, request.clone(), timeouts).await
+    {
+        return answer;
+    }
+    let address = pick.address.to_string();
+    let answer = context.pool.send(&address, request.clone(), timeouts).await;
+    let error = match answer {
+        Ok(answer) => {
+            context.link.record_answer(context.clock.now_ms());
+            return Ok(answer);
+        }
+        Err(error) => error,
+    };
+    let was_lost = context.link.is_lost();
+    if error.verdict() == Verdict::NotRun {
+        context.record_link_failure(&pick.endpoint);
+    }
+    // Nothing was sent, and this failure may be the one that shows that the link is lost.
+    if error.verdict() == Verdict::NotRun && !was_lost && context.link.is_lost() {
+        let forwarded = forward(context, pick, request, timeouts).await;
+        return forwarded.unwrap_or(Err(error));
+    }
+    Err(error)
+}
+
+/// Sends a request to an endpoint through another VM; `None` if none can be used.
+async fn forward<E, S: PeerClient>(
+    context: &Context<E, S>,
+    pick: &Pick,
+    request: HttpRequest,
+    timeouts: Timeouts,
+) -> Option<CallResult<Response<Body>>> {
+    let forwarded = context
+        .peer_client
+        .forward(&pick.endpoint, request, timeouts);
+    let answer = forwarded.await;
+    if matches!(answer, Err(Error::Busy { .. })) {
+        return None;
+    }
+    context.meters.forwarded(answer.is_ok());
+    Some(answer)
+}
+
 /// Builds the request for the endpoint.
 fn request<E: HeadCodec, S>(
     context: &Context<E, S>,
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use quetzalpick_client::http::Pool;
-use quetzalpick_core::id::{Artifact, Service, Workspace};
+use quetzalpick_client::errors::Result as CallResult;
+use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
+use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::retry::{Budget, RefusalRate, RetryAfter};
 use quetzalpick_core::table::Table;
@@ -16,6 +17,7 @@
 use crate::clock::Clock;
 use crate::exchange::{DrawResult, PermitResult};
 use crate::fleet::{Build, Fleet, Notice};
+use crate::link::Link;
 use crate::meters::Meters;
 use crate::options::Options;
 use crate::origin::{Origin, Origins};
@@ -60,6 +62,14 @@
         attempt: Option<&str>,
     ) -> impl Future<Output = OriginSearch> + Send;
 
+    /// Sends a request to an endpoint through another VM.
+    fn forward(
+        &self,
+        endpoint: &Endpoint,
+        request: Request,
+        timeouts: Timeouts,
+    ) -> impl Future<Output = CallResult<Response>> + Send;
+
     /// Requests an adapter that no endpoint holds; returns once an endpoint holds it or none will soon.
     fn request_adapter(&self, adapter: &Artifact) -> impl Future<Output = ()> + Send;
 }
@@ -76,6 +86,7 @@
     pub(crate) rates: Arc<Rates>,
     pub(crate) origins: Arc<Origins>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) link: Arc<Link>,
     pub(crate) peer_client: Arc<S>,
     pub(crate) budget: Mutex<Budget>,
     /// No permit is requested before this time, in ms, because no leader answered.
@@ -117,6 +128,14 @@
         self.quarantine.block(now_ms, admitted.features())
     }
 
+    /// Records that no connection to an endpoint could be established.
+    pub(crate) fn record_link_failure(&self, endpoint: &Endpoint) {
+        let (known, connections) = (self.fleet.count(), self.pool.connection_count());
+        let now_ms = self.clock.now_ms();
+        self.link
+            .record_failure(now_ms, endpoint, known, connections);
+    }
+
     /// Adds the fraction of a retry that each request earns to the budget.
     pub(crate) fn deposit(&self) {
         self.with_budget(Budget::deposit);
--- a/crates/quetzalpick-entry/src/serve/delivery.rs
+++ b/crates/quetzalpick-entry/src/serve/delivery.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 use crate::fleet::Pick;
-use crate::serve::Context;
 use crate::serve::attempt::{Call, Failure, collect};
 use crate::serve::request::Admitted;
+use crate::serve::{Context, PeerClient};
 use crate::wire::HeadCodec;
 
 /// Longest answer that is buffered in full, in bytes, so that another endpoint can replace it if it is interrupted.
@@ -33,7 +33,7 @@
     }
 
     /// Sends a request and takes the answer.
-    pub(super) async fn fetch<E: HeadCodec, S>(
+    pub(super) async fn fetch<E: HeadCodec, S: PeerClient>(
         self,
         context: &Context<E, S>,
         call: Call,
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use quetzalpick_core::id::Endpoint;
 
+use crate::exchange::Via;
 use crate::fleet::Pick;
 use crate::serve::PeerClient;
 use crate::serve::attempt::{
@@ -281,8 +282,10 @@
         // A limit that cannot be decoded is logged once.
         let limit = self.context.head_codec.limit(&head.headers).ok().flatten();
         let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
+        let via = head.extensions.get::<Via>();
+        let via = via.map_or_else(String::new, |Via(vm)| format!(" via={vm}"));
         log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} digest={:016x} took_ms={took_ms}{resumes}{limit}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} tries={} version={} digest={:016x} took_ms={took_ms}{resumes}{limit}{via}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -186,7 +186,10 @@
                     self.record_crash();
                     Err(End::Interrupted(error.to_string()))
                 }
-                Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+                Ok(Some(Ok(frame))) => {
+                    self.context.link.record_heard(now_ms + waited_ms);
+                    Ok(frame.into_data().unwrap_or_default())
+                }
                 Ok(None) => Err(self.end()),
             };
         }
--- a/crates/quetzalpick-node/src/peer/http.rs
+++ b/crates/quetzalpick-node/src/peer/http.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use quetzalpick_client::errors::{Result as CallResult, refused, unanswered};
-use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::http::{
+    Body as ClientBody, Framing, Pool, Response as ClientResponse, Timeouts,
+};
 use quetzalpick_core::verdict::Verdict;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
@@ -19,6 +21,7 @@
 use crate::errors::Result;
 use crate::http::body;
 use crate::http::server::{Handler, Options, Server};
+use crate::peer::forwarded::{self, Failure};
 use crate::peer::{Service, Transport};
 
 /// Header that carries the shared secret.
@@ -36,6 +39,9 @@
 /// Time limit for calls in progress to finish at shutdown.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
 
+/// Body of the answer to a call, or of an endpoint's answer that is passed on.
+type AnswerBody = Either<Full<Bytes>, ClientBody>;
+
 /// `Http` sends and serves peer calls over HTTP, authenticated by a secret that all processes share.
 #[derive(Debug, Clone)]
 pub struct Http {
@@ -74,6 +80,27 @@
         Err(refused(address, status.as_u16(), message))
     }
 
+    async fn forward(
+        &self,
+        address: &str,
+        endpoint: &str,
+        mut request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> CallResult<ClientResponse> {
+        let value = |text: &str| {
+            let value = HeaderValue::from_str(text);
+            value.map_err(|error| unanswered(address, Verdict::NotRun, error))
+        };
+        let headers = request.headers_mut();
+        headers.insert(SECRET_HEADER, value(&self.secret)?);
+        headers.insert(forwarded::ENDPOINT, value(endpoint)?);
+        match self.pool.send(address, request, timeouts).await {
+            Ok(answer) => forwarded::take_answer(address, answer).await,
+            Err(error) if error.verdict() == Verdict::NotRun => Err(forwarded::busy(address)),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn bind(&self, address: &str) -> Result<(Server, String)> {
         let options = Options {
             drain: DRAIN_LIMIT,
@@ -117,14 +144,39 @@
     answer
 }
 
-impl<S: Service> Handler for Listener<S> {
-    type Body = Full<Bytes>;
-
-    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Self::Body> {
-        if !self.is_authenticated(&request) {
-            log::warn!("peer: refused a call from {peer}: wrong or missing secret");
-            return answer(StatusCode::UNAUTHORIZED, "unknown secret");
+impl<S: Service> Listener<S> {
+    /// Passes a request on to an endpoint and returns its answer, or why there is none.
+    async fn forward(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (mut head, body) = request.into_parts();
+        let endpoint = head.headers.remove(forwarded::ENDPOINT);
+        let endpoint = endpoint.as_ref().and_then(|name| name.to_str().ok());
+        head.headers.remove(SECRET_HEADER);
+        forwarded::strip_request(&mut head.headers);
+        let result = match body::collect(body, CALL_MAX_BYTES, BODY_TIMEOUT).await {
+            Ok(body) => {
+                let request = Request::from_parts(head, Full::new(body));
+                let endpoint = endpoint.unwrap_or_default();
+                self.service.forward(endpoint, request).await
+            }
+            Err(error) => Err(unanswered("peer", Verdict::NotRun, error)),
+        };
+        match result {
+            Ok(answer) => {
+                let (mut head, body) = answer.into_parts();
+                let framing = Framing::of(&head);
+                forwarded::mark_answer(framing, &mut head.headers);
+                Response::from_parts(head, Either::Right(body))
+            }
+            Err(error) => {
+                let mut answer = answer(StatusCode::BAD_GATEWAY, error.to_string());
+                Failure::of(&error).add_to(answer.headers_mut());
+                answer.map(Either::Left)
+            }
         }
+    }
+
+    /// Answers a call.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.method() != Method::POST {
             return answer(StatusCode::METHOD_NOT_ALLOWED, "only POST");
         }
@@ -138,3 +190,18 @@
         }
     }
 }
+
+impl<S: Service> Handler for Listener<S> {
+    type Body = AnswerBody;
+
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<Self::Body> {
+        if !self.is_authenticated(&request) {
+            log::warn!("peer: refused a call from {peer}: wrong or missing secret");
+            return answer(StatusCode::UNAUTHORIZED, "unknown secret").map(Either::Left);
+        }
+        if request.headers().contains_key(forwarded::ENDPOINT) {
+            return self.forward(request).await;
+        }
+        self.answer(request).await.map(Either::Left)
+    }
+}
--- a/crates/quetzalpick-node/src/peer/mod.rs
+++ b/crates/quetzalpick-node/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Calls between the processes of the system: message bodies, transport trait and HTTP transport.
 
 mod blob;
+mod forwarded;
 mod http;
 mod transport;
 mod wire;
--- a/crates/quetzalpick-node/src/peer/transport.rs
+++ b/crates/quetzalpick-node/src/peer/transport.rs
@@ -1,10 +1,12 @@
 //! Traits for calling peers and for serving their calls.
 
-use std::future::Future;
+use std::future::{Future, ready};
 
 use bytes::Bytes;
-use quetzalpick_client::errors::Result as CallResult;
+use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
+use quetzalpick_client::http::{Request, Response, Timeouts};
 use quetzalpick_core::id::Member;
+use quetzalpick_core::verdict::Verdict;
 use tokio_util::sync::CancellationToken;
 
 use crate::errors::Result;
@@ -24,6 +26,20 @@
 pub trait Service: Clone + Send + Sync + 'static {
     /// Answers a call; `None` if the path is unknown or the body cannot be decoded.
     fn answer(&self, path: &str, body: Bytes) -> impl Future<Output = Option<Bytes>> + Send;
+
+    /// Sends a peer's request to an endpoint, given by its name; a service that does not forward leaves this as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the call with its verdict; `Error::Busy` if this process reaches no endpoints either.
+    fn forward(
+        &self,
+        endpoint: &str,
+        request: Request,
+    ) -> impl Future<Output = CallResult<Response>> + Send {
+        drop(request);
+        ready(Err(not_supported(endpoint)))
+    }
 }
 
 /// `Transport` sends calls to peers and receives theirs; tests use an implementation without sockets.
@@ -43,6 +59,22 @@
         body: Bytes,
     ) -> impl Future<Output = CallResult<Bytes>> + Send;
 
+    /// Sends a request to an endpoint, given by its name, through the peer that listens at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the call with its verdict; `Error::Busy` if this peer cannot be used now.
+    fn forward(
+        &self,
+        address: &str,
+        endpoint: &str,
+        request: Request,
+        timeouts: Timeouts,
+    ) -> impl Future<Output = CallResult<Response>> + Send {
+        drop((request, timeouts));
+        ready(Err(not_supported(&format!("{address}, {endpoint}"))))
+    }
+
     /// Opens a listener and returns it with its address.
     ///
     /// # Errors
@@ -58,3 +90,8 @@
         stop: CancellationToken,
     ) -> impl Future<Output = ()> + Send;
 }
+
+/// Builds the error of a process that does not forward requests.
+fn not_supported(target: &str) -> Error {
+    unanswered(target, Verdict::NotRun, "requests are not forwarded")
+}
