--- a/crates/quetzalpick-client/src/http/framing.rs
+++ b/crates/quetzalpick-client/src/http/framing.rs
@@ -19,7 +19,7 @@
 impl Framing {
     /// Returns the framing that the head of an answer announces.
     pub fn of(head: &Parts) -> Self {
-        // An answer that another VM has passed on has the framing of that VM.
+        // The head of an answer that another VM has passed on describes the connection to that VM.
         if let Some(framing) = head.extensions.get::<Self>() {
             return *framing;
         }
--- a/crates/quetzalpick-core/src/link/state.rs
+++ b/crates/quetzalpick-core/src/link/state.rs
@@ -14,6 +14,8 @@
     options: Options,
     /// Endpoints that could not be connected to since a connection was last established, with the times in ms.
     failures: Table<Endpoint, u64>,
+    /// Endpoints that could not be connected to although the link was sound, and when that was found, in ms.
+    ended: Table<Endpoint, u64>,
     /// Number of connections established when the last failure was recorded.
     connections: u64,
     /// Since when the link has been lost, in ms.
@@ -28,6 +30,7 @@
         Self {
             options,
             failures: Table::default(),
+            ended: Table::default(),
             connections: 0,
             lost_ms: None,
             probed_ms: 0,
@@ -54,6 +57,11 @@
         }
         let oldest_ms = now_ms.saturating_sub(self.options.failure_ttl_ms);
         self.failures.retain(|_, at_ms| *at_ms >= oldest_ms);
+        self.ended.retain(|_, at_ms| *at_ms >= oldest_ms);
+        // Requests for a service without endpoints would lose and restore the link again and again.
+        if self.ended.contains(endpoint) {
+            return false;
+        }
         self.failures.insert(endpoint.clone(), now_ms);
         let is_new = self.lost_ms.is_none();
         let required = self.options.failures.min(known.max(1));
@@ -67,9 +75,16 @@
 
     /// Records that a probe has established a connection; returns for how long the link was lost, in ms, if it was.
     pub fn record_connection(&mut self, now_ms: u64) -> Option<u64> {
-        self.failures = Table::default();
+        let failures = std::mem::take(&mut self.failures);
         let lost_ms = self.lost_ms.take()?;
-        Some(now_ms.saturating_sub(lost_ms))
+        let lost_for_ms = now_ms.saturating_sub(lost_ms);
+        if lost_for_ms < self.options.probe_interval_ms {
+            // The first probe succeeded: it was the endpoints that failed.
+            for endpoint in failures.keys() {
+                self.ended.insert(endpoint.clone(), now_ms);
+            }
+        }
+        Some(lost_for_ms)
     }
 
     /// Returns whether the link is to be probed now: it is lost, or nothing was received from endpoints since `heard_ms` while
--- a/crates/quetzalpick-core/tests/link.rs
+++ b/crates/quetzalpick-core/tests/link.rs
@@ -61,3 +61,26 @@
     assert!(!link.begin_probe(10_700, 10_000, 2));
     assert!(!link.is_lost());
 }
+
+#[test]
+fn endpoints_that_have_ended_do_not_lose_the_link_again_and_again() {
+    let mut link = link();
+    link.record_failure(1_000, &endpoint(1), 9, 0);
+    assert!(link.record_failure(1_010, &endpoint(2), 9, 0));
+    assert_eq!(link.record_connection(1_012), Some(2));
+    assert!(!link.record_failure(1_100, &endpoint(1), 9, 1));
+    assert!(!link.record_failure(1_110, &endpoint(2), 9, 1));
+    assert!(!link.record_failure(1_120, &endpoint(3), 9, 1));
+    // A link that is lost meanwhile is still found by other endpoints.
+    assert!(link.record_failure(1_130, &endpoint(4), 9, 1));
+}
+
+#[test]
+fn endpoints_that_failed_while_the_link_was_lost_count_again() {
+    let mut link = link();
+    link.record_failure(1_000, &endpoint(1), 9, 0);
+    assert!(link.record_failure(1_010, &endpoint(2), 9, 0));
+    assert_eq!(link.record_connection(2_500), Some(1_490));
+    link.record_failure(2_600, &endpoint(1), 9, 1);
+    assert!(link.record_failure(2_610, &endpoint(2), 9, 1));
+}
--- a/crates/quetzalpick-entry/src/lead/quarantine.rs
+++ b/crates/quetzalpick-entry/src/lead/quarantine.rs
@@ -14,7 +14,7 @@
     version: u64,
     /// Whether the features include those that former leaders stored.
     is_complete: bool,
-    /// Parts that were answered after all, and whose records are still stored.
+    /// Features that were answered after all, and whose records are still stored.
     released: Vec<Feature>,
 }
 
@@ -30,7 +30,7 @@
 /// `Reply` holds what the leader tells a VM about the quarantine.
 #[derive(Debug, Default)]
 pub(super) struct Reply {
-    /// Parts about which all VMs are asked whether a request with them was answered.
+    /// Features about which all VMs are asked whether a request with them was answered.
     pub(super) suspects: Vec<Feature>,
     /// The quarantined features, if the VM does not have this version.
     pub(super) update: Option<Update>,
--- a/crates/quetzalpick-entry/src/link/monitor.rs
+++ b/crates/quetzalpick-entry/src/link/monitor.rs
@@ -18,7 +18,7 @@
 const INTERVAL: Duration = Duration::from_millis(200);
 
 /// Endpoints that are connected to in one probe.
-const PROBED: usize = 3;
+const PROBED: usize = 2;
 
 /// Timeout for a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -38,7 +38,7 @@
         loop {
             tokio::select! {
                 () = sleep(INTERVAL) => {}
-                () = self.link.lost.notified() => self.pool.close_idle(),
+                () = self.link.lost.notified() => {}
             }
             let busy = self.fleet.loads();
             if self.link.begin_probe(self.clock.now_ms(), busy.len()) {
@@ -64,6 +64,8 @@
             }
             failed.push(endpoint);
         }
+        // Open connections may hang.
+        self.pool.close_idle();
         let known = self.fleet.count();
         for endpoint in failed {
             let connections = self.pool.connection_count();
--- a/crates/quetzalpick-entry/src/link/state.rs
+++ b/crates/quetzalpick-entry/src/link/state.rs
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     state: Mutex<link::Link>,
-    /// Copy of the state for requests.
+    /// Copy of the state for requests, changed with the state locked.
     is_lost: AtomicBool,
     /// Time of the last bytes from an endpoint, in ms.
     heard_ms: AtomicU64,
@@ -69,9 +69,9 @@
 
     /// Records that a probe has established a connection, or that an endpoint has answered.
     pub(super) fn record_connection(&self, now_ms: u64) {
-        let lost_for_ms = lock(&self.state).record_connection(now_ms);
         self.record_heard(now_ms);
-        if let Some(lost_for_ms) = lost_for_ms {
+        let mut state = lock(&self.state);
+        if let Some(lost_for_ms) = state.record_connection(now_ms) {
             log::info!("link: restored lost_for_ms={lost_for_ms}");
             self.is_lost.store(false, Ordering::Relaxed);
         }
--- a/crates/quetzalpick-gate/src/context.rs
+++ b/crates/quetzalpick-gate/src/context.rs
@@ -75,7 +75,8 @@
     ) -> Result<TokenCharge, Refusal> {
         self.lease().await?;
         let limits = GatherLimits {
-            timeout: self.options.gather_timeout,
+            answer_timeout: self.options.gather_answer_timeout,
+            waits_max: self.options.gather_waits_max,
             peers_max: self.options.gather_peers_max,
         };
         let charging = self.shares.charge(&self.replica, workspace, tokens, limits);
--- a/crates/quetzalpick-gate/src/options.rs
+++ b/crates/quetzalpick-gate/src/options.rs
@@ -27,9 +27,11 @@
     pub attempts_max: u32,
     /// Maximum number of this gate's requests in flight for each copy of a model.
     pub in_flight_per_copy: usize,
-    /// Maximum time to gather tokens from peers for one request.
-    pub gather_timeout: Duration,
-    /// Maximum number of peers that decline to give tokens for one request.
+    /// Time to wait for tokens from a peer before another one is asked too.
+    pub gather_answer_timeout: Duration,
+    /// Maximum number of such waits without an answer for one request.
+    pub gather_waits_max: u32,
+    /// Maximum number of peers that decline to give tokens for one request, or do not answer.
     pub gather_peers_max: usize,
     /// Interval at which shares are rebalanced and the payload for peers is published.
     pub share_interval: Duration,
@@ -74,7 +76,8 @@
             caller_timeout: Duration::from_secs(30),
             attempts_max: 4,
             in_flight_per_copy: 64,
-            gather_timeout: Duration::from_millis(200),
+            gather_answer_timeout: Duration::from_millis(200),
+            gather_waits_max: 5,
             gather_peers_max: 3,
             share_interval: Duration::from_millis(250),
             lease: Duration::from_secs(5),
--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -11,6 +11,7 @@
 
 use crate::api::refusal::{Kind, Refusal};
 use crate::clock::Clock;
+use crate::share::gathering::{GatherAnswer, GatherLimits, Gathering};
 use crate::share::{PeerTransport, TokenCharge};
 
 /// `Shares` holds the shares of this gate for concurrent use.
@@ -134,8 +135,11 @@
         tokens: u64,
         limits: GatherLimits,
     ) -> Result<TokenCharge, Refusal> {
-        let deadline = tokio::time::Instant::now() + limits.timeout;
-        let mut declined: Vec<Member> = Vec::new();
+        let ask = |donor: Member, request: TransferRequest| async move {
+            let transfer = peers.request_tokens(&donor, &request).await;
+            (donor, transfer)
+        };
+        let mut gathering = Gathering::new(limits);
         loop {
             let (member, charge) = self.try_charge(workspace, tokens);
             let (missing, retry_after_ms) = match charge {
@@ -148,18 +152,16 @@
                     retry_after_ms,
                 } => (missing, retry_after_ms),
             };
-            let donor = self.next_donor(workspace, missing, &declined);
-            let Some((donor, request)) = donor.filter(|_| declined.len() < limits.peers_max) else {
-                return Err(lacks_tokens(workspace, tokens, retry_after_ms));
-            };
-            let answer =
-                tokio::time::timeout_at(deadline, peers.request_tokens(&donor, &request)).await;
-            match answer {
-                // A concurrent request may charge the tokens first; then the donor is asked again.
-                Ok(Some(transfer)) => peers.send_ack(&donor, self.accept(&transfer)),
-                Ok(None) => declined.push(donor),
-                // The time limit for gathering has passed.
-                Err(_) => return Err(lacks_tokens(workspace, tokens, retry_after_ms)),
+            let donor = self.next_donor(workspace, missing, gathering.asked());
+            match gathering.next_answer(donor, ask).await {
+                GatherAnswer::Given(donor, transfer) => {
+                    peers.send_ack(&donor, self.accept(&transfer));
+                }
+                // A concurrent request may have gathered enough for this one too.
+                GatherAnswer::NotGiven => {}
+                GatherAnswer::Exhausted => {
+                    return Err(lacks_tokens(workspace, tokens, retry_after_ms));
+                }
             }
         }
     }
@@ -172,17 +174,17 @@
         (inner.member.clone(), charge)
     }
 
-    /// Returns the peer with the most tokens that has not declined, and the request to send to it.
+    /// Returns the peer with the most tokens that was not asked yet, and the request to send to it.
     fn next_donor(
         &self,
         workspace: &Workspace,
         missing: u64,
-        declined: &[Member],
+        asked: &[Member],
     ) -> Option<(Member, TransferRequest)> {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
         let donors = inner.quota.donors_for(workspace, missing, &inner.peers);
-        let donor = donors.into_iter().find(|donor| !declined.contains(donor));
+        let donor = donors.into_iter().find(|donor| !asked.contains(donor));
         let donor = donor?.clone();
         let request = inner.quota.transfer_request(now_ms, workspace, missing)?;
         Some((donor, request))
@@ -203,15 +205,6 @@
     }
 }
 
-/// `GatherLimits` limits the gathering of tokens for one request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct GatherLimits {
-    /// Maximum time to gather.
-    pub(crate) timeout: Duration,
-    /// Maximum number of peers that decline.
-    pub(crate) peers_max: usize,
-}
-
 /// Builds the refusal of a request for which the workspace lacks tokens at present.
 fn lacks_tokens(workspace: &Workspace, tokens: u64, retry_after_ms: u64) -> Refusal {
     let message = format!("workspace {workspace} lacks tokens for a request of {tokens}");
