Wait for tokens that other requests of a gate have asked for before refusing a caller within its rate

Callers within their rate got 429, to be repeated after 1 ms: when many requests came at once at a gate without tokens of its own, or when the donor paused for some 100 ms.

Cause, traced: a donor that has given all it has declines the next question, while what it gave is still on its way to requests of the same gate; the one that was declined had nobody left to ask and was refused. A donor's pause counted as a lack of tokens too.

Change: a gate counts its questions under way for each workspace; a request that finds no tokens and has nobody left to ask waits for the end of one of them, within the second that gathering may take, and looks at the gate's tokens again.

Why it works: a question ends only after its tokens were accepted, so that whoever is woken sees them.

--- a/crates/quetzalpick-gate/src/share/gathering.rs
+++ b/crates/quetzalpick-gate/src/share/gathering.rs
@@ -9,6 +9,8 @@
 use quetzalpick_core::quota::{Transfer, TransferRequest};
 use tokio::time::{Instant, timeout};
 
+use crate::share::questions::Question;
+
 /// `GatherLimits` limits the gathering of tokens for one request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct GatherLimits {
@@ -23,8 +25,8 @@
 /// `GatherAnswer` is the outcome of one wait for tokens from peers.
 #[derive(Debug)]
 pub(crate) enum GatherAnswer {
-    /// A peer gave tokens.
-    Given(Member, Transfer),
+    /// A peer gave tokens. The question ends when they are accepted.
+    Given(Member, Transfer, Question),
     /// A peer declined, or none answered in time; others may still give tokens.
     NotGiven,
     /// No peer is left to ask or to wait for.
@@ -35,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Gathering<F> {
     limits: GatherLimits,
-    /// Time until which a peer that gave tokens may be asked again.
+    /// Time until which a peer that gave tokens may be asked again, and until which the questions of other requests are awaited.
     ask_again_until: Instant,
     /// Peers that have declined or not answered yet.
     asked: Vec<Member>,
@@ -44,7 +46,7 @@
     waits: u32,
 }
 
-impl<F: Future<Output = (Member, Option<Transfer>)>> Gathering<F> {
+impl<F: Future<Output = (Member, Option<Transfer>, Question)>> Gathering<F> {
     /// Creates a `Gathering` for which no peer was asked.
     pub(crate) fn new(limits: GatherLimits) -> Self {
         Self {
@@ -71,16 +73,25 @@
             self.requests.push(ask(donor, request));
         }
         match timeout(self.limits.answer_timeout, self.requests.next()).await {
-            Ok(Some((donor, Some(transfer)))) => {
+            Ok(Some((donor, Some(transfer), question))) => {
                 self.allow_again(&donor);
-                GatherAnswer::Given(donor, transfer)
+                GatherAnswer::Given(donor, transfer, question)
             }
-            Ok(Some((_, None))) => GatherAnswer::NotGiven,
+            Ok(Some((_, None, _))) => GatherAnswer::NotGiven,
             Ok(None) => GatherAnswer::Exhausted,
             Err(_) => self.count_wait(),
         }
     }
 
+    /// Waits until another request's question ends, whose tokens may suffice for this one too; returns whether it did in time.
+    pub(crate) async fn wait_for_others(&mut self, end: impl Future<Output = ()>) -> bool {
+        if Instant::now() >= self.ask_again_until {
+            return false;
+        }
+        let ended = timeout(self.limits.answer_timeout, end).await.is_ok();
+        ended || matches!(self.count_wait(), GatherAnswer::NotGiven)
+    }
+
     /// Returns the peers that have declined or not answered yet.
     pub(crate) fn asked(&self) -> &[Member] {
         &self.asked
--- a/crates/quetzalpick-gate/src/share/mod.rs
+++ b/crates/quetzalpick-gate/src/share/mod.rs
@@ -3,6 +3,7 @@
 mod gathering;
 mod maintain;
 mod peer;
+mod questions;
 mod shares;
 mod token_charge;
 
--- a/crates/quetzalpick-gate/src/share/shares.rs
+++ b/crates/quetzalpick-gate/src/share/shares.rs
@@ -12,6 +12,7 @@
 use crate::api::refusal::{Kind, Refusal};
 use crate::clock::Clock;
 use crate::share::gathering::{GatherAnswer, GatherLimits, Gathering};
+use crate::share::questions::Questions;
 use crate::share::{PeerTransport, TokenCharge};
 
 /// `Shares` holds the shares of this gate for concurrent use.
@@ -20,6 +21,7 @@
     clock: Clock,
     options: Options,
     inner: Mutex<Inner>,
+    questions: Arc<Questions>,
 }
 
 /// `Inner` holds the state that the lock protects.
@@ -55,6 +57,7 @@
             clock,
             options,
             inner,
+            questions: Arc::default(),
         }
     }
 
@@ -136,11 +139,13 @@
         limits: GatherLimits,
     ) -> Result<TokenCharge, Refusal> {
         let ask = |donor: Member, request: TransferRequest| async move {
+            let question = self.questions.begin(&request.workspace);
             let transfer = peers.request_tokens(&donor, &request).await;
-            (donor, transfer)
+            (donor, transfer, question)
         };
         let mut gathering = Gathering::new(limits);
         loop {
+            let end_of_another = self.questions.next_end();
             let (member, charge) = self.try_charge(workspace, tokens);
             let (missing, retry_after_ms) = match charge {
                 Charge::Granted(debit) => {
@@ -154,13 +159,19 @@
             };
             let donor = self.next_donor(workspace, missing, gathering.asked());
             match gathering.next_answer(donor, ask).await {
-                GatherAnswer::Given(donor, transfer) => {
+                GatherAnswer::Given(donor, transfer, question) => {
                     peers.send_ack(&donor, self.accept(&transfer));
+                    drop(question);
                 }
                 // A concurrent request may have gathered enough for this one too.
                 GatherAnswer::NotGiven => {}
                 GatherAnswer::Exhausted => {
-                    return Err(lacks_tokens(workspace, tokens, retry_after_ms));
+                    // What the peers have given may still be on its way to concurrent requests.
+                    let may_come = self.questions.is_any(workspace)
+                        && gathering.wait_for_others(end_of_another).await;
+                    if !may_come {
+                        return Err(lacks_tokens(workspace, tokens, retry_after_ms));
+                    }
                 }
             }
         }
