Count a server error as no answer that shows that endpoints survive a request

A stream that an endpoint had once answered with status 500 counted as answered when its short body was complete, so that its repeats crashed endpoints without end.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -261,6 +261,7 @@
                         &head,
                         admitted.metadata.last_event_id,
                     ),
+                    is_server_error: head.status.is_server_error(),
                     origin_recorded: false,
                     admitted,
                     pick,
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -55,6 +55,8 @@
     /// The answer; `None` once it was given up.
     pub(crate) answer: Option<Answer>,
     pub(crate) progress: Progress,
+    /// Whether the endpoint answered with a server error, which does not show that it survives the request.
+    pub(crate) is_server_error: bool,
     /// Time from which the pause before the next event is measured, in ms: the last event, or the last search for another endpoint.
     pub(crate) pause_from_ms: u64,
     /// Whether it is recorded where the stream began.
@@ -77,8 +79,10 @@
                     self.context
                         .fleet
                         .record_success(now_ms, &self.pick.endpoint);
-                    let request = [self.admitted.repeat_feature()].into_iter();
-                    self.context.quarantine.record_answer(now_ms, request);
+                    if !self.is_server_error {
+                        let request = [self.admitted.repeat_feature()].into_iter();
+                        self.context.quarantine.record_answer(now_ms, request);
+                    }
                     return self.log("complete", "");
                 }
                 Some(End::CallerGone) => return self.log("caller-gone", ""),
