Do not take an answer on an open connection for a restored link

Cause: an answer that arrived on an open connection shortly after the link was lost counted as a restored link. As that was within the first probe's time, the endpoints that had failed were taken for endpoints that had ended, whose failures are no evidence for 2 s: with three endpoints of a service too few were left to lose the link again.

--- a/crates/quetzalpick-entry/src/link/state.rs
+++ b/crates/quetzalpick-entry/src/link/state.rs
@@ -59,15 +59,8 @@
         }
     }
 
-    /// Records that an endpoint has answered a request that this VM sent itself.
-    pub(crate) fn record_answer(&self, now_ms: u64) {
-        self.record_heard(now_ms);
-        if self.is_lost() {
-            self.record_connection(now_ms);
-        }
-    }
-
-    /// Records that a probe has established a connection, or that an endpoint has answered.
+    /// Records that a probe has established a connection. An answer is no such evidence: it may come on a connection that lives on
+    /// while new ones fail.
     pub(super) fn record_connection(&self, now_ms: u64) {
         self.record_heard(now_ms);
         let mut state = lock(&self.state);
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -233,7 +233,7 @@
     let answer = context.pool.send(&address, request.clone(), timeouts).await;
     let error = match answer {
         Ok(answer) => {
-            context.link.record_answer(context.clock.now_ms());
+            context.link.record_heard(context.clock.now_ms());
             return Ok(answer);
         }
         Err(error) => error,
