Let the link read the fleet and the connections itself

Three callers handed it the numbers of endpoints and of connections; 300 ms to connect to an endpoint stood three times.

--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -135,7 +135,7 @@
         let rates = Arc::new(Rates::new(options.floor_permille, options.overdraft));
         let origins = Arc::new(Origins::default());
         let quarantine = Arc::new(Quarantine::default());
-        let link = Arc::new(Link::default());
+        let link = Arc::new(Link::new(Arc::clone(&fleet), platform.pool.clone(), clock));
         let lead = Arc::new(new_leadership(
             &platform,
             &view,
@@ -359,9 +359,6 @@
     };
     let monitor = Monitor {
         link: Arc::clone(&context.link),
-        fleet: Arc::clone(&context.fleet),
-        pool: context.pool.clone(),
-        clock,
     };
     spawn(stop, monitor.run());
     spawn(stop, config.run());
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -16,7 +16,7 @@
 use crate::exchange::message::{DrawRequest, OriginReply, OriginReport, OriginRequest, path};
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
-use crate::link::Link;
+use crate::link::{CONNECT_TIMEOUT, Link};
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
@@ -26,7 +26,7 @@
 
 /// Timeouts of a request that is passed on for another VM, which gives up earlier.
 const TIMEOUTS: Timeouts = Timeouts {
-    connect: Duration::from_millis(300),
+    connect: CONNECT_TIMEOUT,
     head: Duration::from_secs(3_600),
     body_idle: Duration::from_secs(3_600),
 };
@@ -88,12 +88,8 @@
             .send(&address.to_string(), request, TIMEOUTS)
             .await;
         match &answer {
-            Ok(_) => self.link.record_heard(self.clock.now_ms()),
-            Err(error) if error.verdict() == Verdict::NotRun => {
-                let (known, connections) = (self.fleet.count(), self.pool.connection_count());
-                let now_ms = self.clock.now_ms();
-                self.link.record_failure(now_ms, &name, known, connections);
-            }
+            Ok(_) => self.link.record_heard(),
+            Err(error) if error.verdict() == Verdict::NotRun => self.link.record_failure(&name),
             Err(_) => {}
         }
         answer
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -300,6 +300,12 @@
             .collect()
     }
 
+    /// Returns the number of endpoints with requests of this VM in flight.
+    pub(crate) fn busy_count(&self) -> usize {
+        let rows = self.rows();
+        rows.values().filter(|row| row.in_flight > 0).count()
+    }
+
     /// Returns the specs of the endpoints whose entries have not expired.
     pub fn specs(&self) -> Vec<(Endpoint, Spec)> {
         let rows = self.rows();
--- a/crates/quetzalpick-entry/src/link/mod.rs
+++ b/crates/quetzalpick-entry/src/link/mod.rs
@@ -3,5 +3,10 @@
 mod monitor;
 mod state;
 
+use std::time::Duration;
+
 pub(crate) use monitor::Monitor;
 pub(crate) use state::Link;
+
+/// Timeout for a connection to an endpoint.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/quetzalpick-entry/src/link/monitor.rs
+++ b/crates/quetzalpick-entry/src/link/monitor.rs
@@ -5,14 +5,12 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use quetzalpick_client::http::Pool;
 use quetzalpick_core::id::Endpoint;
 use rand::random;
 use tokio::time::sleep;
 
-use crate::clock::Clock;
-use crate::fleet::{Fleet, Spec};
-use crate::link::Link;
+use crate::fleet::Spec;
+use crate::link::{CONNECT_TIMEOUT, Link};
 
 /// Pause between two looks at the link.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -20,16 +18,10 @@
 /// Endpoints that are connected to in one probe.
 const PROBED: usize = 2;
 
-/// Timeout for a connection to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// `Monitor` probes the link of this VM.
 #[derive(Debug)]
 pub(crate) struct Monitor {
     pub(crate) link: Arc<Link>,
-    pub(crate) fleet: Arc<Fleet>,
-    pub(crate) pool: Pool,
-    pub(crate) clock: Clock,
 }
 
 impl Monitor {
@@ -40,8 +32,7 @@
                 () = sleep(INTERVAL) => {}
                 () = self.link.lost.notified() => {}
             }
-            let busy = self.fleet.loads();
-            if self.link.begin_probe(self.clock.now_ms(), busy.len()) {
+            if self.link.begin_probe() {
                 self.probe().await;
             }
         }
@@ -53,30 +44,27 @@
             .choose()
             .into_iter()
             .map(|(endpoint, spec)| async move {
-                let is_connected = self.pool.probe(spec.address, CONNECT_TIMEOUT).await;
+                let is_connected = self.link.pool.probe(spec.address, CONNECT_TIMEOUT).await;
                 (endpoint, is_connected)
             });
         let mut probes: FuturesUnordered<_> = probes.collect();
         let mut failed = Vec::new();
         while let Some((endpoint, is_connected)) = probes.next().await {
             if is_connected {
-                return self.link.record_connection(self.clock.now_ms());
+                return self.link.record_connection();
             }
             failed.push(endpoint);
         }
         // Open connections may hang.
-        self.pool.close_idle();
-        let known = self.fleet.count();
+        self.link.pool.close_idle();
         for endpoint in failed {
-            let connections = self.pool.connection_count();
-            self.link
-                .record_failure(self.clock.now_ms(), &endpoint, known, connections);
+            self.link.record_failure(&endpoint);
         }
     }
 
     /// Chooses endpoints at random.
     fn choose(&self) -> Vec<(Endpoint, Spec)> {
-        let mut specs = self.fleet.specs();
+        let mut specs = self.link.fleet.specs();
         let count = PROBED.min(specs.len());
         for index in 0..count {
             let rest = (specs.len() - index) as u64;
--- a/crates/quetzalpick-entry/src/link/state.rs
+++ b/crates/quetzalpick-entry/src/link/state.rs
@@ -1,17 +1,24 @@
 //! The link as this VM knows it.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
+use quetzalpick_client::http::Pool;
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::link;
 use tokio::sync::Notify;
 
+use crate::clock::Clock;
+use crate::fleet::Fleet;
 use crate::sync::lock;
 
 /// `Link` tells whether this VM reaches the endpoints itself.
 #[derive(Debug)]
 pub(crate) struct Link {
+    pub(super) fleet: Arc<Fleet>,
+    /// Connections to endpoints.
+    pub(super) pool: Pool,
+    clock: Clock,
     state: Mutex<link::Link>,
     /// Copy of the state for requests, changed with the state locked.
     is_lost: AtomicBool,
@@ -21,36 +28,35 @@
     pub(super) lost: Notify,
 }
 
-impl Default for Link {
-    fn default() -> Self {
+impl Link {
+    /// Creates a link that is not lost, to the endpoints of a fleet over the connections of a pool.
+    pub(crate) fn new(fleet: Arc<Fleet>, pool: Pool, clock: Clock) -> Self {
         Self {
+            fleet,
+            pool,
+            clock,
             state: Mutex::new(link::Link::new(link::Options::default())),
             is_lost: AtomicBool::default(),
             heard_ms: AtomicU64::default(),
             lost: Notify::new(),
         }
     }
-}
 
-impl Link {
     /// Returns whether the link is lost, so that requests go through other VMs.
     pub(crate) fn is_lost(&self) -> bool {
         self.is_lost.load(Ordering::Relaxed)
     }
 
     /// Records that bytes of an answer arrived.
-    pub(crate) fn record_heard(&self, now_ms: u64) {
+    pub(crate) fn record_heard(&self) {
+        let now_ms = self.clock.now_ms();
         self.heard_ms.store(now_ms, Ordering::Relaxed);
     }
 
-    /// Records that a connection to one of `known` endpoints could not be established; `connections` were established so far.
-    pub(crate) fn record_failure(
-        &self,
-        now_ms: u64,
-        endpoint: &Endpoint,
-        known: usize,
-        connections: u64,
-    ) {
+    /// Records that a connection to an endpoint could not be established.
+    pub(crate) fn record_failure(&self, endpoint: &Endpoint) {
+        let (known, connections) = (self.fleet.count(), self.pool.connection_count());
+        let now_ms = self.clock.now_ms();
         let mut state = lock(&self.state);
         if state.record_failure(now_ms, endpoint, known, connections) {
             log::warn!("link: lost endpoint={endpoint} known={known}");
@@ -61,18 +67,19 @@
 
     /// Records that a probe has established a connection. An answer is no such evidence: it may come on a connection that lives on
     /// while new ones fail.
-    pub(super) fn record_connection(&self, now_ms: u64) {
-        self.record_heard(now_ms);
+    pub(super) fn record_connection(&self) {
+        self.record_heard();
         let mut state = lock(&self.state);
-        if let Some(lost_for_ms) = state.record_connection(now_ms) {
+        if let Some(lost_for_ms) = state.record_connection(self.clock.now_ms()) {
             log::info!("link: restored lost_for_ms={lost_for_ms}");
             self.is_lost.store(false, Ordering::Relaxed);
         }
     }
 
-    /// Returns whether the link is to be probed now, while `busy` endpoints have requests of this VM.
-    pub(super) fn begin_probe(&self, now_ms: u64, busy: usize) -> bool {
+    /// Returns whether the link is to be probed now.
+    pub(super) fn begin_probe(&self) -> bool {
+        let busy = self.fleet.busy_count();
         let heard_ms = self.heard_ms.load(Ordering::Relaxed);
-        lock(&self.state).begin_probe(now_ms, heard_ms, busy)
+        lock(&self.state).begin_probe(self.clock.now_ms(), heard_ms, busy)
     }
 }
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -12,13 +12,11 @@
 use tokio::time::timeout;
 
 use crate::fleet::{Pick, Requirements};
+use crate::link::CONNECT_TIMEOUT;
 use crate::serve::request::Admitted;
 use crate::serve::{Context, PeerClient, crash, permit};
 use crate::wire::{Forwarding, HeadCodec, Proof};
 
-/// Timeout for a connection to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Timeout for the head of an answer and for each pause in its body if neither the caller nor the operator sets one, in ms.
 const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
@@ -233,14 +231,14 @@
     let answer = context.pool.send(&address, request.clone(), timeouts).await;
     let error = match answer {
         Ok(answer) => {
-            context.link.record_heard(context.clock.now_ms());
+            context.link.record_heard();
             return Ok(answer);
         }
         Err(error) => error,
     };
     let was_lost = context.link.is_lost();
     if error.verdict() == Verdict::NotRun {
-        context.record_link_failure(&pick.endpoint);
+        context.link.record_failure(&pick.endpoint);
     }
     // Nothing was sent, and this failure may be the one that shows that the link is lost.
     if error.verdict() == Verdict::NotRun && !was_lost && context.link.is_lost() {
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -128,14 +128,6 @@
         self.quarantine.block(now_ms, admitted.features())
     }
 
-    /// Records that no connection to an endpoint could be established.
-    pub(crate) fn record_link_failure(&self, endpoint: &Endpoint) {
-        let (known, connections) = (self.fleet.count(), self.pool.connection_count());
-        let now_ms = self.clock.now_ms();
-        self.link
-            .record_failure(now_ms, endpoint, known, connections);
-    }
-
     /// Adds the fraction of a retry that each request earns to the budget.
     pub(crate) fn deposit(&self) {
         self.with_budget(Budget::deposit);
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -191,7 +191,7 @@
                     Err(End::Interrupted(error.to_string()))
                 }
                 Ok(Some(Ok(frame))) => {
-                    self.context.link.record_heard(now_ms + waited_ms);
+                    self.context.link.record_heard();
                     Ok(frame.into_data().unwrap_or_default())
                 }
                 Ok(None) => Err(self.end()),
