Do not take engines for ended because the leader has lost its own links

Callers of all VMs got 503 for a model as long as the leader was partitioned from the endpoints, if one engine held it.

A leader without links gets no report from any engine. The guard for a disconnected leader (half of the engines are down) no longer protects since VMs with lost links send through others, as these suspect only the engines that showed them the loss.

While the leader's link is lost, a missing report says nothing about an engine, and engines that seemed to be down are not taken to be. Failed connections for reports count towards the loss of the link, so that a leader without requests notices it too.

Ruled out as a remedy: orders through another VM, as orders of two VMs count as those of two holders. A leader that has lost its links still orders nothing until they are back.

--- a/crates/quetzalpick-client/src/errors.rs
+++ b/crates/quetzalpick-client/src/errors.rs
@@ -84,6 +84,17 @@
             | Self::Refused { .. } => Verdict::NotRun,
         }
     }
+
+    /// Returns whether nothing was sent because no connection could be used.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::Unanswered {
+                verdict: Verdict::NotRun,
+                ..
+            }
+        )
+    }
 }
 
 /// Builds the error of a call that failed without a usable answer.
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -354,6 +354,7 @@
     let plan_executor = PlanExecutor {
         lead: Arc::clone(lead),
         fleet: Arc::clone(&context.fleet),
+        link: Arc::clone(&context.link),
         view: Arc::clone(&context.view),
         clock,
     };
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
 use crate::lead::statuses::Statuses;
+use crate::link::Link;
 use crate::place::{EngineControl, OrderResult, PlannedOrder};
 use crate::view::View;
 
@@ -30,6 +31,7 @@
 pub(crate) struct PlanExecutor<N> {
     pub(crate) lead: Arc<Leadership<N>>,
     pub(crate) fleet: Arc<Fleet>,
+    pub(crate) link: Arc<Link>,
     pub(crate) view: Arc<View>,
     pub(crate) clock: Clock,
 }
@@ -102,6 +104,7 @@
             let planner = &mut state.planner;
             planner.observe(now_ms, config, self.fleet.specs());
             planner.mark_unreachable(&self.fleet.unreachable(now_ms));
+            planner.set_disconnected(self.link.is_lost());
             planner.set_suspected(&suspected);
             planner.set_limits(&limits);
             planner.set_demand(now_ms, work);
@@ -111,7 +114,7 @@
     /// Requests an engine's report.
     fn request_report(&self, endpoint: Endpoint, address: std::net::SocketAddr) {
         let lead = Arc::clone(&self.lead);
-        let fleet = Arc::clone(&self.fleet);
+        let (fleet, link) = (Arc::clone(&self.fleet), Arc::clone(&self.link));
         lead.with_leader_state(|state, now_ms| {
             state.planner.record_report_request(now_ms, &endpoint)
         });
@@ -129,6 +132,9 @@
                     lead.wake.notify_one();
                 }
                 Err(error) => {
+                    if error.is_unsent() {
+                        link.record_failure(&endpoint);
+                    }
                     lead.with_leader_state(|state, _| {
                         state.planner.record_report_failure(&endpoint)
                     });
--- a/crates/quetzalpick-entry/src/place/engine_state/reports.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/reports.rs
@@ -37,12 +37,6 @@
         self.next_report_ms = now_ms + pause_ms;
     }
 
-    /// Records that it didn't answer a request for its report.
-    pub(crate) fn record_report_failure(&mut self) {
-        self.unreachable = true;
-        self.down |= self.suspected;
-    }
-
     /// Applies a report that was requested at `requested_ms`.
     pub(crate) fn apply_report(&mut self, requested_ms: u64, now_ms: u64, report: &Report) {
         self.unreachable = false;
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -85,6 +85,8 @@
     load_ends_ms: Vec<u64>,
     /// Time of the next plan for models, in ms; adapters are planned more often.
     next_model_plan_ms: u64,
+    /// Whether this VM reaches no engines itself, so that a missing report says nothing about an engine.
+    is_disconnected: bool,
 }
 
 /// `PlannedService` holds a service's configuration and load during one planning round.
@@ -118,6 +120,7 @@
             discovery_ends_ms: None,
             load_ends_ms: Vec::new(),
             next_model_plan_ms: now_ms,
+            is_disconnected: false,
         }
     }
 
@@ -172,7 +175,17 @@
     /// Records that an engine didn't answer a request for its report.
     pub fn record_report_failure(&mut self, endpoint: &Endpoint) {
         if let Some(engine) = self.engines.get_mut(endpoint) {
-            engine.record_report_failure();
+            engine.unreachable = true;
+            engine.down |= engine.suspected && !self.is_disconnected;
+        }
+    }
+
+    /// Sets whether this VM reaches no engines itself. Engines that seemed to be down just before are not taken to be.
+    pub fn set_disconnected(&mut self, is_disconnected: bool) {
+        self.is_disconnected = is_disconnected;
+        if is_disconnected {
+            let engines = self.engines.iter_mut();
+            engines.for_each(|(_, engine)| engine.down = false);
         }
     }
 
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -139,6 +139,26 @@
     assert_eq!(empty(&simulation), []);
 }
 
+#[test]
+fn engines_hold_what_they_held_while_the_leader_itself_is_disconnected() {
+    let mut simulation = Simulation::new(1, false);
+    (0..500).for_each(|_| simulation.step());
+    let holds = |simulation: &Simulation| {
+        let held_copies = simulation.planner.held_copies();
+        held_copies.iter().all(|(_, held)| !held.is_empty())
+    };
+    simulation.down = vec![1];
+    (0..10).for_each(|_| simulation.step());
+    assert!(!holds(&simulation));
+    simulation.planner.set_disconnected(true);
+    assert!(holds(&simulation));
+    (0..40).for_each(|_| simulation.step());
+    assert!(holds(&simulation));
+    simulation.planner.set_disconnected(false);
+    (0..40).for_each(|_| simulation.step());
+    assert!(!holds(&simulation));
+}
+
 #[test]
 fn requested_adapter_is_loaded_within_a_few_steps() {
     let mut simulation = Simulation::new(1, false);
