Send through other VMs again as soon as they reach endpoints

Callers of a VM whose link was lost got 503 for up to a second after other VMs, which had lost theirs for a moment too, reached endpoints again.

Cause: a VM that declined to pass a request on was left alone for 1 s, also if no other VM was left to ask; links of VMs that lose them only because two endpoints in a row have ended are restored within milliseconds. If all were asked recently, the one that declined the longest ago is asked now, one for each attempt.

--- a/crates/quetzalpick-entry/src/exchange/forward.rs
+++ b/crates/quetzalpick-entry/src/exchange/forward.rs
@@ -15,7 +15,7 @@
 /// Maximum number of VMs that are tried for one request.
 const VMS_MAX: usize = 4;
 
-/// Time for which a VM is not tried again after it could not be used.
+/// Time for which other VMs are preferred to one that could not be used.
 const AVOIDANCE: Duration = Duration::from_secs(1);
 
 /// Timeout for a connection to another VM.
@@ -62,14 +62,19 @@
         })
     }
 
-    /// Returns some other VMs in random order, without those that could not be used recently.
+    /// Returns some other VMs in random order, without those that could not be used recently. If there are only such, the one that
+    /// could not be used the longest ago is returned: it may be used again.
     fn usable_vms(&self) -> Vec<String> {
         let now_ms = self.clock.now_ms();
         let mut vms = self.peer_addresses();
         {
             let mut avoided = lock(&self.avoided);
             avoided.retain(|_, until_ms| *until_ms > now_ms);
+            let oldest = vms.iter().min_by_key(|vm| avoided.get(*vm)).cloned();
             vms.retain(|vm| !avoided.contains(vm));
+            if vms.is_empty() {
+                vms.extend(oldest);
+            }
         }
         let start = usize::try_from(random::<u32>()).unwrap_or_default();
         let start = start % vms.len().max(1);
