Find a part and a request that crash endpoints at the same moment

Six requests instead of three reached endpoints too late (the two known red tests, 6 and 8 VMs, 20/s each).

Cause, traced in both scenarios: what one bad feature explains was taken as no evidence against the other. With 6 VMs the part was quarantined first, and nine of the request's eleven crashes held it too, so that two were left and three were required. With 8 VMs the request was quarantined, then the part that only this request has, and the crashes that this one explained held the bad part.

A request that was never answered is quarantined from five crashes on if two of them are explained by nothing else, as is already the rule for parts that were never answered; it stays a suspect meanwhile. Parts that are only in crashes with a bad request, which may be its own, are judged after the others and are no rivals of theirs.

The scenarios of the simulation are a file of their own.

--- a/crates/quetzalpick-core/src/quarantine/investigation.rs
+++ b/crates/quetzalpick-core/src/quarantine/investigation.rs
@@ -3,8 +3,8 @@
 //! A crash with a quarantined part of prompts is explained and is evidence against nothing else. A crash before an answer to a
 //! feature is no evidence against this feature.
 //!
-//! A request is judged by its own crashes alone, and only if it was never answered, as none but its repeats are concerned. A part of prompts concerns many requests: it is
-//! quarantined if its crashes suffice and neither another part explains them nor one request that comes again and again.
+//! A request is judged only if it was never answered, as none but its repeats are concerned. A part of prompts concerns many requests: it
+//! is quarantined if its crashes suffice and neither another part explains them nor one request that comes again and again.
 
 use crate::quarantine::blocklist::Blocklist;
 use crate::quarantine::rows::{Row, Rows};
@@ -21,7 +21,8 @@
 /// feature that many requests share may be in the crashes of two bad features, and is not to be taken for the cause of both.
 const WEIGHT_IF_NEW: usize = 3;
 
-/// Crashes without a certain request that are required against a part of prompts, so that the request does not explain them.
+/// Crashes that are required against a part of prompts without a certain request, which may explain the others, and against a request
+/// without a certain part.
 const OTHER_CRASHES_MIN: usize = 2;
 
 /// `Evidence` counts the unexplained crashes with a feature since it was last answered.
@@ -29,6 +30,8 @@
 struct Evidence {
     feature: Feature,
     crashes: usize,
+    /// Explained and unexplained crashes with a request; those in `crashes` with a part.
+    total: usize,
     /// Whether no answer to the feature is known.
     is_new: bool,
 }
@@ -46,6 +49,10 @@
     /// Returns whether the crashes suffice to quarantine the feature.
     fn is_enough(&self, options: &Options) -> bool {
         match (self.is_new, self.feature) {
+            (true, Feature::Request(_)) if self.total >= options.crashes_if_answered => {
+                // It may be a second cause of crashes that a part explains.
+                self.crashes >= OTHER_CRASHES_MIN
+            }
             (true, _) => self.crashes >= options.crashes_if_new,
             (false, Feature::Part(_)) => self.crashes >= options.crashes_if_answered,
             // Many callers may send it alike, so that it is in many crashes, and its answers take long.
@@ -174,7 +181,7 @@
         let enough = ranking.iter().filter(|e| e.is_enough(&self.options));
         self.enough = enough.copied().collect();
         let repeated = self.options.crashes_if_repeated;
-        ranking.retain(|evidence| !evidence.feature.is_request() || evidence.crashes >= repeated);
+        ranking.retain(|evidence| !evidence.feature.is_request() || evidence.total >= repeated);
         ranking.truncate(SUSPECTS_MAX);
         let suspects = ranking.into_iter().map(|Evidence { feature, .. }| {
             let since_ms = self.suspects.get(&feature).copied().unwrap_or(now_ms);
@@ -193,27 +200,42 @@
 
     /// Returns all features with evidence against them, those with the strongest evidence first.
     fn rank(&self) -> Vec<Evidence> {
-        let mut accused: Vec<Feature> = self
-            .unexplained()
-            .flat_map(|row| {
-                row.features
-                    .iter()
-                    .filter(|feature| self.accuses(row, **feature))
-            })
-            .copied()
-            .filter(|feature| !self.blocklist.contains(*feature))
-            .collect();
-        accused.sort_unstable();
-        let counts = accused.chunk_by(Feature::eq).map(|same| Evidence {
-            feature: same[0],
-            crashes: same.len(),
-            is_new: !self.answers.contains(&same[0]),
+        let mut accused = self.accused(self.unexplained());
+        accused.retain(|feature| !self.blocklist.contains(*feature));
+        let mut requests = self.accused(self.crashes.values());
+        requests.retain(|feature| feature.is_request());
+        let counts = accused.chunk_by(Feature::eq).map(|same| {
+            let feature = same[0];
+            let total = if feature.is_request() {
+                let first = requests.partition_point(|other| *other < feature);
+                let rest = &requests[first..];
+                rest.partition_point(|other| *other == feature)
+            } else {
+                same.len()
+            };
+            Evidence {
+                feature,
+                crashes: same.len(),
+                total,
+                is_new: !self.answers.contains(&feature),
+            }
         });
         let mut ranking: Vec<Evidence> = counts.collect();
         ranking.sort_by_key(|evidence| std::cmp::Reverse(evidence.weight()));
         ranking
     }
 
+    /// Returns the features against which crashes are evidence, sorted, each as often as there are such crashes.
+    fn accused<'a>(&'a self, rows: impl Iterator<Item = &'a Row>) -> Vec<Feature> {
+        let features = rows.flat_map(|row| {
+            let features = row.features.iter().copied();
+            features.filter(|feature| self.accuses(row, *feature))
+        });
+        let mut accused: Vec<Feature> = features.collect();
+        accused.sort_unstable();
+        accused
+    }
+
     /// Iterates over the crashes without a quarantined part of prompts.
     fn unexplained(&self) -> impl Iterator<Item = &Row> {
         let explains =
@@ -222,11 +244,19 @@
         self.crashes.values().filter(move |row| !is_explained(row))
     }
 
-    /// Returns whether one request explains the crashes that are evidence against a part of prompts, as it is in nearly all of them.
-    fn is_explained_by(&self, request: Feature, part: Feature) -> bool {
-        let accusing = self.unexplained().filter(|row| self.accuses(row, part));
-        let others = accusing.filter(|row| row.contains(part) && !row.contains(request));
-        others.count() < OTHER_CRASHES_MIN
+    /// Returns the number of crashes that are evidence against a part of prompts and that none of the requests explains alone.
+    fn count_without(&self, requests: &[Feature], part: Feature) -> usize {
+        let without = |request: &Feature| {
+            let rows = self.accusing(part).filter(|row| !row.contains(*request));
+            rows.count()
+        };
+        requests.iter().map(without).min().unwrap_or(usize::MAX)
+    }
+
+    /// Iterates over the crashes that are evidence against a feature.
+    fn accusing(&self, feature: Feature) -> impl Iterator<Item = &Row> {
+        let rows = self.unexplained();
+        rows.filter(move |row| row.contains(feature) && self.accuses(row, feature))
     }
 
     /// Returns whether a crash with the feature is later than its last known answer.
@@ -239,7 +269,8 @@
     /// Returns the next feature to quarantine, or several if they cannot be told apart.
     fn find_guilty(&self, now_ms: u64) -> Vec<Evidence> {
         let is_request = |evidence: &Evidence| evidence.feature.is_request();
-        let (requests, parts): (Vec<_>, Vec<_>) = self.enough.iter().partition(|e| is_request(e));
+        let (requests, parts): (Vec<Evidence>, Vec<Evidence>) =
+            self.enough.iter().partition(|e| is_request(e));
         let was_heard = |evidence: &Evidence| self.was_heard(now_ms, evidence.feature);
         if let Some(evidence) = requests.iter().find(|evidence| was_heard(evidence)) {
             return vec![*evidence];
@@ -250,20 +281,33 @@
         let repeated: Vec<Feature> = heard
             .chain(quarantined.filter(|f| f.is_request()))
             .collect();
-        for evidence in parts.iter().filter(|evidence| was_heard(evidence)) {
-            // A part that is as new as the request may be a second cause.
-            let may_be_second =
-                evidence.is_new && evidence.crashes >= self.options.crashes_if_answered;
-            let explains = |request: &Feature| self.is_explained_by(*request, evidence.feature);
-            if !may_be_second && repeated.iter().any(explains) {
-                continue;
-            }
-            let rivals = self.rivals(evidence, &parts);
-            if self.is_decided(evidence, &rivals) {
-                return [vec![*evidence], rivals].concat();
-            }
+        // Parts that are only in crashes with such a request may be its own, and say nothing against the other parts in its crashes.
+        let is_contained = |part: &Evidence| self.count_without(&repeated, part.feature) == 0;
+        let (contained, others): (Vec<_>, Vec<_>) = parts.iter().copied().partition(is_contained);
+        let guilty = |candidates: &[Evidence], ranking: &[Evidence]| {
+            let mut heard = candidates.iter().filter(|part| was_heard(part));
+            heard.find_map(|part| self.judge_part(part, ranking, &repeated))
+        };
+        let found = guilty(&others, &others).or_else(|| guilty(&contained, &parts));
+        found.unwrap_or_default()
+    }
+
+    /// Returns a part of prompts to quarantine, with those that cannot be told apart from it; `None` while it is not decided. The
+    /// `repeated` requests may explain its crashes, and the parts in `ranking` may too.
+    fn judge_part(
+        &self,
+        part: &Evidence,
+        ranking: &[Evidence],
+        repeated: &[Feature],
+    ) -> Option<Vec<Evidence>> {
+        // A part that is as new as the request may be a second cause.
+        let may_be_second = part.is_new && part.crashes >= self.options.crashes_if_answered;
+        if !may_be_second && self.count_without(repeated, part.feature) < OTHER_CRASHES_MIN {
+            return None;
         }
-        Vec::new()
+        let rivals = self.rivals(part, ranking);
+        let is_decided = self.is_decided(part, &rivals);
+        is_decided.then(|| [vec![*part], rivals].concat())
     }
 
     /// Returns the features that are in some of the same crashes, with evidence that is at least as strong.
@@ -292,9 +336,8 @@
 
     /// Returns the number of crashes that are evidence against both features.
     fn common(&self, feature: Feature, other: Feature) -> usize {
-        let accused = |row: &&Row, feature| row.contains(feature) && self.accuses(row, feature);
-        let rows = self.unexplained().filter(|row| accused(row, feature));
-        rows.filter(|row| accused(row, other)).count()
+        let accuses_other = |row: &&Row| row.contains(other) && self.accuses(row, other);
+        self.accusing(feature).filter(accuses_other).count()
     }
 
     /// Returns whether the VMs had time to report answers to a feature.
--- a/crates/quetzalpick-core/tests/quarantine/main.rs
+++ b/crates/quetzalpick-core/tests/quarantine/main.rs
@@ -3,6 +3,7 @@
 mod investigation;
 mod leader;
 mod requests;
+mod scenario;
 mod simulation;
 mod witness;
 mod world;
--- a/crates/quetzalpick-core/tests/quarantine/requests.rs
+++ b/crates/quetzalpick-core/tests/quarantine/requests.rs
@@ -98,3 +98,43 @@
     witness.record_answer(1_001, [Request(9)].into_iter());
     assert!(!witness.suspects_alone(Request(9), 1_001));
 }
+
+#[test]
+fn a_part_that_explains_most_crashes_of_a_bad_request_does_not_hide_it() {
+    let crashes: [&[Feature]; 6] = [
+        &[Part(3), Request(1)],
+        &[Part(3), Request(2)],
+        &[Part(3), Request(9)],
+        &[Part(3), Request(9)],
+        &[Part(3), Request(9)],
+        &[Request(9)],
+    ];
+    let mut investigation = investigation(&crashes);
+    // The request has not been suspected for long enough.
+    investigation.decide(1_650);
+    assert_eq!(investigation.quarantined(), [Part(3)]);
+    investigation.decide(HEARD_MS);
+    assert_eq!(investigation.quarantined(), [Part(3)]);
+    let crash = Crash {
+        endpoint: Endpoint::try_new("e9").expect("the name is valid"),
+        started_ms: Some(0),
+        ago_ms: 0,
+        features: vec![Request(9)],
+    };
+    investigation.record_crash(HEARD_MS, &crash);
+    assert_eq!(decided(investigation), [Part(3), Request(9)]);
+}
+
+#[test]
+fn a_part_that_only_a_bad_request_has_does_not_hide_another_bad_part() {
+    let crashes: [&[Feature]; 7] = [
+        &[Part(7), Request(9)],
+        &[Part(7), Request(9)],
+        &[Part(3), Part(7), Request(9)],
+        &[Part(3), Part(7), Request(9)],
+        &[Part(3), Part(7), Request(9)],
+        &[Part(3), Part(7), Request(9)],
+        &[Part(3), Request(1)],
+    ];
+    assert_eq!(decided(investigation(&crashes)), [Part(3), Request(9)]);
+}
--- a/crates/quetzalpick-core/tests/quarantine/simulation.rs
+++ b/crates/quetzalpick-core/tests/quarantine/simulation.rs
@@ -5,7 +5,8 @@
 use quetzalpick_core::quarantine::{Investigation, Options};
 
 use crate::leader::{Count, EachPart, Leader, Unanswered};
-use crate::world::{Kind, Outcome, Protocol, Scenario, World};
+use crate::scenario::{Kind, Protocol, Scenario};
+use crate::world::{Outcome, World};
 
 /// Requests with a bad part that may reach endpoints later than 3 s after its fifth crash.
 const LATE_MAX: usize = 3;
