--- a/crates/quetzalpick-entry/src/serve/resume.rs
+++ b/crates/quetzalpick-entry/src/serve/resume.rs
@@ -141,18 +141,23 @@
         );
     }
 
-    /// Returns whether the stream may go on at another endpoint, after the events that its caller has.
+    /// Returns whether the stream may go on at another endpoint, after the events that its caller has, unless it is quarantined.
     pub(super) fn may_go_on_elsewhere(&self) -> bool {
         let admitted = &self.admitted;
-        admitted.is_resumable()
-            && self.progress.can_continue()
-            && admitted.has_runs_left()
-            && self.context.block(admitted).is_none()
+        admitted.is_resumable() && self.progress.can_continue() && admitted.has_runs_left()
+    }
+
+    /// Returns whether an interrupted stream may be resumed now, and withdraws a retry for it.
+    fn may_resume(&self) -> bool {
+        self.may_go_on_elsewhere()
+            && self.has_time_left()
+            && self.context.block(&self.admitted).is_none()
+            && self.context.withdraw()
     }
 
     /// Resumes an interrupted stream at another endpoint after its last event; returns how it ended if none accepted.
     pub(super) async fn resume(&mut self, reason: String) -> Option<End> {
-        while self.may_go_on_elsewhere() && self.has_time_left() && self.context.withdraw() {
+        while self.may_resume() {
             let Some(pick) = pick(&self.context, &self.admitted).await else {
                 break;
             };
