Hand the lead over if the leader reaches no endpoints

Adapters and models that no endpoint held were refused at all VMs as long as the leader was partitioned from the endpoints.

A leader whose link has been lost for 1 s resigns, if a VM whose status is current reaches endpoints; a VM without links claims 1.1 s later than others. No orders are sent while the link is lost: they would fail, and the successor waits for 3.2 s after the last one.

Statuses of VMs have one field more at their end.

--- a/crates/quetzalpick-core/src/election/options.rs
+++ b/crates/quetzalpick-core/src/election/options.rs
@@ -13,6 +13,8 @@
     pub stagger_ms: u64,
     /// Additional delay before this VM claims, in ms; set for VMs that are less suited to lead.
     pub claim_delay_ms: u64,
+    /// Further delay while this VM would lead badly, in ms.
+    pub unsuited_delay_ms: u64,
     /// Delay before this VM appends the first claim to an empty log, in ms; shorter on larger VMs.
     pub first_claim_delay_ms: u64,
     /// Time without a heartbeat of the leader after which the log is read, in ms.
@@ -31,6 +33,7 @@
             expiry_ms: 1_800,
             stagger_ms: 400,
             claim_delay_ms: 0,
+            unsuited_delay_ms: 1_100,
             first_claim_delay_ms: 0,
             silence_ms: 900,
             handover_ms: 3_200,
--- a/crates/quetzalpick-core/src/election/state_machine.rs
+++ b/crates/quetzalpick-core/src/election/state_machine.rs
@@ -31,6 +31,8 @@
     reads_recovered_ms: u64,
     /// Send time of this leader's last action, in ms.
     last_action_ms: Option<u64>,
+    /// Whether this VM would lead as well as any other one.
+    is_suited: bool,
 }
 
 impl Election {
@@ -46,9 +48,15 @@
             read_failing: false,
             reads_recovered_ms: 0,
             last_action_ms: None,
+            is_suited: true,
         }
     }
 
+    /// Sets whether this VM would lead as well as any other one; otherwise it claims later than these.
+    pub fn set_suited(&mut self, is_suited: bool) {
+        self.is_suited = is_suited;
+    }
+
     /// Returns the next operation.
     pub fn step(&self, now_ms: u64) -> Step {
         if let Some(term) = &self.term {
--- a/crates/quetzalpick-core/src/election/state_machine/expiry.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/expiry.rs
@@ -24,7 +24,7 @@
             }
             None => has_expired,
             Some((_, claim)) if claim.resigned_after_ms.is_some() => {
-                now_ms >= log_state.since_ms + self.options.claim_delay_ms
+                now_ms >= log_state.since_ms + self.claim_delay_ms()
             }
             Some((_, claim)) => self.is_own_former_incarnation(claim) || has_expired,
         };
@@ -49,7 +49,17 @@
     /// Returns how long this VM waits after a leader's expiry before it claims, in ms.
     fn total_claim_delay_ms(&self) -> u64 {
         let spread_ms = self.me.incarnation.0 % self.options.stagger_ms.max(1);
-        spread_ms + self.options.claim_delay_ms
+        spread_ms + self.claim_delay_ms()
+    }
+
+    /// Returns how much later than the VMs that are best suited to lead this one claims, in ms.
+    fn claim_delay_ms(&self) -> u64 {
+        let unsuited_ms = if self.is_suited {
+            0
+        } else {
+            self.options.unsuited_delay_ms
+        };
+        self.options.claim_delay_ms + unsuited_ms
     }
 
     /// Returns the next time at which the leader shown by a read expires, first for VMs without a claim delay and then for this VM,
@@ -59,7 +69,7 @@
         let read_ms = log_state.read_ms?;
         let own_ms = self.own_expiry_ms(log_state);
         // A VM with a claim delay first reads whether another VM has claimed before its own claim is due.
-        let others_ms = own_ms - self.options.claim_delay_ms.saturating_sub(PEER_CLAIM_MS);
+        let others_ms = own_ms - self.claim_delay_ms().saturating_sub(PEER_CLAIM_MS);
         let next_expiry_ms = if read_ms < others_ms {
             others_ms
         } else {
--- a/crates/quetzalpick-core/src/link/state.rs
+++ b/crates/quetzalpick-core/src/link/state.rs
@@ -42,6 +42,11 @@
         self.lost_ms.is_some()
     }
 
+    /// Returns for how long the link has been lost, in ms; `None` if it is not.
+    pub fn lost_for_ms(&self, now_ms: u64) -> Option<u64> {
+        self.lost_ms.map(|lost_ms| now_ms.saturating_sub(lost_ms))
+    }
+
     /// Records that a connection to one of `known` endpoints could not be established; `connections` were established so far.
     /// Returns whether the link is lost from now on.
     pub fn record_failure(
--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -222,6 +222,24 @@
     assert!(second.leads(1_011).is_some());
 }
 
+#[test]
+fn a_vm_that_would_lead_badly_claims_after_the_others() {
+    let mut log = Log::default();
+    let mut first = start(0, 1);
+    claim(&mut first, &mut log, 0);
+    let (resignation, at) = first.resignation(1_000).unwrap();
+    log.append(resignation, at).unwrap();
+    let claims_from_ms = |is_suited| {
+        let mut vm = start(1, 2);
+        vm.set_suited(is_suited);
+        vm.record_read(1_000, 1_000, log.tail(Offset(0)));
+        (1_000..9_000).find(|now_ms| matches!(vm.step(*now_ms), Step::Append(..)))
+    };
+    assert_eq!(claims_from_ms(true), Some(1_000));
+    let unsuited_ms = 1_000 + Options::default().unsuited_delay_ms;
+    assert_eq!(claims_from_ms(false), Some(unsuited_ms));
+}
+
 fn delayed_candidate() -> Election {
     let options = Options {
         claim_delay_ms: 700,
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -158,6 +158,7 @@
             registrars: Mutex::default(),
             origins: Arc::clone(&origins),
             quarantine: Arc::clone(&quarantine),
+            link: Arc::clone(&link),
             avoided: Mutex::default(),
         });
         let vm = options.vm.clone();
@@ -195,6 +196,7 @@
         let new_driver = || ElectionDriver {
             topics: platform.topics.clone(),
             lead: Arc::clone(&lead),
+            link: Arc::clone(&context.link),
             view: Arc::clone(&context.view),
             clock,
         };
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -25,6 +25,7 @@
 use crate::exchange::service::{decode, encode};
 use crate::fleet::{Fleet, Notice};
 use crate::lead::Leadership;
+use crate::link::Link;
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::quarantine::Quarantine;
@@ -75,6 +76,7 @@
     pub(crate) registrars: Mutex<Registrars>,
     pub(crate) origins: Arc<Origins>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) link: Arc<Link>,
     /// VMs that could not pass requests on recently, and until when they are avoided, in ms.
     pub(crate) avoided: Mutex<Table<String, u64>>,
 }
@@ -149,6 +151,7 @@
             crashes: report.crashes,
             answered: report.answered,
             quarantine_version: report.version,
+            is_disconnected: self.link.is_lost(),
         };
         (status, report.revision)
     }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -102,6 +102,8 @@
     pub(crate) answered: Vec<Answered>,
     /// Version of the quarantined features that it has from that leader.
     pub(crate) quarantine_version: u64,
+    /// Whether it reaches no endpoints itself.
+    pub(crate) is_disconnected: bool,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
--- a/crates/quetzalpick-entry/src/lead/election.rs
+++ b/crates/quetzalpick-entry/src/lead/election.rs
@@ -13,13 +13,19 @@
 use crate::clock::Clock;
 use crate::exchange::{decode_claim, encode_claim};
 use crate::lead::Leadership;
+use crate::lead::statuses::Statuses;
+use crate::link::Link;
 use crate::view::View;
 
+/// Time after which a leader that reaches no endpoints hands over to another VM, in ms.
+const HANDOVER_DELAY_MS: u64 = 1_000;
+
 /// `ElectionDriver` carries out the election's steps: it reads and appends claims in the leadership topic.
 #[derive(Debug)]
 pub(crate) struct ElectionDriver<T, N> {
     pub(crate) topics: T,
     pub(crate) lead: Arc<Leadership<N>>,
+    pub(crate) link: Arc<Link>,
     pub(crate) view: Arc<View>,
     pub(crate) clock: Clock,
 }
@@ -28,6 +34,7 @@
     /// Runs until cancelled.
     pub(crate) async fn run(self) {
         loop {
+            self.hand_over_if_disconnected().await;
             let former = self.lead.leader_address();
             let step = self
                 .lead
@@ -105,6 +112,22 @@
             .with_election(|election, now_ms| election.record_append(sent_ms, now_ms, appended));
     }
 
+    /// Resigns if this VM cannot send orders to endpoints and another one could.
+    async fn hand_over_if_disconnected(&self) {
+        let lost_for_ms = self.link.lost_for_ms();
+        self.lead
+            .with_election(|election, _| election.set_suited(lost_for_ms.is_none()));
+        let Some(lost_for_ms) = lost_for_ms.filter(|ms| *ms >= HANDOVER_DELAY_MS) else {
+            return;
+        };
+        let is_another_connected =
+            |statuses: &mut Statuses, now_ms| statuses.is_another_connected(now_ms, self.lead.vm());
+        if self.lead.is_leading() && self.lead.with_statuses(is_another_connected) {
+            log::warn!("lead: resigns reason=\"no endpoint is reached\" lost_for_ms={lost_for_ms}");
+            self.resign().await;
+        }
+    }
+
     /// Resigns leadership, for instance before a planned stop, and announces that to the other VMs.
     pub(crate) async fn resign(&self) {
         let resignation = self.lead.with_election(|election, now_ms| {
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -63,7 +63,8 @@
             *observed_ms = now_ms;
             self.observe(&config);
         }
-        let may_order = self.lead.fence().is_some();
+        // Orders would fail, and another VM that leads next would have to wait longer.
+        let may_order = self.lead.fence().is_some() && !self.link.is_lost();
         let planned = self.lead.with_leader_state(|state, now_ms| {
             let planner = &mut state.planner;
             planner.finish_adapter_loads(now_ms);
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -77,6 +77,13 @@
         suspected
     }
 
+    /// Returns whether any other VM reaches endpoints itself.
+    pub(crate) fn is_another_connected(&mut self, now_ms: u64, vm: &Vm) -> bool {
+        self.expire(now_ms);
+        let mut others = self.unexpired().filter(|status| status.vm != *vm);
+        others.any(|status| !status.is_disconnected)
+    }
+
     /// Returns the addresses of up to `count` other VMs, chosen at random.
     pub(crate) fn sample_addresses(&self, vm: &Vm, count: usize) -> Vec<String> {
         let others = self.unexpired().filter(|status| status.vm != *vm);
--- a/crates/quetzalpick-entry/src/link/state.rs
+++ b/crates/quetzalpick-entry/src/link/state.rs
@@ -47,6 +47,11 @@
         self.is_lost.load(Ordering::Relaxed)
     }
 
+    /// Returns for how long the link has been lost, in ms; `None` if it is not.
+    pub(crate) fn lost_for_ms(&self) -> Option<u64> {
+        lock(&self.state).lost_for_ms(self.clock.now_ms())
+    }
+
     /// Records that bytes of an answer arrived.
     pub(crate) fn record_heard(&self) {
         let now_ms = self.clock.now_ms();
