--- a/crates/quetzalpick-core/src/quarantine/investigation.rs
+++ b/crates/quetzalpick-core/src/quarantine/investigation.rs
@@ -202,21 +202,13 @@
     fn rank(&self) -> Vec<Evidence> {
         let mut accused = self.accused(self.unexplained());
         accused.retain(|feature| !self.blocklist.contains(*feature));
-        let mut requests = self.accused(self.crashes.values());
-        requests.retain(|feature| feature.is_request());
+        let requests = self.accused_requests();
         let counts = accused.chunk_by(Feature::eq).map(|same| {
             let feature = same[0];
-            let total = if feature.is_request() {
-                let first = requests.partition_point(|other| *other < feature);
-                let rest = &requests[first..];
-                rest.partition_point(|other| *other == feature)
-            } else {
-                same.len()
-            };
             Evidence {
                 feature,
                 crashes: same.len(),
-                total,
+                total: same.len().max(count(&requests, feature)),
                 is_new: !self.answers.contains(&feature),
             }
         });
@@ -225,6 +217,18 @@
         ranking
     }
 
+    /// Returns the requests against which all crashes are evidence, explained ones too, sorted, each as often as there are such crashes;
+    /// none if no crash is explained.
+    fn accused_requests(&self) -> Vec<Feature> {
+        let mut quarantined = self.blocklist.features().iter();
+        if quarantined.all(|feature| feature.is_request()) {
+            return Vec::new();
+        }
+        let mut accused = self.accused(self.crashes.values());
+        accused.retain(|feature| feature.is_request());
+        accused
+    }
+
     /// Returns the features against which crashes are evidence, sorted, each as often as there are such crashes.
     fn accused<'a>(&'a self, rows: impl Iterator<Item = &'a Row>) -> Vec<Feature> {
         let features = rows.flat_map(|row| {
@@ -346,3 +350,10 @@
         since_ms.is_some_and(|since_ms| now_ms.saturating_sub(*since_ms) >= self.options.hearing_ms)
     }
 }
+
+/// Returns how often a feature is in a sorted list.
+fn count(sorted: &[Feature], feature: Feature) -> usize {
+    let first = sorted.partition_point(|other| *other < feature);
+    let rest = &sorted[first..];
+    rest.partition_point(|other| *other == feature)
+}
