--- a/crates/quetzalpick-core/src/quarantine/investigation.rs
+++ b/crates/quetzalpick-core/src/quarantine/investigation.rs
@@ -30,7 +30,7 @@
 struct Evidence {
     feature: Feature,
     crashes: usize,
-    /// Explained and unexplained crashes with a request; those in `crashes` with a part.
+    /// Crashes with a request, those too that a quarantined part explains; the same as `crashes` for a part.
     total: usize,
     /// Whether no answer to the feature is known.
     is_new: bool,
@@ -50,7 +50,7 @@
     fn is_enough(&self, options: &Options) -> bool {
         match (self.is_new, self.feature) {
             (true, Feature::Request(_)) if self.total >= options.crashes_if_answered => {
-                // It may be a second cause of crashes that a part explains.
+                // It may be a second cause: a part explains the other crashes.
                 self.crashes >= OTHER_CRASHES_MIN
             }
             (true, _) => self.crashes >= options.crashes_if_new,
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -63,7 +63,7 @@
             *observed_ms = now_ms;
             self.observe(&config);
         }
-        // Orders would fail, and another VM that leads next would have to wait longer.
+        // Without a link orders would fail, and a successor has to wait for some time after the last one.
         let may_order = self.lead.fence().is_some() && !self.link.is_lost();
         let planned = self.lead.with_leader_state(|state, now_ms| {
             let planner = &mut state.planner;
