Let a new leader report only copies that it knows from engines

Cause: a new leader starts from the entries of engines, which lag behind the former leader's orders by one heartbeat, and published them as copies before the first reports. VMs replaced what they knew from the former leader by it, did not find the model loaded last, and learned better with the next status 250 ms later. Each planned stop of a leader did the same. Change: the leader publishes the copies of an engine once that has reported to it (or is found to be down); until then VMs keep what they know, and those that know nothing use the entries, as without a leader. Ruled out: engines taken for down (the new leader's link is sound, no engine was marked); loads that are not known yet (the refusals name no engine that holds the model).

--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -359,10 +359,12 @@
 
     /// Updates the index with the planner's copies; returns the new version if they changed.
     fn publish(&mut self) -> Option<u64> {
-        let engines = self.planner.engines();
-        self.copy_index
-            .retain(|endpoint| engines.contains(endpoint));
-        let changed = self.copy_index.update(self.planner.held_copies());
+        let held = self.planner.held_copies();
+        self.copy_index.retain(|endpoint| {
+            let index = held.binary_search_by_key(&endpoint, |(known, _)| known);
+            index.is_ok()
+        });
+        let changed = self.copy_index.update(held);
         changed.then(|| self.copy_index.version())
     }
 }
--- a/crates/quetzalpick-entry/src/place/engine_state.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state.rs
@@ -82,7 +82,7 @@
         }
         self.has_entry = true;
         // An entry may be older than the last order, so it never removes copies.
-        if self.accepted_orders.is_none() {
+        if !self.is_reported() {
             self.add_held(now_ms, &spec.copies);
         }
         self.spec = spec;
@@ -93,6 +93,11 @@
         self.has_entry && !self.unreachable && self.spec.state == State::Ready
     }
 
+    /// Returns whether its copies are known from its reports.
+    pub(crate) fn is_reported(&self) -> bool {
+        self.accepted_orders.is_some()
+    }
+
     /// Returns whether it can be relied on for as many requests as it gets.
     pub(crate) fn takes_load(&self) -> bool {
         self.is_usable() && self.limit.is_none()
@@ -101,6 +106,6 @@
     /// Returns whether an order may be sent to it now.
     pub(crate) fn is_idle(&self, now_ms: u64) -> bool {
         let free = self.open_order.is_none() && now_ms >= self.busy_until_ms;
-        self.is_usable() && free && self.accepted_orders.is_some() && !self.needs_report
+        self.is_usable() && free && self.is_reported() && !self.needs_report
     }
 }
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -205,18 +205,21 @@
         }
     }
 
-    /// Returns the artifacts that serve at each engine. An engine that is down holds nothing, unless half of the engines seem to
-    /// be down: then this VM itself may be disconnected.
+    /// Returns the artifacts that serve at each engine whose copies are known from its reports: its entry may be older than what
+    /// VMs know from the former leader. An engine that is down holds nothing, unless half of the engines seem to be down: then
+    /// this VM itself may be disconnected.
     pub fn held_copies(&self) -> Vec<(Endpoint, Vec<Artifact>)> {
         let down = self.engines.values().filter(|engine| engine.down).count();
         let is_trusted = down * 2 < self.engines.len();
         let held = |engine: &EngineState| {
-            let is_gone = engine.down && is_trusted;
-            if is_gone { Vec::new() } else { engine.held() }
+            if engine.down && is_trusted {
+                return Some(Vec::new());
+            }
+            engine.is_reported().then(|| engine.held())
         };
         let engines = self.engines.iter();
         engines
-            .map(|(endpoint, engine)| (endpoint.clone(), held(engine)))
+            .filter_map(|(endpoint, engine)| Some((endpoint.clone(), held(engine)?)))
             .collect()
     }
 
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -139,6 +139,19 @@
     assert_eq!(empty(&simulation), []);
 }
 
+#[test]
+fn new_leader_does_not_replace_copies_that_vms_know_by_those_of_outdated_entries() {
+    let mut simulation = Simulation::new(1, false);
+    (0..500).for_each(|_| simulation.step());
+    simulation.change_leader();
+    simulation.observe_entries();
+    assert_eq!(simulation.planner.held_copies(), []);
+    simulation.step();
+    let reported = simulation.planner.held_copies();
+    assert_eq!(reported.len(), simulation.engines.len());
+    assert!(reported.iter().all(|(_, held)| !held.is_empty()));
+}
+
 #[test]
 fn engines_hold_what_they_held_while_the_leader_itself_is_disconnected() {
     let mut simulation = Simulation::new(1, false);
--- a/crates/quetzalpick-entry/tests/place/simulation.rs
+++ b/crates/quetzalpick-entry/tests/place/simulation.rs
@@ -147,6 +147,17 @@
         }
     }
 
+    /// Replaces the planner by that of a new leader.
+    pub(crate) fn change_leader(&mut self) {
+        self.planner = Planner::new(self.now_ms, Options::default());
+    }
+
+    /// Passes the entries, which may be outdated, to the planner.
+    pub(crate) fn observe_entries(&mut self) {
+        let specs = (0..ENGINES).map(|n| (endpoint(n), self.spec(n))).collect();
+        self.planner.observe(self.now_ms, &self.config, specs);
+    }
+
     fn inject_fault(&mut self, one_in: u32) -> bool {
         self.faults && self.random.random_range(0..one_in) == 0
     }
@@ -171,10 +182,9 @@
             self.apply_order(delayed.engine, &delayed.order);
         }
         if self.inject_fault(600) {
-            self.planner = Planner::new(now_ms, Options::default());
+            self.change_leader();
         }
-        let specs = (0..ENGINES).map(|n| (endpoint(n), self.spec(n))).collect();
-        self.planner.observe(now_ms, &self.config, specs);
+        self.observe_entries();
         let down: Vec<Endpoint> = self.down.iter().map(|n| endpoint(*n)).collect();
         self.planner.mark_unreachable(&down);
         self.planner.set_suspected(&down);
