Give the fields of messages between VMs names, so that two versions of the program understand each other

Cause: messages were MessagePack arrays without names, so that each added field made older and newer VMs ignore each other; so were claims of the leadership. Change: fields have names. Unknown ones are passed over, missing ones need a default (said in exchange/message.rs). A message that cannot be decoded gets an error and fewer and fewer log lines. Ruled out: numbered fields by another library (prost, minicbor, bilrost): could not read them, and a landing in between would be needed.

--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -17,12 +17,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
+use crate::exchange::codec::{decode, encode};
 use crate::exchange::message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
     PermitRequest, PermitResult, Status, StatusReply, path,
 };
 use crate::exchange::registrars::Registrars;
-use crate::exchange::service::{decode, encode};
 use crate::fleet::{Fleet, Notice};
 use crate::lead::Leadership;
 use crate::link::Link;
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between VMs: periodic statuses and the leader's replies, draws, loans, and requests for adapters.
 
 mod client;
+mod codec;
 mod forward;
 mod message;
 mod origins;
@@ -8,10 +9,11 @@
 mod service;
 
 pub(crate) use client::Client;
+pub(crate) use codec::{decode, encode};
 pub(crate) use forward::Via;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
     EndpointsRelay, PermitRequest, PermitResult, Status, StatusReply, ViewRelay,
 };
 pub(crate) use registrars::Registrars;
-pub(crate) use service::{PeerHandler, decode as decode_claim, encode as encode_claim};
+pub(crate) use service::PeerHandler;
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -9,10 +9,9 @@
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::peer::Service;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::clock::Clock;
+use crate::exchange::codec::{decode, encode};
 use crate::exchange::message::{DrawRequest, OriginReply, OriginReport, OriginRequest, path};
 use crate::fleet::Fleet;
 use crate::lead::Leadership;
@@ -117,26 +116,11 @@
     fn find_origin(&self, request: &OriginRequest) -> OriginReply {
         let now_ms = self.clock.now_ms();
         let attempt = request.attempt.as_deref();
+        let unmarked_ms = self.origins.unmarked_ms(&request.service);
         OriginReply {
             origin: attempt.and_then(|attempt| self.origins.find(now_ms, attempt)),
             builds: self.fleet.known_builds(now_ms, &request.service),
+            is_complete: self.fleet.covers_streams(now_ms, unmarked_ms),
         }
     }
 }
-
-/// Decodes a message; `None` if it is malformed, which a caller receives as an error.
-pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
-    let message = rmp_serde::from_slice(body);
-    message
-        .inspect_err(|error| log::warn!("exchange: malformed message ignored reason=\"{error}\""))
-        .ok()
-}
-
-/// Encodes a message; `None` if that fails, which doesn't happen with this module's types.
-pub(crate) fn encode(message: &impl Serialize) -> Option<Bytes> {
-    let bytes = rmp_serde::to_vec(message);
-    bytes
-        .inspect_err(|error| log::error!("exchange: message not encoded reason=\"{error}\""))
-        .ok()
-        .map(Bytes::from)
-}
--- a/crates/quetzalpick-entry/src/lead/election.rs
+++ b/crates/quetzalpick-entry/src/lead/election.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
-use crate::exchange::{decode_claim, encode_claim};
+use crate::exchange::{decode, encode};
 use crate::lead::Leadership;
 use crate::lead::statuses::Statuses;
 use crate::link::Link;
@@ -83,7 +83,7 @@
 
     /// Appends a claim at the assumed end of the log.
     async fn append(&self, claim: &Claim, at: Offset) {
-        let Some(value) = encode_claim(claim) else {
+        let Some(value) = encode(claim) else {
             return;
         };
         let record = Record {
@@ -140,7 +140,7 @@
         };
         let record = Record {
             key: String::new(),
-            value: encode_claim(&claim),
+            value: encode(&claim),
         };
         let result = self
             .topics
@@ -155,7 +155,7 @@
     let first = records.next.0 - records.records.len() as u64;
     let claims = records.records.iter().enumerate().rev();
     let mut claims = claims.filter_map(|(at, record)| {
-        let claim = decode_claim(record.value.as_deref()?)?;
+        let claim = decode(record.value.as_deref()?)?;
         Some((Offset(first + at as u64), claim))
     });
     Tail {
