Keep a copy of a model in use at each build of a service, if that costs little

Cause: the cost of an eviction counted copies of a model, whatever build they run; an interrupted stream goes on at its build only. Change: while a service runs several builds, evicting the only copy of a model at a build costs more, by the work that runs there. Nothing changes while a service runs one build.

--- a/crates/quetzalpick-entry/src/place/model.rs
+++ b/crates/quetzalpick-entry/src/place/model.rs
@@ -39,6 +39,9 @@
 /// Weight of work that is refused, such as all work for a model without any copy.
 const REFUSED_FACTOR: Work = 20;
 
+/// Weight of work whose streams could not go on if they were interrupted.
+const INTERRUPTED_FACTOR: Work = 2;
+
 impl ModelDemand<'_> {
     /// Returns the value of one more copy.
     pub(crate) fn gain(&self) -> Work {
@@ -58,6 +61,12 @@
         (self.kept_copies > 1 && self.copies > 1).then(|| self.wait_saved(self.copies - 1))
     }
 
+    /// Returns the additional cost of removing a copy that is the only one of its build: interrupted streams that began there cannot
+    /// go on at another build.
+    pub(crate) fn build_loss(&self) -> Work {
+        self.work / self.kept_copies.max(1) * INTERRUPTED_FACTOR
+    }
+
     /// Returns the estimated time until the requests at one copy have ended, in ms; an engine unloads a model only after that.
     pub(crate) fn completion_ms(&self) -> u64 {
         let requests = self.work as f64 / (self.copies.max(1) * WORK_PER_REQUEST) as f64;
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -1,6 +1,7 @@
 //! Plans the next order for each engine, on the leader.
 
 mod adapters;
+mod eviction;
 mod models;
 mod weights;
 
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -1,8 +1,8 @@
 //! Selects models that get another copy, and copies that are evicted for them.
 
 use quetzalpick_core::id::{Artifact, Endpoint};
-use quetzalpick_core::table::Table;
 
+use super::eviction::EvictionCosts;
 use super::{PlannedService, Planner, WORK_PER_LOAD_MS, load_ms};
 use crate::config::EngineSpec;
 use crate::place::capacity::{free_mb, memory_mb};
@@ -11,33 +11,6 @@
 use crate::place::model::{ModelDemand, model_demands};
 use crate::place::{Action, EngineState, Order, PlannedOrder, Work};
 
-/// `EvictionCost` describes the cost of evicting one copy of a model.
-#[derive(Debug)]
-struct EvictionCost {
-    /// Cost of one copy less; `None` if no copy would serve afterwards.
-    loss: Option<Work>,
-    /// Cost of leaving the model without any copy.
-    availability_value: Work,
-    /// Estimated time until the requests at the copy have ended, in ms.
-    completion_ms: u64,
-}
-
-/// `EvictionCosts` maps models to the cost of evicting one of their copies.
-type EvictionCosts = Table<Artifact, EvictionCost>;
-
-/// Returns the cost of evicting a copy of each model.
-fn eviction_costs(model_demands: &[ModelDemand<'_>]) -> EvictionCosts {
-    let eviction_cost = |demand: &ModelDemand<'_>| EvictionCost {
-        loss: demand.loss(),
-        availability_value: demand.availability_value(),
-        completion_ms: demand.completion_ms(),
-    };
-    let demands = model_demands.iter();
-    demands
-        .map(|demand| (demand.model.name.clone(), eviction_cost(demand)))
-        .collect()
-}
-
 impl Planner {
     /// Plans loads of the models with the highest gain, and evictions that free memory for them.
     pub(super) fn plan_models(
@@ -53,7 +26,7 @@
         // Each step changes the gains of the others.
         for _ in 0..spec.models.len() {
             let model_demands = model_demands(spec, &self.engines, &self.work);
-            let eviction_costs = eviction_costs(&model_demands);
+            let eviction_costs = EvictionCosts::new(service.name, &model_demands, &self.engines);
             let steps = model_demands
                 .iter()
                 .filter(|demand| demand.gain() >= self.options.min_fill_gain);
@@ -225,6 +198,7 @@
             let loss = eviction_cost
                 .loss
                 .or(is_unserved.then_some(eviction_cost.availability_value))?;
+            let loss = loss + eviction_costs.build_loss(engine, artifact);
             let is_worth_it = gain * 100 >= loss * ratio;
             is_worth_it.then(|| loss + demand.delay_cost(eviction_cost.completion_ms))
         };
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -139,6 +139,20 @@
     assert_eq!(empty(&simulation), []);
 }
 
+#[test]
+fn model_in_use_keeps_a_copy_at_each_build_so_that_interrupted_streams_can_go_on() {
+    for (builds, copies_left) in [(["v1"; 4], 1), (["v1", "v1", "v2", "v2"], 2)] {
+        let mut simulation = Simulation::new(1, false);
+        simulation.builds = builds;
+        (0..500).for_each(|_| simulation.step());
+        // Each of three models has a copy at the first and at the last engine, and another model needs more copies.
+        let work = [(0, 40_000), (1, 40_000), (2, 20_000), (8, 60_000)];
+        simulation.work = work.map(|(n, work)| (model(n), work)).into_iter().collect();
+        (0..600).for_each(|_| simulation.step());
+        assert_eq!(copies(&simulation, 2), copies_left, "{builds:?}");
+    }
+}
+
 #[test]
 fn new_leader_does_not_replace_copies_that_vms_know_by_those_of_outdated_entries() {
     let mut simulation = Simulation::new(1, false);
--- a/crates/quetzalpick-entry/tests/place/simulation.rs
+++ b/crates/quetzalpick-entry/tests/place/simulation.rs
@@ -81,6 +81,8 @@
     pub(crate) faults: bool,
     /// Engines that cannot be reached.
     pub(crate) down: Vec<usize>,
+    /// Builds of the engines.
+    pub(crate) builds: [&'static str; ENGINES],
     /// Engines that name a limit, with the requests a second; sorted.
     pub(crate) limits: Vec<(usize, f64)>,
     pub(crate) work: Table<Artifact, Work>,
@@ -125,6 +127,7 @@
             planner: Planner::new(0, Options::default()),
             faults,
             down: Vec::new(),
+            builds: ["v1"; ENGINES],
             limits: Vec::new(),
             work: Table::default(),
             accepted_model_orders: 0,
@@ -140,7 +143,7 @@
             state: State::Ready,
             slots: 64,
             started_ms: Some(1),
-            build: Build::new("v1"),
+            build: Build::new(self.builds[n]),
             copies: self.entries[n].1.clone(),
             in_memory: Vec::new(),
             on_disk: self.entries[n].2.clone(),
