Store where streams began while a service runs several builds, so that they go on after a loss of all VMs

Cause: where a stream began was known to the memory of VMs alone, and a VM that had just started took the only build in the entries for the only build there had been. Change: the leader marks services that run several builds in a keyed topic, and while the mark stands it stores the origins of their streams in batches, ten a second at most, in 256 slots in turn; attempts are stored as digests of eight bytes. The mark is removed once the leader has seen one build for as long as streams can be taken up. A VM that is asked for a stream that neither it nor other VMs know reads the topic, at most ten times a second, before it answers; a sole build counts as certain only if this VM, a VM that answers or the topic vouches for the whole time in which streams began that may be taken up now. Why it works: an origin never changes, so that old batches are harmless and slots need no times, which would not survive a restart; appends are conditional, so that two leaders cannot overwrite each other's batches. Lost are the streams of the last batch, some 150 ms before all VMs go (350 ms with 195 VMs).

--- a/crates/quetzalpick-client/src/topic.rs
+++ b/crates/quetzalpick-client/src/topic.rs
@@ -33,6 +33,8 @@
     Leadership,
     /// Parts of prompts that crash endpoints, keyed by part.
     Quarantine,
+    /// Where streams began and which services run several builds, keyed by slot and by service.
+    Origins,
 }
 
 /// `Record` holds one record of a topic: a key, and its value or its removal.
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -35,7 +35,9 @@
 use crate::rate::Rates;
 use crate::reload::{Changes, reload};
 use crate::serve::{Context, Handler, PeerClient};
-use crate::view::{ConfigFollower, EndpointFollower, Membership, QuarantineFollower, View};
+use crate::view::{
+    ConfigFollower, EndpointFollower, Membership, OriginFollower, QuarantineFollower, View,
+};
 use crate::wire::{HeadCodec, RecordCodec};
 
 /// `Platform` holds the clients, codecs and clock through which an entry reaches other systems.
@@ -343,6 +345,14 @@
         lead: Arc::clone(lead),
         view: Arc::clone(&context.view),
     };
+    let origins = OriginFollower {
+        topics: platform.topics.clone(),
+        origins: Arc::clone(&context.origins),
+        fleet: Arc::clone(&context.fleet),
+        lead: Arc::clone(lead),
+        view: Arc::clone(&context.view),
+        clock,
+    };
     let membership = Membership {
         topics: platform.topics,
         rates: Arc::clone(&context.rates),
@@ -368,6 +378,7 @@
     spawn(stop, endpoints.run());
     spawn(stop, membership.run());
     spawn(stop, quarantine.run());
+    spawn(stop, origins.run());
     spawn(stop, plan_executor.run());
     spawn(stop, Arc::clone(&context.peer_client).run());
     let peer_client = Arc::clone(&context.peer_client);
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -1,4 +1,7 @@
-//! Messages between VMs, in MessagePack.
+//! Messages between VMs.
+//!
+//! A new field has a default (`#[serde(default)]`) with which a receiver is safe if the sender does not know the field. A field is not
+//! renamed, and a new variant of an enum is sent only once all VMs can decode it.
 
 use quetzalpick_core::election::Heartbeat;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
@@ -200,6 +203,9 @@
     pub(crate) origin: Option<Origin>,
     /// Builds at which recent streams of the service may have begun, as far as the receiver knows.
     pub(crate) builds: Vec<Build>,
+    /// Whether it knows all of them.
+    #[serde(default)]
+    pub(crate) is_complete: bool,
 }
 
 /// `AdapterRequest` requests an adapter that no engine holds.
--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -99,10 +99,16 @@
             ..OriginSearch::default()
         };
         while let Some(reply) = replies.next().await {
-            let Some(OriginReply { origin, builds }) = reply else {
+            let Some(reply) = reply else {
                 continue;
             };
+            let OriginReply {
+                origin,
+                builds,
+                is_complete,
+            } = reply;
             search.answered += 1;
+            search.is_complete |= is_complete;
             search.builds.extend(builds);
             if origin.is_some() {
                 search.origin = origin;
--- a/crates/quetzalpick-entry/src/fleet/builds.rs
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -49,6 +49,16 @@
         self.read_ms
     }
 
+    /// Returns whether no build of a service can have been missed since streams began that may be taken up now. At `sole_ms`, if
+    /// given, it was known that the service ran one build for that long.
+    pub fn covers_streams(&self, now_ms: u64, sole_ms: Option<u64>) -> bool {
+        if self.read_ms.is_none() {
+            return false;
+        }
+        let since_ms = self.complete_since_ms;
+        now_ms >= since_ms + STREAM_TTL_MS || sole_ms.is_some_and(|at_ms| at_ms >= since_ms)
+    }
+
     /// Records an endpoint that appeared or disappeared; `was_present` tells whether others of its build are present.
     pub fn record(&mut self, now_ms: u64, service: &Service, build: &Build, was_present: bool) {
         let sightings = self
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -176,6 +176,12 @@
         lock(&self.builds).is_current(now_ms)
     }
 
+    /// Returns whether this VM knows all builds at which streams of a service began that may be taken up now. At `sole_ms`, if given,
+    /// it was known from elsewhere that the service ran one build for that long.
+    pub(crate) fn covers_streams(&self, now_ms: u64, sole_ms: Option<u64>) -> bool {
+        lock(&self.builds).covers_streams(now_ms, sole_ms)
+    }
+
     /// Returns the builds at which a stream of a service may have begun that may be taken up now, as far as this VM
     /// knows; sorted.
     pub(crate) fn known_builds(&self, now_ms: u64, service: &Service) -> Vec<Build> {
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -68,6 +68,8 @@
     pub(crate) wake: Notify,
     /// Signals that this VM begins to lead or that it has quarantined a feature.
     pub(crate) quarantine_changed: Notify,
+    /// Signals that this VM begins or ceases to lead, for the follower of origins.
+    pub(crate) origin_term_changed: Notify,
     /// Signals that another VM leads.
     pub(crate) leader_changed: Notify,
     /// Version of the copies, for requests that wait for a change.
@@ -101,6 +103,7 @@
             leader_state: Mutex::default(),
             wake: Notify::new(),
             quarantine_changed: Notify::new(),
+            origin_term_changed: Notify::new(),
             leader_changed: Notify::new(),
             copies_version: watch::Sender::new(0),
         }
@@ -181,6 +184,7 @@
         });
         self.wake.notify_one();
         self.quarantine_changed.notify_one();
+        self.origin_term_changed.notify_one();
     }
 
     /// Calls `act` with the leader state and the current time, in ms, if this VM leads now.
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -2,13 +2,19 @@
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
 
+use quetzalpick_client::topic::Record;
+use quetzalpick_core::id::Service;
 use quetzalpick_core::table::Table;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use crate::fleet::STREAM_TTL_MS;
-use crate::origin::Origin;
+use crate::origin::attempt::Attempt;
 use crate::origin::recent::Recent;
+use crate::origin::unstored::Unstored;
+use crate::origin::{Origin, Stored, StoredRow};
 use crate::sync::lock;
 
 /// Longest attempt id that is recorded, in bytes.
@@ -17,16 +23,38 @@
 /// Most streams of this VM that are kept for other VMs.
 const OWN_MAX: usize = 16_384;
 
+/// Longest wait for a read of the stored origins.
+const STORED_WAIT: Duration = Duration::from_millis(500);
+
+/// `StoredOrigin` is what the topic of origins says of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum StoredOrigin {
+    /// Where the stream began.
+    Known(Origin),
+    /// It is not stored, and its service runs several builds or did recently.
+    Unknown,
+    /// The service has run one build while streams began that may be taken up now.
+    OneBuild,
+    /// The topic was not read in time.
+    Unread,
+}
+
 /// `Origins` stores where streams began, and tracks which of its own streams each registrar was told.
 #[derive(Debug, Default)]
 pub struct Origins {
     state: Mutex<State>,
     changed: Notify,
+    stored: Mutex<Stored>,
+    /// Signals that the stored origins are to be read.
+    pub(crate) read_requested: Notify,
+    /// Send time of the last successful read of the stored origins, in ms.
+    read_ms: watch::Sender<u64>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     recent: Recent,
+    unstored: Unstored,
     /// Streams that this VM began, oldest first.
     own: VecDeque<OwnStream>,
     /// Number of the first row of `own`, counted from the start of the process.
@@ -60,9 +88,7 @@
             return;
         }
         let mut state = self.lock();
-        state
-            .recent
-            .record(now_ms, attempt.to_owned(), origin.clone());
+        state.remember(now_ms, attempt.to_owned(), origin.clone());
         state.own.push_back(OwnStream {
             began_ms: now_ms,
             attempt: attempt.to_owned(),
@@ -79,10 +105,58 @@
     pub fn accept(&self, now_ms: u64, rows: impl IntoIterator<Item = (String, Origin)>) {
         let mut state = self.lock();
         for (attempt, origin) in rows {
-            state.recent.record(now_ms, attempt, origin);
+            state.remember(now_ms, attempt, origin);
         }
     }
 
+    /// Returns what the topic says of a stream as of now or later; waits for a read if necessary.
+    pub(crate) async fn find_stored(
+        &self,
+        now_ms: u64,
+        service: &Service,
+        attempt: Option<&str>,
+    ) -> StoredOrigin {
+        let mut read_ms = self.read_ms.subscribe();
+        self.read_requested.notify_one();
+        let read = timeout(STORED_WAIT, read_ms.wait_for(|read_ms| *read_ms >= now_ms));
+        if read.await.is_err() {
+            return StoredOrigin::Unread;
+        }
+        let stored = lock(&self.stored);
+        match attempt.and_then(|attempt| stored.find(Attempt::of(attempt))) {
+            Some(origin) => StoredOrigin::Known(origin.clone()),
+            None if stored.runs_several_builds(service) => StoredOrigin::Unknown,
+            None => StoredOrigin::OneBuild,
+        }
+    }
+
+    /// Returns the send time of the last read that found a service unmarked, in ms; `None` if it is marked.
+    pub(crate) fn unmarked_ms(&self, service: &Service) -> Option<u64> {
+        let is_marked = self.with_stored(|stored| stored.runs_several_builds(service));
+        (!is_marked).then(|| *self.read_ms.borrow())
+    }
+
+    /// Calls `act` with what was read from the topic.
+    pub(crate) fn with_stored<T>(&self, act: impl FnOnce(&mut Stored) -> T) -> T {
+        act(&mut lock(&self.stored))
+    }
+
+    /// Applies the records of a read that was sent at `sent_ms`, and wakes those that wait for it.
+    pub(crate) fn apply_stored(&self, sent_ms: u64, records: &[Record]) {
+        self.with_stored(|stored| records.iter().for_each(|record| stored.apply(record)));
+        self.read_ms.send_replace(sent_ms);
+    }
+
+    /// Removes and returns up to `max` streams that are to be stored.
+    pub(crate) fn take_unstored(&self, now_ms: u64, max: usize) -> Vec<StoredRow> {
+        let stored = lock(&self.stored);
+        if !stored.is_any_marked() {
+            return Vec::new();
+        }
+        let is_wanted = |service: &Service| stored.runs_several_builds(service);
+        lock(&self.state).unstored.take(now_ms, max, is_wanted)
+    }
+
     /// Returns where the stream began that an attempt brought.
     pub fn find(&self, now_ms: u64, attempt: &str) -> Option<Origin> {
         self.lock().recent.find(now_ms, attempt)
@@ -134,6 +208,12 @@
 }
 
 impl State {
+    /// Records a stream of this VM or of another one.
+    fn remember(&mut self, now_ms: u64, attempt: String, origin: Origin) {
+        self.unstored.record(now_ms, Attempt::of(&attempt), &origin);
+        self.recent.record(now_ms, attempt, origin);
+    }
+
     /// Removes own streams that can no longer be taken up, or that are too many.
     fn expire(&mut self, now_ms: u64) {
         let expired = |stream: &OwnStream| now_ms >= stream.began_ms + STREAM_TTL_MS;
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -34,6 +34,8 @@
     pub(crate) origin: Option<Origin>,
     /// Builds at which it may have begun, as far as they know.
     pub(crate) builds: Vec<Build>,
+    /// Whether one of them knows all of these.
+    pub(crate) is_complete: bool,
     /// Number of VMs that were asked.
     pub(crate) asked: usize,
     /// Number of VMs that answered.
--- a/crates/quetzalpick-entry/src/serve/take_up.rs
+++ b/crates/quetzalpick-entry/src/serve/take_up.rs
@@ -1,10 +1,10 @@
 //! Streams that callers take up again: they go on at the build that began them.
 
 use crate::fleet::{Build, Pick};
-use crate::origin::Origin;
+use crate::origin::{Origin, StoredOrigin};
 use crate::serve::refusal::{Cause, RETRY_AFTER_UNANSWERED, Refusal};
 use crate::serve::request::Admitted;
-use crate::serve::{Context, PeerClient};
+use crate::serve::{Context, OriginSearch, PeerClient};
 
 /// Determines the service and the build at which a stream goes on that the caller takes up; does nothing for others.
 ///
@@ -56,25 +56,36 @@
     if let Some(origin) = search.origin {
         return Ok((origin, "other-vms"));
     }
-    let mut builds = search.builds;
+    let mut builds = search.builds.clone();
     builds.extend(context.fleet.known_builds(now_ms, service));
     builds.sort_unstable();
     builds.dedup();
     // A VM that reaches neither the log service nor other VMs may have missed a build.
     let is_informed = context.fleet.is_current(now_ms) || search.answered > 0;
-    match <[Build; 1]>::try_from(builds) {
-        Ok([build]) if is_informed => Ok((at(build), "known-builds")),
-        builds => {
-            let count = builds.map_or_else(|builds| builds.len(), |builds| builds.len());
-            let (asked, answered) = (search.asked, search.answered);
-            let detail = format!("builds={count} asked={asked} answered={answered}");
-            let refusal = Refusal::new(Cause::UnknownBuild, detail);
-            if attempt.is_some() && answered < asked {
-                Err(refusal.with_retry_after(RETRY_AFTER_UNANSWERED))
-            } else {
-                Err(refusal)
-            }
-        }
+    let sole = <[Build; 1]>::try_from(builds).ok().filter(|_| is_informed);
+    let unmarked_ms = context.origins.unmarked_ms(service);
+    let is_complete = search.is_complete || context.fleet.covers_streams(now_ms, unmarked_ms);
+    if let Some([build]) = sole.clone().filter(|_| is_complete) {
+        return Ok((at(build), "known-builds"));
+    }
+    let stored = context.origins.find_stored(now_ms, service, attempt).await;
+    match (stored, sole) {
+        (StoredOrigin::Known(origin), _) => Ok((origin, "topic")),
+        (StoredOrigin::OneBuild, Some([build])) => Ok((at(build), "sole-build")),
+        (stored, _) => Err(unknown(&search, attempt.is_some(), &stored)),
+    }
+}
+
+/// Returns the refusal of a stream of which it is not known where it began.
+fn unknown(search: &OriginSearch, is_named: bool, stored: &StoredOrigin) -> Refusal {
+    let (asked, answered) = (search.asked, search.answered);
+    let detail = format!("asked={asked} answered={answered} topic={stored:?}");
+    let refusal = Refusal::new(Cause::UnknownBuild, detail);
+    let may_become_known = *stored == StoredOrigin::Unread || answered < asked;
+    if is_named && may_become_known {
+        refusal.with_retry_after(RETRY_AFTER_UNANSWERED)
+    } else {
+        refusal
     }
 }
 
