Let requests to different hosts count as different when requests crash endpoints

What callers would see: if a request crashes endpoints again and again, a sound one to another host with the same path and body, both without a key, was refused as a repeat of it. Cause: the digest by which repeats are recognized held no host, although the host chooses the route and its service. Change: it does. Evidence: serve distinct::sound_requests_that_differ_in_body_workspace_or_host_are_served sends sound requests to three VMs that refuse a request, with another body, workspace or host. It fails for each of three planted faults: a digest without the body, without the workspace, and without the host, as it was. None of the earlier tests of repeated requests found the first two. While VMs of two versions run side by side their digests differ, so that a request is recognized by each version alone.

--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -163,7 +163,7 @@
             .ok_or_else(|| Refusal::new(Cause::NoEndpoint, "the route has no service"))?
             .clone();
         self.context.deposit();
-        let digest = digest(&head, workspace.as_ref(), &body);
+        let digest = digest(&head, host, workspace.as_ref(), &body);
         Ok(Admitted {
             digest,
             caller_deadline: metadata
