Trust the leader's relay for longer where its messages are rare

Cause: with 195 VMs statuses are 975 ms apart, but a VM stopped to trust what the leader relays 900 ms after a message, so that nearly all VMs read the topics themselves before each one. Change: a VM knows when the next message is due, and reads itself once that is late by half of the interval. The age of the leader's read may be longer by as much, up to 2.5 s, which stays below the 4 s in which changes have to be in force on such sites. Fleets of up to 120 VMs behave as before. What binds: at 371 VMs the interval is 1.9 s, and with a read that waits for a second the age is over 2.5 s again; the issue on hundreds of VMs stays as it is. Ruled out: shorter intervals, which the leader pays for.

--- a/crates/quetzalpick-core/src/relay.rs
+++ b/crates/quetzalpick-core/src/relay.rs
@@ -8,6 +8,9 @@
     pub read_age_max_ms: u64,
     /// Maximum time since the leader's last message, in ms.
     pub silence_max_ms: u64,
+    /// Maximum age of the leader's read where its messages are so far apart that they last longer than `silence_max_ms`, in ms; below
+    /// the time in which changes must be in force at so many VMs.
+    pub rare_read_age_max_ms: u64,
 }
 
 impl Default for Options {
@@ -15,6 +18,7 @@
         Self {
             read_age_max_ms: 1_600,
             silence_max_ms: 900,
+            rare_read_age_max_ms: 2_500,
         }
     }
 }
@@ -26,12 +30,15 @@
     recorded_ms: Option<u64>,
     /// When the newest forwarded read was sent, in ms.
     read_ms: u64,
+    /// Time until the leader's next message is due, in ms.
+    interval_ms: u64,
 }
 
 impl Freshness {
-    /// Records a message of the leader with the result of a read sent at `read_ms`.
-    pub fn record(&mut self, now_ms: u64, read_ms: u64) {
+    /// Records a message of the leader with the result of a read sent at `read_ms`; the next one is due after `interval_ms`.
+    pub fn record(&mut self, now_ms: u64, read_ms: u64, interval_ms: u64) {
         self.recorded_ms = Some(now_ms);
+        self.interval_ms = interval_ms;
         self.read_ms = self.read_ms.max(read_ms);
     }
 
@@ -40,7 +47,12 @@
         let Some(recorded_ms) = self.recorded_ms else {
             return false;
         };
-        now_ms < recorded_ms + options.silence_max_ms
-            && now_ms <= self.read_ms + options.read_age_max_ms
+        // One message may be late by half of the interval.
+        let due_ms = self.interval_ms + self.interval_ms / 2;
+        let longer_ms = due_ms.saturating_sub(options.silence_max_ms);
+        let read_age_max_ms = options.read_age_max_ms + longer_ms;
+        let read_age_max_ms = read_age_max_ms.min(options.rare_read_age_max_ms);
+        now_ms < recorded_ms + options.silence_max_ms + longer_ms
+            && now_ms <= self.read_ms + read_age_max_ms
     }
 }
--- a/crates/quetzalpick-core/tests/relay.rs
+++ b/crates/quetzalpick-core/tests/relay.rs
@@ -21,7 +21,7 @@
         // The newest read has not returned yet, so the leader forwards the one before it.
         let forwarded_ms = read_ms.saturating_sub(WAIT_MS);
         if now_ms.is_multiple_of(interval_ms) && (sends || now_ms < stopped_ms) {
-            freshness.record(now_ms, forwarded_ms);
+            freshness.record(now_ms, forwarded_ms, interval_ms);
         }
         if now_ms > stopped_ms && !freshness.is_current(now_ms, &options) {
             return now_ms - stopped_ms;
@@ -37,7 +37,7 @@
     assert!(!freshness.is_current(0, &options));
     for now_ms in (0..10_000).step_by(400) {
         let forwarded_ms = (now_ms / WAIT_MS * WAIT_MS).saturating_sub(WAIT_MS);
-        freshness.record(now_ms, forwarded_ms);
+        freshness.record(now_ms, forwarded_ms, 400);
         assert!(freshness.is_current(now_ms + 390, &options), "{now_ms}");
     }
 }
@@ -54,3 +54,29 @@
         }
     }
 }
+
+#[test]
+fn rare_messages_of_the_leader_replace_reads_until_one_is_missing() {
+    let options = Options::default();
+    let mut freshness = Freshness::default();
+    let interval_ms = 975;
+    for n in 0..10 {
+        let now_ms = 10_000 + n * interval_ms;
+        // The leader's read waits for new records for up to a second.
+        freshness.record(now_ms, now_ms - 1_000, interval_ms);
+        assert!(freshness.is_current(now_ms + interval_ms, &options), "{n}");
+    }
+    let last_ms = 10_000 + 9 * interval_ms;
+    assert!(!freshness.is_current(last_ms + 2 * interval_ms, &options));
+}
+
+#[test]
+fn age_of_the_leaders_read_stays_bounded_however_rare_its_messages_are() {
+    let options = Options::default();
+    for interval_ms in [250, 975, 1_855, 5_000] {
+        let mut freshness = Freshness::default();
+        freshness.record(10_000, 10_000, interval_ms);
+        let too_old_ms = 10_001 + options.rare_read_age_max_ms;
+        assert!(!freshness.is_current(too_old_ms, &options), "{interval_ms}");
+    }
+}
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -85,7 +85,7 @@
     /// Sends statuses until cancelled.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
-            let interval = STATUS_INTERVAL.max(MEMBER_INTERVAL * self.member_count());
+            let interval = self.status_interval();
             let round = async {
                 self.report_status().await;
                 tokio::select! {
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Returns the pause between two statuses.
+    fn status_interval(&self) -> Duration {
+        STATUS_INTERVAL.max(MEMBER_INTERVAL * self.member_count())
+    }
+
     pub(super) fn member_count(&self) -> u32 {
         u32::try_from(self.rates.member_count()).unwrap_or(u32::MAX)
     }
@@ -188,8 +193,10 @@
         let now_ms = self.clock.now_ms();
         let Some(view) = reply.view else { return };
         let as_of_ms = sent_ms.saturating_sub(view.age_ms);
+        let interval_ms = u64::try_from(self.status_interval().as_millis()).unwrap_or(u64::MAX);
+        let record = view.record.map(|record| record.0);
         self.view
-            .accept_relay(now_ms, as_of_ms, view.record.map(|record| record.0));
+            .accept_relay(now_ms, as_of_ms, interval_ms, record);
         if let Some(endpoints) = reply.endpoints {
             self.endpoints_version
                 .store(endpoints.version, Ordering::Relaxed);
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -82,9 +82,16 @@
     }
 
     /// Accepts the leader's relay, which is current as of `as_of_ms`; `None` stands for an unchanged configuration.
-    pub(crate) fn accept_relay(&self, now_ms: u64, as_of_ms: u64, record: Option<Bytes>) {
+    /// The next one is due after `interval_ms`.
+    pub(crate) fn accept_relay(
+        &self,
+        now_ms: u64,
+        as_of_ms: u64,
+        interval_ms: u64,
+        record: Option<Bytes>,
+    ) {
         self.lock(|state| {
-            state.freshness.record(now_ms, as_of_ms);
+            state.freshness.record(now_ms, as_of_ms, interval_ms);
             match record {
                 Some(record) => state.relayed = Some((record, as_of_ms)),
                 None if state.relayed.is_none() => {
