Forget marks of services whose removal was trimmed from the topic of origins

What callers would see: a VM that had read a mark once and was not asked for an unknown stream for longer than the store keeps its history went on to refuse streams of unknown origin, although the service had long run one build. Cause: the newest records hold no removed keys, and were added to what was known. Change: reading the newest records replaces what was known. Evidence: serve builds::a_service_does_not_stay_marked_if_the_removal_of_its_mark_was_trimmed gets 503 before and 200 now.

--- a/crates/quetzalpick-entry/src/fleet/builds.rs
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -49,8 +49,8 @@
         self.read_ms
     }
 
-    /// Returns whether no build of a service can have been missed since streams began that may be taken up now. At `sole_ms`, if
-    /// given, it was known that the service ran one build for that long.
+    /// Returns whether this VM knows every build at which streams of a service began that may be taken up now: it has watched for that
+    /// long, or since `sole_ms`, a time at which it was known from elsewhere that all of them began at one build.
     pub fn covers_streams(&self, now_ms: u64, sole_ms: Option<u64>) -> bool {
         if self.read_ms.is_none() {
             return false;
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -176,8 +176,8 @@
         lock(&self.builds).is_current(now_ms)
     }
 
-    /// Returns whether this VM knows all builds at which streams of a service began that may be taken up now. At `sole_ms`, if given,
-    /// it was known from elsewhere that the service ran one build for that long.
+    /// Returns whether this VM knows every build at which streams of a service began that may be taken up now; `sole_ms` is a time at
+    /// which it was known from elsewhere that all of them began at one build.
     pub(crate) fn covers_streams(&self, now_ms: u64, sole_ms: Option<u64>) -> bool {
         lock(&self.builds).covers_streams(now_ms, sole_ms)
     }
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -141,10 +141,18 @@
         act(&mut lock(&self.stored))
     }
 
-    /// Applies the records of a read that was sent at `sent_ms`, and wakes those that wait for it.
-    pub(crate) fn apply_stored(&self, sent_ms: u64, records: &[Record]) {
+    /// Applies the records of a read, and wakes those that wait for it; `sent_ms` is its send time if it reached the end of the topic.
+    pub(crate) fn apply_stored(&self, sent_ms: Option<u64>, records: &[Record]) {
         self.with_stored(|stored| records.iter().for_each(|record| stored.apply(record)));
-        self.read_ms.send_replace(sent_ms);
+        if let Some(sent_ms) = sent_ms {
+            self.read_ms.send_replace(sent_ms);
+        }
+    }
+
+    /// Replaces what was read by the newest records of all keys: marks may have been removed meanwhile.
+    pub(crate) fn replace_stored(&self, sent_ms: u64, records: &[Record]) {
+        self.with_stored(|stored| *stored = Stored::default());
+        self.apply_stored(Some(sent_ms), records);
     }
 
     /// Removes and returns up to `max` streams that are to be stored.
--- a/crates/quetzalpick-entry/src/view/origins.rs
+++ b/crates/quetzalpick-entry/src/view/origins.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quetzalpick_client::errors::{Error, Result};
-use quetzalpick_client::topic::{Record, Records, Topic, Topics};
+use quetzalpick_client::topic::{Record, Topic, Topics};
 use quetzalpick_core::id::{Offset, Service};
 use tokio::time::sleep;
 
@@ -95,30 +95,27 @@
     async fn read(&self, progress: &mut Progress) -> Result<()> {
         loop {
             let sent_ms = self.clock.now_ms();
-            let read = match progress.next {
-                Some(from) => self.topics.read(Topic::Origins, from, Duration::ZERO).await,
-                None => self.topics.newest(Topic::Origins).await,
+            let Some(from) = progress.next else {
+                let newest = self.topics.newest(Topic::Origins).await?;
+                progress.next = Some(newest.next);
+                self.origins.replace_stored(sent_ms, &newest.records);
+                return Ok(());
             };
-            if matches!(read, Err(Error::Trimmed { .. })) && progress.next.is_some() {
+            let read = self.topics.read(Topic::Origins, from, Duration::ZERO).await;
+            if matches!(read, Err(Error::Trimmed { .. })) {
                 progress.next = None;
                 continue;
             }
             let read = read?;
             progress.next = Some(read.next);
-            if read.reaches_end() {
-                self.origins.apply_stored(sent_ms, &read.records);
+            let sent_ms = read.reaches_end().then_some(sent_ms);
+            self.origins.apply_stored(sent_ms, &read.records);
+            if sent_ms.is_some() {
                 return Ok(());
             }
-            self.apply(&read);
         }
     }
 
-    fn apply(&self, read: &Records) {
-        let records = read.records.iter();
-        self.origins
-            .with_stored(|stored| records.for_each(|record| stored.apply(record)));
-    }
-
     /// Marks the services that run several builds, and removes the marks of those that have run one for long enough.
     async fn mark_services(&self, progress: &mut Progress) -> Result<()> {
         let Some(config) = self.view.config() else {
