Log from where a configuration comes, and when a VM loses its leader or the leader's relay

- The line of a configuration says from where it came and its size.
- A VM logs when it begins and ceases to rely on what the leader relays, with the age of its view.
- It logs when its leader is lost and back, with the reason of the first status without an answer.

Each line marks a change of state, so that their number is bounded.

--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use quetzalpick_client::errors::Result as CallResult;
+use quetzalpick_client::errors::{Result as CallResult, malformed, unanswered};
 use quetzalpick_client::http::{Request, Response, Timeouts};
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::table::Table;
+use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::peer::Transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -32,7 +33,7 @@
 use crate::rate::Rates;
 use crate::serve::{OriginSearch, PeerClient};
 use crate::sync::lock;
-use crate::view::View;
+use crate::view::{DependencyStatus, View};
 
 /// Minimum pause between two statuses.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
@@ -84,10 +85,11 @@
 impl<N: EngineControl, P: Transport> Client<N, P> {
     /// Sends statuses until cancelled.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut leader = DependencyStatus::new("leader");
         loop {
             let interval = self.status_interval();
             let round = async {
-                self.report_status().await;
+                self.report_status(&mut leader).await;
                 tokio::select! {
                     () = sleep(interval) => {}
                     () = self.quarantine.changed() => sleep(NEWS_PAUSE).await,
@@ -111,7 +113,7 @@
     }
 
     /// Sends this VM's status to the leader and applies the reply.
-    async fn report_status(&self) {
+    async fn report_status(&self, leader: &mut DependencyStatus) {
         let now_ms = self.clock.now_ms();
         if let Some(config) = self.view.config() {
             self.rates.update_workspaces(now_ms, &config);
@@ -122,21 +124,34 @@
             self.apply_reply(&reply, revision);
             return;
         }
-        let reply: Option<StatusReply> = self
-            .call_leader(path::STATUS, &status, STATUS_TIMEOUT)
-            .await;
-        match reply {
-            Some(reply) if reply.heartbeat.is_some() => {
+        match self.send_status(&status).await {
+            Ok(reply) => {
+                leader.record_answer(self.clock.now_ms());
                 self.apply_reply(&reply, revision);
                 self.apply_relay(now_ms, reply);
             }
-            _ => {
+            Err(error) => {
+                leader.record_failure(self.clock.now_ms(), &error);
                 self.lead.record_no_answer();
                 self.quarantine.record_no_answer();
             }
         }
     }
 
+    /// Sends a status to the assumed leader and returns the reply of a VM that does lead.
+    async fn send_status(&self, status: &Status) -> CallResult<StatusReply> {
+        let not_sent = |reason| unanswered("leader", Verdict::NotRun, reason);
+        let address = self.lead.leader_address();
+        let address = address.ok_or_else(|| not_sent("no leader is known"))?;
+        let reply: StatusReply = self
+            .try_call_vm(&address, path::STATUS, status, STATUS_TIMEOUT)
+            .await?;
+        if reply.heartbeat.is_none() {
+            return Err(malformed(address, "the VM does not lead"));
+        }
+        Ok(reply)
+    }
+
     /// Returns this VM's status, and the revision of the evidence on crashes in it.
     fn status(&self, now_ms: u64) -> (Status, u64) {
         let config = self.view.config();
@@ -275,19 +290,30 @@
         message: &impl Serialize,
         time_limit: Duration,
     ) -> Option<T> {
-        let body = encode(message)?;
-        let answer = timeout(time_limit, self.transport.call(address, path, body)).await;
-        match answer {
-            Ok(Ok(body)) => decode(&body),
-            Ok(Err(error)) => {
+        let answer = self.try_call_vm(address, path, message, time_limit).await;
+        answer
+            .inspect_err(|error| {
                 log::debug!("exchange: vm={address} path={path} reason=\"{error}\"");
-                None
-            }
-            Err(_) => {
-                log::debug!("exchange: vm={address} path={path} reason=\"no answer in time\"");
-                None
-            }
-        }
+            })
+            .ok()
+    }
+
+    /// Calls a VM.
+    async fn try_call_vm<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: &impl Serialize,
+        time_limit: Duration,
+    ) -> CallResult<T> {
+        let not_sent = || unanswered(address, Verdict::NotRun, "the message was not encoded");
+        let body = encode(message).ok_or_else(not_sent)?;
+        let answer = timeout(time_limit, self.transport.call(address, path, body)).await;
+        let answer = answer.map_err(|_| {
+            let reason = format!("no answer within {} ms", time_limit.as_millis());
+            unanswered(address, Verdict::MayHaveRun, reason)
+        })??;
+        decode(&answer).ok_or_else(|| malformed(address, "the answer was not decoded"))
     }
 }
 
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -9,6 +9,7 @@
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::relay::{self, Freshness};
 use quetzalpick_node::peer::Blob;
+use strum::Display;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -31,6 +32,14 @@
 /// Longest pause of the other topics' followers in an outage; a successful read of the configuration ends it earlier.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// `Source` tells from where a configuration came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Source {
+    Leader,
+    Topic,
+}
+
 /// `View` stores the newest configuration and the time as of which it is current.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -177,8 +186,16 @@
     pub(crate) async fn run(self) {
         let mut status = DependencyStatus::new("config-topic");
         let mut next = None;
+        let mut was_relayed = false;
         loop {
-            if self.view.is_relayed(self.clock.now_ms()) {
+            let now_ms = self.clock.now_ms();
+            let is_relayed = self.view.is_relayed(now_ms);
+            if is_relayed != was_relayed {
+                let age_ms = self.view.age_ms(now_ms);
+                log::info!("view: relayed={is_relayed} age_ms={age_ms:?}");
+                was_relayed = is_relayed;
+            }
+            if is_relayed {
                 self.apply_relayed();
                 // The offset may be outdated once the relay ends.
                 next = None;
@@ -200,7 +217,7 @@
         let Some((record, as_of_ms)) = self.view.lock(|state| state.relayed.take()) else {
             return;
         };
-        self.apply(&record);
+        self.apply(&record, Source::Leader);
         self.view.set_as_of(as_of_ms);
     }
 
@@ -243,17 +260,20 @@
     /// Applies one record.
     fn apply_record(&self, record: &Record) {
         if let Some(value) = record.value.as_ref().filter(|_| self.is_config(record)) {
-            self.apply(value);
+            self.apply(value, Source::Topic);
         }
     }
 
     /// Applies a configuration; if it cannot be decoded, the current one is kept.
-    fn apply(&self, value: &Bytes) {
+    fn apply(&self, value: &Bytes, source: Source) {
         match self.record_codec.config(value) {
             Ok(config) => {
                 let version = config.version();
                 let applied = self.view.apply(config, value);
-                log::info!("view: config version={version} taken={applied}");
+                let bytes = value.len();
+                log::info!(
+                    "view: config version={version} taken={applied} from={source} bytes={bytes}"
+                );
             }
             Err(error) => log::warn!("view: config ignored reason=\"{error}\""),
         }
