Read answers to their end as long as they make progress, however long they are

Cause: a complete answer had to arrive within 1 s, whatever its length. The configuration takes longer on such a link. Each attempt began anew and could not succeed, and together they filled the link. The class: a fixed time limit on a transfer whose size grows, repeated from the start.

Change: an answer may take a second and what its bytes take at 125 kB/s, a tenth of the slowest links of VMs. Pauses stay limited to a second, and the size to what it was, so that an answer that trickles in or does not end is still given up.

Ruled out: a slow store, as it acknowledged other writes within 12 ms and served the VMs with fast links.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -8,7 +8,6 @@
 use hyper::{Method, StatusCode};
 use quetzalpick_core::verdict::Verdict;
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
 
 use crate::errors::{Result, busy, malformed, refused, unanswered};
 use crate::http::{Pool, Request, Timeouts};
@@ -19,6 +18,9 @@
 /// Time after which to retry if the answer has neither `retry-after-ms` nor `Retry-After`.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
+/// Slowest rate at which an answer may arrive, in bytes a second: a tenth of what the slowest links of VMs carry.
+const ANSWER_MIN_BYTES_PER_S: u32 = 125_000;
+
 /// Most characters of an error answer's body that are quoted in an error message.
 const MESSAGE_MAX_CHARS: usize = 200;
 
@@ -55,7 +57,8 @@
         .map_err(|e| unanswered(target, Verdict::NotRun, e))
 }
 
-/// Sends a request and reads the complete answer, whose body may have up to `max_bytes` bytes and take as long as a pause may.
+/// Sends a request and reads the complete answer, whose body may have up to `max_bytes` bytes and take as long as a pause may, and
+/// longer as long as it arrives at `ANSWER_MIN_BYTES_PER_S`.
 ///
 /// # Errors
 ///
@@ -69,13 +72,9 @@
 ) -> Result<Answer> {
     let response = pool.send(target, request, timeouts).await?;
     let (head, mut body) = response.into_parts();
-    // Each byte of a body that trickles in would extend the timeout for pauses.
-    let collected = timeout(timeouts.body_idle, body.collect_up_to(max_bytes)).await;
-    let body = collected.map_err(|_| {
-        let limit_ms = timeouts.body_idle.as_millis();
-        let reason = format!("the answer did not end within {limit_ms} ms");
-        unanswered(target, Verdict::MayHaveRun, reason)
-    })??;
+    let body = body
+        .collect_at(ANSWER_MIN_BYTES_PER_S, timeouts.body_idle, max_bytes)
+        .await?;
     Ok(Answer {
         target: target.to_owned(),
         status: head.status,
--- a/crates/quetzalpick-client/src/http/body.rs
+++ b/crates/quetzalpick-client/src/http/body.rs
@@ -3,12 +3,13 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming, SizeHint};
 use quetzalpick_core::verdict::Verdict;
-use tokio::time::{Instant, Sleep};
+use tokio::time::{Instant, Sleep, timeout_at};
 
 use super::Timeouts;
 use super::connection::Connection;
@@ -59,18 +60,57 @@
     /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short.
     pub async fn collect_up_to(&mut self, max_bytes: usize) -> Result<Bytes> {
         let mut bytes = BytesMut::new();
-        while let Some(frame) = self.frame().await {
-            let Ok(data) = frame?.into_data() else {
-                continue;
-            };
-            if bytes.len() + data.len() > max_bytes {
-                self.connection = None;
-                let reason = format!("the answer is longer than {max_bytes} bytes");
-                return Err(malformed(self.pool.address(), reason));
+        while self.collect_frame(&mut bytes, max_bytes).await? {}
+        Ok(bytes.freeze())
+    }
+
+    /// Reads the body to its end, up to `max_bytes` bytes, within `limit` and the time that what has arrived takes at
+    /// `min_bytes_per_s`. A long body on a slow link is read to its end as long as it makes progress, and one that trickles in is not.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short or takes longer.
+    pub async fn collect_at(
+        &mut self,
+        min_bytes_per_s: u32,
+        limit: Duration,
+        max_bytes: usize,
+    ) -> Result<Bytes> {
+        let started = Instant::now();
+        let mut bytes = BytesMut::new();
+        loop {
+            let allowed = bytes.len() as f64 / f64::from(min_bytes_per_s);
+            let deadline = started + limit + Duration::from_secs_f64(allowed);
+            let collected = timeout_at(deadline, self.collect_frame(&mut bytes, max_bytes)).await;
+            match collected {
+                Ok(Ok(true)) => {}
+                Ok(Ok(false)) => return Ok(bytes.freeze()),
+                Ok(Err(error)) => return Err(error),
+                Err(_) => {
+                    let (received, took_ms) = (bytes.len(), started.elapsed().as_millis());
+                    let reason =
+                        format!("{received} bytes of the answer arrived within {took_ms} ms");
+                    return Err(self.abort(reason));
+                }
             }
-            bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
+    }
+
+    /// Adds the data of the next frame; returns false at the end of the body.
+    async fn collect_frame(&mut self, bytes: &mut BytesMut, max_bytes: usize) -> Result<bool> {
+        let Some(frame) = self.frame().await else {
+            return Ok(false);
+        };
+        let Ok(data) = frame?.into_data() else {
+            return Ok(true);
+        };
+        if bytes.len() + data.len() > max_bytes {
+            self.connection = None;
+            let reason = format!("the answer is longer than {max_bytes} bytes");
+            return Err(malformed(self.pool.address(), reason));
+        }
+        bytes.extend_from_slice(&data);
+        Ok(true)
     }
 
     /// Closes the connection and builds the error of an answer that was cut short.
