Pass on changes of the configuration in place of its whole record

What callers saw: CONFIG, and beside it refusals on all VMs. While the leader passed a configuration of a megabyte on to 68 VMs, it filled its link; replies that took longer than 500 ms were cut and sent again, so that VMs with slow links got none, and all of them read the whole configuration from the store at once, in base64, though most of it was known to them. A change of one route cost as much.

Cause: the record went out whole to each VM that had an older version, in the replies that also prove that the leader lives.

A VM whose relay lapses reads on from there, and gets nothing if nothing changed. - VMs that do not say that they understand changes (versions before this one) get the record as before.

Ruled out: a change by the fields of routes, services and workspaces, as it needs a form of its own for each, and the whole configuration would still go uncompressed to a VM that has none; compression alone, as 69 VMs times a megabyte of routes without repetition would still fill the link of a small leader.

--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -33,7 +33,7 @@
 use crate::rate::Rates;
 use crate::serve::{OriginSearch, PeerClient};
 use crate::sync::lock;
-use crate::view::{DependencyStatus, View};
+use crate::view::{Content, DependencyStatus, Relay, View};
 
 /// Minimum pause between two statuses.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
@@ -172,6 +172,7 @@
             answered: report.answered,
             quarantine_version: report.version,
             is_disconnected: self.link.is_lost(),
+            accepts_changes: true,
         };
         (status, report.revision)
     }
@@ -207,11 +208,21 @@
     fn apply_relay(&self, sent_ms: u64, reply: StatusReply) {
         let now_ms = self.clock.now_ms();
         let Some(view) = reply.view else { return };
-        let as_of_ms = sent_ms.saturating_sub(view.age_ms);
         let interval_ms = u64::try_from(self.status_interval().as_millis()).unwrap_or(u64::MAX);
-        let record = view.record.map(|record| record.0);
-        self.view
-            .accept_relay(now_ms, as_of_ms, interval_ms, record);
+        let relay = Relay {
+            as_of_ms: sent_ms.saturating_sub(view.age_ms),
+            interval_ms,
+            next: view.next,
+            content: match (view.record, view.change) {
+                _ if view.needs_read => Content::Unavailable,
+                (Some(record), _) => Content::Record(record.0),
+                (None, Some(change)) => Content::Change(change),
+                (None, None) => Content::Unchanged,
+            },
+        };
+        if let Err(error) = self.view.accept_relay(now_ms, relay) {
+            log::warn!("exchange: configuration of the leader not used reason=\"{error}\"");
+        }
         if let Some(endpoints) = reply.endpoints {
             self.endpoints_version
                 .store(endpoints.version, Ordering::Relaxed);
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -4,7 +4,7 @@
 //! renamed, and a new variant of an enum is sent only once all VMs can decode it.
 
 use quetzalpick_core::election::Heartbeat;
-use quetzalpick_core::id::{Artifact, Endpoint, Service, Vm, Workspace};
+use quetzalpick_core::id::{Artifact, Endpoint, Offset, Service, Vm, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::quarantine::{Answered, Crash, Feature};
 use quetzalpick_node::peer::Blob;
@@ -14,6 +14,7 @@
 use crate::origin::Origin;
 use crate::place::Work;
 use crate::quarantine::Update;
+use crate::view::Change;
 
 /// Paths of the peer listener.
 pub(crate) mod path {
@@ -107,6 +108,9 @@
     pub(crate) quarantine_version: u64,
     /// Whether it reaches no endpoints itself.
     pub(crate) is_disconnected: bool,
+    /// Whether it understands a `ViewRelay` with a change in place of a record.
+    #[serde(default)]
+    pub(crate) accepts_changes: bool,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
@@ -130,10 +134,19 @@
 /// `ViewRelay` passes on the configuration that the leader has read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ViewRelay {
-    /// The record that holds the configuration, if the receiver's is older.
+    /// The record that holds the configuration, if the receiver's is older and it does not accept changes.
     pub(crate) record: Option<Blob>,
     /// Time since the leader sent its last read that reached the end of the topic, in ms.
     pub(crate) age_ms: u64,
+    /// The change to the configuration, if the receiver's is older and it accepts changes.
+    #[serde(default)]
+    pub(crate) change: Option<Change>,
+    /// Whether the receiver must read the configuration itself, as its version is older and the change is too large.
+    #[serde(default)]
+    pub(crate) needs_read: bool,
+    /// Offset in the topic after that read.
+    #[serde(default)]
+    pub(crate) next: Option<Offset>,
 }
 
 /// `EndpointsRelay` passes on the entries of endpoints that the leader has read.
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -9,6 +9,7 @@
 use quetzalpick_core::limit::Permits;
 use quetzalpick_core::rate::{Bucket, leader_part};
 use quetzalpick_core::table::Table;
+use quetzalpick_node::peer::Blob;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
@@ -16,8 +17,10 @@
 use crate::config::{Config, Quota};
 use crate::exchange::{
     AdapterReply, AdapterRequest, CopiesVersion, DrawRequest, DrawResult, Status, StatusReply,
+    ViewRelay,
 };
 use crate::fleet::Fleet;
+use crate::lead::changes::Changes;
 use crate::lead::copy_index::CopyIndex;
 use crate::lead::quarantine::Findings;
 use crate::lead::statuses::Statuses;
@@ -46,6 +49,7 @@
     /// When the state was created, in ms.
     since_ms: u64,
     copy_index: CopyIndex,
+    changes: Changes,
 }
 
 /// `Leadership` combines this VM's election state with the state that it holds while it leads.
@@ -181,6 +185,7 @@
             findings: Findings::new(now_ms, &self.quarantine.features()),
             since_ms: now_ms,
             copy_index: CopyIndex::new(fence, now_ms),
+            changes: Changes::default(),
         });
         self.wake.notify_one();
         self.quarantine_changed.notify_one();
@@ -232,7 +237,7 @@
             loads: self
                 .with_statuses(|statuses, now_ms| statuses.loads_of_others(now_ms, &status.vm)),
             copies,
-            view: self.view.relay(now_ms, status.config_version),
+            view: self.relay_view(now_ms, &status),
             endpoints: self.fleet.relay(now_ms, known_endpoints),
             member_count: self.member_count.load(Ordering::Relaxed),
             peers: self
@@ -247,6 +252,32 @@
         reply
     }
 
+    /// Returns what a VM is told of the configuration; `None` while own reads fail.
+    fn relay_view(&self, now_ms: u64, status: &Status) -> Option<ViewRelay> {
+        let newest = self.view.newest(now_ms)?;
+        let mut relay = ViewRelay {
+            record: None,
+            age_ms: newest.age_ms,
+            change: None,
+            needs_read: false,
+            next: newest.next,
+        };
+        let known = status.config_version;
+        if newest.version <= known {
+            return Some(relay);
+        }
+        if status.accepts_changes {
+            let change = self.with_leader_state(|state, _| {
+                state.changes.since(known, newest.version, &newest.record)
+            });
+            relay.change = change?;
+            relay.needs_read = relay.change.is_none();
+        } else {
+            relay.record = Some(Blob(newest.record));
+        }
+        Some(relay)
+    }
+
     /// Sets the number of VMs.
     pub(crate) fn set_member_count(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -1,5 +1,6 @@
 //! Leadership of this VM: the election, and the tasks of the leader.
 
+mod changes;
 mod copy_index;
 mod election;
 mod executor;
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -8,16 +8,15 @@
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
 use quetzalpick_core::id::Offset;
 use quetzalpick_core::relay::{self, Freshness};
-use quetzalpick_node::peer::Blob;
 use strum::Display;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::exchange::ViewRelay;
+use crate::errors::Result as DecodeResult;
 use crate::sync::lock;
-use crate::view::DependencyStatus;
+use crate::view::{Change, DependencyStatus};
 use crate::wire::RecordCodec;
 
 /// Longest pause between two checks for a relay from the leader.
@@ -58,13 +57,69 @@
     record: Bytes,
     /// Send time of the newest read that reached the end of the topic, in ms.
     as_of_ms: Option<u64>,
-    /// Record relayed by the leader that is not applied yet, and the send time of the leader's read, in ms.
-    relayed: Option<(Bytes, u64)>,
+    /// Offset after the newest read, from which reading goes on.
+    next: Option<Offset>,
+    /// Record relayed by the leader that is not applied yet.
+    relayed: Option<Relayed>,
     freshness: Freshness,
     /// Number of own reads that failed since the last answer.
     failures: u32,
 }
 
+/// `Relayed` holds a record that the leader relayed.
+#[derive(Debug, Clone)]
+struct Relayed {
+    record: Bytes,
+    /// Send time of the leader's read, in ms.
+    as_of_ms: u64,
+    /// Offset after that read.
+    next: Option<Offset>,
+}
+
+/// `Relay` is what the leader passes on of its view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Relay {
+    /// Send time of the leader's read, in ms.
+    pub(crate) as_of_ms: u64,
+    /// Time until the next relay is due, in ms.
+    pub(crate) interval_ms: u64,
+    /// Offset in the topic after the leader's read, if it named one.
+    pub(crate) next: Option<Offset>,
+    pub(crate) content: Content,
+}
+
+/// `Content` is the configuration that a relay holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Content {
+    /// The one that this VM has.
+    Unchanged,
+    /// The record of a newer one.
+    Record(Bytes),
+    /// The change to a newer one.
+    Change(Change),
+    /// A newer one that this VM must read itself.
+    Unavailable,
+}
+
+/// `Newest` is the newest configuration that a VM has.
+#[derive(Debug, Clone)]
+pub(crate) struct Newest {
+    pub(crate) version: u64,
+    pub(crate) record: Bytes,
+    /// Age of the view, in ms.
+    pub(crate) age_ms: u64,
+    /// Offset in the topic after the newest read.
+    pub(crate) next: Option<Offset>,
+}
+
+impl State {
+    /// Records that the view is current as of a read sent at `as_of_ms`, after which reading goes on at `next`.
+    fn advance(&mut self, as_of_ms: u64, next: Option<Offset>) {
+        self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
+        self.next = next.or(self.next);
+    }
+}
+
 impl View {
     /// Returns the current configuration; `None` before the first.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
@@ -90,40 +145,67 @@
         })
     }
 
-    /// Accepts the leader's relay, which is current as of `as_of_ms`; `None` stands for an unchanged configuration.
-    /// The next one is due after `interval_ms`.
-    pub(crate) fn accept_relay(
-        &self,
-        now_ms: u64,
-        as_of_ms: u64,
-        interval_ms: u64,
-        record: Option<Bytes>,
-    ) {
+    /// Accepts the leader's relay.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Malformed` if the change cannot be applied to this VM's version; the relay is not used then.
+    pub(crate) fn accept_relay(&self, now_ms: u64, relay: Relay) -> DecodeResult<()> {
+        let record = match relay.content {
+            Content::Unchanged => None,
+            Content::Record(record) => Some(record),
+            Content::Change(change) => match self.base(change.base_version) {
+                Some(base) => Some(change.apply(&base)?),
+                // This VM has read another version itself meanwhile.
+                None => return Ok(()),
+            },
+            Content::Unavailable => {
+                self.lock(|state| state.freshness = Freshness::default());
+                self.relay_received.notify_one();
+                return Ok(());
+            }
+        };
+        let (as_of_ms, next) = (relay.as_of_ms, relay.next);
         self.lock(|state| {
-            state.freshness.record(now_ms, as_of_ms, interval_ms);
+            state.freshness.record(now_ms, as_of_ms, relay.interval_ms);
             match record {
-                Some(record) => state.relayed = Some((record, as_of_ms)),
-                None if state.relayed.is_none() => {
-                    state.as_of_ms = state.as_of_ms.max(Some(as_of_ms))
+                Some(record) => {
+                    state.relayed = Some(Relayed {
+                        record,
+                        as_of_ms,
+                        next,
+                    });
                 }
+                None if state.relayed.is_none() => state.advance(as_of_ms, next),
                 None => {}
             }
         });
         self.relay_received.notify_one();
+        Ok(())
     }
 
-    /// Returns the relay for a VM that has a version of the configuration; `None` while own reads fail.
-    pub(crate) fn relay(&self, now_ms: u64, known_version: u64) -> Option<ViewRelay> {
-        let state = self.lock(|state| state.clone());
-        if state.failures > 0 {
-            return None;
-        }
-        let newer = state
-            .config
-            .is_some_and(|config| config.version() > known_version);
-        Some(ViewRelay {
-            record: newer.then(|| Blob(state.record.clone())),
-            age_ms: now_ms.saturating_sub(state.as_of_ms?),
+    /// Returns the record of a version if this VM has that one; 0 stands for none, with an empty record.
+    fn base(&self, version: u64) -> Option<Bytes> {
+        self.lock(|state| {
+            let known = state.config.as_ref().map_or(0, |config| config.version());
+            match version {
+                0 => Some(Bytes::new()),
+                version if version == known => Some(state.record.clone()),
+                _ => None,
+            }
+        })
+    }
+
+    /// Returns the newest configuration for other VMs; `None` while own reads fail.
+    pub(crate) fn newest(&self, now_ms: u64) -> Option<Newest> {
+        self.lock(|state| {
+            let config = state.config.as_ref().filter(|_| state.failures == 0)?;
+            Some(Newest {
+                version: config.version(),
+                record: state.record.clone(),
+                age_ms: now_ms.saturating_sub(state.as_of_ms?),
+                next: state.next,
+            })
         })
     }
 
@@ -133,9 +215,9 @@
         freshness.is_current(now_ms, &relay::Options::default())
     }
 
-    /// Records that the view is current as of `sent_ms`.
-    fn set_as_of(&self, sent_ms: u64) {
-        self.lock(|state| state.as_of_ms = state.as_of_ms.max(Some(sent_ms)));
+    /// Returns the offset from which reading goes on; `None` if the newest record must be read.
+    fn next(&self) -> Option<Offset> {
+        self.lock(|state| state.next)
     }
 
     /// Records that an own read succeeded.
@@ -185,11 +267,11 @@
     /// Follows the topic until cancelled.
     pub(crate) async fn run(self) {
         let mut status = DependencyStatus::new("config-topic");
-        let mut next = None;
         let mut was_relayed = false;
         loop {
             let now_ms = self.clock.now_ms();
             let is_relayed = self.view.is_relayed(now_ms);
+            let lapsed = was_relayed && !is_relayed;
             if is_relayed != was_relayed {
                 let age_ms = self.view.age_ms(now_ms);
                 log::info!("view: relayed={is_relayed} age_ms={age_ms:?}");
@@ -197,38 +279,33 @@
             }
             if is_relayed {
                 self.apply_relayed();
-                // The offset may be outdated once the relay ends.
-                next = None;
                 let _ = timeout(RELAY_PAUSE, self.view.relay_received.notified()).await;
                 self.apply_relayed();
                 continue;
             }
             let sent_ms = self.clock.now_ms();
-            let read = match next {
-                Some(from) => self.topics.read(Topic::Config, from, self.wait).await,
+            // The view is old already when the relay lapses.
+            let wait = if lapsed { Duration::ZERO } else { self.wait };
+            let read = match self.view.next() {
+                Some(from) => self.topics.read(Topic::Config, from, wait).await,
                 None => self.topics.newest(Topic::Config).await,
             };
-            next = self.apply_read(sent_ms, next, read, &mut status).await;
+            self.apply_read(sent_ms, read, &mut status).await;
         }
     }
 
     /// Applies the record that the leader relayed, if any.
     fn apply_relayed(&self) {
-        let Some((record, as_of_ms)) = self.view.lock(|state| state.relayed.take()) else {
+        let Some(relayed) = self.view.lock(|state| state.relayed.take()) else {
             return;
         };
-        self.apply(&record, Source::Leader);
-        self.view.set_as_of(as_of_ms);
+        self.apply(&relayed.record, Source::Leader);
+        self.view
+            .lock(|state| state.advance(relayed.as_of_ms, relayed.next));
     }
 
-    /// Applies the result of a read and returns the offset of the next one.
-    async fn apply_read(
-        &self,
-        sent_ms: u64,
-        from: Option<Offset>,
-        read: Result<Records>,
-        status: &mut DependencyStatus,
-    ) -> Option<Offset> {
+    /// Applies the result of a read, and waits after a failure.
+    async fn apply_read(&self, sent_ms: u64, read: Result<Records>, status: &mut DependencyStatus) {
         let now_ms = self.clock.now_ms();
         match read {
             Ok(records) => {
@@ -238,21 +315,24 @@
                     .records
                     .iter()
                     .for_each(|record| self.apply_record(record));
-                if records.reaches_end() {
-                    self.view.set_as_of(sent_ms);
-                }
-                Some(records.next)
+                let next = Some(records.next);
+                self.view.lock(|state| {
+                    if records.reaches_end() {
+                        state.advance(sent_ms, next);
+                    } else {
+                        state.next = next;
+                    }
+                });
             }
             // The trimmed records may have held a newer configuration, so the newest record is read again.
             Err(Error::Trimmed { oldest }) => {
                 log::info!("view: topic=config trimmed oldest={oldest} action=read-newest");
-                None
+                self.view.lock(|state| state.next = None);
             }
             Err(error) => {
                 status.record_failure(now_ms, &error);
                 let pause = self.view.record_failure();
                 sleep(pause).await;
-                from
             }
         }
     }
--- a/crates/quetzalpick-entry/src/view/mod.rs
+++ b/crates/quetzalpick-entry/src/view/mod.rs
@@ -1,5 +1,6 @@
 //! State read from the published topics, and its age.
 
+mod change;
 mod config;
 mod dependency;
 mod endpoints;
@@ -7,7 +8,8 @@
 mod origins;
 mod quarantine;
 
-pub(crate) use config::{ConfigFollower, View};
+pub(crate) use change::Change;
+pub(crate) use config::{ConfigFollower, Content, Relay, View};
 pub(crate) use dependency::DependencyStatus;
 pub(crate) use endpoints::EndpointFollower;
 pub(crate) use members::Membership;
