Send nothing to endpoints that say in their answers that they leave, or that want a pause

Cause: the header of such answers was decoded nowhere, as with limits before: an endpoint states what it wants, and the choice does not read it. Only its entry in the store counted, which comes late or never while the store is away.

Change: what the head of an answer says is decoded once, in platform/, and kept with the incarnation of the endpoint: - An endpoint that leaves gets nothing more from this VM: no first attempt, repeat, resumed stream or hedge, as all of them pick through one function, and nothing that the VM passes on for another one. The leader is told, counts its copies no more, and tells the others. - An endpoint that declines with 503 and a time gets nothing from this VM until then. If there is no other one, callers are told that time.

Open: the leader's own reports and orders are still sent to an endpoint that wants a pause.

--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -184,6 +184,7 @@
         });
         let background_stop = CancellationToken::new();
         let peer_handler = PeerHandler {
+            head_codec: platform.head_codec.clone(),
             lead: Arc::clone(&lead),
             rates: Arc::clone(&context.rates),
             fleet: Arc::clone(&context.fleet),
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -173,6 +173,7 @@
             quarantine_version: report.version,
             is_disconnected: self.link.is_lost(),
             accepts_changes: true,
+            departures: self.fleet.departures(),
         };
         (status, report.revision)
     }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -10,7 +10,7 @@
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{Build, Notice, Spec};
+use crate::fleet::{Build, Departure, Notice, Spec};
 use crate::origin::Origin;
 use crate::place::Work;
 use crate::quarantine::Update;
@@ -111,6 +111,9 @@
     /// Whether it understands a `ViewRelay` with a change in place of a record.
     #[serde(default)]
     pub(crate) accepts_changes: bool,
+    /// Endpoints that said in answers that they leave, unless their entries say so too.
+    #[serde(default)]
+    pub(crate) departures: Vec<Departure>,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
 use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
 use quetzalpick_core::id::Endpoint;
@@ -19,6 +20,7 @@
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
+use crate::wire::HeadCodec;
 
 /// Time after which a VM that reaches no endpoints may be asked again.
 const LOST_LINK_PAUSE: Duration = Duration::from_secs(1);
@@ -32,7 +34,8 @@
 
 /// `PeerHandler` dispatches calls to the peer listener by path; its clones share their state.
 #[derive(Debug)]
-pub(crate) struct PeerHandler<N> {
+pub(crate) struct PeerHandler<N, E> {
+    pub(crate) head_codec: E,
     pub(crate) lead: Arc<Leadership<N>>,
     pub(crate) rates: Arc<Rates>,
     pub(crate) fleet: Arc<Fleet>,
@@ -43,9 +46,10 @@
     pub(crate) clock: Clock,
 }
 
-impl<N> Clone for PeerHandler<N> {
+impl<N, E: Clone> Clone for PeerHandler<N, E> {
     fn clone(&self) -> Self {
         Self {
+            head_codec: self.head_codec.clone(),
             lead: Arc::clone(&self.lead),
             rates: Arc::clone(&self.rates),
             fleet: Arc::clone(&self.fleet),
@@ -57,7 +61,7 @@
     }
 }
 
-impl<N: EngineControl> Service for PeerHandler<N> {
+impl<N: EngineControl, E: HeadCodec> Service for PeerHandler<N, E> {
     async fn answer(&self, path: &str, body: Bytes) -> Option<Bytes> {
         match path {
             path::STATUS => encode(&self.lead.answer_status(decode(&body)?)),
@@ -82,12 +86,24 @@
         let name = Endpoint::try_new(endpoint).map_err(|_| not_run("malformed name"))?;
         let address = self.fleet.address(&name);
         let address = address.ok_or_else(|| not_run("not known here"))?;
+        if !self.fleet.may_forward(self.clock.now_ms(), &name) {
+            return Err(not_run("it leaves or wants no requests"));
+        }
+        let started_ms = self.fleet.started_ms(&name);
         let answer = self
             .pool
             .send(&address.to_string(), request, TIMEOUTS)
             .await;
         match &answer {
-            Ok(_) => self.link.record_heard(),
+            Ok(answer) => {
+                self.link.record_heard();
+                // A misdirected request may have reached another endpoint that has the address now.
+                if answer.status() != StatusCode::MISDIRECTED_REQUEST {
+                    let (now_ms, codec) = (self.clock.now_ms(), &self.head_codec);
+                    self.fleet
+                        .observe_answer(now_ms, codec, &name, started_ms, answer);
+                }
+            }
             Err(error) if error.verdict() == Verdict::NotRun => self.link.record_failure(&name),
             Err(_) => {}
         }
@@ -95,7 +111,7 @@
     }
 }
 
-impl<N> PeerHandler<N> {
+impl<N, E> PeerHandler<N, E> {
     /// Lends units from this VM's bucket.
     fn lend(&self, request: &DrawRequest) -> u64 {
         let now_ms = self.clock.now_ms();
--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -112,7 +112,7 @@
     }
 
     /// Returns the time until the first of the endpoints that meet the requirements may get a request again, in ms; `None` if
-    /// none of them waits for a permit.
+    /// none of them waits for a permit or has asked for a pause.
     pub(crate) fn limit_wait_ms(
         &self,
         now_ms: u64,
@@ -126,10 +126,12 @@
         let serving = rows
             .values()
             .filter(|row| row.serves(requirements) && row.accepts_requests() && runs_build(row));
-        let limited = serving.filter(|row| row.limited.rate().is_some());
-        limited
-            .map(|row| row.limited.wait_ms(now_ms, Need::Required))
-            .min()
+        let wait_ms = |row: &Row| {
+            let pause_ms = row.pause_ms(now_ms);
+            let may_wait = row.limited.rate().is_some() || pause_ms > 0;
+            may_wait.then(|| row.limited.wait_ms(now_ms, Need::Required).max(pause_ms))
+        };
+        serving.filter_map(wait_ms).min()
     }
 }
 
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod build;
 mod builds;
+mod leaving;
 mod limited;
 mod limits;
 mod notice;
@@ -13,6 +14,7 @@
 
 pub use build::Build;
 pub use builds::{Builds, SETTLE_MS, STREAM_TTL_MS};
+pub use leaving::Departure;
 pub use notice::Notice;
 pub use pick::Pick;
 pub use selection::{BuildChoice, Requirements};
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -27,6 +27,10 @@
     pub(crate) copy_missing_ms: Option<u64>,
     /// Time at which its entry expired, in ms; it may be renewed after an outage of the log service.
     pub(crate) expired_ms: Option<u64>,
+    /// Whether it said in an answer that it leaves.
+    pub(crate) leaving: bool,
+    /// It wants no requests of this VM before this time, in ms.
+    pub(crate) paused_until_ms: u64,
     /// The limit that it names, and this VM's permits.
     pub(crate) limited: Limited,
     /// Version of the fleet at which its entry or its limit last changed.
@@ -54,6 +58,8 @@
             unreachable_ms: None,
             copy_missing_ms: None,
             expired_ms: None,
+            leaving: false,
+            paused_until_ms: 0,
             limited: Limited::default(),
             version: 0,
             missing_copies: Vec::new(),
@@ -89,9 +95,31 @@
         }
     }
 
-    /// Returns whether it accepts new requests according to its entry.
+    /// Returns whether it accepts new requests according to its entry and its answers.
     pub(crate) fn accepts_requests(&self) -> bool {
-        self.spec.state == State::Ready && self.expired_ms.is_none()
+        self.state() == State::Ready && self.expired_ms.is_none()
+    }
+
+    /// Returns its state: what it says in answers is newer than its entry.
+    pub(crate) fn state(&self) -> State {
+        if self.leaving {
+            State::Draining
+        } else {
+            self.spec.state
+        }
+    }
+
+    /// Returns its spec with its state.
+    pub(crate) fn present_spec(&self) -> Spec {
+        Spec {
+            state: self.state(),
+            ..self.spec.clone()
+        }
+    }
+
+    /// Returns the time until it wants requests of this VM again, in ms; 0 if that is now.
+    pub(crate) fn pause_ms(&self, now_ms: u64) -> u64 {
+        self.paused_until_ms.saturating_sub(now_ms)
     }
 
     /// Returns whether it belongs to the required service and holds the required artifacts.
@@ -131,6 +159,7 @@
     /// Returns it as a candidate for a request; `members` VMs send requests there at the same rate.
     pub(crate) fn candidate<'a>(
         &'a self,
+        now_ms: u64,
         name: &'a Endpoint,
         attempted: bool,
         members: u32,
@@ -138,7 +167,7 @@
         Candidate {
             endpoint: name,
             domain: &self.spec.domain,
-            leaving: !self.accepts_requests(),
+            leaving: !self.accepts_requests() || self.pause_ms(now_ms) > 0,
             load: Load {
                 in_flight: self.in_flight,
                 reported: self.others_in_flight,
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -133,7 +133,9 @@
         });
         let attempted = self.requirements.attempted;
         let candidates: Vec<Candidate<'_>> = serving
-            .map(|(name, row)| row.candidate(name, attempted.contains(name), self.members))
+            .map(|(name, row)| {
+                row.candidate(self.now_ms, name, attempted.contains(name), self.members)
+            })
             .collect();
         let choice = choose(
             self.now_ms,
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -147,7 +147,7 @@
             let rows = rows.iter();
             rows.filter(|(_, row)| complete || row.version > known_version)
         };
-        let entry = |row: &Row| row.expired_ms.is_none().then(|| row.spec.clone());
+        let entry = |row: &Row| row.expired_ms.is_none().then(|| row.present_spec());
         Some(EndpointsRelay {
             version,
             complete,
@@ -317,7 +317,7 @@
         let rows = self.rows();
         let present = rows.iter().filter(|(_, row)| row.expired_ms.is_none());
         present
-            .map(|(name, row)| (name.clone(), row.spec.clone()))
+            .map(|(name, row)| (name.clone(), row.present_spec()))
             .collect()
     }
 
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -214,6 +214,10 @@
     pub(crate) fn answer_status(&self, status: Status) -> StatusReply {
         let now_ms = self.clock.now_ms();
         self.fleet.learn_limits(now_ms, &status.limits);
+        for departure in &status.departures {
+            self.fleet
+                .record_departure(&departure.endpoint, departure.started_ms);
+        }
         let known_copies = CopiesVersion {
             fence: status.fence,
             version: status.copies_version,
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -196,6 +196,13 @@
         if proof != Proof::Mismatched {
             let is_own = proof != Proof::NotRun { misdirected: true };
             permit::observe(context, pick, now_ms, answer.headers(), is_own);
+            if is_own {
+                let (endpoint, started_ms) = (&pick.endpoint, pick.started_ms);
+                let (now_ms, codec) = (context.clock.now_ms(), &context.head_codec);
+                context
+                    .fleet
+                    .observe_answer(now_ms, codec, endpoint, started_ms, &answer);
+            }
         }
         match proof {
             Proof::Answer => Ok(answer),
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -74,6 +74,12 @@
     /// `Error::Malformed` if the limit cannot be decoded.
     fn limit(&self, headers: &HeaderMap) -> Result<Option<Rate>>;
 
+    /// Returns whether an endpoint says in the head of an answer that it leaves.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// Decodes for how long an endpoint that did not run a request wants no further ones from this VM; `None` if it does not say.
+    fn pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
+
     /// Adds the attempt id and the retry delay to the headers of an answer that this VM generates.
     fn add_answer_headers(
         &self,
