Join no answer to an interrupted stream that does not go on with it, and forward no head of another answer

Cause: an answer with a success status that was to go on with an interrupted stream was joined to it whatever it held: a text, an event without an id, or the stream from its start. Bytes behind a stream that ends with its connection or lies in chunks were taken for events, also the head of another answer.

Change: the first event of such an answer must have an id above the last one; otherwise nothing of it is forwarded, and the stream counts as interrupted, so that another endpoint is asked or the answer is cut. A head of an answer where an event is due ends a stream in the same way. The splitter looks at each event for that; so far it looked at the last one of a fragment.

An answer with an error status was refused before and is. A take-up by a caller stays as the endpoint answers it.

--- a/crates/quetzalpick-entry/src/serve/event_scanner.rs
+++ b/crates/quetzalpick-entry/src/serve/event_scanner.rs
@@ -27,9 +27,9 @@
         self.event_bytes + self.line_bytes
     }
 
-    /// Scans the next bytes and returns the index behind the last event or comment that ends in them, if any.
+    /// Scans the next bytes up to the first end of an event or comment; returns the index behind it, or `None` if all were
+    /// scanned.
     pub(crate) fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
-        let mut end = None;
         for (index, byte) in bytes.iter().enumerate() {
             let ends_line = matches!(byte, b'\n' | b'\r');
             let is_second_half = *byte == b'\n' && self.after_carriage_return;
@@ -43,10 +43,10 @@
                 self.end_line();
             }
             if self.incomplete_bytes() == 0 {
-                end = Some(index + 1);
+                return Some(index + 1);
             }
         }
-        end
+        None
     }
 
     fn end_line(&mut self) {
--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -27,6 +27,20 @@
         }
     }
 
+    /// Starts at the head of an answer that must go on after the given event of a stream.
+    pub(crate) fn resumed(kind: Kind, head: &Parts, last_event_id: Option<u64>) -> Self {
+        let mut progress = Self::new(kind, head, last_event_id);
+        if let Some(events) = progress.events.as_mut().filter(|_| last_event_id.is_some()) {
+            events.require_continuation();
+        }
+        progress
+    }
+
+    /// Returns the reason why no further bytes belong to the stream, if there is one; they are not forwarded.
+    pub(crate) fn violation(&self) -> Option<&'static str> {
+        self.events.as_ref()?.violation()
+    }
+
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
         self.events.is_some()
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -161,6 +161,9 @@
     ///
     /// How the answer ended, if no more are to be expected.
     pub(super) async fn next_bytes(&mut self) -> Result<Bytes, End> {
+        if let Some(reason) = self.progress.violation() {
+            return Err(End::Interrupted(reason.to_owned()));
+        }
         loop {
             let now_ms = self.context.clock.now_ms();
             let left_ms = self.admitted.left_ms(now_ms);
--- a/crates/quetzalpick-entry/src/serve/resume.rs
+++ b/crates/quetzalpick-entry/src/serve/resume.rs
@@ -116,8 +116,9 @@
 
     /// Prepares an attempt to resume the stream at a picked endpoint.
     fn prepare(&mut self, pick: &Pick, after: Option<u64>) -> Result<Call, Failure> {
+        let call = Call::try_new(&self.context, &self.admitted, pick, after);
         self.admitted.attempted.push(pick.endpoint.clone());
-        Call::try_new(&self.context, &self.admitted, pick, after)
+        call
     }
 
     /// Returns how long an endpoint that was asked to resume an interrupted stream has for the head of its answer.
@@ -230,7 +231,7 @@
             self.record_failure();
         }
         self.pick = pick;
-        self.progress = Progress::new(self.admitted.route.kind, &head, after);
+        self.progress = Progress::resumed(self.admitted.route.kind, &head, after);
         self.pause_from_ms = self.context.clock.now_ms();
         // The former endpoint stops as its connection is closed.
         self.answer = Some(answer);
