Tell the refusal of an earlier request from that of the present one

What callers may see (reported by other operators): 'not run, try again' for a booking that runs, or a booking that runs twice (REFUSED, TWICE), after a faulty endpoint has written an earlier refusal once more on a kept connection. It could happen here, in two ways: - An attempt that an endpoint has declined may be sent there again. Its earlier refusal has the same id, so that it was taken for the answer. - A refusal without an id was taken for that of any request.

Change: a request that was sent to an endpoint before goes there on a new connection, also through another VM. A refusal without an id proves that the request has not run only as the first answer on its connection; otherwise the request may have run. Connections are reused as before for all other requests.

Ruled out: closing each connection that brought a refusal, as refusals are frequent where endpoints are full and connections are dear.

--- a/crates/quetzalpick-client/src/http/mod.rs
+++ b/crates/quetzalpick-client/src/http/mod.rs
@@ -3,11 +3,13 @@
 mod body;
 mod connection;
 mod framing;
+mod fresh;
 mod options;
 mod pool;
 
 pub use body::Body;
 pub use framing::Framing;
+pub use fresh::Fresh;
 pub use options::{Options, Timeouts};
 pub use pool::Pool;
 
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Connection;
-use super::{Body, Options, Request, Response, Timeouts};
+use super::{Body, Fresh, Options, Request, Response, Timeouts};
 use crate::errors::{Error, Result, unanswered};
 
 /// `Pool` sends requests and keeps idle connections for reuse; clones share the connections.
@@ -87,7 +87,8 @@
 
     /// Sends a request to an IP address and port and returns the answer as soon as its head has arrived.
     ///
-    /// An idle connection that turns out to be closed before any byte of the request was sent is replaced by a new one.
+    /// An idle connection that turns out to be closed before any byte of the request was sent is replaced by a new one. A request
+    /// that is marked `Fresh` gets a new connection.
     ///
     /// # Errors
     ///
@@ -106,8 +107,10 @@
             let host = HeaderValue::from_str(address).map_err(|e| not_run(e.to_string()))?;
             request.headers_mut().insert(HOST, host);
         }
+        let may_reuse = request.extensions().get::<Fresh>().is_none();
+        let take_idle = || may_reuse.then(|| self.take_idle(peer)).flatten();
         // Idle connections are tried first; the next one is used only if no byte of the request was sent.
-        while let Some(connection) = self.take_idle(peer) {
+        while let Some(connection) = take_idle() {
             match self.send_over(peer, connection, request, timeouts).await {
                 SendOutcome::Answered(response) => return Ok(response),
                 SendOutcome::Unsent(returned, _) => request = returned,
@@ -117,7 +120,10 @@
         let connection = self.try_connect(peer, timeouts.connect).await;
         let connection = connection.map_err(not_run)?;
         match self.send_over(peer, connection, request, timeouts).await {
-            SendOutcome::Answered(response) => Ok(response),
+            SendOutcome::Answered(mut response) => {
+                response.extensions_mut().insert(Fresh);
+                Ok(response)
+            }
             SendOutcome::Unsent(_, reason) => Err(not_run(reason)),
             SendOutcome::NoAnswer(reason) => Err(may_have_run(address, reason)),
         }
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use quetzalpick_client::errors::{Error, Result as CallResult};
-use quetzalpick_client::http::{Body, Request as HttpRequest, Timeouts};
+use quetzalpick_client::http::{Body, Fresh, Request as HttpRequest, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
 use tokio::time::timeout;
@@ -147,7 +147,7 @@
 }
 
 impl Call {
-    /// Prepares an attempt; a stream is resumed after the given event.
+    /// Prepares an attempt, before its endpoint is added to those of earlier attempts; a stream is resumed after the given event.
     ///
     /// # Errors
     ///
@@ -190,9 +190,11 @@
             reason: error.to_string(),
         })?;
         let attempt_id = self.attempt_id.as_deref();
-        let proof = context
-            .head_codec
-            .proof(answer.status(), answer.headers(), attempt_id);
+        let is_first = answer.extensions().get::<Fresh>().is_some();
+        let proof =
+            context
+                .head_codec
+                .proof(answer.status(), answer.headers(), attempt_id, is_first);
         if proof != Proof::Mismatched {
             let is_own = proof != Proof::NotRun { misdirected: true };
             permit::observe(context, pick, now_ms, answer.headers(), is_own);
@@ -303,6 +305,10 @@
     *request.method_mut() = admitted.head.method.clone();
     *request.uri_mut() = admitted.head.uri.clone();
     *request.headers_mut() = headers;
+    if admitted.attempted.contains(&pick.endpoint) {
+        // An earlier refusal of this attempt, written again, would look like the answer.
+        request.extensions_mut().insert(Fresh);
+    }
     Ok(request)
 }
 
--- a/crates/quetzalpick-node/src/peer/forwarded.rs
+++ b/crates/quetzalpick-node/src/peer/forwarded.rs
@@ -5,13 +5,16 @@
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
-use quetzalpick_client::http::{Framing, Response};
+use quetzalpick_client::http::{Framing, Fresh, Response};
 use quetzalpick_core::verdict::Verdict;
 use strum::{Display, EnumString};
 
 /// Header that names the endpoint to which a request is to be passed on.
 pub(crate) const ENDPOINT: HeaderName = HeaderName::from_static("x-quetzalpick-peer-endpoint");
 
+/// Header of a request that must be passed on over a new connection.
+pub(crate) const FRESH: HeaderName = HeaderName::from_static("x-quetzalpick-peer-fresh");
+
 /// Header of an answer that is passed on, with the framing that the endpoint gave it.
 const FRAMING: HeaderName = HeaderName::from_static("x-quetzalpick-peer-framing");
 
@@ -89,6 +92,8 @@
     let framing = text(&FRAMING, answer.headers()).and_then(|text| text.parse::<Framing>().ok());
     if let Some(framing) = framing {
         answer.headers_mut().remove(FRAMING);
+        // The connection to the peer may be new, and that to the endpoint another one.
+        answer.extensions_mut().remove::<Fresh>();
         answer.extensions_mut().insert(framing);
         return Ok(answer);
     }
--- a/crates/quetzalpick-node/src/peer/http.rs
+++ b/crates/quetzalpick-node/src/peer/http.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use quetzalpick_client::errors::{Result as CallResult, refused, unanswered};
 use quetzalpick_client::http::{
-    Body as ClientBody, Framing, Pool, Response as ClientResponse, Timeouts,
+    Body as ClientBody, Framing, Fresh, Pool, Response as ClientResponse, Timeouts,
 };
 use quetzalpick_core::verdict::Verdict;
 use sha2::{Digest, Sha256};
@@ -94,6 +94,12 @@
         let headers = request.headers_mut();
         headers.insert(SECRET_HEADER, value(&self.secret)?);
         headers.insert(forwarded::ENDPOINT, value(endpoint)?);
+        // This concerns the connection between the peer and the endpoint.
+        if request.extensions_mut().remove::<Fresh>().is_some() {
+            request
+                .headers_mut()
+                .insert(forwarded::FRESH, HeaderValue::from_static("1"));
+        }
         match self.pool.send(address, request, timeouts).await {
             Ok(answer) => forwarded::take_answer(address, answer).await,
             Err(error) if error.verdict() == Verdict::NotRun => Err(forwarded::busy(address)),
@@ -151,6 +157,9 @@
         let endpoint = head.headers.remove(forwarded::ENDPOINT);
         let endpoint = endpoint.as_ref().and_then(|name| name.to_str().ok());
         head.headers.remove(SECRET_HEADER);
+        if head.headers.remove(forwarded::FRESH).is_some() {
+            head.extensions.insert(Fresh);
+        }
         forwarded::strip_request(&mut head.headers);
         let result = match body::collect(body, CALL_MAX_BYTES, BODY_TIMEOUT).await {
             Ok(body) => {
