Reset connections whose requests are given up, so that none of them arrives once a link is restored

A request that was given up while a link held its bytes up was delivered as soon as the link was back, with the orderly end behind it, long after its caller had left; so were appends to the store. Connections of pools end with a reset now, which discards what is on its way. A call is dropped only when it is given up or after its answer was read, so that nothing that is wanted is discarded.

Not shown: that callers met this.

--- a/crates/quetzalpick-client/src/http/connection.rs
+++ b/crates/quetzalpick-client/src/http/connection.rs
@@ -33,6 +33,8 @@
             None => TcpStream::connect(address).await?,
         };
         stream.set_nodelay(true)?;
+        // A request that is given up must not arrive later, once a link that held it up is restored.
+        stream.set_zero_linger()?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(options.head_max_bytes)
             .max_headers(options.headers_max)
--- a/crates/quetzalpick-client/tests/pool.rs
+++ b/crates/quetzalpick-client/tests/pool.rs
@@ -208,3 +208,22 @@
     assert_matches!(body.collect_up_to(5).await, Err(Error::Malformed { .. }));
     peer.settle(1).await;
 }
+
+#[tokio::test]
+async fn a_request_that_is_given_up_does_not_arrive_after_a_link_is_restored() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let timeouts = Timeouts {
+        head: Duration::from_millis(50),
+        ..Timeouts::default()
+    };
+    let pool = Pool::default();
+    let sent = pool.send(&address, request("late"), timeouts);
+    assert_matches!(sent.await, Err(Error::Unanswered { .. }));
+    // A reset discards what a link still holds; an orderly end would be delivered behind it.
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut bytes = Vec::new();
+    let read = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await;
+    let kind = read.map_err(|error| error.kind());
+    assert_eq!(kind, Err(std::io::ErrorKind::ConnectionReset));
+}
