Let no VM read the topic of leadership between two answers of the leader where these are rare

Cause: a leader counted as silent 600 or 900 ms after its last answer, and at 195 VMs it is asked each 975 ms. So each VM read the topic of leadership between any two answers, about once a second.

Change: the election knows when the leader is asked next, and takes it for silent once an answer is late by half of that time. A leader that refuses or does not answer a status is found out as before, by the status; the VMs' statuses are spread over the interval.

Evidence: a_follower_that_asks_the_leader_rarely_does_not_read_the_log_in_between fails without the change (first read at 601 ms in place of after 20 s) and passes at 250, 975 and 1,855 ms; the simulations of the election pass.

--- a/crates/quetzalpick-core/src/election/state_machine.rs
+++ b/crates/quetzalpick-core/src/election/state_machine.rs
@@ -23,6 +23,8 @@
     term: Option<Term>,
     /// When the leader last answered, in ms; `None` once it is unreachable or no longer leads.
     last_heartbeat_ms: Option<u64>,
+    /// Time after that in which it is asked again, in ms.
+    heartbeat_interval_ms: u64,
     /// Earliest time of the next read, in ms.
     next_read_ms: u64,
     /// Whether the last read failed.
@@ -44,6 +46,7 @@
             log_state: None,
             term: None,
             last_heartbeat_ms: None,
+            heartbeat_interval_ms: 0,
             next_read_ms: 0,
             read_failing: false,
             reads_recovered_ms: 0,
@@ -71,10 +74,7 @@
         if let Some(end) = self.claim_offset(now_ms) {
             return Step::Append(self.claim(now_ms, None), end);
         }
-        let silent_from_ms = self
-            .last_heartbeat_ms
-            .map(|heartbeat_ms| heartbeat_ms + self.options.silence_ms);
-        let earliest_read_ms = silent_from_ms.unwrap_or_default();
+        let earliest_read_ms = self.silent_from_ms().unwrap_or_default();
         let due_ms = match self.next_expiry_ms(now_ms) {
             // The log is read once when heartbeats stop and again when the leader has expired.
             Some(next_expiry_ms) => next_expiry_ms.max(earliest_read_ms),
@@ -104,9 +104,15 @@
         }
     }
 
-    /// Records an answer of the leader, with its heartbeat if it sent one.
-    pub fn record_heartbeat(&mut self, now_ms: u64, heartbeat: Option<Heartbeat>) {
+    /// Records an answer of the leader, with its heartbeat if it sent one; it is asked again after `interval_ms`.
+    pub fn record_heartbeat(
+        &mut self,
+        now_ms: u64,
+        heartbeat: Option<Heartbeat>,
+        interval_ms: u64,
+    ) {
         self.last_heartbeat_ms = Some(now_ms);
+        self.heartbeat_interval_ms = interval_ms;
         let known_end = self.log_state.as_ref().map(|log_state| log_state.end);
         let Some(heartbeat) =
             heartbeat.filter(|heartbeat| self.term.is_none() && Some(heartbeat.end) > known_end)
--- a/crates/quetzalpick-core/src/election/state_machine/expiry.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/expiry.rs
@@ -80,9 +80,15 @@
 
     /// Returns whether the leader answered recently enough that it is not considered silent.
     fn has_recent_heartbeat(&self, now_ms: u64) -> bool {
-        let silent_from_ms = self
-            .last_heartbeat_ms
-            .map(|heartbeat_ms| heartbeat_ms + self.options.silence_ms);
-        silent_from_ms.is_some_and(|silent_from_ms| now_ms < silent_from_ms)
+        self.silent_from_ms()
+            .is_some_and(|silent_from_ms| now_ms < silent_from_ms)
+    }
+
+    /// Returns from when on the leader counts as silent, in ms; `None` if it did not answer last. Where it is asked rarely, one answer
+    /// may be late by half of the interval.
+    pub(super) fn silent_from_ms(&self) -> Option<u64> {
+        let interval_ms = self.heartbeat_interval_ms;
+        let silence_ms = self.options.silence_ms.max(interval_ms + interval_ms / 2);
+        Some(self.last_heartbeat_ms? + silence_ms)
     }
 }
--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -104,7 +104,7 @@
             let disconnected = now_ms < disconnected_until[vm];
             let election = &mut vms[vm];
             if let Some(heartbeat) = heartbeat {
-                election.record_heartbeat(now_ms, heartbeat);
+                election.record_heartbeat(now_ms, heartbeat, 1);
             }
             match election.step(now_ms) {
                 Step::Wait(_) => {}
@@ -327,8 +327,8 @@
             leader.record_append(now_ms, now_ms, Appended::At(offset));
         }
         match now_ms {
-            2_050 => vms[0].record_heartbeat(now_ms, leader.heartbeat(now_ms)),
-            2_110 => vms[1].record_heartbeat(now_ms, leader.heartbeat(now_ms)),
+            2_050 => vms[0].record_heartbeat(now_ms, leader.heartbeat(now_ms), 60),
+            2_110 => vms[1].record_heartbeat(now_ms, leader.heartbeat(now_ms), 60),
             _ => {}
         }
     }
@@ -359,3 +359,53 @@
         first_claim_after_a_renewal_received_by_the_second([Options::default(), small_vm]);
     assert_eq!(next, 1);
 }
+
+/// Simulates a VM that asks the leader each `interval_ms` from 0 to `ends_ms`, when the leader ends without a word; returns the times
+/// of its reads of the log up to 30 s, in ms.
+fn reads_of_a_follower(options: Options, interval_ms: u64, ends_ms: u64) -> Vec<u64> {
+    let mut log = Log::default();
+    let mut leader = start(0, 1);
+    claim(&mut leader, &mut log, 0);
+    let mut follower = Election::new(
+        Candidate {
+            vm: Vm::try_new("vm-1").unwrap(),
+            incarnation: Incarnation(7),
+            address: "10.0.0.1:1".to_owned(),
+        },
+        options,
+    );
+    let mut reads_ms = Vec::new();
+    for now_ms in 1..30_000 {
+        if now_ms < ends_ms {
+            if let Step::Append(claim, at) = leader.step(now_ms) {
+                let offset = log.append(claim, at).unwrap();
+                leader.record_append(now_ms, now_ms, Appended::At(offset));
+            }
+            if now_ms % interval_ms == 1 {
+                follower.record_heartbeat(now_ms, leader.heartbeat(now_ms), interval_ms);
+            }
+        }
+        match follower.step(now_ms) {
+            Step::Wait(_) => {}
+            Step::Read(from) => {
+                reads_ms.push(now_ms);
+                follower.record_read(now_ms, now_ms, log.tail(from));
+            }
+            Step::Append(..) => break,
+        }
+    }
+    reads_ms
+}
+
+#[test]
+fn a_follower_that_asks_the_leader_rarely_does_not_read_the_log_in_between() {
+    for options in [Options::for_large_vm(), Options::for_small_vm()] {
+        for interval_ms in [250, 975, 1_855] {
+            let reads_ms = reads_of_a_follower(options.clone(), interval_ms, 20_000);
+            let first_ms = reads_ms[0];
+            assert!(first_ms > 20_000, "{interval_ms}: {first_ms}");
+            let silence_ms = options.silence_ms.max(interval_ms * 3 / 2);
+            assert!(first_ms <= 20_000 + silence_ms, "{interval_ms}: {first_ms}");
+        }
+    }
+}
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -108,6 +108,10 @@
         STATUS_INTERVAL.max(MEMBER_INTERVAL * self.member_count())
     }
 
+    fn status_interval_ms(&self) -> u64 {
+        u64::try_from(self.status_interval().as_millis()).unwrap_or(u64::MAX)
+    }
+
     pub(super) fn member_count(&self) -> u32 {
         u32::try_from(self.rates.member_count()).unwrap_or(u32::MAX)
     }
@@ -181,7 +185,9 @@
     /// Applies what a leader also applies to itself: its heartbeat, the loads of other VMs and the copies.
     fn apply_reply(&self, reply: &StatusReply, revision: u64) {
         let now_ms = self.clock.now_ms();
-        self.lead.record_heartbeat(now_ms, reply.heartbeat.clone());
+        let interval_ms = self.status_interval_ms();
+        self.lead
+            .record_heartbeat(now_ms, reply.heartbeat.clone(), interval_ms);
         self.fleet.record_leader_contact(now_ms);
         self.fleet.set_other_loads(now_ms, &reply.loads);
         let former = self.leader_fence.swap(reply.fence, Ordering::Relaxed);
@@ -209,10 +215,9 @@
     fn apply_relay(&self, sent_ms: u64, reply: StatusReply) {
         let now_ms = self.clock.now_ms();
         let Some(view) = reply.view else { return };
-        let interval_ms = u64::try_from(self.status_interval().as_millis()).unwrap_or(u64::MAX);
         let relay = Relay {
             as_of_ms: sent_ms.saturating_sub(view.age_ms),
-            interval_ms,
+            interval_ms: self.status_interval_ms(),
             next: view.next,
             content: match (view.record, view.change) {
                 _ if view.needs_read => Content::Unavailable,
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -156,9 +156,14 @@
         Some(leader.address.clone())
     }
 
-    /// Records an answer of the leader.
-    pub(crate) fn record_heartbeat(&self, now_ms: u64, heartbeat: Option<Heartbeat>) {
-        lock(&self.election).record_heartbeat(now_ms, heartbeat);
+    /// Records an answer of the leader, which is asked again after `interval_ms`.
+    pub(crate) fn record_heartbeat(
+        &self,
+        now_ms: u64,
+        heartbeat: Option<Heartbeat>,
+        interval_ms: u64,
+    ) {
+        lock(&self.election).record_heartbeat(now_ms, heartbeat, interval_ms);
     }
 
     /// Records that no leader answered.
