--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -15,6 +15,7 @@
 use quetzalpick_node::http::server;
 use rand::random;
 
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::metadata::{Metadata, Tokens};
 use crate::quarantine::{Block, Reason};
@@ -50,6 +51,26 @@
     }
 }
 
+/// `Pending` is a request that is being served; dropped before it is answered, it logs that its caller has left.
+#[derive(Debug)]
+struct Pending<'a> {
+    attempt_id: Option<&'a str>,
+    arrived_ms: u64,
+    clock: Clock,
+    is_answered: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let took_ms = self.clock.now_ms().saturating_sub(self.arrived_ms);
+        let request = self.attempt_id.unwrap_or("-");
+        log::info!("entry: request={request} caller-gone before an answer took_ms={took_ms}");
+    }
+}
+
 impl<E: HeadCodec, S: PeerClient> server::Handler for Handler<E, S> {
     type Body = Body;
 
@@ -61,10 +82,17 @@
             .as_ref()
             .ok()
             .and_then(|metadata| metadata.attempt.clone());
+        let mut pending = Pending {
+            attempt_id: attempt_id.as_deref(),
+            arrived_ms,
+            clock: self.context.clock,
+            is_answered: false,
+        };
         let served = match metadata {
             Ok(metadata) => self.serve(head, incoming, metadata, arrived_ms).await,
             Err(error) => Err(Refusal::new(Cause::Malformed, error)),
         };
+        pending.is_answered = true;
         let mut response =
             served.unwrap_or_else(|refusal| self.refuse(attempt_id.as_deref(), &refusal));
         if self.context.is_stopping() {
