Evict no model before the demand is known after a start

Cause, from a replay with all logs: the first leader after the return unloaded the last copies of three models 0.64 s after its term had begun, for models that had been asked for in that time. The demand of all VMs was as young as they were, so that models nobody had asked for yet looked unneeded.

Change: a leader whose process has run for less than twice the time over which demand is smoothed (3 s) evicts nothing. Loads into free memory and adapters go on, and a leader that has run for longer is not concerned.

--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -25,7 +25,7 @@
 use crate::lead::quarantine::Findings;
 use crate::lead::statuses::Statuses;
 use crate::options::Options;
-use crate::place::Planner;
+use crate::place::{Planner, SETTLE_MS};
 use crate::quarantine::Quarantine;
 use crate::sync::lock;
 use crate::view::View;
@@ -57,6 +57,8 @@
 pub(crate) struct Leadership<N> {
     me: Candidate,
     pub(super) clock: Clock,
+    /// When this process started, in ms.
+    started_ms: u64,
     view: Arc<View>,
     pub(super) fleet: Arc<Fleet>,
     pub(super) quarantine: Arc<Quarantine>,
@@ -95,6 +97,7 @@
         Self {
             me,
             clock,
+            started_ms: clock.now_ms(),
             view,
             fleet,
             quarantine,
@@ -182,9 +185,14 @@
         }
         log::info!("lead: fence={fence:?} former={former:?}");
         *lock(&self.member_list) = None;
+        let new_planner = || {
+            let mut planner = Planner::new(now_ms, crate::place::Options::default());
+            planner.set_demand_known_ms(self.started_ms + SETTLE_MS);
+            planner
+        };
         *state = fence.map(|fence| LeaderState {
             fence,
-            planner: Planner::new(now_ms, crate::place::Options::default()),
+            planner: new_planner(),
             buckets: Table::default(),
             permits: Table::default(),
             findings: Findings::new(now_ms, &self.quarantine.features()),
--- a/crates/quetzalpick-entry/src/place/demand.rs
+++ b/crates/quetzalpick-entry/src/place/demand.rs
@@ -12,6 +12,9 @@
 /// Time constant of the smoothing, in ms.
 const SMOOTHING_MS: u64 = 1_500;
 
+/// Time after the start of a process in which its estimates become valid, in ms.
+pub(crate) const SETTLE_MS: u64 = 2 * SMOOTHING_MS;
+
 /// Estimated time of a request without its answer tokens, in ms.
 const REQUEST_BASE_MS: u64 = 100;
 
--- a/crates/quetzalpick-entry/src/place/mod.rs
+++ b/crates/quetzalpick-entry/src/place/mod.rs
@@ -10,6 +10,7 @@
 mod planner;
 
 pub use copy::{Copy, Phase};
+pub(crate) use demand::SETTLE_MS;
 pub use demand::{Demand, Work};
 pub use engine_state::EngineState;
 pub use order::{Action, EngineControl, Order, OrderResult, Report};
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -86,6 +86,8 @@
     load_ends_ms: Vec<u64>,
     /// Time of the next plan for models, in ms; adapters are planned more often.
     next_model_plan_ms: u64,
+    /// No model is evicted before this time, in ms, because the demand is not known yet.
+    demand_known_ms: u64,
     /// Whether this VM reaches no engines itself, so that a missing report says nothing about an engine.
     is_disconnected: bool,
 }
@@ -121,10 +123,17 @@
             discovery_ends_ms: None,
             load_ends_ms: Vec::new(),
             next_model_plan_ms: now_ms,
+            demand_known_ms: now_ms,
             is_disconnected: false,
         }
     }
 
+    /// Sets the time before which no model is evicted: after a start, models that nobody has asked for yet look as if they were not
+    /// needed.
+    pub fn set_demand_known_ms(&mut self, demand_known_ms: u64) {
+        self.demand_known_ms = demand_known_ms;
+    }
+
     /// Returns the engines.
     pub fn engines(&self) -> &Table<Endpoint, EngineState> {
         &self.engines
--- a/crates/quetzalpick-entry/src/place/planner/models.rs
+++ b/crates/quetzalpick-entry/src/place/planner/models.rs
@@ -162,7 +162,8 @@
             let cost = demand.delay_cost(load_time_ms(endpoint, engine));
             fits.then(|| (cost, (*endpoint).clone(), Action::Load, model.clone()))
         };
-        let may_evict = demand.gain() >= self.options.min_eviction_gain;
+        let is_demand_known = now_ms >= self.demand_known_ms;
+        let may_evict = is_demand_known && demand.gain() >= self.options.min_eviction_gain;
         let unload = |(endpoint, engine): &(&Endpoint, &EngineState)| {
             let (cost, victim) = self.victim(spec, engine, demand, eviction_costs)?;
             let wait_ms = DRAIN_MS + load_time_ms(endpoint, engine);
--- a/crates/quetzalpick-entry/tests/place/moves.rs
+++ b/crates/quetzalpick-entry/tests/place/moves.rs
@@ -48,6 +48,34 @@
     }
 }
 
+#[test]
+fn a_model_that_is_asked_for_a_little_later_is_not_evicted_after_a_start() {
+    const KNOWN_AFTER_MS: u64 = 3_000;
+    let mut simulation = Simulation::new(1, false);
+    (0..500).for_each(|_| simulation.step());
+    // Without engines 0 and 3 the engines left hold one copy of each of six models, and none of model 3.
+    simulation.down = vec![0, 3];
+    simulation.engines[1].copies = [0, 4, 5].map(model).to_vec();
+    (0..500).for_each(|_| simulation.step());
+    simulation.change_leader();
+    let known_ms = simulation.now_ms + KNOWN_AFTER_MS;
+    simulation.planner.set_demand_known_ms(known_ms);
+    // Callers that return ask for model 3 first, and for the others within two seconds.
+    simulation.work = Table::from_iter([(model(3), 8_000)]);
+    while simulation.now_ms + 1_000 < known_ms {
+        simulation.step();
+    }
+    simulation.work = (0..9).map(|n| (model(n), 8_000)).collect();
+    (0..600).for_each(|_| simulation.step());
+    for (engine, held) in [(1, [0, 4, 5]), (2, [6, 7, 8])] {
+        let copies = &simulation.engines[engine].copies;
+        assert!(
+            held.iter().all(|n| copies.contains(&model(*n))),
+            "{copies:?}"
+        );
+    }
+}
+
 #[test]
 fn copies_are_proportional_to_demand() {
     let mut simulation = Simulation::new(1, false);
