--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -116,7 +116,7 @@
     /// Records that the view is current as of a read sent at `as_of_ms`, after which reading goes on at `next`.
     fn advance(&mut self, as_of_ms: u64, next: Option<Offset>) {
         self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
-        self.next = next.or(self.next);
+        self.next = next;
     }
 }
 
