--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -5,11 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures::future::join_all;
 use quetzalpick_client::errors::{Result as CallResult, malformed, unanswered};
-use quetzalpick_client::http::{Request, Response, Timeouts};
-use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
-use quetzalpick_core::limit::Need;
 use quetzalpick_core::table::Table;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::peer::Transport;
@@ -19,19 +15,15 @@
 
 use crate::clock::Clock;
 use crate::exchange::codec::{decode, encode};
-use crate::exchange::message::{
-    AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
-    PermitRequest, PermitResult, Status, StatusReply, path,
-};
+use crate::exchange::message::{CopiesUpdate, CopiesVersion, Status, StatusReply, path};
 use crate::exchange::registrars::Registrars;
-use crate::fleet::{Fleet, Notice};
+use crate::fleet::Fleet;
 use crate::lead::Leadership;
 use crate::link::Link;
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::quarantine::Quarantine;
 use crate::rate::Rates;
-use crate::serve::{OriginSearch, PeerClient};
 use crate::sync::lock;
 use crate::view::{Content, DependencyStatus, Relay, View};
 
@@ -47,15 +39,6 @@
 /// Longest time for the leader's answer to a status.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time for the leader's answer to a request for an adapter.
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Longest time for another VM's answer to a request to lend.
-const LEND_TIMEOUT: Duration = Duration::from_millis(40);
-
-/// Longest time for the leader's answer to a draw.
-const DRAW_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// `Client` calls the leader and other VMs.
 #[derive(Debug)]
 pub(crate) struct Client<N, P> {
@@ -248,7 +231,7 @@
     }
 
     /// Applies an update of the copies, unless it is outdated or from a former leader.
-    fn apply_copies(&self, copies: &CopiesUpdate) {
+    pub(super) fn apply_copies(&self, copies: &CopiesUpdate) {
         let CopiesVersion { fence, version } = copies.version;
         let is_current_leader = fence == self.leader_fence.load(Ordering::Relaxed);
         if !is_current_leader || version <= self.copies_version.load(Ordering::Relaxed) {
@@ -281,7 +264,7 @@
     }
 
     /// Returns the version of the copies that this VM has.
-    fn copies_version(&self) -> CopiesVersion {
+    pub(super) fn copies_version(&self) -> CopiesVersion {
         CopiesVersion {
             fence: self.leader_fence.load(Ordering::Relaxed),
             version: self.copies_version.load(Ordering::Relaxed),
@@ -289,7 +272,7 @@
     }
 
     /// Calls the assumed leader; `None` if there is none or it does not answer in time.
-    async fn call_leader<T: DeserializeOwned>(
+    pub(super) async fn call_leader<T: DeserializeOwned>(
         &self,
         path: &str,
         message: &impl Serialize,
@@ -333,74 +316,3 @@
         decode(&answer).ok_or_else(|| malformed(address, "the answer was not decoded"))
     }
 }
-
-impl<N: EngineControl, P: Transport + Debug> PeerClient for Client<N, P> {
-    async fn draw(&self, workspace: &Workspace, units: u64) -> DrawResult {
-        let request = DrawRequest {
-            workspace: workspace.clone(),
-            units,
-        };
-        if self.lead.is_leading() {
-            return self.lead.draw(&request);
-        }
-        let result = self.call_leader(path::DRAW, &request, DRAW_TIMEOUT).await;
-        result.unwrap_or(DrawResult::NotLeading)
-    }
-
-    async fn request_permit(&self, limit: Notice, need: Need) -> PermitResult {
-        let request = PermitRequest { limit, need };
-        if self.lead.is_leading() {
-            return self.lead.draw_permit(&request);
-        }
-        let result = self.call_leader(path::PERMIT, &request, DRAW_TIMEOUT).await;
-        result.unwrap_or(PermitResult::NotLeading)
-    }
-
-    async fn borrow(&self, workspace: &Workspace, units: u64) -> u64 {
-        let peers = self.peer_addresses();
-        // Each VM is asked for enough that half of them suffice.
-        let lenders = (peers.len() as u64 / 2).max(1);
-        let request = DrawRequest {
-            workspace: workspace.clone(),
-            units: units.div_ceil(lenders),
-        };
-        let borrow_from = |peer: String| {
-            let request = request.clone();
-            async move {
-                self.call_vm(&peer, path::LEND, &request, LEND_TIMEOUT)
-                    .await
-            }
-        };
-        let lent: Vec<Option<u64>> = join_all(peers.into_iter().map(borrow_from)).await;
-        lent.into_iter().flatten().sum()
-    }
-
-    async fn find_origin(&self, service: &Service, attempt: Option<&str>) -> OriginSearch {
-        self.search_origin(service, attempt).await
-    }
-
-    async fn forward(
-        &self,
-        endpoint: &Endpoint,
-        request: Request,
-        timeouts: Timeouts,
-    ) -> CallResult<Response> {
-        self.send_through_others(endpoint, request, timeouts).await
-    }
-
-    async fn request_adapter(&self, adapter: &Artifact) {
-        let request = AdapterRequest {
-            adapter: adapter.clone(),
-            copies_version: self.copies_version(),
-        };
-        let reply: Option<AdapterReply> = if self.lead.is_leading() {
-            Some(self.lead.wait_for_adapter(request).await)
-        } else {
-            self.call_leader(path::ADAPTER, &request, ADAPTER_TIMEOUT)
-                .await
-        };
-        if let Some(copies) = reply.and_then(|reply| reply.copies) {
-            self.apply_copies(&copies);
-        }
-    }
-}
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod origins;
 mod registrars;
+mod requests;
 mod service;
 
 pub(crate) use client::Client;
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod notice;
 mod pick;
+mod relay;
 mod row;
 mod selection;
 mod spec;
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -8,7 +8,6 @@
 use quetzalpick_core::route;
 use quetzalpick_core::table::Table;
 
-use crate::exchange::EndpointsRelay;
 use crate::fleet::row::Row;
 use crate::fleet::selection::Selection;
 use crate::fleet::{Build, Builds, Pick, Requirements, Spec};
@@ -26,9 +25,9 @@
     /// Time of the last contact with the leader, in ms.
     leader_contact_ms: AtomicU64,
     /// Incremented with each change of an entry.
-    version: AtomicU64,
+    pub(super) version: AtomicU64,
     /// Newest version of a removed entry: a VM at this version or an older one receives the complete table.
-    removed_version: AtomicU64,
+    pub(super) removed_version: AtomicU64,
     /// Number of VMs that share the endpoints.
     member_count: AtomicU32,
 }
@@ -114,52 +113,6 @@
         true
     }
 
-    /// Applies the entries that the leader has read.
-    pub(crate) fn apply_relay(&self, now_ms: u64, relay: EndpointsRelay) {
-        let listed: Vec<Endpoint> = relay.rows.iter().map(|(name, _)| name.clone()).collect();
-        for (endpoint, spec) in relay.rows {
-            let Some(spec) = spec else {
-                self.expire(now_ms, &endpoint);
-                continue;
-            };
-            let state = spec.state;
-            if self.update(now_ms, endpoint.clone(), spec) {
-                log::info!("view: endpoint={endpoint} state={state} from=leader");
-            }
-        }
-        if relay.complete {
-            for endpoint in self.missing_from(&listed) {
-                self.expire(now_ms, &endpoint);
-            }
-        }
-        self.learn_limits(now_ms, &relay.limits);
-    }
-
-    /// Returns the entries and limits that changed since the version that a VM has, if any; 0 stands for a VM without entries.
-    pub(crate) fn relay(&self, now_ms: u64, known_version: u64) -> Option<EndpointsRelay> {
-        let version = self.version.load(Ordering::Relaxed);
-        if version == known_version {
-            return None;
-        }
-        let complete = known_version <= self.removed_version.load(Ordering::Relaxed);
-        let rows = self.rows();
-        let changed = || {
-            let rows = rows.iter();
-            rows.filter(|(_, row)| complete || row.version > known_version)
-        };
-        let entry = |row: &Row| row.expired_ms.is_none().then(|| row.present_spec());
-        Some(EndpointsRelay {
-            version,
-            complete,
-            rows: changed()
-                .map(|(name, row)| (name.clone(), entry(row)))
-                .collect(),
-            limits: changed()
-                .filter_map(|(name, row)| row.notice(now_ms, name))
-                .collect(),
-        })
-    }
-
     /// Records a read of all entries that was sent at `sent_ms`, by this VM or by the leader.
     pub fn record_read(&self, sent_ms: u64) {
         lock(&self.builds).record_read(sent_ms);
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -9,16 +9,12 @@
 use quetzalpick_core::limit::Permits;
 use quetzalpick_core::rate::{Bucket, leader_part};
 use quetzalpick_core::table::Table;
-use quetzalpick_node::peer::Blob;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::config::{Config, Quota};
-use crate::exchange::{
-    AdapterReply, AdapterRequest, CopiesVersion, DrawRequest, DrawResult, Status, StatusReply,
-    ViewRelay,
-};
+use crate::exchange::{AdapterReply, AdapterRequest, DrawRequest, DrawResult};
 use crate::fleet::Fleet;
 use crate::lead::changes::Changes;
 use crate::lead::copy_index::CopyIndex;
@@ -30,9 +26,6 @@
 use crate::sync::lock;
 use crate::view::View;
 
-/// Number of other VMs whose addresses a VM receives.
-const PEER_SAMPLE: usize = 8;
-
 /// Longest time for which a request for an adapter waits.
 const ADAPTER_WAIT: Duration = Duration::from_millis(200);
 
@@ -48,23 +41,23 @@
     pub(super) findings: Findings,
     /// When the state was created, in ms.
     since_ms: u64,
-    copy_index: CopyIndex,
-    changes: Changes,
+    pub(super) copy_index: CopyIndex,
+    pub(super) changes: Changes,
 }
 
 /// `Leadership` combines this VM's election state with the state that it holds while it leads.
 #[derive(Debug)]
 pub(crate) struct Leadership<N> {
-    me: Candidate,
+    pub(super) me: Candidate,
     pub(super) clock: Clock,
     /// When this process started, in ms.
     started_ms: u64,
-    view: Arc<View>,
+    pub(super) view: Arc<View>,
     pub(super) fleet: Arc<Fleet>,
     pub(super) quarantine: Arc<Quarantine>,
     pub(super) member_count: AtomicU64,
     /// The list of members; `None` unless this VM has read it while it leads.
-    member_list: Mutex<Option<Table<Vm, ()>>>,
+    pub(super) member_list: Mutex<Option<Table<Vm, ()>>>,
     floor_permille: u64,
     pub(crate) engines: N,
     election: Mutex<Election>,
@@ -223,90 +216,12 @@
         act(&mut lock(&self.statuses), now_ms)
     }
 
-    /// Records a VM's status and returns the reply.
-    pub(crate) fn answer_status(&self, status: Status) -> StatusReply {
-        let now_ms = self.clock.now_ms();
-        self.fleet.learn_limits(now_ms, &status.limits);
-        for departure in &status.departures {
-            self.fleet
-                .record_departure(&departure.endpoint, departure.started_ms);
-        }
-        let known_copies = CopiesVersion {
-            fence: status.fence,
-            version: status.copies_version,
-        };
-        let state = self.with_leader_state(|state, _| {
-            (state.fence, state.copy_index.changes_since(known_copies))
-        });
-        let Some((fence, copies)) = state else {
-            return StatusReply::default();
-        };
-        let same_term = status.fence == fence;
-        let known_endpoints = if same_term {
-            status.endpoints_version
-        } else {
-            0
-        };
-        let quarantine = self.investigate(&status);
-        let reply = StatusReply {
-            heartbeat: self.with_election(|election, now_ms| election.heartbeat(now_ms)),
-            fence,
-            loads: self
-                .with_statuses(|statuses, now_ms| statuses.loads_of_others(now_ms, &status.vm)),
-            copies,
-            view: self.relay_view(now_ms, &status),
-            endpoints: self.fleet.relay(now_ms, known_endpoints),
-            member_count: self.member_count.load(Ordering::Relaxed),
-            peers: self
-                .with_statuses(|statuses, _| statuses.sample_addresses(&status.vm, PEER_SAMPLE)),
-            listed: self.is_listed(&status.vm),
-            deputy: self.with_statuses(|statuses, _| statuses.first_address(&self.me.vm)),
-            endpoints_age_ms: self.fleet.read_age_ms(now_ms),
-            suspects: quarantine.suspects,
-            quarantine: quarantine.update,
-        };
-        self.with_statuses(|statuses, now_ms| statuses.record(now_ms, status));
-        reply
-    }
-
-    /// Returns what a VM is told of the configuration; `None` while own reads fail.
-    fn relay_view(&self, now_ms: u64, status: &Status) -> Option<ViewRelay> {
-        let newest = self.view.newest(now_ms)?;
-        let mut relay = ViewRelay {
-            record: None,
-            age_ms: newest.age_ms,
-            change: None,
-            needs_read: false,
-            next: newest.next,
-        };
-        let known = status.config_version;
-        if newest.version <= known {
-            return Some(relay);
-        }
-        if status.accepts_changes {
-            let change = self.with_leader_state(|state, _| {
-                state.changes.since(known, newest.version, &newest.record)
-            });
-            relay.change = change?;
-            relay.needs_read = relay.change.is_none();
-        } else {
-            relay.record = Some(Blob(newest.record));
-        }
-        Some(relay)
-    }
-
     /// Sets the number of VMs.
     pub(crate) fn set_member_count(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
         self.member_count.store(count, Ordering::Relaxed);
     }
 
-    /// Returns whether a VM is in the list of members; `None` if this VM hasn't read the list while it leads.
-    fn is_listed(&self, vm: &Vm) -> Option<bool> {
-        let listed = lock(&self.member_list);
-        listed.as_ref().map(|listed| listed.contains(vm))
-    }
-
     /// Replaces the list of members, if this VM leads, and returns those without contact for `timeout_ms` or longer.
     pub(crate) fn update_member_list(&self, members: &Table<Vm, ()>, timeout_ms: u64) -> Vec<Vm> {
         let since_ms = self.with_leader_state(|state, now_ms| (state.since_ms, now_ms));
--- a/crates/quetzalpick-entry/src/lead/mod.rs
+++ b/crates/quetzalpick-entry/src/lead/mod.rs
@@ -7,6 +7,7 @@
 mod leadership;
 mod permits;
 mod quarantine;
+mod replies;
 mod statuses;
 
 pub(crate) use election::ElectionDriver;
