Keep to a pause that an endpoint asks for in any answer, until it ends

Change: a 503 with a time is a pause whatever request it answers; the latest end counts; it belongs to the endpoint's name and keeps its row; the engine client reports it as `Error::Busy`, and the planner leaves the engine out without taking it for unreachable.

Evidence: five tests of `pause::` failed on (703, 232 to 334, 565 and 760 to 901 requests in a pause; calls to an engine went on), all pass now; `limit::` and `leaving::` too.

Ruled out: hedges, resumed streams and requests passed on for other VMs pick through the same selection and kept to pauses before.

--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -97,11 +97,13 @@
         match &answer {
             Ok(answer) => {
                 self.link.record_heard();
+                let codec = &self.head_codec;
+                self.fleet
+                    .observe_pause(self.clock.now_ms(), codec, &name, answer);
                 // A misdirected request may have reached another endpoint that has the address now.
                 if answer.status() != StatusCode::MISDIRECTED_REQUEST {
-                    let (now_ms, codec) = (self.clock.now_ms(), &self.head_codec);
                     self.fleet
-                        .observe_answer(now_ms, codec, &name, started_ms, answer);
+                        .observe_departure(codec, &name, started_ms, answer);
                 }
             }
             Err(error) if error.verdict() == Verdict::NotRun => self.link.record_failure(&name),
--- a/crates/quetzalpick-entry/src/fleet/leaving.rs
+++ b/crates/quetzalpick-entry/src/fleet/leaving.rs
@@ -1,6 +1,4 @@
-//! Endpoints that say in their answers that they leave or want no requests for a while.
-
-use std::time::Duration;
+//! Endpoints that say in their answers that they leave.
 
 use http::Response;
 use quetzalpick_core::id::Endpoint;
@@ -19,10 +17,9 @@
 }
 
 impl Fleet {
-    /// Applies what the head of an answer says about further requests to an incarnation of an endpoint.
-    pub(crate) fn observe_answer<B>(
+    /// Applies what the head of an answer says about the departure of an incarnation of an endpoint.
+    pub(crate) fn observe_departure<B>(
         &self,
-        now_ms: u64,
         codec: &impl HeadCodec,
         endpoint: &Endpoint,
         started_ms: Option<u64>,
@@ -31,9 +28,6 @@
         if codec.is_leaving(answer.headers()) {
             self.record_departure(endpoint, started_ms);
         }
-        if let Some(pause) = codec.pause(answer.status(), answer.headers()) {
-            self.record_pause(now_ms, endpoint, started_ms, pause);
-        }
     }
 
     /// Records that an endpoint leaves, so that it gets no further requests; other incarnations of it are not concerned.
@@ -76,22 +70,4 @@
     pub(crate) fn started_ms(&self, endpoint: &Endpoint) -> Option<u64> {
         self.rows().get(endpoint)?.spec.started_ms
     }
-
-    /// Records that an endpoint wants no requests of this VM for a while.
-    fn record_pause(
-        &self,
-        now_ms: u64,
-        endpoint: &Endpoint,
-        started_ms: Option<u64>,
-        pause: Duration,
-    ) {
-        let mut rows = self.rows();
-        let row = rows.get_mut(endpoint);
-        let Some(row) = row.filter(|row| row.spec.started_ms == started_ms) else {
-            return;
-        };
-        let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-        row.paused_until_ms = now_ms.saturating_add(pause_ms);
-        log::info!("entry: endpoint={endpoint} paused pause_ms={pause_ms}");
-    }
 }
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod limited;
 mod limits;
 mod notice;
+mod pauses;
 mod pick;
 mod relay;
 mod row;
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -66,12 +66,14 @@
         }
     }
 
-    /// Applies the endpoint's current spec; a new incarnation resets all state but the requests in flight.
+    /// Applies the endpoint's current spec; a new incarnation resets all state but the requests in flight and the pause.
     pub(crate) fn update(&mut self, leader_is_current: bool, spec: Spec) {
         if !self.spec.is_same_incarnation(&spec) {
-            let in_flight = self.in_flight;
-            *self = Self::new(spec);
-            self.in_flight = in_flight;
+            *self = Self {
+                in_flight: self.in_flight,
+                paused_until_ms: self.paused_until_ms,
+                ..Self::new(spec)
+            };
             return;
         }
         if !leader_is_current || !self.copies_from_leader {
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -161,11 +161,11 @@
         builds.into_iter().cloned().collect()
     }
 
-    /// Removes the endpoints whose entries expired before `before_ms` and that run no requests of this VM.
+    /// Removes the endpoints whose entries expired before `before_ms`, that run no requests of this VM and want no pause.
     pub fn remove_expired(&self, now_ms: u64, before_ms: u64) {
         let expired = |row: &Row| row.expired_ms.is_some_and(|at| at < before_ms);
         self.rows().retain(|_, row| {
-            let removes = expired(row) && row.in_flight == 0;
+            let removes = expired(row) && row.in_flight == 0 && row.pause_ms(now_ms) == 0;
             if removes {
                 self.removed_version
                     .fetch_max(row.version, Ordering::Relaxed);
@@ -328,7 +328,7 @@
         self.endpoints_where(|row| row.is_suspected(now_ms))
     }
 
-    fn endpoints_where(&self, predicate: impl Fn(&Row) -> bool) -> Vec<Endpoint> {
+    pub(super) fn endpoints_where(&self, predicate: impl Fn(&Row) -> bool) -> Vec<Endpoint> {
         let rows = self.rows();
         let matching = rows.iter().filter(|(_, row)| predicate(row));
         matching.map(|(name, _)| name.clone()).collect()
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quetzalpick_client::errors::Error;
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::verdict::Verdict;
 use tokio::time::timeout;
@@ -107,6 +108,7 @@
             planner.mark_unreachable(&self.fleet.unreachable(now_ms));
             planner.set_disconnected(self.link.is_lost());
             planner.set_suspected(&suspected);
+            planner.set_paused(&self.fleet.paused(now_ms));
             planner.set_limits(&limits);
             planner.set_demand(now_ms, work);
         });
@@ -116,6 +118,7 @@
     fn request_report(&self, endpoint: Endpoint, address: std::net::SocketAddr) {
         let lead = Arc::clone(&self.lead);
         let (fleet, link) = (Arc::clone(&self.fleet), Arc::clone(&self.link));
+        let clock = self.clock;
         lead.with_leader_state(|state, now_ms| {
             state.planner.record_report_request(now_ms, &endpoint)
         });
@@ -136,9 +139,11 @@
                     if error.is_unsent() {
                         link.record_failure(&endpoint);
                     }
-                    lead.with_leader_state(|state, _| {
-                        state.planner.record_report_failure(&endpoint)
-                    });
+                    if !is_paused(&fleet, clock.now_ms(), &endpoint, &error) {
+                        lead.with_leader_state(|state, _| {
+                            state.planner.record_report_failure(&endpoint)
+                        });
+                    }
                     log::info!("place: endpoint={endpoint} no report reason=\"{error}\"");
                 }
             }
@@ -148,7 +153,8 @@
     /// Sends an order and applies its outcome.
     fn send_order(&self, fence: u64, planned: PlannedOrder) {
         let lead = Arc::clone(&self.lead);
-        let view = Arc::clone(&self.view);
+        let (fleet, view) = (Arc::clone(&self.fleet), Arc::clone(&self.view));
+        let clock = self.clock;
         tokio::spawn(async move {
             let PlannedOrder {
                 endpoint,
@@ -177,7 +183,11 @@
                 order.artifact(),
                 order.expected_orders,
             );
-            if matches!(&answer, Err(error) if error.verdict() == Verdict::NotRun) {
+            let is_unsent = |error: &Error| {
+                !is_paused(&fleet, clock.now_ms(), &endpoint, error)
+                    && error.verdict() == Verdict::NotRun
+            };
+            if answer.as_ref().is_err_and(is_unsent) {
                 lead.with_leader_state(|state, _| {
                     state
                         .planner
@@ -202,3 +212,12 @@
         });
     }
 }
+
+/// Returns whether an engine asked for a pause in place of an answer to a call, and records the pause.
+fn is_paused(fleet: &Fleet, now_ms: u64, endpoint: &Endpoint, error: &Error) -> bool {
+    let Error::Busy { retry_after, .. } = error else {
+        return false;
+    };
+    fleet.record_pause(now_ms, endpoint, *retry_after);
+    true
+}
--- a/crates/quetzalpick-entry/src/place/engine_state.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state.rs
@@ -46,6 +46,8 @@
     pub(crate) suspected: bool,
     /// Whether it failed to report while suspected, and hasn't reported since.
     pub(crate) down: bool,
+    /// Whether it wants no calls of this VM now.
+    pub(crate) paused: bool,
     /// Requests a second that it takes from all VMs together; `None` if it names no limit.
     pub(crate) limit: Option<Rate>,
 }
@@ -66,6 +68,7 @@
             unreachable: false,
             suspected: false,
             down: false,
+            paused: false,
             limit: None,
             spec,
         };
@@ -106,6 +109,6 @@
     /// Returns whether an order may be sent to it now.
     pub(crate) fn is_idle(&self, now_ms: u64) -> bool {
         let free = self.open_order.is_none() && now_ms >= self.busy_until_ms;
-        self.is_usable() && free && self.is_reported() && !self.needs_report
+        self.is_usable() && free && self.is_reported() && !self.needs_report && !self.paused
     }
 }
--- a/crates/quetzalpick-entry/src/place/engine_state/reports.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/reports.rs
@@ -24,7 +24,7 @@
         };
         let should_have_ended = self.open_order.is_none() && self.copies.iter().any(due);
         let needed = self.needs_report || should_have_ended || self.unreachable || self.suspected;
-        needed && now_ms >= self.next_report_ms
+        needed && !self.paused && now_ms >= self.next_report_ms
     }
 
     /// Records that its report was requested.
--- a/crates/quetzalpick-entry/src/place/order.rs
+++ b/crates/quetzalpick-entry/src/place/order.rs
@@ -77,7 +77,8 @@
     ///
     /// # Errors
     ///
-    /// Returns any error of the call; its verdict states whether the order may still take effect.
+    /// Returns any error of the call; its verdict states whether the order may still take effect. `Error::Busy` names a pause in which
+    /// the engine wants no calls of this VM.
     fn order(
         &self,
         address: SocketAddr,
@@ -91,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// Returns any error of the call.
+    /// Returns any error of the call, `Error::Busy` as for an order.
     fn report(
         &self,
         address: SocketAddr,
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// Replaces the engines that want no calls of this VM now, sorted.
+    pub fn set_paused(&mut self, endpoints: &[Endpoint]) {
+        for (endpoint, engine) in self.engines.iter_mut() {
+            engine.paused = endpoints.binary_search(endpoint).is_ok();
+        }
+    }
+
     /// Returns the artifacts that serve at each engine whose copies are known from its reports: its entry may be older than what
     /// VMs know from the former leader. An engine that is down holds nothing, unless half of the engines seem to be down: then
     /// this VM itself may be disconnected.
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -195,15 +195,13 @@
             context
                 .head_codec
                 .proof(answer.status(), answer.headers(), attempt_id, is_first);
+        let (fleet, codec) = (&context.fleet, &context.head_codec);
+        fleet.observe_pause(context.clock.now_ms(), codec, &pick.endpoint, &answer);
         if proof != Proof::Mismatched {
             let is_own = proof != Proof::NotRun { misdirected: true };
             permit::observe(context, pick, now_ms, answer.headers(), is_own);
             if is_own {
-                let (endpoint, started_ms) = (&pick.endpoint, pick.started_ms);
-                let (now_ms, codec) = (context.clock.now_ms(), &context.head_codec);
-                context
-                    .fleet
-                    .observe_answer(now_ms, codec, endpoint, started_ms, &answer);
+                fleet.observe_departure(codec, &pick.endpoint, pick.started_ms, &answer);
             }
         }
         match proof {
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -84,7 +84,8 @@
     /// Returns whether an endpoint says in the head of an answer that it leaves.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
-    /// Decodes for how long an endpoint that did not run a request wants no further ones from this VM; `None` if it does not say.
+    /// Decodes for how long an endpoint wants no further requests from this VM, whatever became of the one that it answers; `None` if
+    /// it does not say.
     fn pause(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
 
     /// Adds the attempt id and the retry delay to the headers of an answer that this VM generates.
