Spread the return of callers that are refused until a pause or a permit

Cause: the longer of the wait and of the spread delay was named; during a pause of seconds that is always the wait. Change: the spread delay is added to the wait.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -163,7 +163,8 @@
         };
         let detail = format!("service={} wait_ms={wait_ms}", admitted.service);
         let spread = context.record_refusal(&admitted.service);
-        let retry_after = spread.max(Duration::from_millis(wait_ms));
+        // Callers that returned at the end of the wait, all at once, would find no room.
+        let retry_after = spread + Duration::from_millis(wait_ms);
         Some(Refusal::new(cause, detail).with_retry_after(retry_after))
     }
 
