Keep the budget for retries by service

Cause: a VM had one budget for all services, so that requests for a busy service paid for repeats at another one; the users' bound is by service. Change: a budget a service, each with the VM's share of the slack; nothing is saved at its start, as before.

--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -10,7 +10,6 @@
 use quetzalpick_client::topic::Topics;
 use quetzalpick_core::election::Candidate;
 use quetzalpick_core::id::Incarnation;
-use quetzalpick_core::retry::Budget;
 use quetzalpick_node::http::admin::{Admin, Readiness};
 use quetzalpick_node::http::server::{self, Server};
 use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
@@ -175,7 +174,7 @@
             quarantine,
             link,
             peer_client: client,
-            budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.share(usize::MAX))),
+            budgets: Mutex::default(),
             leaderless_until_ms: AtomicU64::default(),
             refusal_rates: Mutex::default(),
             lifecycle: Lifecycle::default(),
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -99,7 +99,7 @@
     };
     let pick = context.fleet.pick(now_ms, &requirements, random())?;
     let is_new = !admitted.attempted.contains(&pick.endpoint);
-    (is_new && context.withdraw()).then_some(pick)
+    (is_new && context.withdraw(&admitted.service)).then_some(pick)
 }
 
 /// Records a failure in the endpoint's health, and whether the request may have run there.
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -90,7 +90,8 @@
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) link: Arc<Link>,
     pub(crate) peer_client: Arc<S>,
-    pub(crate) budget: Mutex<Budget>,
+    /// Retries that this VM may make, by service.
+    pub(crate) budgets: Mutex<Table<Service, Budget>>,
     /// No permit is requested before this time, in ms, because no leader answered.
     pub(crate) leaderless_until_ms: AtomicU64,
     /// Rate at which endpoints refuse requests, by service.
@@ -130,19 +131,14 @@
         self.quarantine.block(now_ms, admitted.features())
     }
 
-    /// Adds the fraction of a retry that each request earns to the budget.
-    pub(crate) fn deposit(&self) {
-        self.with_budget(Budget::deposit);
+    /// Adds the fraction of a retry that each request earns to the budget of its service.
+    pub(crate) fn deposit(&self, service: &Service) {
+        self.with_budget(service, |budget, _| budget.deposit());
     }
 
-    /// Withdraws a retry from the budget; returns whether it held one.
-    pub(crate) fn withdraw(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        let options = self.options().retry.share(self.rates.member_count());
-        self.with_budget(|budget| {
-            budget.adjust(now_ms, options);
-            budget.withdraw(now_ms)
-        })
+    /// Withdraws a retry from the budget of a service; returns whether it held one.
+    pub(crate) fn withdraw(&self, service: &Service) -> bool {
+        self.with_budget(service, |budget, now_ms| budget.withdraw(now_ms))
     }
 
     /// Records that an endpoint of a service accepted a request.
@@ -173,7 +169,16 @@
         act(refusal_rate, &RetryAfter::default())
     }
 
-    fn with_budget<T>(&self, act: impl FnOnce(&mut Budget) -> T) -> T {
-        act(&mut lock(&self.budget))
+    /// Calls `act` with the budget of a service, adjusted to the present number of VMs, and the current time, in ms.
+    fn with_budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget, u64) -> T) -> T {
+        let now_ms = self.clock.now_ms();
+        let retries = self.options().retry;
+        let options = retries.share(self.rates.member_count());
+        let mut budgets = lock(&self.budgets);
+        // Nothing is saved at first, as all VMs may have started at once.
+        let new_budget = || Budget::new(now_ms, retries.share(usize::MAX));
+        let budget = budgets.get_or_insert_with(service.clone(), new_budget);
+        budget.adjust(now_ms, options);
+        act(budget, now_ms)
     }
 }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -198,7 +198,7 @@
             && admitted.attempted.len() < SENDS_MAX
             && left_ms.is_none_or(|left_ms| left_ms > 0)
             // An attempt that reached no endpoint added no load.
-            && (failure.is_unreachable() || self.context.withdraw())
+            && (failure.is_unreachable() || self.context.withdraw(&admitted.service))
     }
 
     /// Creates the refusal of a request that is not sent again.
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -190,7 +190,7 @@
             .service(random())
             .ok_or_else(|| Refusal::new(Cause::NoEndpoint, "the route has no service"))?
             .clone();
-        self.context.deposit();
+        self.context.deposit(&service);
         let digest = digest(&head, host, workspace.as_ref(), &body);
         Ok(Admitted {
             digest,
--- a/crates/quetzalpick-entry/src/serve/resume.rs
+++ b/crates/quetzalpick-entry/src/serve/resume.rs
@@ -153,7 +153,7 @@
         self.may_go_on_elsewhere()
             && self.has_time_left()
             && self.context.block(&self.admitted).is_none()
-            && self.context.withdraw()
+            && self.context.withdraw(&self.admitted.service)
     }
 
     /// Resumes an interrupted stream at another endpoint after its last event; returns how it ended if none accepted.
