Keep what all VMs have in flight at endpoints that may fall over within their slots

Cause: `Server-Brittle` was decoded nowhere. A version in which each VM counts its own requests and trusts the last report of the others' does not help: all of them see the same free slot.

Change: `core::room` counts, on the leader, what all VMs have in flight at such an endpoint. A VM sends a request there with a permit, drawn in the same call as permits for rates; the draw carries the VM's own count, numbered so that a permit is counted once. Room that comes free is reported at once. Without a leader a VM replaces what it had in flight, later it keeps to a small share; a new leader waits for the statuses. A declined request lowers the count. What finds no room is refused at once, with the spread delay.

Why it works: what is in flight is at most what was permitted, whatever is delayed or lost, as a permit is dropped from the count only by a report that was sent after its outcome was known. A permit costs one round trip to the leader.

--- a/crates/quetzalpick-core/src/lib.rs
+++ b/crates/quetzalpick-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod relay;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod state;
 pub mod table;
--- a/crates/quetzalpick-core/tests/limit.rs
+++ b/crates/quetzalpick-core/tests/limit.rs
@@ -14,9 +14,9 @@
     Rate::try_from_per_s(per_s).unwrap()
 }
 
-fn statement(per_s: Option<f64>, sent_ms: u64, received_ms: u64) -> Statement {
+fn statement(per_s: Option<f64>, sent_ms: u64, received_ms: u64) -> Statement<Rate> {
     Statement {
-        rate: per_s.map(rate),
+        value: per_s.map(rate),
         sent_ms,
         received_ms,
     }
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -382,6 +382,8 @@
     spawn(stop, plan_executor.run());
     spawn(stop, Arc::clone(&context.peer_client).run());
     let peer_client = Arc::clone(&context.peer_client);
+    spawn(stop, async move { peer_client.report_rooms().await });
+    let peer_client = Arc::clone(&context.peer_client);
     spawn(stop, async move { peer_client.report_origins().await });
 }
 
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -161,6 +161,7 @@
             is_disconnected: self.link.is_lost(),
             accepts_changes: true,
             departures: self.fleet.departures(),
+            rooms: self.fleet.room_reports(),
         };
         (status, report.revision)
     }
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -7,6 +7,7 @@
 use quetzalpick_core::id::{Artifact, Endpoint, Offset, Service, Vm, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::quarantine::{Answered, Crash, Feature};
+use quetzalpick_core::room::{Key, Report};
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +31,8 @@
     pub(crate) const ORIGIN: &str = "/entry/origin";
     /// Takes a `PermitRequest` and returns a `PermitResult`.
     pub(crate) const PERMIT: &str = "/entry/permit";
+    /// Takes a `RoomUpdate` and returns whether the receiver leads.
+    pub(crate) const ROOM: &str = "/entry/room";
     /// Takes an `AdapterRequest` and returns an `AdapterReply`.
     pub(crate) const ADAPTER: &str = "/entry/want";
 }
@@ -54,13 +57,36 @@
     NotLeading,
 }
 
-/// `PermitRequest` requests the permit for one request to an endpoint that names a limit.
+/// `PermitRequest` requests the permit for one request to an endpoint that names a limit or may fall over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PermitRequest {
     /// The limit as known to the sender.
     pub(crate) limit: Notice,
     /// What becomes of the request without a permit.
     pub(crate) need: Need,
+    /// Set if the endpoint may fall over, so that the request needs room there.
+    #[serde(default)]
+    pub(crate) room: Option<RoomDraw>,
+}
+
+/// `RoomDraw` draws room for a request at an endpoint that may fall over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RoomDraw {
+    /// The sender.
+    pub(crate) vm: Vm,
+    /// What it has in flight there.
+    pub(crate) report: Report,
+}
+
+/// `RoomUpdate` tells the leader what changed at endpoints that may fall over, before the next status.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RoomUpdate {
+    /// The sender.
+    pub(crate) vm: Vm,
+    /// What it has in flight at these endpoints; sorted.
+    pub(crate) reports: Vec<(Key, Report)>,
+    /// What endpoints said recently.
+    pub(crate) limits: Vec<Notice>,
 }
 
 /// `PermitResult` states whether the leader granted a `PermitRequest`.
@@ -114,6 +140,9 @@
     /// Endpoints that said in answers that they leave, unless their entries say so too.
     #[serde(default)]
     pub(crate) departures: Vec<Departure>,
+    /// Requests in flight at endpoints that may fall over; sorted.
+    #[serde(default)]
+    pub(crate) rooms: Vec<(Key, Report)>,
 }
 
 /// `CopiesVersion` identifies the version of the copies that a VM has.
--- a/crates/quetzalpick-entry/src/exchange/mod.rs
+++ b/crates/quetzalpick-entry/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 mod origins;
 mod registrars;
 mod requests;
+mod rooms;
 mod service;
 
 pub(crate) use client::Client;
@@ -14,7 +15,7 @@
 pub(crate) use forward::Via;
 pub(crate) use message::{
     AdapterReply, AdapterRequest, CopiesUpdate, CopiesVersion, DrawRequest, DrawResult,
-    EndpointsRelay, PermitRequest, PermitResult, Status, StatusReply, ViewRelay,
+    EndpointsRelay, PermitRequest, PermitResult, RoomUpdate, Status, StatusReply, ViewRelay,
 };
 pub(crate) use registrars::Registrars;
 pub(crate) use service::PeerHandler;
--- a/crates/quetzalpick-entry/src/exchange/requests.rs
+++ b/crates/quetzalpick-entry/src/exchange/requests.rs
@@ -8,11 +8,13 @@
 use quetzalpick_client::http::{Request, Response, Timeouts};
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::limit::Need;
+use quetzalpick_core::room::Report;
 use quetzalpick_node::peer::Transport;
 
 use crate::exchange::Client;
 use crate::exchange::message::{
-    AdapterReply, AdapterRequest, DrawRequest, DrawResult, PermitRequest, PermitResult, path,
+    AdapterReply, AdapterRequest, DrawRequest, DrawResult, PermitRequest, PermitResult, RoomDraw,
+    path,
 };
 use crate::fleet::Notice;
 use crate::place::EngineControl;
@@ -40,8 +42,17 @@
         result.unwrap_or(DrawResult::NotLeading)
     }
 
-    async fn request_permit(&self, limit: Notice, need: Need) -> PermitResult {
-        let request = PermitRequest { limit, need };
+    async fn request_permit(
+        &self,
+        limit: Notice,
+        need: Need,
+        report: Option<Report>,
+    ) -> PermitResult {
+        let room = report.map(|report| RoomDraw {
+            vm: self.lead.vm().clone(),
+            report,
+        });
+        let request = PermitRequest { limit, need, room };
         if self.lead.is_leading() {
             return self.lead.draw_permit(&request);
         }
--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -1,23 +1,26 @@
-//! The limits that endpoints name, as far as this VM knows them.
+//! What endpoints say of the requests that they take, as far as this VM knows it.
 
 use quetzalpick_core::id::Endpoint;
-use quetzalpick_core::limit::{Need, Rate, Statement};
+use quetzalpick_core::limit::{Need, Rate};
 
+use crate::fleet::limited::{Limited, Said};
 use crate::fleet::row::Row;
 use crate::fleet::{BuildChoice, Fleet, Notice, Pick, Requirements};
 
 impl Fleet {
-    /// Applies what an endpoint says about its limit in an answer to this VM.
-    pub(crate) fn observe_limit(&self, now_ms: u64, pick: &Pick, statement: Statement) {
+    /// Applies what an endpoint says in an answer to this VM.
+    pub(crate) fn observe_limit(&self, now_ms: u64, pick: &Pick, said: Said) {
         let mut rows = self.rows();
         let row = rows.get_mut(&pick.endpoint);
         let Some(row) = row.filter(|row| row.spec.started_ms == pick.started_ms) else {
             return;
         };
-        let former = row.limited.rate();
-        if row.limited.observe(now_ms, statement) {
+        let former = row.limited.clone();
+        if row.limited.observe(now_ms, said) {
             row.version = self.next_version();
-            log_change(&pick.endpoint, statement.rate, former, "answer");
+            log_change(&pick.endpoint, &row.limited, &former, "answer");
+            // Other VMs go on sending without permits until they hear of it.
+            self.room_changed.notify_one();
         }
     }
 
@@ -28,7 +31,7 @@
         row.is_some_and(|row| !std::mem::replace(&mut row.limited.malformed_logged, true))
     }
 
-    /// Applies what endpoints said about their limits to other VMs.
+    /// Applies what endpoints said to other VMs.
     pub(crate) fn learn_limits(&self, now_ms: u64, notices: &[Notice]) {
         let mut rows = self.rows();
         for notice in notices {
@@ -36,15 +39,15 @@
             let Some(row) = row.filter(|row| row.spec.started_ms == notice.started_ms) else {
                 continue;
             };
-            let former = row.limited.rate();
-            if row.limited.learn(now_ms, notice.statement(now_ms)) {
+            let former = row.limited.clone();
+            if row.limited.learn(now_ms, notice.said(now_ms)) {
                 row.version = self.next_version();
-                log_change(&notice.endpoint, notice.rate, former, "other-vm");
+                log_change(&notice.endpoint, &row.limited, &former, "other-vm");
             }
         }
     }
 
-    /// Returns the limits that the leader is to be told.
+    /// Returns what the leader is to be told.
     pub(crate) fn limits_to_tell(&self, now_ms: u64) -> Vec<Notice> {
         let rows = self.rows();
         let changed = rows
@@ -77,11 +80,12 @@
         limited.map(|(name, rate)| (name.clone(), rate)).collect()
     }
 
-    /// Returns what other VMs are told about the limit of an endpoint; `None` if it names none.
+    /// Returns what the leader is told with a draw; `None` if the endpoint needs no permits.
     pub(crate) fn limit_notice(&self, now_ms: u64, endpoint: &Endpoint) -> Option<Notice> {
         let rows = self.rows();
-        let notice = rows.get(endpoint)?.notice(now_ms, endpoint)?;
-        notice.rate.is_some().then_some(notice)
+        let row = rows.get(endpoint)?;
+        row.notice(now_ms, endpoint)
+            .filter(|_| row.limited.needs_permit())
     }
 
     /// Takes a request from this VM's share of an endpoint's limit, which is used without a leader.
@@ -128,19 +132,23 @@
             .filter(|row| row.serves(requirements) && row.accepts_requests() && runs_build(row));
         let wait_ms = |row: &Row| {
             let pause_ms = row.pause_ms(now_ms);
-            let may_wait = row.limited.rate().is_some() || pause_ms > 0;
+            let may_wait = row.limited.needs_permit() || pause_ms > 0;
             may_wait.then(|| row.limited.wait_ms(now_ms, Need::Required).max(pause_ms))
         };
         serving.filter_map(wait_ms).min()
     }
 }
 
-/// Logs that an endpoint's limit changes.
-fn log_change(endpoint: &Endpoint, limit: Option<Rate>, former: Option<Rate>, source: &str) {
-    let text = |rate: Option<Rate>| rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+/// Logs that what an endpoint says changes.
+fn log_change(endpoint: &Endpoint, limited: &Limited, former: &Limited, source: &str) {
+    fn text(value: Option<impl ToString>) -> String {
+        value.map_or_else(|| "none".to_owned(), |value| value.to_string())
+    }
     log::info!(
-        "entry: endpoint={endpoint} limit={} former={} source={source}",
-        text(limit),
-        text(former)
+        "entry: endpoint={endpoint} limit={} former={} tolerance={} former_tolerance={} source={source}",
+        text(limited.rate()),
+        text(former.rate()),
+        text(limited.tolerance()),
+        text(former.tolerance()),
     );
 }
--- a/crates/quetzalpick-entry/src/fleet/pick.rs
+++ b/crates/quetzalpick-entry/src/fleet/pick.rs
@@ -20,8 +20,10 @@
     pub build: Build,
     /// Wall-clock time of its start, in ms since 1970, which identifies its incarnation.
     pub started_ms: Option<u64>,
-    /// Set if the endpoint names a limit, so that the request must not be sent without a permit.
+    /// Set if the request must not be sent without a permit.
     pub permit: Option<Need>,
+    /// Whether the permit has not been obtained yet.
+    pub(crate) awaits_permit: bool,
     /// Reason of the selection, for the log.
     pub reason: Reason,
     /// Requests in flight at the endpoint at selection, own and reported ones.
@@ -31,6 +33,6 @@
 
 impl Drop for Pick {
     fn drop(&mut self) {
-        self.fleet.release(&self.endpoint);
+        self.fleet.release(self);
     }
 }
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -1,7 +1,9 @@
 //! State of one endpoint, as observed by this VM.
 
 use quetzalpick_core::id::{Artifact, Endpoint};
+use quetzalpick_core::room::Draws;
 use quetzalpick_core::route::{Candidate, Health, Load};
+use rand::random;
 
 use crate::fleet::limited::Limited;
 use crate::fleet::{Notice, Requirements, Spec, State};
@@ -14,8 +16,10 @@
 pub(crate) struct Row {
     pub(crate) spec: Spec,
     pub(crate) health: Health,
-    /// Requests of this VM in flight there.
+    /// Requests of this VM in flight there, or about to be sent.
     pub(crate) in_flight: u32,
+    /// Those of them that wait for a permit.
+    pub(crate) awaiting: u32,
     /// Requests of other VMs in flight there, as last reported, and the time of the report in ms.
     pub(crate) others_in_flight: u32,
     pub(crate) others_reported_ms: u64,
@@ -31,8 +35,12 @@
     pub(crate) leaving: bool,
     /// It wants no requests of this VM before this time, in ms.
     pub(crate) paused_until_ms: u64,
-    /// The limit that it names, and this VM's permits.
+    /// What it says of the requests that it takes, and this VM's permits.
     pub(crate) limited: Limited,
+    /// This VM's draws of room there.
+    pub(crate) draws: Draws,
+    /// Random number that rounds this VM's share of its slots without a leader.
+    pub(crate) share_random: u64,
     /// Version of the fleet at which its entry or its limit last changed.
     pub(crate) version: u64,
     /// Models and adapters that it holds, as reported by the leader or else by itself; sorted.
@@ -52,6 +60,7 @@
             spec,
             health: Health::default(),
             in_flight: 0,
+            awaiting: 0,
             others_in_flight: 0,
             others_reported_ms: 0,
             dispatched: 0,
@@ -61,6 +70,8 @@
             leaving: false,
             paused_until_ms: 0,
             limited: Limited::default(),
+            draws: Draws::default(),
+            share_random: random(),
             version: 0,
             missing_copies: Vec::new(),
         }
@@ -71,6 +82,7 @@
         if !self.spec.is_same_incarnation(&spec) {
             *self = Self {
                 in_flight: self.in_flight,
+                awaiting: self.awaiting,
                 paused_until_ms: self.paused_until_ms,
                 ..Self::new(spec)
             };
@@ -146,16 +158,15 @@
         copy_missing || self.is_unreachable(now_ms)
     }
 
-    /// Returns what other VMs are told about its limit; `None` if it never named one.
+    /// Returns what other VMs are told about the requests that it takes; `None` if it never said anything of that.
     pub(crate) fn notice(&self, now_ms: u64, name: &Endpoint) -> Option<Notice> {
-        let statement = self.limited.statement()?;
-        Some(Notice {
-            endpoint: name.clone(),
-            started_ms: self.spec.started_ms,
-            rate: statement.rate,
-            sent_ago_ms: now_ms.saturating_sub(statement.sent_ms),
-            received_ago_ms: now_ms.saturating_sub(statement.received_ms),
-        })
+        let said = self.limited.said()?;
+        Some(Notice::new(now_ms, name, self.spec.started_ms, said))
+    }
+
+    /// Returns this VM's requests that were sent there and have not ended.
+    pub(crate) fn sent(&self) -> u32 {
+        self.in_flight.saturating_sub(self.awaiting)
     }
 
     /// Returns it as a candidate for a request; `members` VMs send requests there at the same rate.
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -20,7 +20,7 @@
     pub attempted: &'a [Endpoint],
     /// Builds that it may run.
     pub build: BuildChoice<'a>,
-    /// Whether endpoints may be selected that name a limit.
+    /// Whether endpoints may be selected that need permits.
     pub allows_limited: bool,
 }
 
@@ -47,10 +47,10 @@
     pub(crate) random: u64,
 }
 
-/// `Allowed` tells which endpoints may be selected as far as their limits are concerned.
+/// `Allowed` tells which endpoints may be selected as far as they need permits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Allowed {
-    /// Those that name no limit.
+    /// Those that need none.
     Unlimited,
     /// Also those that may have permits to spare.
     Spare,
@@ -62,7 +62,7 @@
     /// Returns whether an endpoint may be selected.
     fn includes(self, now_ms: u64, limited: &Limited) -> bool {
         let may_draw = |need| limited.wait_ms(now_ms, need) == 0;
-        limited.rate().is_none()
+        !limited.needs_permit()
             || match self {
                 Self::Unlimited => false,
                 Self::Spare => may_draw(Need::Optional),
@@ -72,7 +72,7 @@
 }
 
 impl Selection<'_> {
-    /// Selects an endpoint, and tells how a permit is needed if it names a limit; `None` if none that accepts requests meets the
+    /// Selects an endpoint, and tells how a permit is needed if so; `None` if none that accepts requests meets the
     /// requirements.
     pub(crate) fn select(
         &self,
@@ -88,12 +88,12 @@
             best(Allowed::Unlimited)
         };
         let (endpoint, choice) = selected?;
-        let limit = rows.get(&endpoint)?.limited.rate();
+        let needs_permit = rows.get(&endpoint)?.limited.needs_permit();
         let need = || match best(Allowed::Unlimited).filter(is_healthy) {
             Some(_) => Need::Optional,
             None => Need::Required,
         };
-        let permit = limit.map(|_| need());
+        let permit = needs_permit.then(need);
         Some((endpoint, choice, permit))
     }
 
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -7,6 +7,8 @@
 use quetzalpick_core::id::{Artifact, Domain, Endpoint, Service};
 use quetzalpick_core::route;
 use quetzalpick_core::table::Table;
+use rand::random;
+use tokio::sync::Notify;
 
 use crate::fleet::row::Row;
 use crate::fleet::selection::Selection;
@@ -30,6 +32,12 @@
     pub(super) removed_version: AtomicU64,
     /// Number of VMs that share the endpoints.
     member_count: AtomicU32,
+    /// Identifies this process among those that its VM ran.
+    pub(super) incarnation: u64,
+    /// Number of the last report or draw of room.
+    pub(super) report_number: AtomicU64,
+    /// Signals that the leader is to be told what is in flight at endpoints that may fall over.
+    pub(crate) room_changed: Notify,
 }
 
 /// Time after a contact for which the leader's reports are used, in ms.
@@ -48,6 +56,9 @@
             version: AtomicU64::new(1),
             removed_version: AtomicU64::default(),
             member_count: AtomicU32::new(1),
+            incarnation: random(),
+            report_number: AtomicU64::default(),
+            room_changed: Notify::new(),
         }
     }
 
@@ -195,6 +206,7 @@
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others_in_flight;
         row.in_flight += 1;
+        row.awaiting += u32::from(permit.is_some());
         row.dispatched += 1;
         Some(Pick {
             endpoint,
@@ -202,6 +214,7 @@
             build: row.spec.build.clone(),
             started_ms: row.spec.started_ms,
             permit,
+            awaits_permit: permit.is_some(),
             reason: choice.reason,
             load,
             fleet: Arc::clone(self),
@@ -231,6 +244,11 @@
         self.leader_contact_ms.store(now_ms, Ordering::Relaxed);
     }
 
+    /// Returns whether this VM ever had contact with a leader.
+    pub(super) fn had_leader(&self) -> bool {
+        self.leader_contact_ms.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns whether the leader's reports take precedence over the endpoints' own entries, which are older.
     fn leader_is_current(&self, now_ms: u64) -> bool {
         now_ms < self.leader_contact_ms.load(Ordering::Relaxed) + LEADER_REPORTS_TTL_MS
@@ -348,11 +366,4 @@
                 .extend(artifacts.last().map(|a| (*a).clone()));
         }
     }
-
-    /// Removes a request of this VM from those in flight at an endpoint.
-    pub(crate) fn release(&self, endpoint: &Endpoint) {
-        if let Some(row) = self.rows().get_mut(endpoint) {
-            row.in_flight = row.in_flight.saturating_sub(1);
-        }
-    }
 }
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -98,7 +98,7 @@
             return;
         }
         self.lead.refill_buckets(config);
-        self.lead.retain_permits();
+        self.lead.update_permits();
         let work = self.lead.with_statuses(Statuses::work);
         let limits = self.fleet.limits();
         let suspected = self.lead.with_statuses(Statuses::suspected);
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -8,6 +8,7 @@
 use quetzalpick_core::id::{Endpoint, Vm, Workspace};
 use quetzalpick_core::limit::Permits;
 use quetzalpick_core::rate::{Bucket, leader_part};
+use quetzalpick_core::room::Rooms;
 use quetzalpick_core::table::Table;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
@@ -38,9 +39,13 @@
     buckets: Table<Workspace, Bucket>,
     /// Permits of the endpoints that name a limit.
     pub(super) permits: Table<Endpoint, Permits>,
+    /// What is in flight at the endpoints that may fall over.
+    pub(super) rooms: Rooms,
+    /// Number of VMs that have reported to this leader lately.
+    pub(super) heard: u64,
     pub(super) findings: Findings,
     /// When the state was created, in ms.
-    since_ms: u64,
+    pub(super) since_ms: u64,
     pub(super) copy_index: CopyIndex,
     pub(super) changes: Changes,
 }
@@ -188,6 +193,8 @@
             planner: new_planner(),
             buckets: Table::default(),
             permits: Table::default(),
+            rooms: Rooms::default(),
+            heard: 0,
             findings: Findings::new(now_ms, &self.quarantine.features()),
             since_ms: now_ms,
             copy_index: CopyIndex::new(fence, now_ms),
--- a/crates/quetzalpick-entry/src/lead/replies.rs
+++ b/crates/quetzalpick-entry/src/lead/replies.rs
@@ -25,7 +25,10 @@
             fence: status.fence,
             version: status.copies_version,
         };
-        let state = self.with_leader_state(|state, _| {
+        let state = self.with_leader_state(|state, now_ms| {
+            state
+                .rooms
+                .apply_status(now_ms, &status.vm, &status.rooms, &status.loads);
             (state.fence, state.copy_index.changes_since(known_copies))
         });
         let Some((fence, copies)) = state else {
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -100,6 +100,29 @@
         others.next().map(|status| status.address.clone())
     }
 
+    /// Returns the number of VMs whose last status was received at or after `since_ms`.
+    pub(crate) fn heard_since(&self, since_ms: u64) -> u64 {
+        let heard = self
+            .rows
+            .values()
+            .filter(|row| row.last_contact_ms >= since_ms);
+        heard.count() as u64
+    }
+
+    /// Returns the requests that VMs have in flight at an endpoint.
+    pub(crate) fn loads_at(&self, endpoint: &Endpoint) -> Vec<(Vm, u32)> {
+        let load = |status: &Status| {
+            let index = status
+                .loads
+                .binary_search_by_key(&endpoint, |(name, _)| name);
+            index.map_or(0, |index| status.loads[index].1)
+        };
+        let statuses = self.unexpired();
+        statuses
+            .map(|status| (status.vm.clone(), load(status)))
+            .collect()
+    }
+
     /// Returns when a VM's last status was received, in ms.
     pub(crate) fn last_contact_ms(&self, vm: &Vm) -> Option<u64> {
         self.rows.get(vm).map(|row| row.last_contact_ms)
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -29,7 +29,7 @@
 /// Longest time for which two endpoints are asked for one stream: both may be at work on it.
 pub(crate) const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
-/// Maximum number of permits that are requested for one attempt; then only endpoints without a limit are picked.
+/// Maximum number of permits that are requested for one attempt; then only endpoints that need none are picked.
 const DRAWS_MAX: usize = 8;
 
 /// `Failure` describes an attempt without an answer of the endpoint.
@@ -65,7 +65,7 @@
     }
 }
 
-/// Picks an endpoint that was not attempted yet, or else any, and obtains a permit if it names a limit.
+/// Picks an endpoint that was not attempted yet, or else any, and obtains a permit if it needs one.
 pub(crate) async fn pick<E, S: PeerClient>(
     context: &Context<E, S>,
     admitted: &Admitted,
@@ -77,15 +77,15 @@
             ..admitted.requirements(&artifacts)
         };
         let now_ms = context.clock.now_ms();
-        let pick = context.fleet.pick(now_ms, &requirements, random())?;
-        if permit::obtain(context, &pick).await {
+        let mut pick = context.fleet.pick(now_ms, &requirements, random())?;
+        if permit::obtain(context, &mut pick).await {
             return Some(pick);
         }
     }
     None
 }
 
-/// Picks an endpoint that has not got the request yet and names no limit, and withdraws a retry for it; `None` if there is none,
+/// Picks an endpoint that has not got the request yet and needs no permit, and withdraws a retry for it; `None` if there is none,
 /// no retry is left or the time is over.
 pub(crate) fn pick_backup<E, S>(context: &Context<E, S>, admitted: &Admitted) -> Option<Pick> {
     let now_ms = context.clock.now_ms();
@@ -111,6 +111,9 @@
 ) {
     let fleet = &context.fleet;
     let now_ms = context.clock.now_ms();
+    if failure.declined {
+        fleet.record_decline(now_ms, &pick.endpoint);
+    }
     if failure.misdirected {
         fleet.record_missing(now_ms, &pick.endpoint, &admitted.artifacts());
     } else if failure.is_unreachable() {
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -10,6 +10,7 @@
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::retry::{Budget, RefusalRate, RetryAfter};
+use quetzalpick_core::room::Report;
 use quetzalpick_core::table::Table;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
 use rand::random;
@@ -47,11 +48,12 @@
     /// Draws units of a workspace's rate from the leader.
     fn draw(&self, workspace: &Workspace, units: u64) -> impl Future<Output = DrawResult> + Send;
 
-    /// Requests the permit for one request to an endpoint that names a limit from the leader.
+    /// Requests the permit for one request to an endpoint from the leader; `report` is set if the endpoint may fall over.
     fn request_permit(
         &self,
         limit: Notice,
         need: Need,
+        report: Option<Report>,
     ) -> impl Future<Output = PermitResult> + Send;
 
     /// Borrows units of a workspace's rate from other VMs, used while no leader answers; returns the number lent.
--- a/crates/quetzalpick-entry/src/serve/permit.rs
+++ b/crates/quetzalpick-entry/src/serve/permit.rs
@@ -1,4 +1,4 @@
-//! Permits for requests to endpoints that name a limit.
+//! Permits for requests to endpoints that name a limit or may fall over.
 
 use std::sync::atomic::Ordering;
 
@@ -8,7 +8,8 @@
 use strum::Display;
 
 use crate::exchange::PermitResult;
-use crate::fleet::Pick;
+use crate::fleet::limited::Said;
+use crate::fleet::{Draw, Notice, Pick};
 use crate::serve::{Context, PeerClient};
 use crate::wire::HeadCodec;
 
@@ -30,52 +31,83 @@
     OwnShare,
 }
 
-/// Obtains a permit for a request to the picked endpoint if that names a limit; returns false if the endpoint must not get the
-/// request now.
-pub(crate) async fn obtain<E, S: PeerClient>(context: &Context<E, S>, pick: &Pick) -> bool {
+/// Obtains a permit for a request to the picked endpoint if that needs one; returns false if the endpoint must not get the request
+/// now.
+pub(crate) async fn obtain<E, S: PeerClient>(context: &Context<E, S>, pick: &mut Pick) -> bool {
     let fleet = &context.fleet;
-    let now_ms = context.clock.now_ms();
-    let notice = fleet.limit_notice(now_ms, &pick.endpoint);
+    let notice = fleet.limit_notice(context.clock.now_ms(), &pick.endpoint);
     let (Some(need), Some(notice)) = (pick.permit, notice) else {
+        fleet.confirm(pick);
         return true;
     };
-    if now_ms >= context.leaderless_until_ms.load(Ordering::Relaxed) {
-        let result = context.peer_client.request_permit(notice, need).await;
-        let answered_ms = context.clock.now_ms();
-        match result {
-            // This process may have stood still in between.
-            PermitResult::Granted => {
-                let is_valid = answered_ms < now_ms + PERMIT_TTL_MS;
-                context
-                    .meters
-                    .permit(if is_valid { "granted" } else { "expired" });
-                return is_valid;
-            }
-            PermitResult::Unavailable(wait_ms) => {
-                pause(context, pick, need, wait_ms, Source::Leader);
-                return false;
-            }
-            PermitResult::NotLeading => {
-                let until_ms = answered_ms + LEADERLESS_PAUSE_MS;
-                context
-                    .leaderless_until_ms
-                    .store(until_ms, Ordering::Relaxed);
-            }
+    let draw = fleet.begin_draw(pick);
+    let is_granted = draw_permit(context, pick, need, notice, draw.as_ref()).await;
+    if is_granted {
+        fleet.confirm(pick);
+    }
+    // The draw ends after its request counts as in flight.
+    drop(draw);
+    is_granted
+}
+
+/// Draws a permit from the leader, or decides without one.
+async fn draw_permit<E, S: PeerClient>(
+    context: &Context<E, S>,
+    pick: &Pick,
+    need: Need,
+    notice: Notice,
+    draw: Option<&Draw>,
+) -> bool {
+    let now_ms = context.clock.now_ms();
+    if now_ms < context.leaderless_until_ms.load(Ordering::Relaxed) {
+        return take_share(context, pick, need);
+    }
+    let report = draw.map(|draw| draw.report);
+    let result = context
+        .peer_client
+        .request_permit(notice, need, report)
+        .await;
+    let answered_ms = context.clock.now_ms();
+    if result != PermitResult::NotLeading {
+        context.fleet.record_room_leader(&pick.endpoint);
+    }
+    match result {
+        // This process may have stood still in between.
+        PermitResult::Granted => {
+            let is_valid = answered_ms < now_ms + PERMIT_TTL_MS;
+            context
+                .meters
+                .permit(if is_valid { "granted" } else { "expired" });
+            is_valid
+        }
+        PermitResult::Unavailable(wait_ms) => {
+            pause(context, pick, need, wait_ms, Source::Leader);
+            false
+        }
+        PermitResult::NotLeading => {
+            let until_ms = answered_ms + LEADERLESS_PAUSE_MS;
+            context
+                .leaderless_until_ms
+                .store(until_ms, Ordering::Relaxed);
+            take_share(context, pick, need)
         }
     }
-    take_share(context, pick, need)
 }
 
-/// Takes the request from this VM's own share of the limit; returns whether that suffices.
+/// Takes the request from this VM's own share of the limit and of the room; returns whether that suffices.
 fn take_share<E, S>(context: &Context<E, S>, pick: &Pick, need: Need) -> bool {
     let now_ms = context.clock.now_ms();
     let endpoint = &pick.endpoint;
     let fleet = &context.fleet;
     // The share is small: it is kept for requests that no other endpoint can take.
     let members = context.rates.known_member_count(now_ms);
-    let taken = match members.filter(|_| need == Need::Required) {
-        Some(members) => fleet.take_share(now_ms, endpoint, members as u64, random()),
-        None => Err(LEADERLESS_PAUSE_MS),
+    let members = members.filter(|_| need == Need::Required);
+    let members = members.map(|members| members as u64);
+    let taken = match members {
+        Some(members) if fleet.has_own_room(now_ms, endpoint, members) => {
+            fleet.take_share(now_ms, endpoint, members, random())
+        }
+        _ => Err(LEADERLESS_PAUSE_MS),
     };
     match taken {
         Ok(()) => context.meters.permit("own-share"),
@@ -96,7 +128,7 @@
     );
 }
 
-/// Applies what the head of an answer says about the endpoint's limit; `is_own` tells whether it is certainly from the picked
+/// Applies what the head of an answer says of the requests that the endpoint takes; `is_own` tells whether it is certainly from the picked
 /// incarnation.
 pub(crate) fn observe<E: HeadCodec, S>(
     context: &Context<E, S>,
@@ -106,8 +138,12 @@
     is_own: bool,
 ) {
     let fleet = &context.fleet;
-    let rate = match context.head_codec.limit(headers) {
-        Ok(rate) => rate,
+    let codec = &context.head_codec;
+    let said = codec
+        .limit(headers)
+        .and_then(|rate| Ok((rate, codec.tolerance(headers)?)));
+    let (rate, tolerance) = match said {
+        Ok(said) => said,
         Err(error) => {
             if fleet.record_malformed_limit(&pick.endpoint) {
                 log::warn!(
@@ -118,14 +154,21 @@
             return;
         }
     };
-    if rate.is_none() && !is_own {
+    if rate.is_none() && tolerance.is_none() && !is_own {
         return;
     }
     let now_ms = context.clock.now_ms();
-    let statement = Statement {
-        rate,
-        sent_ms,
-        received_ms: now_ms,
+    let said = Said {
+        rate: statement(rate, sent_ms, now_ms),
+        tolerance: Some(statement(tolerance, sent_ms, now_ms)),
     };
-    fleet.observe_limit(now_ms, pick, statement);
+    fleet.observe_limit(now_ms, pick, said);
+}
+
+fn statement<T>(value: Option<T>, sent_ms: u64, received_ms: u64) -> Statement<T> {
+    Statement {
+        value,
+        sent_ms,
+        received_ms,
+    }
 }
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, StatusCode, request};
 use quetzalpick_core::id::{Endpoint, Workspace};
 use quetzalpick_core::limit::Rate;
+use quetzalpick_core::room::Tolerance;
 
 use crate::config::Config;
 use crate::errors::Result;
@@ -81,6 +82,13 @@
     /// `Error::Malformed` if the limit cannot be decoded.
     fn limit(&self, headers: &HeaderMap) -> Result<Option<Rate>>;
 
+    /// Decodes how many requests an endpoint can decline in a second before it falls over; `None` if it does not say that it may.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Malformed` if the number cannot be decoded.
+    fn tolerance(&self, headers: &HeaderMap) -> Result<Option<Tolerance>>;
+
     /// Returns whether an endpoint says in the head of an answer that it leaves.
     fn is_leaving(&self, headers: &HeaderMap) -> bool;
 
