Answer every request before a planned stop ends

Requests that were passed on for another VM were cut as soon as this VM's own callers were served.

Cause: nothing bounded a request by what was left of the stop, and the stop did not wait for the listener of the other VMs. Change: requests that arrive during a stop get its end as their deadline, and are refused at once as not run if that leaves less than three times the objective; 250 ms before the end what is still open is answered, with 502 if it may have run. A VM that stops passes no further requests on, and waits for those that it has passed on. Evidence: `stop::requests_without_an_answer_...` failed before (`finished=false`, four requests without an answer) and passes; `stop::a_vm_that_stops_...` fails without the wait, and passes with it. 16 tests of `stop::` and `lost_links::` pass. What remains: a stream that has begun and lasts longer than the stop is cut at its end, as before.

--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -18,6 +18,7 @@
 use snafu::{ResultExt, ensure};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
@@ -33,7 +34,7 @@
 use crate::quarantine::Quarantine;
 use crate::rate::Rates;
 use crate::reload::{Changes, reload};
-use crate::serve::{Context, Handler, PeerClient};
+use crate::serve::{Context, Handler, PeerClient, Stop};
 use crate::view::{
     ConfigFollower, EndpointFollower, Membership, OriginFollower, QuarantineFollower, View,
 };
@@ -80,6 +81,8 @@
     election_stop: CancellationToken,
     callers: JoinHandle<bool>,
     callers_stop: CancellationToken,
+    /// Serves the other VMs.
+    peers: JoinHandle<()>,
     /// Stops all tasks but the callers' listener.
     background_stop: CancellationToken,
     /// Addresses of the callers' and the admin listener.
@@ -178,6 +181,7 @@
             leaderless_until_ms: AtomicU64::default(),
             refusal_rates: Mutex::default(),
             lifecycle: Lifecycle::default(),
+            stop: Stop::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
             options: RwLock::new(Arc::new(options)),
         });
@@ -189,12 +193,13 @@
             fleet: Arc::clone(&context.fleet),
             origins: Arc::clone(&context.origins),
             link: Arc::clone(&context.link),
+            lifecycle: context.lifecycle.clone(),
             pool: context.pool.clone(),
             clock,
         };
         let transport = platform.transport.clone();
         let stop = background_stop.clone();
-        tokio::spawn(async move { transport.serve(peers, peer_handler, stop).await });
+        let peers = tokio::spawn(async move { transport.serve(peers, peer_handler, stop).await });
         let new_driver = || ElectionDriver {
             topics: platform.topics.clone(),
             lead: Arc::clone(&lead),
@@ -222,6 +227,7 @@
             election_stop,
             callers,
             callers_stop,
+            peers,
             background_stop,
             addresses,
         })
@@ -262,15 +268,21 @@
     pub async fn stop(self) -> bool {
         let options = self.context.options();
         // Requests are still served until the load balancer has noticed.
+        let began = Instant::now();
+        self.context
+            .stop
+            .begin(self.context.clock, options.stop_timeout);
         self.context.lifecycle.advance(Phase::Unready);
         self.election_stop.cancel();
         self.election_driver.resign().await;
         tokio::time::sleep(options.unready_delay).await;
         self.context.lifecycle.advance(Phase::Draining);
         self.callers_stop.cancel();
-        let remaining = options.stop_timeout.saturating_sub(options.unready_delay);
-        let finished = wait_for_callers(self.callers, remaining).await;
+        let left = || options.stop_timeout.saturating_sub(began.elapsed());
+        let finished = wait_for_callers(self.callers, left()).await;
         self.background_stop.cancel();
+        // Requests of other VMs that were passed on may still be under way.
+        let finished = timeout(left(), self.peers).await.is_ok() && finished;
         self.context.lifecycle.advance(Phase::Stopped);
         log::info!("entry: stopped finished={finished}");
         finished
@@ -279,7 +291,7 @@
 
 /// Waits for the callers' listener; returns whether it finished all requests within the limit.
 async fn wait_for_callers(callers: JoinHandle<bool>, limit: Duration) -> bool {
-    let ended = tokio::time::timeout(limit, callers).await;
+    let ended = timeout(limit, callers).await;
     matches!(ended, Ok(Ok(true)))
 }
 
--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -9,6 +9,7 @@
 use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::verdict::Verdict;
+use quetzalpick_node::lifecycle::{Lifecycle, Phase};
 use quetzalpick_node::peer::Service;
 
 use crate::clock::Clock;
@@ -22,8 +23,8 @@
 use crate::rate::Rates;
 use crate::wire::HeadCodec;
 
-/// Time after which a VM that reaches no endpoints may be asked again.
-const LOST_LINK_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which a VM that reaches no endpoints, or stops, may be asked again.
+const UNUSABLE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Timeouts of a request that is passed on for another VM, which gives up earlier.
 const TIMEOUTS: Timeouts = Timeouts {
@@ -41,6 +42,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) origins: Arc<Origins>,
     pub(crate) link: Arc<Link>,
+    pub(crate) lifecycle: Lifecycle,
     /// Connections to endpoints.
     pub(crate) pool: Pool,
     pub(crate) clock: Clock,
@@ -55,6 +57,7 @@
             fleet: Arc::clone(&self.fleet),
             origins: Arc::clone(&self.origins),
             link: Arc::clone(&self.link),
+            lifecycle: self.lifecycle.clone(),
             pool: self.pool.clone(),
             clock: self.clock,
         }
@@ -77,10 +80,11 @@
     }
 
     async fn forward(&self, endpoint: &str, request: Request) -> CallResult<Response> {
-        if self.link.is_lost() {
+        // A process that stops may end before the answer.
+        if self.link.is_lost() || self.lifecycle.phase() > Phase::Serving {
             return Err(Error::Busy {
                 target: endpoint.to_owned(),
-                retry_after: LOST_LINK_PAUSE,
+                retry_after: UNUSABLE_PAUSE,
             });
         }
         let not_run = |reason: &str| unanswered(endpoint, Verdict::NotRun, reason);
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -24,6 +24,7 @@
 use crate::origin::{Origin, Origins};
 use crate::quarantine::{Block, Quarantine};
 use crate::rate::Rates;
+use crate::serve::Stop;
 use crate::serve::request::Admitted;
 use crate::sync::lock;
 use crate::view::View;
@@ -99,6 +100,7 @@
     /// Rate at which endpoints refuse requests, by service.
     pub(crate) refusal_rates: Mutex<Table<Service, RefusalRate>>,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) stop: Stop,
     pub(crate) meters: Meters,
 }
 
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -51,7 +51,14 @@
                 }
             }
             let patience = self.patience(&admitted, hedge.len());
-            let Some(outcome) = hedge.next(patience).await else {
+            let outcome = tokio::select! {
+                biased;
+                outcome = hedge.next(patience) => outcome,
+                () = self.context.stop.ending() => {
+                    return Err(self.give_up_at_stop(&mut admitted, &mut hedge));
+                }
+            };
+            let Some(outcome) = outcome else {
                 if is_doubled(&admitted, hedge.len()) {
                     self.give_up_oldest(&mut admitted, &mut hedge, true);
                 } else if let Some(pick) = pick_backup(&self.context, &admitted) {
@@ -127,6 +134,22 @@
         );
     }
 
+    /// Gives all attempts up, because this VM stops; their request may run.
+    fn give_up_at_stop<F, T>(&self, admitted: &mut Admitted, hedge: &mut Hedge<F>) -> Refusal
+    where
+        F: Future<Output = (Endpoint, T)>,
+    {
+        for _ in 0..hedge.len() {
+            self.give_up_oldest(admitted, hedge, false);
+        }
+        let cause = if admitted.possible_runs > 0 {
+            Cause::EndpointFailed
+        } else {
+            Cause::Stopping
+        };
+        Refusal::new(cause, "this VM stops")
+    }
+
     /// Picks an endpoint after requesting the adapter that no endpoint holds, or only endpoints at their limits.
     async fn pick_after_load(&self, admitted: &Admitted) -> Result<Pick, Refusal> {
         if let Some(adapter) = &admitted.metadata.adapter {
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -19,6 +19,7 @@
 use crate::config::Config;
 use crate::metadata::{Metadata, Tokens};
 use crate::quarantine::{Block, Reason};
+use crate::serve::attempt::OBJECTIVE_MULTIPLE;
 use crate::serve::body::Body;
 use crate::serve::digest::digest;
 use crate::serve::refusal::{Cause, RETRY_AFTER_LEADERLESS, Refusal};
@@ -38,6 +39,9 @@
 /// Retry delay of a request that no endpoint gets until an operator releases it or a part of its prompt.
 const RETRY_AFTER_QUARANTINED: Duration = Duration::from_secs(60);
 
+/// Retry delay if this VM stops: other VMs serve at once.
+const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(100);
+
 /// `Handler` serves callers' requests; its clones share one context.
 #[derive(Debug)]
 pub(crate) struct Handler<E, S> {
@@ -140,6 +144,7 @@
             let detail = format!("version={:?}", admitted.head.version);
             return Err(Refusal::new(Cause::HttpVersion, detail));
         }
+        check_stop(&admitted, self.context.clock.now_ms())?;
         self.check_quarantine(&admitted)?;
         take_up::resolve(&self.context, &mut admitted).await?;
         let artifacts = admitted.artifacts();
@@ -197,6 +202,7 @@
             caller_deadline: metadata
                 .timeout_ms
                 .map(|ms| Deadline::after(arrived_ms, ms)),
+            stop_deadline: self.context.stop.deadline(),
             route_deadline: route.timeout_ms.map(|ms| Deadline::after(arrived_ms, ms)),
             route: route.clone(),
             config_version: config.version(),
@@ -266,6 +272,20 @@
     }
 }
 
+/// Checks that the process lives long enough for an answer, if it stops; another VM has more time.
+fn check_stop(admitted: &Admitted, now_ms: u64) -> Result<(), Refusal> {
+    let Some(deadline) = admitted.stop_deadline else {
+        return Ok(());
+    };
+    let left_ms = deadline.left_ms(now_ms);
+    let needed_ms = admitted.route.objective_ms.unwrap_or_default() * OBJECTIVE_MULTIPLE;
+    if left_ms > needed_ms {
+        return Ok(());
+    }
+    let detail = format!("left_ms={left_ms} needed_ms={needed_ms}");
+    Err(Refusal::new(Cause::Stopping, detail).with_retry_after(RETRY_AFTER_STOPPING))
+}
+
 /// Returns the host of a request, without its port.
 fn host(head: &Parts) -> &str {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/quetzalpick-entry/src/serve/mod.rs
+++ b/crates/quetzalpick-entry/src/serve/mod.rs
@@ -18,8 +18,10 @@
 mod request;
 mod resume;
 mod sse;
+mod stop;
 mod take_up;
 
 pub(crate) use context::{Context, OriginSearch, PeerClient};
 pub(crate) use handler::Handler;
 pub(crate) use refusal::Cause;
+pub(crate) use stop::Stop;
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -46,6 +46,8 @@
     EndpointsLimited,
     /// All attempted endpoints declined the request or were unreachable.
     EndpointsRefused,
+    /// This VM stops before the request could be answered.
+    Stopping,
     /// The endpoint failed, and the request may have run.
     EndpointFailed,
     /// The deadline of the request has passed.
@@ -70,7 +72,8 @@
             | Self::Quarantined
             | Self::NoEndpoint
             | Self::EndpointsLimited
-            | Self::EndpointsRefused => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::EndpointsRefused
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -34,6 +34,8 @@
     pub(crate) caller_deadline: Option<Deadline>,
     /// Deadline set by the route.
     pub(crate) route_deadline: Option<Deadline>,
+    /// Time by which it is answered because this VM stops.
+    pub(crate) stop_deadline: Option<Deadline>,
     /// Version of the configuration under which it was admitted.
     pub(crate) config_version: u64,
     /// Endpoints of all attempts.
@@ -102,7 +104,11 @@
 
     /// Returns the time left for the answer, in ms.
     pub(crate) fn left_ms(&self, now_ms: u64) -> Option<u64> {
-        let deadlines = [self.caller_deadline, self.route_deadline];
+        let deadlines = [
+            self.caller_deadline,
+            self.route_deadline,
+            self.stop_deadline,
+        ];
         let ends = deadlines.into_iter().flatten();
         ends.min().map(|deadline| deadline.left_ms(now_ms))
     }
