Take an endpoint whose service may fall over for one that may, until its first answer

Cause: what an endpoint says was forgotten with its incarnation, mostly its name too; and the leader granted any number of permits for an incarnation that a VM got to know before it. Change: a new endpoint or incarnation is assumed to say what the other endpoints of its service say, until an answer to a request that was sent later; the leader grants nothing for an incarnation that it does not know.

--- a/crates/quetzalpick-entry/src/fleet/limited.rs
+++ b/crates/quetzalpick-entry/src/fleet/limited.rs
@@ -120,6 +120,17 @@
         })
     }
 
+    /// Assumes what other endpoints of its service say of falling over, until its first answer.
+    pub(crate) fn assume_tolerance(&mut self, now_ms: u64, tolerance: Option<Tolerance>) {
+        if tolerance.is_some() {
+            self.tolerance.apply(Statement {
+                value: tolerance,
+                sent_ms: now_ms,
+                received_ms: now_ms,
+            });
+        }
+    }
+
     /// Applies what the endpoint said to this VM; returns whether what is in force changes.
     pub(crate) fn observe(&mut self, now_ms: u64, said: Said) -> bool {
         let changes = self.apply(said);
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 pub use leaving::Departure;
 pub use notice::{Notice, ToleranceNotice};
 pub use pick::Pick;
-pub(crate) use rooms::Draw;
+pub(crate) use rooms::{Draw, RoomSlots};
 pub use selection::{BuildChoice, Requirements};
 pub use spec::{Spec, State};
 pub use table::Fleet;
--- a/crates/quetzalpick-entry/src/fleet/rooms.rs
+++ b/crates/quetzalpick-entry/src/fleet/rooms.rs
@@ -17,6 +17,15 @@
     fleet: Arc<Fleet>,
 }
 
+/// `RoomSlots` tells how many requests may be in flight at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RoomSlots {
+    /// Any number.
+    Any,
+    /// As many as it runs at once, since it may fall over.
+    Counted(u32),
+}
+
 impl Drop for Draw {
     fn drop(&mut self) {
         if let Some(row) = self.fleet.rows().get_mut(&self.endpoint) {
@@ -111,12 +120,15 @@
             .collect()
     }
 
-    /// Returns the slots of the incarnation of an endpoint that a notice concerns, if it says that it may fall over.
-    pub(crate) fn room_slots(&self, notice: &Notice) -> Option<u32> {
+    /// Returns the slots of the incarnation of an endpoint that a notice concerns; `None` if it is not known here.
+    pub(crate) fn room_slots(&self, notice: &Notice) -> Option<RoomSlots> {
         let rows = self.rows();
         let row = rows.get(&notice.endpoint);
         let row = row.filter(|row| row.spec.started_ms == notice.started_ms)?;
-        row.limited.tolerance().map(|_| row.spec.slots)
+        Some(match row.limited.tolerance() {
+            Some(_) => RoomSlots::Counted(row.spec.slots),
+            None => RoomSlots::Any,
+        })
     }
 
     /// Returns how many requests an incarnation of an endpoint can decline in a second, if it says that it may fall over.
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -81,11 +81,17 @@
             let was_present = others.any(|(_, row)| row.spec.runs(&spec.service, &spec.build));
             builds.record(now_ms, &spec.service, &spec.build, was_present);
         }
+        let others = rows.values().filter(|row| row.spec.service == spec.service);
+        let tolerance = others.filter_map(|row| row.limited.tolerance()).min();
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let notable = row.spec.state != spec.state || !row.spec.is_same_incarnation(&spec);
                 let changes = row.spec != spec || row.expired_ms.is_some();
+                let is_restarted = !row.spec.is_same_incarnation(&spec);
                 row.update(leader_is_current, spec);
+                if is_restarted {
+                    row.limited.assume_tolerance(now_ms, tolerance);
+                }
                 if changes {
                     row.version = self.next_version();
                 }
@@ -93,6 +99,7 @@
             }
             None => {
                 let mut row = Row::new(spec);
+                row.limited.assume_tolerance(now_ms, tolerance);
                 row.version = self.next_version();
                 rows.insert(endpoint, row);
                 true
--- a/crates/quetzalpick-entry/src/lead/permits.rs
+++ b/crates/quetzalpick-entry/src/lead/permits.rs
@@ -8,6 +8,7 @@
 use quetzalpick_core::room::{Decision, HEARD_MS, Key, Term};
 
 use crate::exchange::{PermitRequest, PermitResult, RoomUpdate};
+use crate::fleet::RoomSlots;
 use crate::lead::Leadership;
 use crate::lead::leadership::LeaderState;
 
@@ -51,10 +52,15 @@
 
     /// Decides whether there is room for a request at an endpoint that may fall over; others have room for any number.
     fn find_room(&self, state: &mut LeaderState, now_ms: u64, request: &PermitRequest) -> Decision {
-        let slots = self.fleet.room_slots(&request.limit);
-        let (Some(draw), Some(slots)) = (&request.room, slots) else {
+        let Some(draw) = &request.room else {
             return Decision::Free;
         };
+        let slots = match self.fleet.room_slots(&request.limit) {
+            Some(RoomSlots::Counted(slots)) => slots,
+            Some(RoomSlots::Any) => return Decision::Free,
+            // An incarnation that the sender got to know first.
+            None => return Decision::Full,
+        };
         let term = Term {
             since_ms: state.since_ms,
             members: self.member_count.load(Ordering::Relaxed),
