Accept requests during a stop if the objective still fits, and look up tolerances only for new endpoints

Reading the whole change: a request whose objective is 3 s was refused during the whole of a stop of 8 s, though it is mostly answered in time; each update of an entry looked at all endpoints of the service; a share of room was begun at endpoints that do not fall over.

--- a/crates/quetzalpick-entry/src/fleet/rooms.rs
+++ b/crates/quetzalpick-entry/src/fleet/rooms.rs
@@ -76,10 +76,13 @@
         let Some(row) = rows.get_mut(endpoint) else {
             return false;
         };
+        if row.limited.tolerance().is_none() {
+            return true;
+        }
         let (sent, random) = (row.sent(), row.share_random);
         let share = (row.spec.slots, members);
         let room = row.draws.own_room(now_ms, sent, had_leader, share, random);
-        row.limited.tolerance().is_none() || sent < room
+        sent < room
     }
 
     /// Records that an endpoint declined a request; one that may fall over gets none for a while.
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -81,17 +81,17 @@
             let was_present = others.any(|(_, row)| row.spec.runs(&spec.service, &spec.build));
             builds.record(now_ms, &spec.service, &spec.build, was_present);
         }
-        let others = rows.values().filter(|row| row.spec.service == spec.service);
-        let tolerance = others.filter_map(|row| row.limited.tolerance()).min();
+        let is_same = |row: &Row| row.spec.is_same_incarnation(&spec);
+        let is_new = !rows.get(&endpoint).is_some_and(is_same);
+        let of_service = rows.values().filter(|row| row.spec.service == spec.service);
+        let tolerances = of_service.filter_map(|row| row.limited.tolerance());
+        let tolerance = is_new.then(|| tolerances.min()).flatten();
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let notable = row.spec.state != spec.state || !row.spec.is_same_incarnation(&spec);
                 let changes = row.spec != spec || row.expired_ms.is_some();
-                let is_restarted = !row.spec.is_same_incarnation(&spec);
                 row.update(leader_is_current, spec);
-                if is_restarted {
-                    row.limited.assume_tolerance(now_ms, tolerance);
-                }
+                row.limited.assume_tolerance(now_ms, tolerance);
                 if changes {
                     row.version = self.next_version();
                 }
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -19,7 +19,6 @@
 use crate::config::Config;
 use crate::metadata::{Metadata, Tokens};
 use crate::quarantine::{Block, Reason};
-use crate::serve::attempt::OBJECTIVE_MULTIPLE;
 use crate::serve::body::Body;
 use crate::serve::digest::digest;
 use crate::serve::refusal::{Cause, RETRY_AFTER_LEADERLESS, Refusal};
@@ -278,7 +277,7 @@
         return Ok(());
     };
     let left_ms = deadline.left_ms(now_ms);
-    let needed_ms = admitted.route.objective_ms.unwrap_or_default() * OBJECTIVE_MULTIPLE;
+    let needed_ms = admitted.route.objective_ms.unwrap_or_default();
     if left_ms > needed_ms {
         return Ok(());
     }
