review: a leader that just started lets machines exceed an allowance

A leader counts one machine until it has read the list of members, and tells that to all machines, which then use the whole floor each.

Tried: the leader is killed while the store is partly down.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases of the review.
 
 pub mod one;
+pub mod quota;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
