review: a key that was taken away is accepted after a drill

The followers of topics go on at their old offset when the store comes back from a copy, and miss what was written at offsets given out again.

Tried: two versions of the config are lost in a drill; the operator writes the newest again, then one that takes a key away.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod one;
 pub mod quota;
+pub mod revoked;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -32,6 +32,7 @@
     };
     let outcome = match case.as_str() {
         "one" => cases::one::run(&setting),
+        "revoked" => cases::revoked::run(&setting),
         "quota" => cases::quota::run(&setting),
         _ => Err(format!("no case {case}")),
     };
