review: an incomplete entry sends bookings to another service

An entry that lacks seq, cold_left_ms and born names no runner to use by the users' pages, but is taken as valid.

Tried: one such entry of another writer, under the id of a runner of the model service.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases of the review.
 
 pub mod crashing;
+pub mod incomplete;
 pub mod one;
 pub mod quota;
 pub mod revoked;
