review: streams that began before a second version are not taken up

A machine tells the others where its streams began only from the next stream on that begins while a service runs several versions.

Tried: a client begins 20 streams at one machine, a runner with another version starts, the machine loses power.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -12,7 +12,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-target/review/standins revoked "$folder" "$temporary" &
+target/review/standins taken-up "$folder" "$temporary" &
 standins=$!
 wait "$standins"
 code=$?
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -12,7 +12,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-target/review/standins crashing "$folder" "$temporary" &
+target/review/standins incomplete "$folder" "$temporary" &
 standins=$!
 wait "$standins"
 code=$?
--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -5,6 +5,7 @@
 pub mod one;
 pub mod quota;
 pub mod revoked;
+pub mod taken_up;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -49,6 +50,7 @@
         route("status", "safe", "desk", 2),
         route("booking", "unsafe", "desk", 1),
         route("draft", "streaming", "menu", 1),
+        batch_route(),
         // Each version adds a route, as the operator's changes do.
         route(&format!("added-{version}"), "safe", "desk", 2),
     ];
@@ -71,6 +73,14 @@
     )
 }
 
+/// Returns the route of long streams that may be resumed, like the batch of the sheets.
+fn batch_route() -> String {
+    "{\"name\":\"batch\",\"host\":\"a.example\",\"path_prefix\":\"/batch/\",\"kind\":\"streaming\",\"timeout_ms\":15000,\
+     \"target_latency_ms\":1200,\"priority\":1,\"service\":\"menu\",\"max_attempts\":2,\"public\":false,\"sticky\":true,\
+     \"resumable\":true,\"gap_aim_ms\":150}"
+        .to_owned()
+}
+
 /// `Traffic` runs clients in threads until it is stopped.
 pub struct Traffic {
     stop: Arc<AtomicBool>,
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -42,6 +42,8 @@
     pub status: u16,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Fragments that follow one after the other in place of the body.
+    pub stream: Option<Box<dyn Iterator<Item = Vec<u8>> + Send>>,
 }
 
 impl Response {
@@ -50,6 +52,7 @@
             status,
             headers: Vec::new(),
             body: body.into(),
+            stream: None,
         }
     }
 
@@ -121,7 +124,7 @@
         if ended.load(Ordering::SeqCst) {
             return Ok(());
         }
-        write_response(stream, &response)?;
+        write_response(stream, response)?;
     }
     Ok(())
 }
@@ -163,13 +166,24 @@
     }
 }
 
-fn write_response(mut stream: &TcpStream, response: &Response) -> io::Result<()> {
+fn write_response(mut stream: &TcpStream, response: Response) -> io::Result<()> {
     let mut head = format!("HTTP/1.1 {} X\r\n", response.status);
     for (name, value) in &response.headers {
         head += &format!("{name}: {value}\r\n");
     }
-    head += &format!("Content-Length: {}\r\n\r\n", response.body.len());
-    let mut bytes = head.into_bytes();
-    bytes.extend(&response.body);
-    stream.write_all(&bytes)
+    let Some(fragments) = response.stream else {
+        head += &format!("Content-Length: {}\r\n\r\n", response.body.len());
+        let mut bytes = head.into_bytes();
+        bytes.extend(&response.body);
+        return stream.write_all(&bytes);
+    };
+    head += "Transfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes())?;
+    for fragment in fragments {
+        let mut chunk = format!("{:x}\r\n", fragment.len()).into_bytes();
+        chunk.extend(fragment);
+        chunk.extend(b"\r\n");
+        stream.write_all(&chunk)?;
+    }
+    stream.write_all(b"0\r\n\r\n")
 }
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -19,6 +19,10 @@
 /// Time that a request runs.
 const WORK: Duration = Duration::from_millis(15);
 
+/// Events of a long stream, and the pause before each.
+pub const STREAM_EVENTS: u64 = 90;
+const EVENT_PAUSE: Duration = Duration::from_millis(100);
+
 pub struct Spec {
     pub id: String,
     pub service: &'static str,
@@ -240,6 +244,9 @@
             self.crash();
             return None;
         }
+        if path.starts_with("/batch/") {
+            return Some(self.stream(request, attempt));
+        }
         thread::sleep(WORK);
         let is_stream = request.header("x-quetzalpick-model").is_some();
         let body = if is_stream {
@@ -256,6 +263,21 @@
         )
     }
 
+    /// Answers with a long stream, which goes on after the event that the request names.
+    fn stream(&self, request: &Request, attempt: &str) -> Response {
+        let after = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let version = self.spec.version;
+        let events = (after.unwrap_or(0) + 1..=STREAM_EVENTS).map(move |id| {
+            thread::sleep(EVENT_PAUSE);
+            format!("id: {id}\ndata: {version} piece {id}\n\n").into_bytes()
+        });
+        let mut response = Response::new(200, "")
+            .with("Content-Type", "text/event-stream")
+            .with("X-Quetzalpick-Response-Seal", &format!("seal.{attempt}"));
+        response.stream = Some(Box::new(events));
+        response
+    }
+
     fn crash(&self) {
         let mut crashed = self.crashed.lock().unwrap();
         if crashed.is_none() {
