review: a machine that stood still lets streams go on at another version

A version that other machines do not know yet is used at once if no known one can take a request, while a machine that stood still trusts its view of the versions for 2 s.

Tried: the only runner with a model asks the leader's machine for a rest, another machine stands still for 0.3 s, a runner of a new version begins six streams and crashes, and they are taken up at the machine that wakes.

It takes the place of the incomplete entry, whose script stays as a further finding.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -12,7 +12,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-target/review/standins incomplete "$folder" "$temporary" &
+target/review/standins out-of-step "$folder" "$temporary" &
 standins=$!
 wait "$standins"
 code=$?
--- a/review/standins/cases/crashing.rs
+++ b/review/standins/cases/crashing.rs
@@ -53,6 +53,7 @@
                 version: "v1",
                 models: &[],
                 crashes_on: Some((PATH, Arc::clone(&begun))),
+                rests_from: None,
             };
             Runner::start(spec, &store, &record)
         }
--- a/review/standins/cases/incomplete.rs
+++ b/review/standins/cases/incomplete.rs
@@ -28,6 +28,7 @@
             version: "v1",
             models: if service == "menu" { &["m0", "m1"] } else { &[] },
             crashes_on: None,
+            rests_from: None,
         };
         Runner::start(spec, &store, record)
     };
--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -3,6 +3,7 @@
 pub mod crashing;
 pub mod incomplete;
 pub mod one;
+pub mod out_of_step;
 pub mod quota;
 pub mod revoked;
 pub mod taken_up;
--- a/review/standins/cases/one.rs
+++ b/review/standins/cases/one.rs
@@ -43,6 +43,7 @@
         version: "v1",
         models: &["m0", "m1"],
         crashes_on: None,
+        rests_from: None,
     };
     let runners: Vec<Runner> = (0..RUNNERS)
         .map(|number| Runner::start(spec(number), &store, record))
--- a/review/standins/cases/taken_up.rs
+++ b/review/standins/cases/taken_up.rs
@@ -57,6 +57,7 @@
             version,
             models: &["m0", "m1"],
             crashes_on: None,
+            rests_from: None,
         };
         Runner::start(spec, &store, record)
     };
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -51,8 +51,19 @@
     }
 
     /// Sends the request as a new attempt and receives a stream; `began` is called at its first event.
-    pub fn receive(&self, address: SocketAddr, mut began: impl FnMut(&str)) -> Received {
-        let attempt = format!("{:016x}", NEXT_ATTEMPT.fetch_add(1, Ordering::SeqCst));
+    pub fn receive(&self, address: SocketAddr, began: impl FnMut(&str)) -> Received {
+        self.receive_as("", address, began)
+    }
+
+    /// The same with an attempt whose id begins with a prefix.
+    pub fn receive_as(
+        &self,
+        prefix: &str,
+        address: SocketAddr,
+        mut began: impl FnMut(&str),
+    ) -> Received {
+        let number = NEXT_ATTEMPT.fetch_add(1, Ordering::SeqCst);
+        let attempt = format!("{prefix}{number:016x}");
         let mut received = Received {
             attempt: attempt.clone(),
             status: None,
--- a/review/standins/cluster.rs
+++ b/review/standins/cluster.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Sends a signal, `STOP` or `CONT`, to the process.
+    pub fn signal(&self, signal: &str) {
+        if let Some(child) = &*self.process.lock().unwrap() {
+            let command = format!("kill -{signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+    }
+
     pub fn is_up(&self) -> bool {
         self.is_up.load(Ordering::SeqCst)
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -34,6 +34,7 @@
         "one" => cases::one::run(&setting),
         "revoked" => cases::revoked::run(&setting),
         "quota" => cases::quota::run(&setting),
+        "out-of-step" => cases::out_of_step::run(&setting),
         "taken-up" => cases::taken_up::run(&setting),
         "incomplete" => cases::incomplete::run(&setting),
         "crashing" => cases::crashing::run(&setting),
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -31,6 +31,8 @@
     pub models: &'static [&'static str],
     /// Path of the requests that crash it as soon as it begins to run them, once that has begun.
     pub crashes_on: Option<(&'static str, Arc<AtomicBool>)>,
+    /// Prefix of the attempts whose requests it turns away, as it wants nothing from their machine for some seconds.
+    pub rests_from: Option<(&'static str, u64)>,
 }
 
 /// `Run` is a request that a runner began to run.
@@ -244,6 +246,14 @@
             self.crash();
             return None;
         }
+        if let Some((prefix, seconds)) = self.spec.rests_from
+            && attempt.starts_with(prefix)
+        {
+            self.runs.lock().unwrap().pop();
+            self.record.line(&format!("runner={} turns attempt={attempt} away", self.id()));
+            let response = Response::new(503, "").with("X-Quetzalpick-Not-Executed", "1");
+            return Some(response.with("Retry-After", &seconds.to_string()));
+        }
         if path.starts_with("/batch/") {
             return Some(self.stream(request, attempt));
         }
@@ -278,7 +288,7 @@
         response
     }
 
-    fn crash(&self) {
+    pub fn crash(&self) {
         let mut crashed = self.crashed.lock().unwrap();
         if crashed.is_none() {
             *crashed = Some(Instant::now());
