--- a/crates/quetzalpick-client/src/memory/mod.rs
+++ b/crates/quetzalpick-client/src/memory/mod.rs
@@ -5,4 +5,4 @@
 mod topics;
 
 pub use log::Log;
-pub use topics::Topics;
+pub use topics::{Backup, Topics};
--- a/crates/quetzalpick-client/src/memory/topics.rs
+++ b/crates/quetzalpick-client/src/memory/topics.rs
@@ -29,8 +29,12 @@
     call_count: u64,
 }
 
+/// `Backup` holds the records of all topics as of one moment.
+#[derive(Debug, Clone)]
+pub struct Backup(Table<Topic, TopicRecords>);
+
 /// `TopicRecords` stores the retained records of one topic.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct TopicRecords {
     oldest: u64,
     records: Vec<Record>,
@@ -60,7 +64,8 @@
 
     fn read(&self, from: Offset) -> Result<Records> {
         let oldest = self.oldest;
-        let Some(skipped) = from.0.checked_sub(oldest) else {
+        let skipped = from.0.checked_sub(oldest);
+        let Some(skipped) = skipped.filter(|_| from.0 <= self.end()) else {
             return Err(Error::Trimmed { oldest });
         };
         let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
@@ -138,6 +143,16 @@
         });
     }
 
+    /// Returns the records of all topics as they are now.
+    pub fn backup(&self) -> Backup {
+        Backup(self.shared.lock().topics.clone())
+    }
+
+    /// Replaces the records of all topics by those of a backup; what was appended since is lost, and its offsets are given out again.
+    pub fn restore(&self, backup: Backup) {
+        self.shared.update(|service| service.topics = backup.0);
+    }
+
     /// Returns the number of calls made by all handles.
     pub fn call_count(&self) -> u64 {
         self.shared.lock().call_count
