--- a/crates/quetzalpick-client/src/errors.rs
+++ b/crates/quetzalpick-client/src/errors.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use quetzalpick_core::id::Era;
 use quetzalpick_core::verdict::Verdict;
 use snafu::Snafu;
 
@@ -51,6 +52,13 @@
         /// End offset of the topic.
         end: u64,
     },
+    /// The topics were restored from an older copy since the position that the call names, which is void; an append may have taken
+    /// effect.
+    #[snafu(display("the topics were restored from an older copy, era {era} has begun"))]
+    Restored {
+        /// Era that has begun.
+        era: Era,
+    },
     /// The system refused the call, which had no effect; a retry would be refused too.
     #[snafu(display("{target} refused with status {status}: {message}"))]
     Refused {
@@ -76,7 +84,7 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Unanswered { verdict, .. } => *verdict,
-            Self::Malformed { .. } => Verdict::MayHaveRun,
+            Self::Malformed { .. } | Self::Restored { .. } => Verdict::MayHaveRun,
             Self::Busy { .. }
             | Self::Trimmed { .. }
             | Self::Fenced { .. }
--- a/crates/quetzalpick-client/src/memory/topics.rs
+++ b/crates/quetzalpick-client/src/memory/topics.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzalpick_core::id::Offset;
+use quetzalpick_core::id::{Era, Offset, Position};
 use quetzalpick_core::table::Table;
 use quetzalpick_core::verdict::Verdict;
 
@@ -25,6 +25,8 @@
 #[derive(Debug, Default)]
 struct Service {
     topics: Table<Topic, TopicRecords>,
+    /// Number of restores so far.
+    era: Era,
     faults: Table<String, Faults>,
     call_count: u64,
 }
@@ -62,16 +64,16 @@
         present.cloned().collect()
     }
 
-    fn read(&self, from: Offset) -> Result<Records> {
+    fn read(&self, from: Position) -> Result<Records> {
         let oldest = self.oldest;
-        let skipped = from.0.checked_sub(oldest);
-        let Some(skipped) = skipped.filter(|_| from.0 <= self.end()) else {
+        let skipped = from.offset.0.checked_sub(oldest);
+        let Some(skipped) = skipped.filter(|_| from.offset.0 <= self.end()) else {
             return Err(Error::Trimmed { oldest });
         };
         let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
         let records: Vec<Record> = self.records.iter().skip(skipped).cloned().collect();
         Ok(Records {
-            next: Offset(from.0 + records.len() as u64),
+            next: from.after(records.len() as u64),
             records,
             end: Offset(self.end()),
         })
@@ -83,6 +85,23 @@
         self.topics.get_or_insert_with(topic, TopicRecords::default)
     }
 
+    /// Checks that a position is of the present era.
+    fn check_era(&self, position: Option<Position>) -> Result<()> {
+        match position {
+            Some(position) if position.era != self.era => Err(Error::Restored { era: self.era }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads a topic from a position on, or from its oldest record.
+    fn read(&mut self, topic: Topic, from: Option<Position>) -> Result<Records> {
+        self.check_era(from)?;
+        let era = self.era;
+        let topic = self.topic(topic);
+        let offset = Offset(topic.oldest);
+        topic.read(from.unwrap_or(Position { era, offset }))
+    }
+
     fn faults(&mut self, name: &str) -> &mut Faults {
         self.faults
             .get_or_insert_with(name.to_owned(), Faults::default)
@@ -150,7 +169,10 @@
 
     /// Replaces the records of all topics by those of a backup; what was appended since is lost, and its offsets are given out again.
     pub fn restore(&self, backup: Backup) {
-        self.shared.update(|service| service.topics = backup.0);
+        self.shared.update(|service| {
+            service.topics = backup.0;
+            service.era.0 += 1;
+        });
     }
 
     /// Returns the number of calls made by all handles.
@@ -163,22 +185,23 @@
     async fn newest(&self, topic: Topic) -> Result<Records> {
         let mut service = self.shared.lock();
         service.check_reachable(&self.name)?;
+        let era = service.era;
         let topic = service.topic(topic);
         let end = Offset(topic.end());
         Ok(Records {
             records: topic.newest(),
-            next: end,
+            next: Position { era, offset: end },
             end,
         })
     }
 
-    async fn read(&self, topic: Topic, from: Offset, wait: Duration) -> Result<Records> {
+    async fn read(&self, topic: Topic, from: Option<Position>, wait: Duration) -> Result<Records> {
         self.shared.lock().check_reachable(&self.name)?;
         let page = |service: &mut Service| {
             if service.faults(&self.name).disconnected {
                 return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
             }
-            service.topic(topic).read(from)
+            service.read(topic, from)
         };
         let is_enough = |page: &Records| !page.records.is_empty();
         self.shared.read_until(wait, page, is_enough).await
@@ -188,24 +211,27 @@
         &self,
         topic: Topic,
         record: &Record,
-        expected_end: Option<Offset>,
-    ) -> Result<Offset> {
-        let (offset, drop_answer) = self.shared.update(|service| {
+        expected_end: Option<Position>,
+    ) -> Result<Position> {
+        let (position, drop_answer) = self.shared.update(|service| {
             service.check_reachable(&self.name)?;
+            service.check_era(expected_end)?;
+            let era = service.era;
             let topic = service.topic(topic);
             let end = topic.end();
-            if expected_end.is_some_and(|expected| expected.0 != end) {
+            if expected_end.is_some_and(|expected| expected.offset.0 != end) {
                 return Err(Error::Conflict { end });
             }
             topic.records.push(record.clone());
             let faults = service.faults(&self.name);
             let drop_answer = faults.drop_answers > 0;
             faults.drop_answers = faults.drop_answers.saturating_sub(1);
-            Ok((Offset(end), drop_answer))
+            let offset = Offset(end);
+            Ok((Position { era, offset }, drop_answer))
         })?;
         if drop_answer {
             return Err(unanswered(TARGET, Verdict::MayHaveRun, "answer lost"));
         }
-        Ok(offset)
+        Ok(position)
     }
 }
--- a/crates/quetzalpick-client/src/topic.rs
+++ b/crates/quetzalpick-client/src/topic.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use quetzalpick_core::id::Offset;
+use quetzalpick_core::id::{Offset, Position};
 
 use crate::errors::Result;
 
@@ -47,12 +47,12 @@
 }
 
 /// `Records` holds the result of one read of a topic.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Records {
     /// The records, in order and without gaps.
     pub records: Vec<Record>,
-    /// Offset after the last record, from which the next read continues.
-    pub next: Offset,
+    /// Position after the last record, from which the next read continues.
+    pub next: Position,
     /// Offset that the next append gets, as of this read.
     pub end: Offset,
 }
@@ -60,41 +60,52 @@
 impl Records {
     /// Returns whether the read reached the end of the topic.
     pub fn reaches_end(&self) -> bool {
-        self.next >= self.end
+        self.next.offset >= self.end
+    }
+
+    /// Returns the position that the next append gets, as of this read.
+    pub fn end(&self) -> Position {
+        Position {
+            offset: self.end,
+            ..self.next
+        }
     }
 }
 
 /// `Topics` reads and appends to topics of a log service, which keeps the newest record of each key indefinitely.
+///
+/// After a restore from an older copy the service gives out offsets again, so that a call that names a position of a former era fails.
 pub trait Topics: Clone + Send + Sync + 'static {
-    /// Returns the newest record of each key, and an offset from which further reads miss no change.
+    /// Returns the newest record of each key, and a position from which further reads miss no change.
     ///
     /// # Errors
     ///
-    /// Any error of the call.
+    /// `Error::Restored` if a restore came between, and any error of the call.
     fn newest(&self, topic: Topic) -> impl Future<Output = Result<Records>> + Send;
 
-    /// Reads records from an offset, waiting up to `wait` for the first one.
+    /// Reads records from a position, or from the oldest one that is kept, waiting up to `wait` for the first one.
     ///
     /// # Errors
     ///
-    /// `Error::Trimmed` if the offset is no longer kept, and any error of the call.
+    /// `Error::Trimmed` if the offset is no longer kept, `Error::Restored` if it is of a former era, and any error of the call.
     fn read(
         &self,
         topic: Topic,
-        from: Offset,
+        from: Option<Position>,
         wait: Duration,
     ) -> impl Future<Output = Result<Records>> + Send;
 
-    /// Appends a record and returns its offset; with `expected_end`, only if the topic ends at that offset.
+    /// Appends a record and returns its position; with `expected_end`, only if the topic ends at that position.
     ///
     /// # Errors
     ///
-    /// `Error::Conflict` if the topic ends at another offset; `Error::Unanswered` with `Verdict::MayHaveRun` if the
+    /// `Error::Conflict` if the topic ends at another offset; `Error::Restored` if that position is of a former era, in which case the
+    /// record may have been appended at its offset; `Error::Unanswered` with `Verdict::MayHaveRun` if the
     /// record may have been appended or may be appended later.
     fn append(
         &self,
         topic: Topic,
         record: &Record,
-        expected_end: Option<Offset>,
-    ) -> impl Future<Output = Result<Offset>> + Send;
+        expected_end: Option<Position>,
+    ) -> impl Future<Output = Result<Position>> + Send;
 }
--- a/crates/quetzalpick-core/src/election/claim.rs
+++ b/crates/quetzalpick-core/src/election/claim.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::election::Candidate;
+use crate::election::{Candidate, Numbering};
 use crate::id::Offset;
 
 /// `Claim` is a log record with which a VM claims, renews or resigns the leadership.
@@ -16,4 +16,7 @@
     pub acts_in_ms: u64,
     /// Set when the leader resigns: time since its last action, in ms.
     pub resigned_after_ms: Option<u64>,
+    /// Numbering of the term; `None` in claims of former versions of the program.
+    #[serde(default)]
+    pub numbering: Option<Numbering>,
 }
--- a/crates/quetzalpick-core/src/election/heartbeat.rs
+++ b/crates/quetzalpick-core/src/election/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::election::Candidate;
+use crate::election::{Candidate, Numbering};
 use crate::id::Offset;
 
 /// `Heartbeat` describes a leader's term; a leader includes it in its answers to other VMs.
@@ -14,4 +14,7 @@
     pub end: Offset,
     /// Time since that renewal was sent, in ms.
     pub age_ms: u64,
+    /// Numbering of the term; `None` if the leader runs a former version of the program.
+    #[serde(default)]
+    pub numbering: Option<Numbering>,
 }
--- a/crates/quetzalpick-core/src/election/state_machine.rs
+++ b/crates/quetzalpick-core/src/election/state_machine.rs
@@ -2,12 +2,13 @@
 
 mod expiry;
 mod leadership;
+mod restore;
 mod results;
 
 use crate::election::log_state::LogState;
-use crate::election::term::Term;
-use crate::election::{Candidate, Claim, Heartbeat, Options, Step};
-use crate::id::Offset;
+use crate::election::term::{LostTerm, Term};
+use crate::election::{Candidate, Claim, Heartbeat, Numbering, Options, Step};
+use crate::id::{Era, Offset, Position};
 
 /// Maximum wait between two steps, in ms.
 const WAIT_MAX_MS: u64 = 100;
@@ -35,6 +36,16 @@
     last_action_ms: Option<u64>,
     /// Whether this VM would lead as well as any other one.
     is_suited: bool,
+    /// Newest era in which the log was read.
+    era: Era,
+    /// Newest numbering that this VM knows, which claims lost since may have had; `None` before the first read.
+    numbering: Option<Numbering>,
+    /// Whether the log was restored while this VM followed it, so that claims may have been lost before the first one of the era.
+    saw_restore: bool,
+    /// This VM's term at the time of the last restore.
+    lost_term: Option<LostTerm>,
+    /// Highest fencing number of this VM that was refused.
+    refused: Option<u64>,
 }
 
 impl Election {
@@ -52,6 +63,11 @@
             reads_recovered_ms: 0,
             last_action_ms: None,
             is_suited: true,
+            era: Era::default(),
+            numbering: None,
+            saw_restore: false,
+            lost_term: None,
+            refused: None,
         }
     }
 
@@ -64,15 +80,15 @@
     pub fn step(&self, now_ms: u64) -> Step {
         if let Some(term) = &self.term {
             if term.unresolved_append_ms.is_some() && now_ms >= self.next_read_ms {
-                return Step::Read(term.end);
+                return Step::Read(Some(term.end));
             }
             if term.unresolved_append_ms.is_some() || now_ms < term.next_renewal_ms {
                 return Step::Wait(WAIT_MAX_MS);
             }
-            return Step::Append(self.claim(now_ms, Some(term.first)), term.end);
+            return Step::Append(self.renewal(now_ms, term), term.end);
         }
-        if let Some(end) = self.claim_offset(now_ms) {
-            return Step::Append(self.claim(now_ms, None), end);
+        if let Some(end) = self.claim_position(now_ms) {
+            return Step::Append(self.claim(now_ms, end), end);
         }
         let earliest_read_ms = self.silent_from_ms().unwrap_or_default();
         let due_ms = match self.next_expiry_ms(now_ms) {
@@ -83,24 +99,28 @@
         if now_ms < due_ms {
             return Step::Wait((due_ms - now_ms).min(WAIT_MAX_MS));
         }
-        Step::Read(
-            self.log_state
-                .as_ref()
-                .map_or(Offset(0), |log_state| log_state.end),
-        )
+        Step::Read(self.log_state.as_ref().map(|log_state| log_state.end))
     }
 
-    /// Returns a claim of this VM, or a renewal if `term` is the offset of its term's first record.
-    fn claim(&self, now_ms: u64, term: Option<Offset>) -> Claim {
-        let acts_in_ms = match &self.term {
-            Some(term) => term.acts_from_ms.saturating_sub(now_ms),
-            None => self.activation_delay_ms(now_ms),
-        };
+    /// Returns a claim of this VM at the end of the log.
+    fn claim(&self, now_ms: u64, end: Position) -> Claim {
+        Claim {
+            candidate: self.me.clone(),
+            term: None,
+            acts_in_ms: self.activation_delay_ms(now_ms),
+            resigned_after_ms: None,
+            numbering: Some(self.next_numbering(end.era)),
+        }
+    }
+
+    /// Returns a renewal of this VM's term.
+    fn renewal(&self, now_ms: u64, term: &Term) -> Claim {
         Claim {
             candidate: self.me.clone(),
-            term,
-            acts_in_ms,
+            term: Some(term.first),
+            acts_in_ms: term.acts_from_ms.saturating_sub(now_ms),
             resigned_after_ms: None,
+            numbering: Some(term.numbering),
         }
     }
 
@@ -113,20 +133,32 @@
     ) {
         self.last_heartbeat_ms = Some(now_ms);
         self.heartbeat_interval_ms = interval_ms;
-        let known_end = self.log_state.as_ref().map(|log_state| log_state.end);
-        let Some(heartbeat) =
-            heartbeat.filter(|heartbeat| self.term.is_none() && Some(heartbeat.end) > known_end)
-        else {
+        let Some(heartbeat) = heartbeat.filter(|_| self.term.is_none()) else {
             return;
         };
+        let numbering = heartbeat.numbering;
+        let end = Position {
+            // A leader that runs a former version of the program does not name the era.
+            era: numbering.map_or(self.era, |numbering| numbering.era),
+            offset: heartbeat.end,
+        };
+        let known_end = self.log_state.as_ref().map(|log_state| log_state.end);
+        if Some(end) <= known_end || end.era < self.era {
+            return;
+        }
+        self.observe_era(end.era);
+        if let Some(numbering) = numbering {
+            self.observe_numbering(numbering);
+        }
         let claim = Claim {
             candidate: heartbeat.leader,
             term: None,
             acts_in_ms: 0,
             resigned_after_ms: None,
+            numbering,
         };
         self.log_state = Some(LogState {
-            end: heartbeat.end,
+            end,
             newest: Some((Offset(heartbeat.end.0.saturating_sub(1)), claim)),
             since_ms: now_ms.saturating_sub(heartbeat.age_ms),
             read_ms: None,
--- a/crates/quetzalpick-core/src/election/state_machine/expiry.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/expiry.rs
@@ -3,14 +3,14 @@
 use super::Election;
 use crate::election::Claim;
 use crate::election::log_state::LogState;
-use crate::id::Offset;
+use crate::id::{Offset, Position};
 
 /// Time after a leader's expiry within which a VM without a claim delay has claimed, in ms.
 const PEER_CLAIM_MS: u64 = 300;
 
 impl Election {
-    /// Returns the offset at which to append a claim; `None` while there may be a leader or this VM has to wait.
-    pub(super) fn claim_offset(&self, now_ms: u64) -> Option<Offset> {
+    /// Returns the position at which to append a claim; `None` while there may be a leader or this VM has to wait.
+    pub(super) fn claim_position(&self, now_ms: u64) -> Option<Position> {
         let log_state = self.log_state.as_ref()?;
         let read_ms = log_state.read_ms?;
         let own_expiry_ms = self.own_expiry_ms(log_state);
@@ -19,14 +19,20 @@
         let has_expired =
             now_ms >= own_expiry_ms && read_after_expiry && !self.has_recent_heartbeat(now_ms);
         let may_claim = match &log_state.newest {
-            None if log_state.end == Offset(0) => {
+            _ if self.may_have_lost_claims(log_state) => {
+                self.lost_term(now_ms).is_some() || has_expired
+            }
+            None if log_state.end.offset == Offset(0) => {
                 now_ms >= log_state.since_ms + self.options.first_claim_delay_ms
             }
             None => has_expired,
             Some((_, claim)) if claim.resigned_after_ms.is_some() => {
                 now_ms >= log_state.since_ms + self.claim_delay_ms()
             }
-            Some((_, claim)) => self.is_own_former_incarnation(claim) || has_expired,
+            Some((offset, claim)) => {
+                let is_void = self.is_refused(*offset, claim);
+                self.is_own_former_incarnation(claim) || is_void || has_expired
+            }
         };
         may_claim.then_some(log_state.end)
     }
--- a/crates/quetzalpick-core/src/election/state_machine/leadership.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/leadership.rs
@@ -2,7 +2,7 @@
 
 use super::Election;
 use crate::election::{Claim, Heartbeat};
-use crate::id::Offset;
+use crate::id::Position;
 
 impl Election {
     /// Returns the heartbeat of this VM's own term; `None` if it does not lead.
@@ -10,8 +10,9 @@
         let term = self.term.as_ref()?;
         Some(Heartbeat {
             leader: self.me.clone(),
-            end: term.end,
+            end: term.end.offset,
             age_ms: now_ms.saturating_sub(term.renewed_ms),
+            numbering: Some(term.numbering),
         })
     }
 
@@ -20,11 +21,17 @@
         self.last_action_ms = self.last_action_ms.max(Some(now_ms));
     }
 
-    /// Abandons the own leadership, for instance when an endpoint reports a newer leader.
+    /// Abandons the own leadership, for instance before a planned stop.
     pub fn resign(&mut self, now_ms: u64) {
         self.abandon_term(now_ms);
     }
 
+    /// Abandons the own leadership because an endpoint has received a higher fencing number than `fence`, which is not used again.
+    pub fn record_refusal(&mut self, now_ms: u64, fence: u64) {
+        self.refused = self.refused.max(Some(fence));
+        self.abandon_term(now_ms);
+    }
+
     /// Abandons the own term and schedules an immediate read of the log.
     pub(super) fn abandon_term(&mut self, now_ms: u64) {
         self.term = None;
@@ -34,13 +41,13 @@
     }
 
     /// Returns the record that announces a planned resignation and the end of the log; `None` without a term.
-    pub fn resignation(&self, now_ms: u64) -> Option<(Claim, Offset)> {
+    pub fn resignation(&self, now_ms: u64) -> Option<(Claim, Position)> {
         let term = self.term.as_ref()?;
         let last_action_ms = self.last_action_ms.unwrap_or_default();
         let since_ms = now_ms.saturating_sub(last_action_ms);
         let claim = Claim {
             resigned_after_ms: Some(since_ms),
-            ..self.claim(now_ms, Some(term.first))
+            ..self.renewal(now_ms, term)
         };
         Some((claim, term.end))
     }
@@ -55,26 +62,30 @@
     pub fn leads(&self, now_ms: u64) -> Option<u64> {
         let term = self.term.as_ref()?;
         let is_valid = now_ms < term.renewed_ms + self.options.lease_ms;
-        is_valid.then_some(term.first.0 + 1)
+        is_valid.then(|| term.numbering.fence(term.first))
     }
 
     /// Returns how long a new leader waits until `handover_ms` have passed since the former leader's last possible action, in ms.
     pub(super) fn activation_delay_ms(&self, now_ms: u64) -> u64 {
+        if let Some(term) = self.lost_term(now_ms) {
+            return term.acts_from_ms.saturating_sub(now_ms);
+        }
         let Some(log_state) = &self.log_state else {
             return self.options.lease_ms + self.options.handover_ms;
         };
-        let Some((_, claim)) = &log_state.newest else {
-            return 0;
-        };
-        if self.is_own_former_incarnation(claim) {
-            return claim.acts_in_ms;
-        }
-        let last_action_ms = match claim.resigned_after_ms {
-            Some(after_ms) => log_state.since_ms.saturating_sub(after_ms),
-            None => log_state.since_ms + self.options.lease_ms,
+        let lease_ends_ms = log_state.since_ms + self.options.lease_ms;
+        let last_action_ms = match &log_state.newest {
+            _ if self.may_have_lost_claims(log_state) => lease_ends_ms,
+            None => return 0,
+            Some((_, claim)) if self.is_own_former_incarnation(claim) => return claim.acts_in_ms,
+            Some((_, claim)) => match claim.resigned_after_ms {
+                Some(after_ms) => log_state.since_ms.saturating_sub(after_ms),
+                None => lease_ends_ms,
+            },
         };
         let wait_ms = (last_action_ms + self.options.handover_ms).saturating_sub(now_ms);
         // The former leader may itself still be waiting for its predecessor.
-        wait_ms.max(claim.acts_in_ms)
+        let newest = log_state.newest.as_ref();
+        wait_ms.max(newest.map_or(0, |(_, claim)| claim.acts_in_ms))
     }
 }
--- a/crates/quetzalpick-core/src/election/state_machine/results.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/results.rs
@@ -3,7 +3,7 @@
 use super::Election;
 use crate::election::log_state::LogState;
 use crate::election::term::Term;
-use crate::election::{Appended, Claim, Tail};
+use crate::election::{Appended, Claim, Numbering, Tail};
 use crate::id::Offset;
 
 /// A failed renewal is retried after the renewal interval divided by this number.
@@ -16,9 +16,19 @@
         if std::mem::take(&mut self.read_failing) {
             self.reads_recovered_ms = now_ms;
         }
+        self.observe_era(tail.end.era);
+        if tail.end.era < self.era {
+            // The answer is from before a restore of which this VM has heard meanwhile.
+            return;
+        }
         if self.resolve_append(&tail) {
             return;
         }
+        let era = tail.end.era;
+        self.observe_numbering(match &tail.newest {
+            Some((_, claim)) => claim.numbering.unwrap_or(Numbering::unnamed(era)),
+            None => Numbering::first(era),
+        });
         let former = self.log_state.take();
         let unchanged = former.filter(|log_state| log_state.end == tail.end);
         let log_state = unchanged.unwrap_or(LogState {
@@ -34,10 +44,14 @@
         if let Some((offset, claim)) = &log_state.newest
             && claim.candidate == self.me
             && claim.resigned_after_ms.is_none()
+            && let Some(numbering) = claim.numbering
+            && numbering.era == log_state.end.era
+            && !self.is_refused(*offset, claim)
         {
             // An earlier claim whose answer was lost took effect; no other VM has claimed up to this read.
             self.term = Some(Term {
                 first: claim.term.unwrap_or(*offset),
+                numbering,
                 renewed_ms: sent_ms,
                 acts_from_ms: now_ms + self.options.lease_ms + self.options.handover_ms,
                 end: log_state.end,
@@ -80,16 +94,16 @@
         self.next_read_ms = now_ms + self.options.read_ms;
     }
 
-    /// Applies the result of an append sent at `sent_ms`.
-    pub fn record_append(&mut self, sent_ms: u64, now_ms: u64, result: Appended) {
+    /// Applies the result of an append of a claim that was sent at `sent_ms`.
+    pub fn record_append(&mut self, claim: &Claim, sent_ms: u64, now_ms: u64, result: Appended) {
         let renew_ms = self.options.renew_ms;
         let Some(term) = &mut self.term else {
-            return self.record_claim_result(sent_ms, now_ms, result);
+            return self.record_claim_result(claim, sent_ms, now_ms, result);
         };
         match result {
-            Appended::At(offset) => {
+            Appended::At(position) => {
                 term.renewed_ms = sent_ms;
-                term.end = Offset(offset.0 + 1);
+                term.end = position.after(1);
                 term.next_renewal_ms = sent_ms + renew_ms;
             }
             // Only a read shows whether this record or another one was appended.
@@ -105,15 +119,21 @@
     }
 
     /// Applies the result of a claim: begins a term, or reads the log again.
-    fn record_claim_result(&mut self, sent_ms: u64, now_ms: u64, result: Appended) {
-        let Appended::At(offset) = result else {
+    fn record_claim_result(&mut self, claim: &Claim, sent_ms: u64, now_ms: u64, result: Appended) {
+        let (Appended::At(position), Some(numbering)) = (result, claim.numbering) else {
             return self.abandon_term(now_ms);
         };
+        // A renewal of a term that ended meanwhile begins none.
+        if position.era != self.era || claim.term.is_some() {
+            return self.abandon_term(now_ms);
+        }
+        self.observe_numbering(numbering);
         self.term = Some(Term {
-            first: offset,
+            first: position.offset,
+            numbering,
             renewed_ms: sent_ms,
             acts_from_ms: now_ms + self.activation_delay_ms(now_ms),
-            end: Offset(offset.0 + 1),
+            end: position.after(1),
             unresolved_append_ms: None,
             next_renewal_ms: sent_ms + self.options.renew_ms,
         });
--- a/crates/quetzalpick-core/src/id.rs
+++ b/crates/quetzalpick-core/src/id.rs
@@ -123,6 +123,27 @@
     EngineIncarnation(u64);
     /// `Sequence` numbers the intents of one endpoint.
     Sequence(u64);
+    /// `Era` counts the restores of the log service from an older copy of itself, after which it gives out offsets again.
+    Era(u64);
+}
+
+/// `Position` locates a record of a topic. Its offset is valid in one era only: in a later one it may be given out again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Position {
+    /// Era in which the offset was given out.
+    pub era: Era,
+    /// Offset in the topic.
+    pub offset: Offset,
+}
+
+impl Position {
+    /// Returns the position that lies `count` records further.
+    pub fn after(self, count: u64) -> Self {
+        Self {
+            offset: Offset(self.offset.0 + count),
+            ..self
+        }
+    }
 }
 
 /// `Command` uniquely identifies an entry; its writer draws it, and an entry that is appended twice takes effect once.
--- a/crates/quetzalpick-core/tests/election.rs
+++ b/crates/quetzalpick-core/tests/election.rs
@@ -1,10 +1,11 @@
-//! Elections on a log with conditional appends, under lost answers, late appends, outages, pauses and restarts.
+//! Elections on a log with conditional appends, under lost answers, late appends, outages, pauses, restarts and restores from older
+//! copies of the log.
 //!
 //! The oracle checks that actions of leaders on different VMs are at least the handover time apart and that fencing numbers never
 //! decrease. It must detect a naive leader that acts without a limit on the age of its renewal.
 
 use quetzalpick_core::election::{Appended, Candidate, Claim, Election, Options, Step, Tail};
-use quetzalpick_core::id::{Incarnation, Offset, Vm};
+use quetzalpick_core::id::{Era, Incarnation, Offset, Position, Vm};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -13,37 +14,68 @@
 
 #[derive(Default)]
 struct Log {
+    era: Era,
     records: Vec<Claim>,
-    /// Appends that arrive late: time of arrival in ms, claim and expected end of the log.
-    delayed: Vec<(u64, Claim, u64)>,
+    /// Time of each append, in ms.
+    appended_ms: Vec<u64>,
+    now_ms: u64,
+    /// Appends that arrive late: time of arrival in ms, claim and expected end of the log, whatever the era.
+    delayed: Vec<(u64, Claim, Offset)>,
 }
 
 impl Log {
-    fn append(&mut self, claim: Claim, expected_end: Offset) -> Option<Offset> {
-        let end = self.records.len() as u64;
-        (expected_end.0 == end).then(|| {
+    fn end(&self) -> Position {
+        Position {
+            era: self.era,
+            offset: Offset(self.records.len() as u64),
+        }
+    }
+
+    fn append(&mut self, claim: Claim, expected: Offset) -> Option<Position> {
+        let end = self.end();
+        (expected == end.offset).then(|| {
             self.records.push(claim);
-            Offset(end)
+            self.appended_ms.push(self.now_ms);
+            end
         })
     }
 
-    fn deliver_delayed(&mut self, now_ms: u64) {
+    fn deliver_delayed(&mut self) {
+        let now_ms = self.now_ms;
         let due: Vec<_> = self
             .delayed
             .extract_if(.., |(arrival_ms, _, _)| *arrival_ms <= now_ms)
             .collect();
-        for (_, claim, end) in due {
-            self.append(claim, Offset(end));
+        for (_, claim, expected) in due {
+            self.append(claim, expected);
         }
     }
 
-    fn tail(&self, from: Offset) -> Tail {
-        let from = usize::try_from(from.0).unwrap_or(usize::MAX);
+    /// Comes back from a copy that was made `age_ms` ago.
+    fn restore(&mut self, age_ms: u64) {
+        let copied_ms = self.now_ms.saturating_sub(age_ms);
+        let kept = self.appended_ms.partition_point(|at| *at <= copied_ms);
+        self.records.truncate(kept);
+        self.appended_ms.truncate(kept);
+        self.era.0 += 1;
+    }
+
+    /// Returns what a read from a position on returns; `None` if the position is of a former era.
+    fn read(&self, from: Option<Position>) -> Option<Tail> {
+        if from.is_some_and(|from| from.era != self.era) {
+            return None;
+        }
+        let from = from.map_or(0, |from| from.offset.0);
+        let from = usize::try_from(from).unwrap_or(usize::MAX);
         let newest = self.records.iter().enumerate().skip(from).last();
-        Tail {
-            end: Offset(self.records.len() as u64),
+        Some(Tail {
+            end: self.end(),
             newest: newest.map(|(index, claim)| (Offset(index as u64), claim.clone())),
-        }
+        })
+    }
+
+    fn tail(&self) -> Tail {
+        self.read(None).unwrap()
     }
 }
 
@@ -58,21 +90,39 @@
 
 /// Lets a VM read the log at `now_ms`, claim one millisecond later and receive the result at once.
 fn claim(vm: &mut Election, log: &mut Log, now_ms: u64) {
-    vm.record_read(now_ms, now_ms, log.tail(Offset(0)));
+    vm.record_read(now_ms, now_ms, log.tail());
     let sent_ms = now_ms + 1;
-    let Step::Append(claim, at) = vm.step(sent_ms) else {
+    append(vm, log, sent_ms);
+}
+
+/// Lets a VM append what is due at `now_ms`, and receive the result at once.
+fn append(vm: &mut Election, log: &mut Log, now_ms: u64) {
+    let Step::Append(claim, at) = vm.step(now_ms) else {
         panic!("no claim")
     };
-    let offset = log.append(claim, at).unwrap();
-    vm.record_append(sent_ms, sent_ms, Appended::At(offset));
+    let position = log.append(claim.clone(), at.offset).unwrap();
+    vm.record_append(&claim, now_ms, now_ms, Appended::At(position));
 }
 
 /// Observed actions: time in ms, VM, fencing number.
 type Actions = Vec<(u64, usize, u64)>;
 
-fn simulate(seed: u64, ms: u64, faults: bool, naive: bool) -> Actions {
+/// `Faults` determines what happens in a simulation.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    None,
+    Usual,
+    /// Also restores of the log from older copies, often two in a row.
+    Restores,
+}
+
+fn simulate(seed: u64, ms: u64, faults: Faults, naive: bool) -> Actions {
+    let restores = faults == Faults::Restores;
+    let faults = faults != Faults::None;
     let mut random = Pcg64::seed_from_u64(seed);
     let mut log = Log::default();
+    let mut away_until = 0;
+    let mut restore_age_ms = None;
     let mut vms: Vec<Election> = (0..VMS).map(|vm| start(vm, vm as u64)).collect();
     let mut paused_until = [0_u64; VMS];
     let mut disconnected_until = [0_u64; VMS];
@@ -82,7 +132,18 @@
     let mut now_ms = 0;
     while now_ms < ms {
         now_ms += STEP_MS;
-        log.deliver_delayed(now_ms);
+        log.now_ms = now_ms;
+        if restores && now_ms >= away_until && random.random_range(0..400) == 0 {
+            away_until = now_ms + random.random_range(0..2_000);
+            restore_age_ms = Some(random.random_range(0..8_000));
+        }
+        let is_away = now_ms < away_until;
+        if !is_away {
+            if let Some(age_ms) = restore_age_ms.take() {
+                log.restore(age_ms);
+            }
+            log.deliver_delayed();
+        }
         for vm in 0..VMS {
             if faults && random.random_range(0..2_000) == 0 {
                 paused_until[vm] = now_ms + random.random_range(500..6_000);
@@ -101,7 +162,7 @@
             let leader = vms.iter().position(|vm| vm.leads(now_ms).is_some());
             let leader = leader.filter(|leader| now_ms >= paused_until[*leader]);
             let heartbeat = leader.map(|leader| vms[leader].heartbeat(now_ms));
-            let disconnected = now_ms < disconnected_until[vm];
+            let disconnected = is_away || now_ms < disconnected_until[vm];
             let election = &mut vms[vm];
             if let Some(heartbeat) = heartbeat {
                 election.record_heartbeat(now_ms, heartbeat, 1);
@@ -109,12 +170,18 @@
             match election.step(now_ms) {
                 Step::Wait(_) => {}
                 Step::Read(_) if disconnected => election.record_read_failure(now_ms),
-                Step::Read(from) => {
-                    let tail = log.tail(from);
-                    election.record_read(now_ms, now_ms, tail);
+                Step::Read(from) => match log.read(from) {
+                    Some(tail) => election.record_read(now_ms, now_ms, tail),
+                    None => election.record_restore(now_ms, log.era),
+                },
+                Step::Append(claim, _) if disconnected => {
+                    election.record_append(&claim, now_ms, now_ms, Appended::Failed)
                 }
-                Step::Append(..) if disconnected => {
-                    election.record_append(now_ms, now_ms, Appended::Failed)
+                Step::Append(claim, at) if at.era != log.era => {
+                    // The append takes effect if the restored log happens to end there.
+                    log.append(claim.clone(), at.offset);
+                    election.record_append(&claim, now_ms, now_ms, Appended::Unknown);
+                    election.record_restore(now_ms, log.era);
                 }
                 Step::Append(claim, at) => {
                     let outcome = if faults {
@@ -124,19 +191,19 @@
                     };
                     let result = match outcome {
                         0 => {
-                            log.append(claim, at);
+                            log.append(claim.clone(), at.offset);
                             Appended::Unknown
                         }
                         1 => {
                             let arrival_ms = now_ms + random.random_range(500..6_000);
-                            log.delayed.push((arrival_ms, claim, at.0));
+                            log.delayed.push((arrival_ms, claim.clone(), at.offset));
                             Appended::Unknown
                         }
                         _ => log
-                            .append(claim, at)
+                            .append(claim.clone(), at.offset)
                             .map_or(Appended::Conflict, Appended::At),
                     };
-                    election.record_append(now_ms, now_ms, result);
+                    election.record_append(&claim, now_ms, now_ms, result);
                 }
             }
             let fence = election.fence(now_ms);
@@ -162,8 +229,10 @@
                 now_ms - former_ms
             ));
         }
-        if fence < newest_fence {
-            return Some(format!("fencing number {fence} after {newest_fence}"));
+        if fence < newest_fence || (fence == newest_fence && vm != former_vm) {
+            return Some(format!(
+                "fencing number {fence} of vm {vm} after {newest_fence}"
+            ));
         }
         newest_fence = fence;
     }
@@ -172,7 +241,7 @@
 
 #[test]
 fn one_leader_acts_from_the_start() {
-    let actions = simulate(1, 5_000, false, false);
+    let actions = simulate(1, 5_000, Faults::None, false);
     assert_eq!(violation(&actions), None);
     assert!(actions.len() > 200, "actions: {}", actions.len());
 }
@@ -180,7 +249,7 @@
 #[test]
 fn leaders_on_different_vms_keep_the_handover_time() {
     for seed in 0..60 {
-        let actions = simulate(seed, 60_000, true, false);
+        let actions = simulate(seed, 60_000, Faults::Usual, false);
         assert_eq!(violation(&actions), None, "seed {seed}");
         assert!(
             actions.len() > 300,
@@ -190,9 +259,23 @@
     }
 }
 
+#[test]
+fn leaders_keep_the_handover_time_and_their_numbers_rise_if_the_log_is_restored() {
+    for seed in 0..100 {
+        let actions = simulate(seed, 60_000, Faults::Restores, false);
+        assert_eq!(violation(&actions), None, "seed {seed}");
+        assert!(
+            actions.len() > 100,
+            "seed {seed}: actions: {}",
+            actions.len()
+        );
+    }
+}
+
 #[test]
 fn the_oracle_detects_a_leader_that_ignores_its_lease() {
-    let detected = (0..20).filter(|seed| violation(&simulate(*seed, 60_000, true, true)).is_some());
+    let detected =
+        (0..20).filter(|seed| violation(&simulate(*seed, 60_000, Faults::Usual, true)).is_some());
     assert!(detected.count() > 10);
 }
 
@@ -214,7 +297,7 @@
     claim(&mut first, &mut log, 0);
     first.record_action(10);
     let (resignation, at) = first.resignation(1_010).unwrap();
-    log.append(resignation, at).unwrap();
+    log.append(resignation, at.offset).unwrap();
     let mut second = start(1, 2);
     claim(&mut second, &mut log, 1_009);
     let acts_from_ms = 10 + Options::default().handover_ms;
@@ -228,11 +311,11 @@
     let mut first = start(0, 1);
     claim(&mut first, &mut log, 0);
     let (resignation, at) = first.resignation(1_000).unwrap();
-    log.append(resignation, at).unwrap();
+    log.append(resignation, at.offset).unwrap();
     let claims_from_ms = |is_suited| {
         let mut vm = start(1, 2);
         vm.set_suited(is_suited);
-        vm.record_read(1_000, 1_000, log.tail(Offset(0)));
+        vm.record_read(1_000, 1_000, log.tail());
         (1_000..9_000).find(|now_ms| matches!(vm.step(*now_ms), Step::Append(..)))
     };
     assert_eq!(claims_from_ms(true), Some(1_000));
@@ -268,7 +351,7 @@
         }
         match other.step(now_ms) {
             Step::Wait(_) => {}
-            Step::Read(from) => other.record_read(now_ms, now_ms, log.tail(from)),
+            Step::Read(from) => other.record_read(now_ms, now_ms, log.read(from).unwrap()),
             Step::Append(..) => panic!("it claims although another VM leads"),
         }
         other
@@ -293,7 +376,7 @@
             Step::Read(_) if (1_000..recovered_ms).contains(&now_ms) => {
                 other.record_read_failure(now_ms)
             }
-            Step::Read(from) => other.record_read(now_ms, now_ms, log.tail(from)),
+            Step::Read(from) => other.record_read(now_ms, now_ms, log.read(from).unwrap()),
             Step::Append(..) => return true,
         }
         false
@@ -322,9 +405,8 @@
         })
         .collect();
     for now_ms in 2..=2_110 {
-        if let Step::Append(claim, at) = leader.step(now_ms) {
-            let offset = log.append(claim, at).unwrap();
-            leader.record_append(now_ms, now_ms, Appended::At(offset));
+        if let Step::Append(..) = leader.step(now_ms) {
+            append(&mut leader, &mut log, now_ms);
         }
         match now_ms {
             2_050 => vms[0].record_heartbeat(now_ms, leader.heartbeat(now_ms), 60),
@@ -336,7 +418,7 @@
         for (index, vm) in vms.iter_mut().enumerate() {
             match vm.step(now_ms) {
                 Step::Wait(_) => {}
-                Step::Read(from) => vm.record_read(now_ms, now_ms, log.tail(from)),
+                Step::Read(from) => vm.record_read(now_ms, now_ms, log.read(from).unwrap()),
                 Step::Append(..) => return (index, now_ms),
             }
         }
@@ -377,9 +459,8 @@
     let mut reads_ms = Vec::new();
     for now_ms in 1..30_000 {
         if now_ms < ends_ms {
-            if let Step::Append(claim, at) = leader.step(now_ms) {
-                let offset = log.append(claim, at).unwrap();
-                leader.record_append(now_ms, now_ms, Appended::At(offset));
+            if let Step::Append(..) = leader.step(now_ms) {
+                append(&mut leader, &mut log, now_ms);
             }
             if now_ms % interval_ms == 1 {
                 follower.record_heartbeat(now_ms, leader.heartbeat(now_ms), interval_ms);
@@ -389,7 +470,7 @@
             Step::Wait(_) => {}
             Step::Read(from) => {
                 reads_ms.push(now_ms);
-                follower.record_read(now_ms, now_ms, log.tail(from));
+                follower.record_read(now_ms, now_ms, log.read(from).unwrap());
             }
             Step::Append(..) => break,
         }
@@ -409,3 +490,65 @@
         }
     }
 }
+
+/// Starts a VM that leads an own log from 0 ms on, in which the first claim of another VM may be lost.
+fn restored_log(copied_ms: u64) -> (Log, Election) {
+    let mut log = Log::default();
+    let mut leader = start(0, 1);
+    claim(&mut leader, &mut log, 0);
+    log.now_ms = copied_ms;
+    (log, leader)
+}
+
+#[test]
+fn a_leader_whose_claim_was_lost_goes_on_at_once_with_a_higher_number() {
+    let (mut log, mut leader) = restored_log(1_000);
+    let former = leader.fence(500).unwrap();
+    log.restore(1_000);
+    assert_eq!(log.records.len(), 1);
+    log.restore(1_001);
+    leader.record_restore(1_000, log.era);
+    assert_eq!(leader.fence(1_000), None);
+    claim(&mut leader, &mut log, 1_010);
+    assert!(leader.fence(1_020) > Some(former));
+}
+
+#[test]
+fn the_former_leader_does_not_lead_at_once_if_the_claim_of_its_successor_may_be_lost() {
+    // The log holds only the claim of the former start of this VM; another VM may have led since.
+    let (mut log, _) = restored_log(6_000);
+    log.restore(0);
+    let mut restarted = start(0, 2);
+    restarted.record_read(6_000, 6_000, log.tail());
+    let claims_ms = (6_000..12_000).find(|now_ms| {
+        if let Step::Read(from) = restarted.step(*now_ms) {
+            restarted.record_read(*now_ms, *now_ms, log.read(from).unwrap());
+        }
+        matches!(restarted.step(*now_ms), Step::Append(..))
+    });
+    let claims_ms = claims_ms.unwrap();
+    let options = Options::default();
+    assert!(claims_ms >= 6_000 + options.expiry_ms, "{claims_ms}");
+    log.now_ms = claims_ms;
+    append(&mut restarted, &mut log, claims_ms);
+    let acts_from_ms = 6_000 + options.lease_ms + options.handover_ms;
+    assert_eq!(restarted.fence(acts_from_ms - 1), None);
+}
+
+#[test]
+fn a_refused_number_is_not_used_again() {
+    let (mut log, mut leader) = restored_log(0);
+    let refused = leader.fence(500).unwrap();
+    leader.record_refusal(500, refused);
+    claim(&mut leader, &mut log, 510);
+    let options = Options::default();
+    let handover_ms = options.lease_ms + options.handover_ms;
+    assert_eq!(leader.fence(510 + options.lease_ms - 1), None);
+    let next = (511..511 + handover_ms + 1_000).find_map(|now_ms| {
+        if let Step::Append(..) = leader.step(now_ms) {
+            append(&mut leader, &mut log, now_ms);
+        }
+        leader.fence(now_ms)
+    });
+    assert!(next > Some(refused + 1_000_000));
+}
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -4,7 +4,7 @@
 //! renamed, and a new variant of an enum is sent only once all VMs can decode it.
 
 use quetzalpick_core::election::Heartbeat;
-use quetzalpick_core::id::{Artifact, Endpoint, Offset, Service, Vm, Workspace};
+use quetzalpick_core::id::{Artifact, Endpoint, Era, Offset, Position, Service, Vm, Workspace};
 use quetzalpick_core::limit::Need;
 use quetzalpick_core::quarantine::{Answered, Crash, Feature};
 use quetzalpick_core::room::{Key, Report};
@@ -179,6 +179,17 @@
     /// Offset in the topic after that read.
     #[serde(default)]
     pub(crate) next: Option<Offset>,
+    /// Era of that offset; without it the offset is not used.
+    #[serde(default)]
+    pub(crate) era: Option<Era>,
+}
+
+impl ViewRelay {
+    /// Returns the position in the topic after the leader's read, if it named one.
+    pub(crate) fn position(&self) -> Option<Position> {
+        let (offset, era) = self.next.zip(self.era)?;
+        Some(Position { era, offset })
+    }
 }
 
 /// `EndpointsRelay` passes on the entries of endpoints that the leader has read.
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -31,7 +31,7 @@
     pub(crate) copy_missing_ms: Option<u64>,
     /// Time at which its entry expired, in ms; it may be renewed after an outage of the log service.
     pub(crate) expired_ms: Option<u64>,
-    /// Whether it said in an answer that it leaves.
+    /// Whether it said in an answer or in an entry that it leaves.
     pub(crate) leaving: bool,
     /// It wants no requests of this VM before this time, in ms.
     pub(crate) paused_until_ms: u64,
@@ -93,6 +93,8 @@
             self.set_copies(&spec.copies);
         }
         self.expired_ms = None;
+        // An incarnation that leaves does not stay after all: an entry that says so is an older one.
+        self.leaving |= self.spec.state == State::Draining;
         self.spec = spec;
     }
 
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -131,6 +131,13 @@
         true
     }
 
+    /// Returns whether an endpoint is known whose entry has expired.
+    pub(crate) fn is_expired(&self, endpoint: &Endpoint) -> bool {
+        let rows = self.rows();
+        rows.get(endpoint)
+            .is_some_and(|row| row.expired_ms.is_some())
+    }
+
     /// Records a read of all entries that was sent at `sent_ms`, by this VM or by the leader.
     pub fn record_read(&self, sent_ms: u64) {
         lock(&self.builds).record_read(sent_ms);
--- a/crates/quetzalpick-entry/src/lead/election.rs
+++ b/crates/quetzalpick-entry/src/lead/election.rs
@@ -6,7 +6,7 @@
 use quetzalpick_client::errors::Error;
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
 use quetzalpick_core::election::{Appended, Claim, Step, Tail};
-use quetzalpick_core::id::Offset;
+use quetzalpick_core::id::{Era, Offset, Position};
 use quetzalpick_core::verdict::Verdict;
 use tokio::time::sleep;
 
@@ -51,19 +51,13 @@
         }
     }
 
-    /// Reads the topic from an offset on.
-    async fn read(&self, from: Offset) {
+    /// Reads the topic from a position on, or from its oldest record.
+    async fn read(&self, from: Option<Position>) {
         let sent_ms = self.clock.now_ms();
-        let mut read = self
-            .topics
-            .read(Topic::Leadership, from, Duration::ZERO)
-            .await;
-        if let Err(Error::Trimmed { oldest }) = read {
-            let from = Offset(oldest);
-            read = self
-                .topics
-                .read(Topic::Leadership, from, Duration::ZERO)
-                .await;
+        let read_from = |from| self.topics.read(Topic::Leadership, from, Duration::ZERO);
+        let mut read = read_from(from).await;
+        if matches!(read, Err(Error::Trimmed { .. })) {
+            read = read_from(None).await;
         }
         match &read {
             Ok(records) => {
@@ -71,6 +65,7 @@
                 self.lead
                     .with_election(|election, now_ms| election.record_read(sent_ms, now_ms, tail));
             }
+            Err(Error::Restored { era }) => self.record_restore(*era),
             Err(error) => {
                 log::debug!("lead: log not read reason=\"{error}\"");
                 self.lead
@@ -82,7 +77,7 @@
     }
 
     /// Appends a claim at the assumed end of the log.
-    async fn append(&self, claim: &Claim, at: Offset) {
+    async fn append(&self, claim: &Claim, at: Position) {
         let Some(value) = encode(claim) else {
             return;
         };
@@ -96,7 +91,7 @@
             .append(Topic::Leadership, &record, Some(at))
             .await;
         let appended = match &result {
-            Ok(offset) => Appended::At(*offset),
+            Ok(position) => Appended::At(*position),
             Err(Error::Conflict { .. }) => Appended::Conflict,
             Err(error) if error.verdict() == Verdict::NotRun => Appended::Failed,
             Err(_) => Appended::Unknown,
@@ -104,12 +99,23 @@
         if claim.term.is_none() || result.is_err() {
             log::info!(
                 "lead: claim at={} renewal={} result={appended:?}",
-                at.0,
+                at.offset,
                 claim.term.is_some()
             );
         }
+        self.lead.with_election(|election, now_ms| {
+            election.record_append(claim, sent_ms, now_ms, appended);
+        });
+        if let Err(Error::Restored { era }) = result {
+            self.record_restore(era);
+        }
+    }
+
+    /// Records that the topic was restored, so that claims may be lost.
+    fn record_restore(&self, era: Era) {
+        self.view.observe_era(self.clock.now_ms(), era);
         self.lead
-            .with_election(|election, now_ms| election.record_append(sent_ms, now_ms, appended));
+            .with_election(|election, now_ms| election.record_restore(now_ms, era));
     }
 
     /// Resigns if this VM cannot send orders to endpoints and another one could.
@@ -152,14 +158,14 @@
 
 /// Returns the end of the log and its newest claim; records that cannot be decoded are skipped.
 fn tail(records: &Records) -> Tail {
-    let first = records.next.0 - records.records.len() as u64;
+    let first = records.next.offset.0 - records.records.len() as u64;
     let claims = records.records.iter().enumerate().rev();
     let mut claims = claims.filter_map(|(at, record)| {
         let claim = decode(record.value.as_deref()?)?;
         Some((Offset(first + at as u64), claim))
     });
     Tail {
-        end: records.end,
+        end: records.end(),
         newest: claims.next(),
     }
 }
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -199,7 +199,7 @@
                 log::warn!(
                     "lead: resigns fence={fence} reason=\"an engine has received a higher fencing number\""
                 );
-                lead.with_election(|election, now_ms| election.resign(now_ms));
+                lead.with_election(|election, now_ms| election.record_refusal(now_ms, fence));
             }
             if let Some(config) = view.config() {
                 lead.with_leader_state(|state, now_ms| {
--- a/crates/quetzalpick-entry/src/lead/replies.rs
+++ b/crates/quetzalpick-entry/src/lead/replies.rs
@@ -70,7 +70,8 @@
             age_ms: newest.age_ms,
             change: None,
             needs_read: false,
-            next: newest.next,
+            next: newest.next.map(|next| next.offset),
+            era: newest.next.map(|next| next.era),
         };
         let known = status.config_version;
         if newest.version <= known {
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -119,12 +119,11 @@
         let mut read_ms = self.read_ms.subscribe();
         self.read_requested.notify_one();
         let read = timeout(STORED_WAIT, read_ms.wait_for(|read_ms| *read_ms >= now_ms));
-        if read.await.is_err() {
-            return StoredOrigin::Unread;
-        }
+        let is_read = read.await.is_ok();
         let stored = lock(&self.stored);
         match attempt.and_then(|attempt| stored.find(Attempt::of(attempt))) {
             Some(origin) => StoredOrigin::Known(origin.clone()),
+            None if !is_read => StoredOrigin::Unread,
             None if stored.runs_several_builds(service) => StoredOrigin::Unknown,
             None => StoredOrigin::OneBuild,
         }
@@ -141,18 +140,18 @@
         act(&mut lock(&self.stored))
     }
 
-    /// Applies the records of a read, and wakes those that wait for it; `sent_ms` is its send time if it reached the end of the topic.
-    pub(crate) fn apply_stored(&self, sent_ms: Option<u64>, records: &[Record]) {
+    /// Applies the records of a read, and wakes those that wait for it; `as_of_ms` is its send time if it shows all of the topic.
+    pub(crate) fn apply_stored(&self, as_of_ms: Option<u64>, records: &[Record]) {
         self.with_stored(|stored| records.iter().for_each(|record| stored.apply(record)));
-        if let Some(sent_ms) = sent_ms {
-            self.read_ms.send_replace(sent_ms);
+        if let Some(as_of_ms) = as_of_ms {
+            self.read_ms.send_replace(as_of_ms);
         }
     }
 
     /// Replaces what was read by the newest records of all keys: marks may have been removed meanwhile.
-    pub(crate) fn replace_stored(&self, sent_ms: u64, records: &[Record]) {
+    pub(crate) fn replace_stored(&self, as_of_ms: Option<u64>, records: &[Record]) {
         self.with_stored(|stored| *stored = Stored::default());
-        self.apply_stored(Some(sent_ms), records);
+        self.apply_stored(as_of_ms, records);
     }
 
     /// Removes and returns up to `max` streams that are to be stored.
@@ -165,6 +164,18 @@
         lock(&self.state).unstored.take(now_ms, max, is_wanted)
     }
 
+    /// Marks all recent streams as not stored, as the topic may have lost what was stored.
+    pub(crate) fn store_again(&self, now_ms: u64) {
+        let mut state = self.lock();
+        let State {
+            recent, unstored, ..
+        } = &mut *state;
+        unstored.clear();
+        for (attempt, origin) in recent.rows(now_ms) {
+            unstored.record(now_ms, Attempt::of(attempt), origin);
+        }
+    }
+
     /// Returns where the stream began that an attempt brought.
     pub fn find(&self, now_ms: u64, attempt: &str) -> Option<Origin> {
         self.lock().recent.find(now_ms, attempt)
--- a/crates/quetzalpick-entry/src/origin/recent.rs
+++ b/crates/quetzalpick-entry/src/origin/recent.rs
@@ -49,6 +49,13 @@
         newest_first.find_map(|slice| slice.find(attempt))
     }
 
+    /// Returns all attempts with their origins, oldest first.
+    pub(crate) fn rows(&mut self, now_ms: u64) -> impl Iterator<Item = (&str, &Origin)> {
+        self.expire(now_ms);
+        let rows = self.slices.iter().flat_map(|slice| &slice.rows);
+        rows.map(|(attempt, origin)| (attempt.as_str(), origin))
+    }
+
     fn expire(&mut self, now_ms: u64) {
         let expired = |slice: &Slice| now_ms >= slice.began_ms + SLICE_MS + STREAM_TTL_MS;
         while self.slices.front().is_some_and(expired) {
--- a/crates/quetzalpick-entry/src/origin/unstored.rs
+++ b/crates/quetzalpick-entry/src/origin/unstored.rs
@@ -37,6 +37,11 @@
         self.expire(now_ms);
     }
 
+    /// Removes all streams.
+    pub(crate) fn clear(&mut self) {
+        self.rows = Table::default();
+    }
+
     /// Removes and returns up to `max` streams of the services that `is_wanted` accepts.
     pub(crate) fn take(
         &mut self,
--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
-use quetzalpick_core::id::Offset;
+use quetzalpick_core::id::{Era, Position};
 use quetzalpick_core::relay::{self, Freshness};
 use strum::Display;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
@@ -31,6 +31,10 @@
 /// Longest pause of the other topics' followers in an outage; a successful read of the configuration ends it earlier.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time after a restore of the log service in which operators and endpoints write again what it has lost, in ms; a read before its
+/// end does not show what was in force.
+const REWRITE_MS: u64 = 2_000;
+
 /// `Source` tells from where a configuration came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -47,6 +51,8 @@
     relay_received: Notify,
     /// Wakes the other topics' followers when a read succeeds after failures.
     reads_recovered: Notify,
+    /// Newest era of the log service that this VM has heard of.
+    era: watch::Sender<Option<Era>>,
 }
 
 /// `State` holds the mutable state of a view.
@@ -57,8 +63,10 @@
     record: Bytes,
     /// Send time of the newest read that reached the end of the topic, in ms.
     as_of_ms: Option<u64>,
-    /// Offset after the newest read, from which reading goes on.
-    next: Option<Offset>,
+    /// Position after the newest read, from which reading goes on.
+    next: Option<Position>,
+    /// Reads sent before this time are not current, in ms.
+    rewritten_ms: u64,
     /// Record relayed by the leader that is not applied yet.
     relayed: Option<Relayed>,
     freshness: Freshness,
@@ -72,8 +80,8 @@
     record: Bytes,
     /// Send time of the leader's read, in ms.
     as_of_ms: u64,
-    /// Offset after that read.
-    next: Option<Offset>,
+    /// Position after that read.
+    next: Option<Position>,
 }
 
 /// `Relay` is what the leader passes on of its view.
@@ -83,8 +91,8 @@
     pub(crate) as_of_ms: u64,
     /// Time until the next relay is due, in ms.
     pub(crate) interval_ms: u64,
-    /// Offset in the topic after the leader's read, if it named one.
-    pub(crate) next: Option<Offset>,
+    /// Position in the topic after the leader's read, if it named one.
+    pub(crate) next: Option<Position>,
     pub(crate) content: Content,
 }
 
@@ -108,14 +116,16 @@
     pub(crate) record: Bytes,
     /// Age of the view, in ms.
     pub(crate) age_ms: u64,
-    /// Offset in the topic after the newest read.
-    pub(crate) next: Option<Offset>,
+    /// Position in the topic after the newest read.
+    pub(crate) next: Option<Position>,
 }
 
 impl State {
     /// Records that the view is current as of a read sent at `as_of_ms`, after which reading goes on at `next`.
-    fn advance(&mut self, as_of_ms: u64, next: Option<Offset>) {
-        self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
+    fn advance(&mut self, as_of_ms: u64, next: Option<Position>) {
+        if as_of_ms >= self.rewritten_ms {
+            self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
+        }
         self.next = next;
     }
 }
@@ -132,6 +142,29 @@
         Some(now_ms.saturating_sub(as_of_ms))
     }
 
+    /// Records in which era a call was answered; a newer one than before has begun with a restore of the log service.
+    pub(crate) fn observe_era(&self, now_ms: u64, era: Era) {
+        self.era.send_if_modified(|newest| {
+            let is_newer = *newest < Some(era);
+            let former = if is_newer { newest.replace(era) } else { None };
+            if let Some(former) = former {
+                log::warn!("view: the log service was restored era={era} former={former}");
+                self.lock(|state| state.rewritten_ms = now_ms + REWRITE_MS);
+            }
+            former.is_some()
+        });
+    }
+
+    /// Returns a receiver that is notified when the log service was restored.
+    pub(crate) fn restores(&self) -> watch::Receiver<Option<Era>> {
+        self.era.subscribe()
+    }
+
+    /// Returns whether records may be missing from the log service that others than the system are about to write again.
+    pub(crate) fn awaits_rewrites(&self, now_ms: u64) -> bool {
+        now_ms < self.lock(|state| state.rewritten_ms)
+    }
+
     /// Applies a configuration if it is newer than the current one; returns whether it was applied.
     fn apply(&self, config: Config, record: &Bytes) -> bool {
         self.lock(|state| {
@@ -166,6 +199,9 @@
             }
         };
         let (as_of_ms, next) = (relay.as_of_ms, relay.next);
+        if let Some(next) = next {
+            self.observe_era(now_ms, next.era);
+        }
         self.lock(|state| {
             state.freshness.record(now_ms, as_of_ms, relay.interval_ms);
             match record {
@@ -215,8 +251,8 @@
         freshness.is_current(now_ms, &relay::Options::default())
     }
 
-    /// Returns the offset from which reading goes on; `None` if the newest record must be read.
-    fn next(&self) -> Option<Offset> {
+    /// Returns the position from which reading goes on; `None` if the newest record must be read.
+    fn next(&self) -> Option<Position> {
         self.lock(|state| state.next)
     }
 
@@ -287,7 +323,7 @@
             // The view is old already when the relay lapses.
             let wait = if lapsed { Duration::ZERO } else { self.wait };
             let read = match self.view.next() {
-                Some(from) => self.topics.read(Topic::Config, from, wait).await,
+                Some(from) => self.topics.read(Topic::Config, Some(from), wait).await,
                 None => self.topics.newest(Topic::Config).await,
             };
             self.apply_read(sent_ms, read, &mut status).await;
@@ -311,6 +347,7 @@
             Ok(records) => {
                 status.record_answer(now_ms);
                 self.view.record_answer();
+                self.view.observe_era(now_ms, records.next.era);
                 records
                     .records
                     .iter()
@@ -329,6 +366,12 @@
                 log::info!("view: topic=config trimmed oldest={oldest} action=read-newest");
                 self.view.lock(|state| state.next = None);
             }
+            // What was written since may be anywhere, also before the position that was reached.
+            Err(Error::Restored { era }) => {
+                status.record_answer(now_ms);
+                self.view.observe_era(now_ms, era);
+                self.view.lock(|state| state.next = None);
+            }
             Err(error) => {
                 status.record_failure(now_ms, &error);
                 let pause = self.view.record_failure();
--- a/crates/quetzalpick-entry/src/view/endpoints.rs
+++ b/crates/quetzalpick-entry/src/view/endpoints.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
-use quetzalpick_core::id::{Endpoint, Offset};
+use quetzalpick_core::id::{Endpoint, Position};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -43,6 +43,8 @@
     pending: Vec<Endpoint>,
     /// End of the grace period in which entries may be renewed, in ms.
     grace_until_ms: u64,
+    /// Whether the next complete list is that of an older copy, which may hold entries that have expired since.
+    is_restored: bool,
 }
 
 impl<T: Topics, C: RecordCodec> EndpointFollower<T, C> {
@@ -61,16 +63,20 @@
             let sent_ms = self.clock.now_ms();
             let read = match next {
                 Some(from) => {
-                    let read = self.topics.read(Topic::Endpoints, from, Duration::ZERO);
+                    let read = self
+                        .topics
+                        .read(Topic::Endpoints, Some(from), Duration::ZERO);
                     read.await
                 }
                 None => self.topics.newest(Topic::Endpoints).await,
             };
-            // After a trim, the newest records are read at once.
-            let failed = matches!(&read, Err(error) if !matches!(error, Error::Trimmed { .. }));
+            // After a trim or a restore, the newest records are read at once.
+            let is_void = matches!(read, Err(Error::Trimmed { .. } | Error::Restored { .. }));
+            let failed = read.is_err() && !is_void;
             let reaches_end = matches!(&read, Ok(records) if records.reaches_end());
             let (from, pause) = self.apply_read(next, read, &mut status, &mut expiries);
-            if reaches_end {
+            // An endpoint that has not written its entry again may run a build that the entries do not show.
+            if reaches_end && !self.view.awaits_rewrites(sent_ms) {
                 self.fleet.record_read(sent_ms);
             }
             next = from;
@@ -85,17 +91,17 @@
     /// Applies the result of a read; returns the offset of the next one and the pause before it.
     fn apply_read(
         &self,
-        from: Option<Offset>,
+        from: Option<Position>,
         read: Result<Records>,
         status: &mut DependencyStatus,
         expiries: &mut PendingExpiries,
-    ) -> (Option<Offset>, Duration) {
+    ) -> (Option<Position>, Duration) {
         let now_ms = self.clock.now_ms();
         match read {
             Ok(records) => {
+                self.view.observe_era(now_ms, records.next.era);
                 if status.record_answer(now_ms).is_some() {
-                    let grace_ms = u64::try_from(self.grace.as_millis()).unwrap_or(u64::MAX);
-                    expiries.grace_until_ms = now_ms.saturating_add(grace_ms);
+                    self.begin_grace(now_ms, expiries);
                 }
                 let pause = if records.reaches_end() {
                     self.interval
@@ -113,6 +119,12 @@
                 log::info!("view: topic=endpoints trimmed oldest={oldest} action=read-newest");
                 (None, Duration::ZERO)
             }
+            Err(Error::Restored { era }) => {
+                self.view.observe_era(now_ms, era);
+                self.begin_grace(now_ms, expiries);
+                expiries.is_restored = true;
+                (None, Duration::ZERO)
+            }
             Err(error) => {
                 status.record_failure(now_ms, &error);
                 (from, RETRY_PAUSE)
@@ -120,8 +132,15 @@
         }
     }
 
+    /// Begins the grace period in which endpoints may renew entries that are missing.
+    fn begin_grace(&self, now_ms: u64, expiries: &mut PendingExpiries) {
+        let grace_ms = u64::try_from(self.grace.as_millis()).unwrap_or(u64::MAX);
+        expiries.grace_until_ms = now_ms.saturating_add(grace_ms);
+    }
+
     /// Applies records; a complete list also expires the entries that it does not contain.
     fn apply(&self, complete: bool, records: Vec<Record>, expiries: &mut PendingExpiries) {
+        let is_restored = std::mem::take(&mut expiries.is_restored);
         let mut listed = Vec::with_capacity(records.len());
         for record in records {
             let Ok(endpoint) = Endpoint::try_new(&record.key) else {
@@ -133,6 +152,12 @@
                 .value
                 .and_then(|value| self.decode(&endpoint, &value));
             match spec {
+                // An endpoint that lives writes its entry again.
+                Some(_) if is_restored && self.fleet.is_expired(&endpoint) => {
+                    log::info!(
+                        "view: endpoint={endpoint} ignored reason=\"expired before the restore\""
+                    );
+                }
                 Some(spec) => self.update(endpoint.clone(), spec),
                 None => expiries.pending.push(endpoint.clone()),
             }
--- a/crates/quetzalpick-entry/src/view/members.rs
+++ b/crates/quetzalpick-entry/src/view/members.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
-use quetzalpick_core::id::{Offset, Vm};
+use quetzalpick_core::id::{Position, Vm};
 use quetzalpick_core::table::Table;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::Clock;
 use crate::fleet::Fleet;
@@ -22,6 +22,10 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which members count that a restore of the topic has lost, in ms: each of them has noticed by then, or has no current view
+/// and serves no keys.
+const LOST_TTL_MS: u64 = 20_000;
+
 /// Value of a VM's record, which carries no information beyond its key.
 const VALUE: &[u8] = b"1";
 
@@ -43,8 +47,8 @@
 impl<T: Topics, N> Membership<T, N> {
     /// Follows the topic until cancelled.
     pub(crate) async fn run(self) {
-        let mut members = Table::default();
-        let mut next = None;
+        let mut restores = self.view.restores();
+        let mut list = MemberList::default();
         let mut joined = false;
         loop {
             let relayed = self.view.is_relayed(self.clock.now_ms());
@@ -52,17 +56,23 @@
                 sleep(INTERVAL).await;
                 continue;
             }
-            let read = match next {
-                Some(from) => self.topics.read(Topic::Members, from, Duration::ZERO).await,
+            let now_ms = self.clock.now_ms();
+            let read = match list.next {
+                Some(from) => {
+                    let read = self.topics.read(Topic::Members, Some(from), Duration::ZERO);
+                    read.await
+                }
                 None => self.topics.newest(Topic::Members).await,
             };
-            let Some(from) = apply_read(read, &mut members) else {
-                next = None;
+            if !list.apply(now_ms, read) {
                 self.view.pause(RETRY_PAUSE).await;
                 continue;
-            };
-            next = Some(from);
-            let listed = members.contains(self.lead.vm());
+            }
+            let listed = list.members.contains(self.lead.vm());
+            let count = list.count(now_ms, self.lead.vm());
+            self.rates.set_member_count(count);
+            self.fleet.set_member_count(count);
+            self.lead.set_member_count(count);
             if !joined || !listed {
                 self.enable_floors(listed);
             }
@@ -71,12 +81,9 @@
                 continue;
             }
             joined = true;
-            let count = members.len() + usize::from(!listed);
-            self.rates.set_member_count(count);
-            self.fleet.set_member_count(count);
-            self.lead.set_member_count(count);
-            self.remove_silent(&members).await;
-            sleep(INTERVAL).await;
+            self.remove_silent(&list.members).await;
+            // A restore may have lost members, which are to be told.
+            let _ = timeout(INTERVAL, restores.changed()).await;
         }
     }
 
@@ -109,7 +116,7 @@
     }
 
     /// Adds this VM to the list of members.
-    async fn join(&self) -> Result<Offset> {
+    async fn join(&self) -> Result<Position> {
         let record = Record {
             key: self.lead.vm().as_str().to_owned(),
             value: Some(Bytes::from_static(VALUE)),
@@ -120,24 +127,67 @@
     }
 }
 
-/// Applies the result of a read and returns the offset of the next one; `None` if the list must be read again in full.
-fn apply_read(read: Result<Records>, members: &mut Table<Vm, ()>) -> Option<Offset> {
-    let records = match read {
-        Ok(records) => records,
-        Err(Error::Trimmed { .. }) => return None,
-        Err(error) => {
-            log::debug!("view: members not read reason=\"{error}\"");
-            return None;
+/// `MemberList` holds the members as read from the topic.
+#[derive(Debug, Default)]
+struct MemberList {
+    /// Position of the next read; `None` if the list must be read in full.
+    next: Option<Position>,
+    members: Table<Vm, ()>,
+    /// Members that a restore of the topic has lost, and until when they count, in ms.
+    lost: Table<Vm, u64>,
+    /// Whether the next list in full is that of an older copy.
+    is_restored: bool,
+}
+
+impl MemberList {
+    /// Applies the result of a read; returns whether the list is known.
+    fn apply(&mut self, now_ms: u64, read: Result<Records>) -> bool {
+        match read {
+            Ok(records) => {
+                self.apply_records(now_ms, &records);
+                return true;
+            }
+            Err(Error::Restored { .. }) => self.is_restored = true,
+            Err(Error::Trimmed { .. }) => {}
+            Err(error) => {
+                log::debug!("view: members not read reason=\"{error}\"");
+                return false;
+            }
         }
-    };
-    for record in records.records {
-        let Ok(vm) = Vm::try_new(&record.key) else {
-            continue;
+        self.next = None;
+        false
+    }
+
+    fn apply_records(&mut self, now_ms: u64, records: &Records) {
+        let former = match self.next {
+            Some(_) => Table::default(),
+            None => std::mem::take(&mut self.members),
         };
-        match record.value {
-            Some(_) => drop(members.insert(vm, ())),
-            None => drop(members.remove(&vm)),
+        for record in &records.records {
+            let Ok(vm) = Vm::try_new(&record.key) else {
+                continue;
+            };
+            match record.value {
+                Some(_) => drop(self.members.insert(vm, ())),
+                None => drop(self.members.remove(&vm)),
+            }
+        }
+        if std::mem::take(&mut self.is_restored) {
+            let lost = former.keys().filter(|vm| !self.members.contains(vm));
+            for vm in lost {
+                log::info!("view: member={vm} lost by a restore");
+                self.lost.insert(vm.clone(), now_ms + LOST_TTL_MS);
+            }
         }
+        self.next = Some(records.next);
+    }
+
+    /// Returns the number of VMs that may use floors, with this one.
+    fn count(&mut self, now_ms: u64, me: &Vm) -> usize {
+        let members = &self.members;
+        self.lost
+            .retain(|vm, until_ms| now_ms < *until_ms && !members.contains(vm));
+        let all = self.members.keys().chain(self.lost.keys());
+        all.filter(|vm| *vm != me).count() + 1
     }
-    Some(records.next)
 }
--- a/crates/quetzalpick-entry/src/view/origins.rs
+++ b/crates/quetzalpick-entry/src/view/origins.rs
@@ -6,7 +6,7 @@
 
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Topic, Topics};
-use quetzalpick_core::id::{Offset, Service};
+use quetzalpick_core::id::{Position, Service};
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -41,8 +41,8 @@
 /// `Progress` tells how far the topic is known.
 #[derive(Debug, Default)]
 struct Progress {
-    /// Offset of the next read and of the next append; `None` if the newest records have to be read.
-    next: Option<Offset>,
+    /// Position of the next read and of the next append; `None` if the newest records have to be read.
+    next: Option<Position>,
     /// Fencing number of the term for which the topic was read.
     fence: Option<u64>,
     /// Streams whose batch may not have been appended.
@@ -53,11 +53,14 @@
     /// Follows the topic until cancelled.
     pub(crate) async fn run(self) {
         let mut progress = Progress::default();
+        let mut restores = self.view.restores();
         loop {
             let leads = self.lead.is_leading();
             let reads = tokio::select! {
                 () = self.origins.read_requested.notified() => true,
                 () = self.lead.origin_term_changed.notified() => false,
+                // What was stored may be lost.
+                Ok(()) = restores.changed(), if leads => true,
                 () = sleep(ROUND_PAUSE), if leads => false,
             };
             let result = self.round(&mut progress, reads).await;
@@ -98,24 +101,42 @@
             let Some(from) = progress.next else {
                 let newest = self.topics.newest(Topic::Origins).await?;
                 progress.next = Some(newest.next);
-                self.origins.replace_stored(sent_ms, &newest.records);
+                let as_of_ms = self.as_of_ms(sent_ms);
+                self.origins.replace_stored(as_of_ms, &newest.records);
                 return Ok(());
             };
-            let read = self.topics.read(Topic::Origins, from, Duration::ZERO).await;
-            if matches!(read, Err(Error::Trimmed { .. })) {
-                progress.next = None;
-                continue;
-            }
-            let read = read?;
+            let read = self
+                .topics
+                .read(Topic::Origins, Some(from), Duration::ZERO)
+                .await;
+            let read = match read {
+                Err(Error::Trimmed { .. }) => {
+                    progress.next = None;
+                    continue;
+                }
+                Err(Error::Restored { era }) => {
+                    log::info!("origin: stored streams may be lost era={era}");
+                    progress.next = None;
+                    self.origins.store_again(self.clock.now_ms());
+                    continue;
+                }
+                read => read?,
+            };
             progress.next = Some(read.next);
-            let sent_ms = read.reaches_end().then_some(sent_ms);
-            self.origins.apply_stored(sent_ms, &read.records);
-            if sent_ms.is_some() {
+            let reaches_end = read.reaches_end();
+            let as_of_ms = self.as_of_ms(sent_ms).filter(|_| reaches_end);
+            self.origins.apply_stored(as_of_ms, &read.records);
+            if reaches_end {
                 return Ok(());
             }
         }
     }
 
+    /// Returns the time as of which a read to the end shows all marks, if it does: a restore may have lost some.
+    fn as_of_ms(&self, sent_ms: u64) -> Option<u64> {
+        (!self.view.awaits_rewrites(sent_ms)).then_some(sent_ms)
+    }
+
     /// Marks the services that run several builds, and removes the marks of those that have run one for long enough.
     async fn mark_services(&self, progress: &mut Progress) -> Result<()> {
         let Some(config) = self.view.config() else {
@@ -170,7 +191,7 @@
             .topics
             .append(Topic::Origins, &record, progress.next)
             .await?;
-        progress.next = Some(Offset(appended.0 + 1));
+        progress.next = Some(appended.after(1));
         self.origins.with_stored(|stored| stored.apply(&record));
         Ok(())
     }
--- a/crates/quetzalpick-entry/src/view/quarantine.rs
+++ b/crates/quetzalpick-entry/src/view/quarantine.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use quetzalpick_client::errors::{Error, Result};
 use quetzalpick_client::topic::{Record, Records, Topic, Topics};
-use quetzalpick_core::id::Offset;
+use quetzalpick_core::id::Position;
 use quetzalpick_core::quarantine::Feature;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::lead::{Differences, Leadership};
 use crate::quarantine::Quarantine;
@@ -37,14 +37,19 @@
     pub(crate) async fn run(self) {
         let mut next = None;
         let mut stored = Vec::new();
+        let mut restores = self.view.restores();
         loop {
             if self.synchronize(&mut next, &mut stored).await.is_err() {
                 self.view.pause(RETRY_PAUSE).await;
                 continue;
             }
             if self.lead.is_leading() {
-                // Both outcomes lead to the same call.
-                let _ = timeout(READ_INTERVAL, self.lead.quarantine_changed.notified()).await;
+                // All of these lead to the same call; a restore may have lost features.
+                tokio::select! {
+                    () = sleep(READ_INTERVAL) => {}
+                    () = self.lead.quarantine_changed.notified() => {}
+                    _ = restores.changed() => {}
+                }
             } else {
                 self.lead.quarantine_changed.notified().await;
                 // What was stored meanwhile is unknown.
@@ -60,12 +65,14 @@
     /// Any error of a call; what was read remains applied.
     async fn synchronize(
         &self,
-        next: &mut Option<Offset>,
+        next: &mut Option<Position>,
         stored: &mut Vec<Feature>,
     ) -> Result<()> {
         let read = match *next {
             Some(from) => {
-                let read = self.topics.read(Topic::Quarantine, from, Duration::ZERO);
+                let read = self
+                    .topics
+                    .read(Topic::Quarantine, Some(from), Duration::ZERO);
                 read.await
             }
             None => {
@@ -73,7 +80,7 @@
                 self.topics.newest(Topic::Quarantine).await
             }
         };
-        if matches!(read, Err(Error::Trimmed { .. })) {
+        if matches!(read, Err(Error::Trimmed { .. } | Error::Restored { .. })) {
             *next = None;
         }
         let Records {
