Let streams begin only at builds that all VMs know

Cause: a VM takes the only build that it knows for certain as long as its view is at most 2 s old, since no VM lets streams begin at a build before it has known it for 2 s. The selection made an exception: with no other endpoint, or only ejected ones, it used a build at once.

Change: no exception. Such a stream is refused with the time until the build is settled. The only build of the first list that a VM reads is settled; if the list holds several, the leader says for how long it has known them.

The test of the selection failed before.

Why it works: what began at a build began 2 s or more after its entry was in the topic, so that each view of at most 2 s holds it. Which VM stands still, and for how long, does not matter: the age of the view is taken when the request arrives, and its stream began before.

Ruled out: asking other VMs at each take-up while one build is known (calls for each stream, and the VM that knows may be the one that is lost).

--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -11,7 +11,7 @@
 use quetzalpick_node::peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{Build, Departure, Notice, Spec};
+use crate::fleet::{Build, BuildAge, Departure, Notice, Spec};
 use crate::origin::Origin;
 use crate::place::Work;
 use crate::quarantine::Update;
@@ -203,6 +203,9 @@
     pub(crate) rows: Vec<(Endpoint, Option<Spec>)>,
     /// Limits of these endpoints.
     pub(crate) limits: Vec<Notice>,
+    /// For how long the leader has known the builds of all services, if `rows` lists all endpoints.
+    #[serde(default)]
+    pub(crate) builds: Vec<BuildAge>,
 }
 
 /// `StatusReply` answers a `Status` with the leader's state, as far as it changed.
--- a/crates/quetzalpick-entry/src/fleet/builds.rs
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -2,6 +2,7 @@
 
 use quetzalpick_core::id::Service;
 use quetzalpick_core::table::Table;
+use serde::{Deserialize, Serialize};
 
 use crate::fleet::Build;
 
@@ -30,6 +31,19 @@
     build: Build,
     first_ms: u64,
     last_ms: u64,
+    /// Whether they were present in the first list that this VM has read.
+    is_initial: bool,
+}
+
+/// `BuildAge` tells another VM how long a service has run a build without a pause.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BuildAge {
+    /// The service.
+    pub service: Service,
+    /// The build.
+    pub build: Build,
+    /// Time for which the sender has known endpoints of it, in ms.
+    pub age_ms: u64,
 }
 
 impl Builds {
@@ -61,6 +75,7 @@
 
     /// Records an endpoint that appeared or disappeared; `was_present` tells whether others of its build are present.
     pub fn record(&mut self, now_ms: u64, service: &Service, build: &Build, was_present: bool) {
+        let is_initial = self.read_ms.is_none();
         let sightings = self
             .sightings
             .get_or_insert_with(service.clone(), Vec::default);
@@ -68,6 +83,7 @@
             Some(seen) => {
                 if !was_present && now_ms > seen.last_ms {
                     seen.first_ms = now_ms;
+                    seen.is_initial = is_initial;
                 }
                 seen.last_ms = now_ms;
             }
@@ -75,15 +91,51 @@
                 build: build.clone(),
                 first_ms: now_ms,
                 last_ms: now_ms,
+                is_initial,
             }),
         }
     }
 
+    /// Returns the time until all VMs with a current view know that a service runs a build, in ms; `None` if this VM does not.
+    ///
+    /// The only build of the first list that a VM reads is not new to others, as far as it can tell.
+    pub fn settles_in_ms(&self, now_ms: u64, service: &Service, build: &Build) -> Option<u64> {
+        let sightings = self.of(service);
+        let seen = sightings.iter().find(|seen| seen.build == *build)?;
+        let mut initial = sightings.iter().filter(|seen| seen.is_initial);
+        if seen.is_initial && initial.nth(1).is_none() {
+            return Some(0);
+        }
+        Some((seen.first_ms + SETTLE_MS).saturating_sub(now_ms))
+    }
+
     /// Returns whether all VMs with a current view know that a service runs a build.
     pub fn is_settled(&self, now_ms: u64, service: &Service, build: &Build) -> bool {
-        self.of(service)
-            .iter()
-            .any(|seen| seen.build == *build && now_ms >= seen.first_ms + SETTLE_MS)
+        self.settles_in_ms(now_ms, service, build) == Some(0)
+    }
+
+    /// Returns for how long this VM has known the builds of all services.
+    pub fn ages(&self, now_ms: u64) -> Vec<BuildAge> {
+        let sightings = self.sightings.iter();
+        let sightings =
+            sightings.flat_map(|(service, seen)| seen.iter().map(move |s| (service, s)));
+        let age = |(service, seen): (&Service, &Sighting)| BuildAge {
+            service: service.clone(),
+            build: seen.build.clone(),
+            age_ms: now_ms.saturating_sub(seen.first_ms),
+        };
+        sightings.map(age).collect()
+    }
+
+    /// Takes into account for how long another VM has known a build that this one knows too.
+    pub fn learn_age(&mut self, now_ms: u64, age: &BuildAge) {
+        let Some(sightings) = self.sightings.get_mut(&age.service) else {
+            return;
+        };
+        let mut sightings = sightings.iter_mut();
+        if let Some(seen) = sightings.find(|seen| seen.build == age.build) {
+            seen.first_ms = seen.first_ms.min(now_ms.saturating_sub(age.age_ms));
+        }
     }
 
     /// Returns whether the entries were read recently enough to know every build that another VM may use.
--- a/crates/quetzalpick-entry/src/fleet/limits.rs
+++ b/crates/quetzalpick-entry/src/fleet/limits.rs
@@ -115,6 +115,27 @@
         }
     }
 
+    /// Returns the time until the first of the endpoints that meet the requirements may begin a stream, in ms, because other VMs may not
+    /// know its build before; `None` if none of them waits for that.
+    pub(crate) fn settle_wait_ms(
+        &self,
+        now_ms: u64,
+        requirements: &Requirements<'_>,
+    ) -> Option<u64> {
+        if requirements.build != BuildChoice::Settled {
+            return None;
+        }
+        let rows = self.rows();
+        let serving = rows
+            .values()
+            .filter(|row| row.serves(requirements) && row.accepts_requests());
+        let builds = self.builds();
+        let settles_in_ms =
+            |row: &Row| builds.settles_in_ms(now_ms, &row.spec.service, &row.spec.build);
+        let waits = serving.filter_map(settles_in_ms).min();
+        waits.filter(|wait_ms| *wait_ms > 0)
+    }
+
     /// Returns the time until the first of the endpoints that meet the requirements may get a request again, in ms; `None` if
     /// none of them waits for a permit or has asked for a pause.
     pub(crate) fn limit_wait_ms(
--- a/crates/quetzalpick-entry/src/fleet/mod.rs
+++ b/crates/quetzalpick-entry/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 mod table;
 
 pub use build::Build;
-pub use builds::{Builds, SETTLE_MS, STREAM_TTL_MS};
+pub use builds::{BuildAge, Builds, SETTLE_MS, STREAM_TTL_MS};
 pub use leaving::Departure;
 pub use notice::{Notice, ToleranceNotice};
 pub use pick::Pick;
--- a/crates/quetzalpick-entry/src/fleet/relay.rs
+++ b/crates/quetzalpick-entry/src/fleet/relay.rs
@@ -27,6 +27,11 @@
                 self.expire(now_ms, &endpoint);
             }
         }
+        let mut builds = self.builds();
+        for age in &relay.builds {
+            builds.learn_age(now_ms, age);
+        }
+        drop(builds);
         self.learn_limits(now_ms, &relay.limits);
     }
 
@@ -43,9 +48,15 @@
             rows.filter(|(_, row)| complete || row.version > known_version)
         };
         let entry = |row: &Row| row.expired_ms.is_none().then(|| row.present_spec());
+        let builds = if complete {
+            self.builds().ages(now_ms)
+        } else {
+            Vec::new()
+        };
         Some(EndpointsRelay {
             version,
             complete,
+            builds,
             rows: changed()
                 .map(|(name, row)| (name.clone(), entry(row)))
                 .collect(),
--- a/crates/quetzalpick-entry/src/fleet/selection.rs
+++ b/crates/quetzalpick-entry/src/fleet/selection.rs
@@ -29,7 +29,7 @@
 pub enum BuildChoice<'a> {
     /// Any build.
     Any,
-    /// Builds that all VMs know already; others only if none of these can take the request.
+    /// Builds that all VMs know already: a VM that knows only other ones would let the stream go on there.
     Settled,
     /// This build, as it began the stream.
     Only(&'a Build),
@@ -112,9 +112,7 @@
                     let Spec { service, build, .. } = &row.spec;
                     builds.is_settled(self.now_ms, service, build)
                 };
-                let settled = self.among(rows, allowed, is_settled);
-                let settled = settled.filter(|(_, choice)| choice.reason != Reason::Ejected);
-                settled.or_else(|| self.among(rows, allowed, |_| true))
+                self.among(rows, allowed, is_settled)
             }
         }
     }
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -66,6 +66,10 @@
         lock(&self.rows)
     }
 
+    pub(super) fn builds(&self) -> MutexGuard<'_, Builds> {
+        lock(&self.builds)
+    }
+
     /// Applies an endpoint's spec; returns whether the endpoint is new, has restarted or has changed its state.
     pub fn update(&self, now_ms: u64, endpoint: Endpoint, spec: Spec) -> bool {
         let leader_is_current = self.leader_is_current(now_ms);
@@ -73,7 +77,7 @@
         let former = rows.get(&endpoint).map(|row| &row.spec);
         let same_build = |former: &Spec| former.runs(&spec.service, &spec.build);
         if !former.is_some_and(same_build) {
-            let mut builds = lock(&self.builds);
+            let mut builds = self.builds();
             if let Some(Spec { service, build, .. }) = former {
                 builds.record(now_ms, service, build, true);
             }
@@ -140,31 +144,31 @@
 
     /// Records a read of all entries that was sent at `sent_ms`, by this VM or by the leader.
     pub fn record_read(&self, sent_ms: u64) {
-        lock(&self.builds).record_read(sent_ms);
+        self.builds().record_read(sent_ms);
     }
 
     /// Returns the age of the last read of the entries, in ms.
     pub(crate) fn read_age_ms(&self, now_ms: u64) -> Option<u64> {
-        let read_ms = lock(&self.builds).read_ms();
+        let read_ms = self.builds().read_ms();
         read_ms.map(|read_ms| now_ms.saturating_sub(read_ms))
     }
 
     /// Returns whether the entries were read recently enough to know every build that another VM may use.
     pub(crate) fn is_current(&self, now_ms: u64) -> bool {
-        lock(&self.builds).is_current(now_ms)
+        self.builds().is_current(now_ms)
     }
 
     /// Returns whether this VM knows every build at which streams of a service began that may be taken up now; `sole_ms` is a time at
     /// which it was known from elsewhere that all of them began at one build.
     pub(crate) fn covers_streams(&self, now_ms: u64, sole_ms: Option<u64>) -> bool {
-        lock(&self.builds).covers_streams(now_ms, sole_ms)
+        self.builds().covers_streams(now_ms, sole_ms)
     }
 
     /// Returns the builds at which a stream of a service may have begun that may be taken up now, as far as this VM
     /// knows; sorted.
     pub(crate) fn known_builds(&self, now_ms: u64, service: &Service) -> Vec<Build> {
         let present = self.present_builds(service);
-        let builds = lock(&self.builds);
+        let builds = self.builds();
         let known = builds.known(now_ms, service, present.iter());
         known.into_iter().cloned().collect()
     }
@@ -172,7 +176,7 @@
     /// Returns the build at which every stream of a service began that may be taken up now, if that is certain.
     pub fn sole_build(&self, now_ms: u64, service: &Service) -> Option<Build> {
         let present = self.present_builds(service);
-        let builds = lock(&self.builds);
+        let builds = self.builds();
         builds.sole(now_ms, service, present.iter()).cloned()
     }
 
@@ -194,7 +198,8 @@
             if removes {
                 self.removed_version
                     .fetch_max(row.version, Ordering::Relaxed);
-                lock(&self.builds).record(now_ms, &row.spec.service, &row.spec.build, true);
+                self.builds()
+                    .record(now_ms, &row.spec.service, &row.spec.build, true);
             }
             !removes
         });
@@ -216,7 +221,7 @@
             options: &self.options,
             random,
         };
-        let (endpoint, choice, permit) = selection.select(&rows, &lock(&self.builds))?;
+        let (endpoint, choice, permit) = selection.select(&rows, &self.builds())?;
         let row = rows.get_mut(&endpoint)?;
         let load = row.in_flight + row.others_in_flight;
         row.in_flight += 1;
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -158,7 +158,7 @@
                 return Ok(pick);
             }
         }
-        if let Some(refusal) = self.limit_refusal(admitted) {
+        if let Some(refusal) = self.wait_refusal(admitted) {
             return Err(refusal);
         }
         let cause = if admitted.possible_runs > 0 {
@@ -172,17 +172,23 @@
         Err(Refusal::new(cause, detail).with_retry_after(RETRY_AFTER_NO_ENDPOINT))
     }
 
-    /// Creates the refusal of a request whose endpoints are all at their limits; `None` if that is not why none was picked.
-    fn limit_refusal(&self, admitted: &Admitted) -> Option<Refusal> {
+    /// Creates the refusal of a request that endpoints may take later: they are at their limits, or run a build that is too new; `None`
+    /// if that is not why none was picked.
+    fn wait_refusal(&self, admitted: &Admitted) -> Option<Refusal> {
         let context = &self.context;
         let artifacts = admitted.artifacts();
         let now_ms = context.clock.now_ms();
         let requirements = admitted.requirements(&artifacts);
-        let wait_ms = context.fleet.limit_wait_ms(now_ms, &requirements)?;
+        let limited_ms = context.fleet.limit_wait_ms(now_ms, &requirements);
+        let unsettled_ms = context.fleet.settle_wait_ms(now_ms, &requirements);
+        let limited = limited_ms.map(|wait_ms| (wait_ms, Cause::EndpointsLimited));
+        let unsettled = unsettled_ms.map(|wait_ms| (wait_ms, Cause::UnsettledBuild));
+        let waits = limited.into_iter().chain(unsettled);
+        let (wait_ms, cause) = waits.min_by_key(|(wait_ms, _)| *wait_ms)?;
         let cause = if admitted.possible_runs > 0 {
             Cause::EndpointFailed
         } else {
-            Cause::EndpointsLimited
+            cause
         };
         let detail = format!("service={} wait_ms={wait_ms}", admitted.service);
         let spread = context.record_refusal(&admitted.service);
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -44,6 +44,8 @@
     NoEndpoint,
     /// All endpoints that hold the required artifacts are at the limits that they name.
     EndpointsLimited,
+    /// All endpoints that hold the required artifacts run a build that other VMs may not know yet.
+    UnsettledBuild,
     /// All attempted endpoints declined the request or were unreachable.
     EndpointsRefused,
     /// This VM stops before the request could be answered.
@@ -72,6 +74,7 @@
             | Self::Quarantined
             | Self::NoEndpoint
             | Self::EndpointsLimited
+            | Self::UnsettledBuild
             | Self::EndpointsRefused
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
--- a/crates/quetzalpick-entry/tests/builds.rs
+++ b/crates/quetzalpick-entry/tests/builds.rs
@@ -1,7 +1,14 @@
 //! Tests of what a VM may conclude about the builds of a service from the entries that it has seen.
 
-use quetzalpick_core::id::Service;
-use quetzalpick_entry::fleet::{Build, Builds, SETTLE_MS, STREAM_TTL_MS};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use quetzalpick_core::id::{Domain, Endpoint, Service};
+use quetzalpick_core::route;
+use quetzalpick_entry::fleet::{
+    Build, BuildAge, BuildChoice, Builds, Fleet, Requirements, SETTLE_MS, STREAM_TTL_MS, Spec,
+    State,
+};
 
 /// Pause between two reads of the entries, in ms.
 const READ_INTERVAL_MS: u64 = 500;
@@ -140,3 +147,78 @@
     world.pass(STREAM_TTL_MS);
     assert_eq!(world.sole(), None);
 }
+
+#[test]
+fn the_only_build_of_the_first_list_is_settled_at_once_and_one_of_several_is_not() {
+    const NOW_MS: u64 = 50_000;
+    let service = Service::try_new("llm").unwrap();
+    let is_settled = |builds: &Builds, name: &str| {
+        let build = Build::new(name);
+        builds.is_settled(NOW_MS, &service, &build)
+    };
+    let mut builds = Builds::default();
+    builds.record(NOW_MS, &service, &Build::new("v1"), false);
+    builds.record_read(NOW_MS);
+    builds.record(NOW_MS, &service, &Build::new("v2"), false);
+    assert!(is_settled(&builds, "v1") && !is_settled(&builds, "v2"));
+    let mut builds = Builds::default();
+    for name in ["v1", "v2"] {
+        builds.record(NOW_MS, &service, &Build::new(name), false);
+    }
+    builds.record_read(NOW_MS);
+    assert!(!is_settled(&builds, "v1") && !is_settled(&builds, "v2"));
+    // Another VM has known one of them for long enough.
+    builds.learn_age(
+        NOW_MS,
+        &BuildAge {
+            service: service.clone(),
+            build: Build::new("v1"),
+            age_ms: SETTLE_MS,
+        },
+    );
+    assert!(is_settled(&builds, "v1") && !is_settled(&builds, "v2"));
+}
+
+/// Adds an endpoint of the only service, which runs a build, at a port of its own.
+fn add_endpoint(fleet: &Fleet, now_ms: u64, name: &str, build: &str, port: u16) {
+    let spec = Spec {
+        service: Service::try_new("llm").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        domain: Domain::try_new("a").unwrap(),
+        state: State::Ready,
+        slots: 8,
+        started_ms: Some(1),
+        copies: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        build: Build::new(build),
+    };
+    fleet.update(now_ms, Endpoint::try_new(name).unwrap(), spec);
+}
+
+/// Guards against streams that begin at a build which a VM that stood still does not know, and go on there at another one.
+#[test]
+fn a_stream_does_not_begin_at_a_new_build_even_if_no_other_endpoint_can_take_it() {
+    let domain = Domain::try_new("a").unwrap();
+    let fleet = Arc::new(Fleet::new(domain, route::Options::default()));
+    let service = Service::try_new("llm").unwrap();
+    let requirements = Requirements {
+        service: &service,
+        artifacts: &[],
+        attempted: &[],
+        build: BuildChoice::Settled,
+        allows_limited: true,
+    };
+    add_endpoint(&fleet, 1_000, "r-1", "v1", 1);
+    fleet.record_read(1_000);
+    let picked = |now_ms| {
+        let pick = fleet.pick(now_ms, &requirements, 0);
+        pick.map(|pick| pick.endpoint.as_str().to_owned())
+    };
+    assert_eq!(picked(1_000).as_deref(), Some("r-1"));
+    add_endpoint(&fleet, 40_000, "r-2", "v2", 2);
+    let old = Endpoint::try_new("r-1").unwrap();
+    fleet.expire(40_000, &old);
+    assert_eq!(picked(40_000 + SETTLE_MS - 1), None);
+    assert_eq!(picked(40_000 + SETTLE_MS).as_deref(), Some("r-2"));
+}
