Tell registrars the streams that are under way when a service gets a second build

Cause: where a stream began is told only while several builds run, and whether they do was looked at when the stream began. Nothing told the streams that were under way when the second build appeared.

Change: a further build wakes the task that reports; what is under way goes to the leader and its deputy in one batch.

Cost: one batch a VM for each build that appears.

Ruled out: a message for each stream, a price on large sites.

--- a/crates/quetzalpick-entry/src/exchange/origins.rs
+++ b/crates/quetzalpick-entry/src/exchange/origins.rs
@@ -36,7 +36,14 @@
     /// Reports origins until cancelled.
     pub(crate) async fn report_origins(&self) {
         loop {
-            self.origins.changed().await;
+            tokio::select! {
+                () = self.origins.changed() => {}
+                // Streams that are under way may be taken up at a VM that knows both builds.
+                () = self.fleet.build_added.notified() => {
+                    self.origins.share(self.clock.now_ms());
+                    continue;
+                }
+            }
             sleep(REPORT_PAUSE.max(MEMBER_PAUSE * self.member_count())).await;
             let registrars = self.with_registrars(Registrars::present);
             self.origins.retain_registrars(&registrars);
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -38,6 +38,8 @@
     pub(super) report_number: AtomicU64,
     /// Signals that the leader is to be told what is in flight at endpoints that may fall over.
     pub(crate) room_changed: Notify,
+    /// Signals that a service runs a further build.
+    pub(crate) build_added: Notify,
 }
 
 /// Time after a contact for which the leader's reports are used, in ms.
@@ -59,6 +61,7 @@
             incarnation: random(),
             report_number: AtomicU64::default(),
             room_changed: Notify::new(),
+            build_added: Notify::new(),
         }
     }
 
@@ -84,6 +87,9 @@
             let mut others = rows.iter();
             let was_present = others.any(|(_, row)| row.spec.runs(&spec.service, &spec.build));
             builds.record(now_ms, &spec.service, &spec.build, was_present);
+            if !was_present {
+                self.build_added.notify_one();
+            }
         }
         let is_same = |row: &Row| row.spec.is_same_incarnation(&spec);
         let is_new = !rows.get(&endpoint).is_some_and(is_same);
--- a/crates/quetzalpick-entry/src/origin/origins.rs
+++ b/crates/quetzalpick-entry/src/origin/origins.rs
@@ -61,7 +61,7 @@
     first: u64,
     /// Number of the next row of `own` to tell, by the address of the registrar.
     told: Table<String, u64>,
-    /// Time of the last stream that other VMs have to know, in ms.
+    /// Time at which other VMs last had to know a stream, in ms.
     shared_ms: Option<u64>,
 }
 
@@ -186,6 +186,12 @@
         self.changed.notified().await;
     }
 
+    /// Records that other VMs have to know the streams that are under way.
+    pub(crate) fn share(&self, now_ms: u64) {
+        self.lock().shared_ms = Some(now_ms);
+        self.changed.notify_one();
+    }
+
     /// Wakes the task that tells the registrars, if other VMs had to know a stream recently.
     pub(crate) fn registrars_changed(&self, now_ms: u64) {
         let shared_ms = self.lock().shared_ms;
