Say that a list has not been read yet instead of sending 1 or an empty list

Cause: the leader's number of VMs began at 1 and went to all VMs, which then took the share of all. The entries of endpoints had the same flaw: a leader that had not read them passed on an empty list that it called complete, and all VMs dropped all endpoints.

Change: the number of VMs is an `Option` at the leader, in its replies and at each VM. While it is not known there are no floors, overdrafts, retries or rooms of an own share, and a VM keeps the number that it was told before. Entries are passed on once they were read. VMs of the former build, which know no such flag, get the number of VMs that the leader has heard of.

Checked as well: quarantine, listed, deputy, copies and age of entries say already that they are incomplete; loads of others begin at 0 and only guide the selection.

Ruled out: a higher number to begin with, which would only hide this case.

--- a/crates/quetzalpick-client/src/memory/topics.rs
+++ b/crates/quetzalpick-client/src/memory/topics.rs
@@ -27,6 +27,8 @@
     topics: Table<Topic, TopicRecords>,
     /// Number of restores so far.
     era: Era,
+    /// Topics that are down, for all handles.
+    down: Table<Topic, ()>,
     faults: Table<String, Faults>,
     call_count: u64,
 }
@@ -107,10 +109,10 @@
             .get_or_insert_with(name.to_owned(), Faults::default)
     }
 
-    /// Counts a call, and fails if the handle cannot reach the service.
-    fn check_reachable(&mut self, name: &str) -> Result<()> {
+    /// Counts a call, and fails if the handle cannot reach the topic.
+    fn check_reachable(&mut self, name: &str, topic: Topic) -> Result<()> {
         self.call_count += 1;
-        if self.faults(name).disconnected {
+        if self.faults(name).disconnected || self.down.contains(&topic) {
             return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
         }
         Ok(())
@@ -146,6 +148,14 @@
             .update(|service| service.faults(&self.name).disconnected = disconnected);
     }
 
+    /// Lets all handles fail to reach a topic, or reach it again.
+    pub fn set_down(&self, topic: Topic, is_down: bool) {
+        self.shared.update(|service| match is_down {
+            true => drop(service.down.insert(topic, ())),
+            false => drop(service.down.remove(&topic)),
+        });
+    }
+
     /// Drops the answers to the next `count` appends of this handle; the appends take effect.
     pub fn drop_answers(&self, count: u32) {
         self.shared
@@ -184,7 +194,7 @@
 impl crate::topic::Topics for Topics {
     async fn newest(&self, topic: Topic) -> Result<Records> {
         let mut service = self.shared.lock();
-        service.check_reachable(&self.name)?;
+        service.check_reachable(&self.name, topic)?;
         let era = service.era;
         let topic = service.topic(topic);
         let end = Offset(topic.end());
@@ -196,7 +206,7 @@
     }
 
     async fn read(&self, topic: Topic, from: Option<Position>, wait: Duration) -> Result<Records> {
-        self.shared.lock().check_reachable(&self.name)?;
+        self.shared.lock().check_reachable(&self.name, topic)?;
         let page = |service: &mut Service| {
             if service.faults(&self.name).disconnected {
                 return Err(unanswered(TARGET, Verdict::NotRun, "cut"));
@@ -214,7 +224,7 @@
         expected_end: Option<Position>,
     ) -> Result<Position> {
         let (position, drop_answer) = self.shared.update(|service| {
-            service.check_reachable(&self.name)?;
+            service.check_reachable(&self.name, topic)?;
             service.check_era(expected_end)?;
             let era = service.era;
             let topic = service.topic(topic);
--- a/crates/quetzalpick-entry/src/exchange/client.rs
+++ b/crates/quetzalpick-entry/src/exchange/client.rs
@@ -95,8 +95,10 @@
         u64::try_from(self.status_interval().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the number of VMs by which calls are paced.
     pub(super) fn member_count(&self) -> u32 {
-        u32::try_from(self.rates.member_count()).unwrap_or(u32::MAX)
+        let count = self.rates.member_count().unwrap_or(1);
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Sends this VM's status to the leader and applies the reply.
@@ -198,6 +200,7 @@
     /// Applies the configuration, endpoints and members that the leader has read.
     fn apply_relay(&self, sent_ms: u64, reply: StatusReply) {
         let now_ms = self.clock.now_ms();
+        let member_count = reply.member_count();
         let Some(view) = reply.view else { return };
         let relay = Relay {
             as_of_ms: sent_ms.saturating_sub(view.age_ms),
@@ -221,14 +224,15 @@
         if let Some(age_ms) = reply.endpoints_age_ms {
             self.fleet.record_read(sent_ms.saturating_sub(age_ms));
         }
-        let member_count = usize::try_from(reply.member_count).unwrap_or(usize::MAX);
-        self.rates.set_member_count(member_count);
         if let Some(listed) = reply.listed {
             self.rates.set_listed(listed);
         }
-        self.fleet.set_member_count(member_count);
-        // If this VM leads later, it starts with this leader's member count.
-        self.lead.set_member_count(member_count);
+        if let Some(member_count) = member_count {
+            self.rates.set_member_count(member_count);
+            self.fleet.set_member_count(member_count);
+            // If this VM leads later, it starts with this leader's member count.
+            self.lead.set_member_count(member_count);
+        }
     }
 
     /// Applies an update of the copies, unless it is outdated or from a former leader.
--- a/crates/quetzalpick-entry/src/exchange/message.rs
+++ b/crates/quetzalpick-entry/src/exchange/message.rs
@@ -223,9 +223,11 @@
     pub(crate) view: Option<ViewRelay>,
     /// Entries of endpoints, if they changed.
     pub(crate) endpoints: Option<EndpointsRelay>,
-    /// Number of VMs.
-    #[serde(rename = "members")]
-    pub(crate) member_count: u64,
+    /// Number of VMs; a lower bound if `members_unread` is set.
+    pub(crate) members: u64,
+    /// Whether the leader has not read the list of members yet, nor was told their number.
+    #[serde(default)]
+    pub(crate) members_unread: bool,
     /// IP addresses and ports of some other VMs.
     pub(crate) peers: Vec<String>,
     /// Whether the status's sender is in the list of members; `None` if the leader hasn't read the list.
@@ -240,6 +242,14 @@
     pub(crate) quarantine: Option<Update>,
 }
 
+impl StatusReply {
+    /// Returns the number of VMs, if the leader knows it.
+    pub(crate) fn member_count(&self) -> Option<usize> {
+        let count = usize::try_from(self.members).unwrap_or(usize::MAX);
+        (!self.members_unread).then_some(count)
+    }
+}
+
 /// `OriginReport` tells a registrar where streams of the sender began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OriginReport {
--- a/crates/quetzalpick-entry/src/fleet/relay.rs
+++ b/crates/quetzalpick-entry/src/fleet/relay.rs
@@ -35,10 +35,11 @@
         self.learn_limits(now_ms, &relay.limits);
     }
 
-    /// Returns the entries and limits that changed since the version that a VM has, if any; 0 stands for a VM without entries.
+    /// Returns the entries and limits that changed since the version that a VM has, if any; 0 stands for a VM without entries. Nothing
+    /// is passed on before this VM has read the entries, or received them from a leader that had.
     pub(crate) fn relay(&self, now_ms: u64, known_version: u64) -> Option<EndpointsRelay> {
         let version = self.version.load(Ordering::Relaxed);
-        if version == known_version {
+        if version == known_version || self.read_age_ms(now_ms).is_none() {
             return None;
         }
         let complete = known_version <= self.removed_version.load(Ordering::Relaxed);
--- a/crates/quetzalpick-entry/src/lead/leadership.rs
+++ b/crates/quetzalpick-entry/src/lead/leadership.rs
@@ -1,6 +1,5 @@
 //! The leader's state, and its answers to the other VMs.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -60,7 +59,8 @@
     pub(super) view: Arc<View>,
     pub(super) fleet: Arc<Fleet>,
     pub(super) quarantine: Arc<Quarantine>,
-    pub(super) member_count: AtomicU64,
+    /// Number of VMs; `None` until this VM has read the list of members or was told by a former leader.
+    member_count: Mutex<Option<usize>>,
     /// The list of members; `None` unless this VM has read it while it leads.
     pub(super) member_list: Mutex<Option<Table<Vm, ()>>>,
     floor_permille: u64,
@@ -99,7 +99,7 @@
             view,
             fleet,
             quarantine,
-            member_count: AtomicU64::new(1),
+            member_count: Mutex::default(),
             member_list: Mutex::default(),
             floor_permille: options.floor_permille,
             engines,
@@ -225,8 +225,12 @@
 
     /// Sets the number of VMs.
     pub(crate) fn set_member_count(&self, count: usize) {
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        self.member_count.store(count, Ordering::Relaxed);
+        *lock(&self.member_count) = Some(count);
+    }
+
+    /// Returns the number of VMs, if this VM knows it.
+    pub(super) fn member_count(&self) -> Option<usize> {
+        *lock(&self.member_count)
     }
 
     /// Replaces the list of members, if this VM leads, and returns those without contact for `timeout_ms` or longer.
--- a/crates/quetzalpick-entry/src/lead/permits.rs
+++ b/crates/quetzalpick-entry/src/lead/permits.rs
@@ -1,7 +1,6 @@
 //! Permits for endpoints that name a limit or may fall over, which the leader grants to all VMs.
 
 use std::slice;
-use std::sync::atomic::Ordering;
 
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::limit::{Permits, Rate};
@@ -61,9 +60,12 @@
             // An incarnation that the sender got to know first.
             None => return Decision::Full,
         };
+        let Some(members) = self.member_count() else {
+            return Decision::Unsettled;
+        };
         let term = Term {
             since_ms: state.since_ms,
-            members: self.member_count.load(Ordering::Relaxed),
+            members: members as u64,
             heard: state.heard,
         };
         let loads = || self.with_statuses(|statuses, _| statuses.loads_at(&request.limit.endpoint));
@@ -74,8 +76,7 @@
 
     /// Returns the time after which a VM should draw again where it found no room, in ms.
     fn room_wait_ms(&self) -> u64 {
-        let members = self.member_count.load(Ordering::Relaxed);
-        ROOM_WAIT_MS.max(PERMIT_WAIT_PER_VM_MS * members)
+        ROOM_WAIT_MS.max(PERMIT_WAIT_PER_VM_MS * self.paced_members())
     }
 
     /// Applies what changed at endpoints that may fall over; returns whether this VM leads.
@@ -93,8 +94,12 @@
 
     /// Returns the longest wait for a permit, in ms; it grows with the VMs, so that the leader's work does not.
     fn permit_wait_max_ms(&self) -> u64 {
-        let members = self.member_count.load(Ordering::Relaxed);
-        PERMIT_WAIT_MS.max(PERMIT_WAIT_PER_VM_MS * members)
+        PERMIT_WAIT_MS.max(PERMIT_WAIT_PER_VM_MS * self.paced_members())
+    }
+
+    /// Returns the number of VMs by which calls to the leader are paced.
+    fn paced_members(&self) -> u64 {
+        self.member_count().unwrap_or(1) as u64
     }
 
     /// Charges a call of this VM to an endpoint that may name a limit, as the call is sent in any case.
--- a/crates/quetzalpick-entry/src/lead/replies.rs
+++ b/crates/quetzalpick-entry/src/lead/replies.rs
@@ -1,7 +1,5 @@
 //! The leader's replies to the statuses of the VMs.
 
-use std::sync::atomic::Ordering;
-
 use quetzalpick_core::id::Vm;
 use quetzalpick_node::peer::Blob;
 
@@ -41,6 +39,8 @@
             0
         };
         let quarantine = self.investigate(&status);
+        // At least these share what is divided; VMs of former versions take the number for that of all.
+        let heard = self.with_statuses(|statuses, _| statuses.count());
         let reply = StatusReply {
             heartbeat: self.with_election(|election, now_ms| election.heartbeat(now_ms)),
             fence,
@@ -49,7 +49,8 @@
             copies,
             view: self.relay_view(now_ms, &status),
             endpoints: self.fleet.relay(now_ms, known_endpoints),
-            member_count: self.member_count.load(Ordering::Relaxed),
+            members: self.member_count().unwrap_or(heard) as u64,
+            members_unread: self.member_count().is_none(),
             peers: self
                 .with_statuses(|statuses, _| statuses.sample_addresses(&status.vm, PEER_SAMPLE)),
             listed: self.is_listed(&status.vm),
--- a/crates/quetzalpick-entry/src/lead/statuses.rs
+++ b/crates/quetzalpick-entry/src/lead/statuses.rs
@@ -100,6 +100,11 @@
         others.next().map(|status| status.address.clone())
     }
 
+    /// Returns the number of VMs that have sent a status.
+    pub(crate) fn count(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Returns the number of VMs whose last status was received at or after `since_ms`.
     pub(crate) fn heard_since(&self, since_ms: u64) -> u64 {
         let heard = self
--- a/crates/quetzalpick-entry/src/rate/mod.rs
+++ b/crates/quetzalpick-entry/src/rate/mod.rs
@@ -39,7 +39,8 @@
 #[derive(Debug)]
 struct State {
     rows: Table<id::Workspace, Row>,
-    member_count: usize,
+    /// Number of VMs; `None` until the list of members was read, here or by the leader.
+    member_count: Option<usize>,
     /// This VM's floor is not used before this time, in ms, because other VMs may not count this one yet.
     floor_from_ms: u64,
     /// Whether this VM is in the list of members, according to the leader.
@@ -67,7 +68,7 @@
     pub(crate) fn new(floor_permille: u64, overdraft: Overdraft) -> Self {
         let state = State {
             rows: Table::default(),
-            member_count: 1,
+            member_count: None,
             floor_from_ms: u64::MAX,
             listed: true,
             overdraft,
@@ -94,7 +95,7 @@
 
     /// Sets the number of VMs among which the floors are divided.
     pub(crate) fn set_member_count(&self, count: usize) {
-        self.state().member_count = count.max(1);
+        self.state().member_count = Some(count.max(1));
     }
 
     /// Sets whether this VM is in the list of members; otherwise the others do not reserve a floor for it.
@@ -107,15 +108,15 @@
         self.state().listed
     }
 
-    /// Returns the number of VMs among which the floors are divided.
-    pub(crate) fn member_count(&self) -> usize {
+    /// Returns the number of VMs among which the floors are divided, if it is known.
+    pub(crate) fn member_count(&self) -> Option<usize> {
         self.state().member_count
     }
 
     /// Returns the number of VMs that share what is divided without a leader; `None` while other VMs may not count this one.
     pub(crate) fn known_member_count(&self, now_ms: u64) -> Option<usize> {
         let state = self.state();
-        state.counts_here(now_ms).then_some(state.member_count)
+        state.member_count.filter(|_| state.counts_here(now_ms))
     }
 
     /// Replaces the configured workspaces: creates and refills their buckets, and removes those of others.
@@ -140,7 +141,7 @@
         units: u64,
     ) -> Result<(), Shortage> {
         let mut state = self.state();
-        let (overdraft, members) = (state.overdraft, state.member_count as u64);
+        let (overdraft, members) = (state.overdraft, state.member_count);
         let Some(row) = self.row(&mut state, now_ms, workspace) else {
             return Ok(());
         };
@@ -148,9 +149,9 @@
         // The leader's part of the rate is used before a bucket is overdrawn.
         let may_draw = now_ms >= row.draws_paused_until_ms;
         let leaderless = !may_draw && row.leaderless;
-        let overdraft = match workspace.quota {
-            Some(quota) if !may_draw => {
-                overdraft.share(quota.rate, quota.burst, members, leaderless)
+        let overdraft = match (workspace.quota, members) {
+            (Some(quota), Some(members)) if !may_draw => {
+                overdraft.share(quota.rate, quota.burst, members as u64, leaderless)
             }
             _ => 0,
         };
@@ -237,10 +238,9 @@
 
     /// Returns the part of each rate that is reserved for this VM.
     fn floor_parts(&self, state: &State, now_ms: u64) -> Parts {
-        if state.counts_here(now_ms) {
-            floor(state.member_count, self.floor_permille)
-        } else {
-            0
+        match state.member_count {
+            Some(members) if state.counts_here(now_ms) => floor(members, self.floor_permille),
+            _ => 0,
         }
     }
 }
--- a/crates/quetzalpick-entry/src/serve/context.rs
+++ b/crates/quetzalpick-entry/src/serve/context.rs
@@ -177,7 +177,9 @@
     fn with_budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget, u64) -> T) -> T {
         let now_ms = self.clock.now_ms();
         let retries = self.options().retry;
-        let options = retries.share(self.rates.member_count());
+        // While the number of VMs is not known, no part of the budget is this VM's own.
+        let members = self.rates.member_count().unwrap_or(usize::MAX);
+        let options = retries.share(members);
         let mut budgets = lock(&self.budgets);
         // Nothing is saved at first, as all VMs may have started at once.
         let new_budget = || Budget::new(now_ms, retries.share(usize::MAX));
