Answer 502 if an endpoint's status promises that nothing ran without saying so

Callers saw: requests that had run were refused with a promise (REFUSED, the users' own runs, without logs). One cause is shown here: an endpoint's own 408, 429 or 503 with its seal, without the field for "not run", reached the caller with that status.

Cause: the answer was passed on unchanged, though for callers these statuses promise that nothing ran, and no other field of an endpoint says so.

Change: such an answer counts as a failure of a request that may have run: it is repeated where that is allowed, and else answered 502. The users' pages say both that an answer is returned unchanged and that the status is a promise; the promise is kept true (docs/QUESTIONS.md).

Only suspected: that this is what the users saw.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Response;
+use http::{Response, StatusCode};
 use quetzalpick_core::id::Endpoint;
 
 use crate::exchange::Via;
@@ -68,6 +68,10 @@
             };
             let (pick, result) = outcome.result;
             let (failure, answer) = match result {
+                Ok(answer) if promises_no_run(answer.status()) => {
+                    let reason = format!("status {} without a proof", answer.status());
+                    (Failure::may_have_run(reason), None)
+                }
                 Ok(answer) if is_replaceable(&admitted, hedge.len(), &answer) => {
                     let reason = format!("the endpoint failed with status {}", answer.status());
                     (Failure::may_have_run(reason), Some(answer))
@@ -347,6 +351,16 @@
     admitted.route.kind.is_stream() && under_way > 1
 }
 
+/// Returns whether a status tells callers that their request did not run; only a proof of the endpoint says so.
+fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns whether a failed answer should be replaced by that of another endpoint, under way or to follow.
 fn is_replaceable(admitted: &Admitted, under_way: usize, answer: &EndpointAnswer) -> bool {
     let is_failed =
