Do not take what a VM reads right after its start for current if the log service may just have been restored

The log service had come back without the withdrawal, which the operator wrote again 0.4 s later; a VM that started in between read the older configuration and took it for current.

Cause: the two seconds in which reads do not count after a restore began only at VMs that knew a former era.

Change: they begin with the first era that a VM hears of, unless the service was never restored. The leader's relays count at once, as its own reads obey the same rule; so a VM that starts beside a leader does not wait, and followers no longer add two seconds to the leader's.

Ruled out: asking other VMs for the newest version (the leader's relay does that).

--- a/crates/quetzalpick-entry/src/view/config.rs
+++ b/crates/quetzalpick-entry/src/view/config.rs
@@ -65,7 +65,7 @@
     as_of_ms: Option<u64>,
     /// Position after the newest read, from which reading goes on.
     next: Option<Position>,
-    /// Reads sent before this time are not current, in ms.
+    /// Own reads sent before this time are not current, in ms.
     rewritten_ms: u64,
     /// Record relayed by the leader that is not applied yet.
     relayed: Option<Relayed>,
@@ -123,9 +123,7 @@
 impl State {
     /// Records that the view is current as of a read sent at `as_of_ms`, after which reading goes on at `next`.
     fn advance(&mut self, as_of_ms: u64, next: Option<Position>) {
-        if as_of_ms >= self.rewritten_ms {
-            self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
-        }
+        self.as_of_ms = self.as_of_ms.max(Some(as_of_ms));
         self.next = next;
     }
 }
@@ -142,13 +140,17 @@
         Some(now_ms.saturating_sub(as_of_ms))
     }
 
-    /// Records in which era a call was answered; a newer one than before has begun with a restore of the log service.
+    /// Records in which era a call was answered; a newer one than before has begun with a restore of the log service. So may the first
+    /// one that this VM hears of, unless the service was never restored.
     pub(crate) fn observe_era(&self, now_ms: u64, era: Era) {
         self.era.send_if_modified(|newest| {
-            let is_newer = *newest < Some(era);
-            let former = if is_newer { newest.replace(era) } else { None };
-            if let Some(former) = former {
-                log::warn!("view: the log service was restored era={era} former={former}");
+            let former = *newest;
+            if former >= Some(era) {
+                return false;
+            }
+            *newest = Some(era);
+            if era > Era::default() {
+                log::warn!("view: the log service was restored era={era} former={former:?}");
                 self.lock(|state| state.rewritten_ms = now_ms + REWRITE_MS);
             }
             former.is_some()
@@ -354,7 +356,8 @@
                     .for_each(|record| self.apply_record(record));
                 let next = Some(records.next);
                 self.view.lock(|state| {
-                    if records.reaches_end() {
+                    // What was written last may be lost, and not be there again.
+                    if records.reaches_end() && sent_ms >= state.rewritten_ms {
                         state.advance(sent_ms, next);
                     } else {
                         state.next = next;
