Take only an empty log for one that may have lost all claims

Read, not seen: a read that returns no further record was taken for a log without claims, so that the base of the numbers rose to that of the era. Numbers stay unique and rise, but beside VMs of the former build, whose claims carry no numbering, one that leads next would have been refused by all engines.

Change: the base rises so only if the whole log was read and holds no claim.

--- a/crates/quetzalpick-core/src/election/state_machine/results.rs
+++ b/crates/quetzalpick-core/src/election/state_machine/results.rs
@@ -25,10 +25,14 @@
             return;
         }
         let era = tail.end.era;
-        self.observe_numbering(match &tail.newest {
-            Some((_, claim)) => claim.numbering.unwrap_or(Numbering::unnamed(era)),
-            None => Numbering::first(era),
-        });
+        match &tail.newest {
+            Some((_, claim)) => {
+                self.observe_numbering(claim.numbering.unwrap_or(Numbering::unnamed(era)));
+            }
+            // A read of the whole log found no claim.
+            None if self.log_state.is_none() => self.observe_numbering(Numbering::first(era)),
+            None => {}
+        }
         let former = self.log_state.take();
         let unchanged = former.filter(|log_state| log_state.end == tail.end);
         let log_state = unchanged.unwrap_or(LogState {
