Name the connection of each answer, and the attempts before a refusal, in the log

A promise that a request has not run could not be checked afterwards: the log named endpoint, verdict and status of an attempt, not the connection that carried the answer nor how many answers that had brought, so that a copy of an earlier refusal looked like a true one. Each answer now has a carrier, connection and number, also through another VM (a field of the answer; a VM of a former build does not name it); it stands in the line of each answered and failed attempt, and the line of a refusal says how often the request was sent and how many endpoints may have run it. The gate logs each answer that says 'not run' in the same form. What counts as the first answer of a connection follows from the number; nothing else changes in what callers get.

--- a/crates/quetzalpick-client/src/http/connection.rs
+++ b/crates/quetzalpick-client/src/http/connection.rs
@@ -11,19 +11,23 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::Options;
+use super::{Carrier, Options};
 
 /// `Connection` sends requests over one TCP connection and closes it when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
     /// Sends requests, one at a time.
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// The answer that came last, or its number 0.
+    pub(crate) carrier: Carrier,
     driver: AbortHandle,
 }
 
 impl Connection {
-    /// Connects to an address, from a source address if one is given, and starts the task that drives the connection.
+    /// Connects to an address, from a source address if one is given, and starts the task that drives the connection, which gets a
+    /// number.
     pub(crate) async fn try_connect(
+        number: u64,
         address: SocketAddr,
         source: Option<IpAddr>,
         options: &Options,
@@ -43,7 +47,15 @@
             .map_err(io::Error::other)?;
         // The sender and the body report errors of the connection, so the task's result is not needed.
         let driver = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-        Ok(Self { sender, driver })
+        let carrier = Carrier {
+            connection: number,
+            answer: 0,
+        };
+        Ok(Self {
+            sender,
+            carrier,
+            driver,
+        })
     }
 }
 
--- a/crates/quetzalpick-client/src/http/mod.rs
+++ b/crates/quetzalpick-client/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP calls to external systems; each failure states exactly whether the call may have run.
 
 mod body;
+mod carrier;
 mod connection;
 mod framing;
 mod fresh;
@@ -8,6 +9,7 @@
 mod pool;
 
 pub use body::Body;
+pub use carrier::Carrier;
 pub use framing::Framing;
 pub use fresh::Fresh;
 pub use options::{Options, Timeouts};
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -35,6 +35,8 @@
     idle: Mutex<Table<SocketAddr, Vec<IdleConnection>>>,
     /// Source address of new connections; `None` leaves it to the system.
     source: Mutex<Option<IpAddr>>,
+    /// Number of attempts to connect, which numbers the connections.
+    attempts: AtomicU64,
     /// Number of connections that were established.
     connections: AtomicU64,
 }
@@ -88,7 +90,7 @@
     /// Sends a request to an IP address and port and returns the answer as soon as its head has arrived.
     ///
     /// An idle connection that turns out to be closed before any byte of the request was sent is replaced by a new one. A request
-    /// that is marked `Fresh` gets a new connection.
+    /// that is marked `Fresh` gets a new connection. The extensions of the answer hold its `Carrier`.
     ///
     /// # Errors
     ///
@@ -120,10 +122,7 @@
         let connection = self.try_connect(peer, timeouts.connect).await;
         let connection = connection.map_err(not_run)?;
         match self.send_over(peer, connection, request, timeouts).await {
-            SendOutcome::Answered(mut response) => {
-                response.extensions_mut().insert(Fresh);
-                Ok(response)
-            }
+            SendOutcome::Answered(response) => Ok(response),
             SendOutcome::Unsent(_, reason) => Err(not_run(reason)),
             SendOutcome::NoAnswer(reason) => Err(may_have_run(address, reason)),
         }
@@ -156,7 +155,8 @@
         limit: Duration,
     ) -> Result<Connection, String> {
         let source = *lock(&self.shared.source);
-        let connecting = Connection::try_connect(address, source, &self.shared.options);
+        let number = self.shared.attempts.fetch_add(1, Ordering::Relaxed);
+        let connecting = Connection::try_connect(number, address, source, &self.shared.options);
         let connection = with_timeout(limit, connecting).await?;
         let connection = connection.map_err(|e| format!("cannot connect: {e}"))?;
         self.shared.connections.fetch_add(1, Ordering::Relaxed);
@@ -178,7 +178,9 @@
         }
         let sending = connection.sender.try_send_request(request);
         match with_timeout(timeouts.head, sending).await {
-            Ok(Ok(response)) => {
+            Ok(Ok(mut response)) => {
+                connection.carrier.answer += 1;
+                response.extensions_mut().insert(connection.carrier);
                 let pool = self.clone();
                 let handle = PoolHandle { pool, address };
                 let body = |incoming| Body::new(incoming, connection, handle, timeouts);
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use quetzalpick_client::errors::{Error, Result as CallResult};
-use quetzalpick_client::http::{Body, Fresh, Request as HttpRequest, Timeouts};
+use quetzalpick_client::http::{Body, Carrier, Fresh, Request as HttpRequest, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
 use tokio::time::timeout;
@@ -43,6 +43,8 @@
     pub(crate) declined: bool,
     /// Whether the connection ended after the request was sent, before the end of an answer and before its time was over.
     pub(crate) broken_off: bool,
+    /// Connection that carried the answer, if one came.
+    pub(crate) carrier: Option<Carrier>,
     /// Description for the log.
     pub(crate) reason: String,
 }
@@ -60,9 +62,15 @@
             misdirected: false,
             declined: false,
             broken_off: false,
+            carrier: None,
             reason: reason.to_string(),
         }
     }
+
+    /// Adds the connection that carried the answer.
+    pub(crate) fn with_carrier(self, carrier: Option<Carrier>) -> Self {
+        Self { carrier, ..self }
+    }
 }
 
 /// Picks an endpoint that was not attempted yet, or else any, and obtains a permit if it needs one.
@@ -130,15 +138,22 @@
         crash::record(context, admitted, pick, false);
     }
     log::info!(
-        "entry: request={} failed endpoint={} verdict={} digest={:016x} reason=\"{}\"",
+        "entry: request={} failed endpoint={} verdict={} connection={} send={} digest={:016x} reason=\"{}\"",
         admitted.id(),
         pick.endpoint,
         failure.verdict,
+        carrier_name(failure.carrier),
+        admitted.attempted.len(),
         admitted.digest,
         failure.reason
     );
 }
 
+/// Returns how the connection that carried an answer, and the number of the answer there, stand in the log.
+pub(crate) fn carrier_name(carrier: Option<Carrier>) -> String {
+    carrier.map_or_else(|| "-".to_owned(), |carrier| carrier.to_string())
+}
+
 /// `Call` is a request that is ready to be sent to a picked endpoint. It owns what it needs, so that several attempts of one
 /// request can be under way at once.
 #[derive(Debug)]
@@ -191,10 +206,12 @@
             misdirected: false,
             declined: false,
             broken_off: in_time && error.verdict() == Verdict::MayHaveRun,
+            carrier: None,
             reason: error.to_string(),
         })?;
         let attempt_id = self.attempt_id.as_deref();
-        let is_first = answer.extensions().get::<Fresh>().is_some();
+        let carrier = answer.extensions().get::<Carrier>().copied();
+        let is_first = carrier.is_some_and(Carrier::is_first);
         let proof =
             context
                 .head_codec
@@ -210,11 +227,14 @@
         }
         match proof {
             Proof::Answer => Ok(answer),
-            Proof::NotRun { misdirected } => Err(declined(answer, misdirected).await),
+            Proof::NotRun { misdirected } => {
+                let failure = declined(answer, misdirected).await;
+                Err(failure.with_carrier(carrier))
+            }
             Proof::Mismatched => {
                 let reason = format!("status {} is no answer to this request", answer.status());
                 answer.into_body().discard();
-                Err(Failure::may_have_run(reason))
+                Err(Failure::may_have_run(reason).with_carrier(carrier))
             }
         }
     }
@@ -297,6 +317,7 @@
         misdirected: false,
         declined: false,
         broken_off: false,
+        carrier: None,
         reason,
     };
     let headers = context
@@ -364,6 +385,7 @@
         misdirected,
         declined: status != StatusCode::MISDIRECTED_REQUEST,
         broken_off: false,
+        carrier: None,
         reason: format!("the endpoint declined with status {status}"),
     }
 }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::fleet::Pick;
 use crate::serve::PeerClient;
 use crate::serve::attempt::{
-    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, pick, pick_backup, record_failure,
+    Call, Failure, OBJECTIVE_MULTIPLE, OVERLAP_MAX, carrier_name, pick, pick_backup, record_failure,
 };
 use crate::serve::body::Body;
 use crate::serve::delivery::{Delivery, EndpointAnswer};
@@ -48,7 +48,10 @@
             if hedge.is_empty() {
                 match self.pick_next(&admitted).await {
                     Ok(pick) => start(&mut admitted, &mut hedge, pick),
-                    Err(refusal) => return self.answer_failed(admitted, failed).ok_or(refusal),
+                    Err(refusal) => {
+                        let refusal = refusal.after(&admitted);
+                        return self.answer_failed(admitted, failed).ok_or(refusal);
+                    }
                 }
             }
             let patience = self.patience(&admitted, hedge.len());
@@ -56,7 +59,8 @@
                 biased;
                 outcome = hedge.next(patience) => outcome,
                 () = self.context.stop.ending() => {
-                    return Err(self.give_up_at_stop(&mut admitted, &mut hedge));
+                    let refusal = self.give_up_at_stop(&mut admitted, &mut hedge);
+                    return Err(refusal.after(&admitted));
                 }
             };
             let Some(outcome) = outcome else {
@@ -88,7 +92,7 @@
             record_failure(&self.context, &mut admitted, &pick, &failure);
             failed = answer.map(|answer| (pick, answer)).or(failed);
             if hedge.is_empty() && !self.may_retry(&admitted, &failure) {
-                let refusal = self.final_refusal(&admitted, &failure);
+                let refusal = self.final_refusal(&admitted, &failure).after(&admitted);
                 return self.answer_failed(admitted, failed).ok_or(refusal);
             }
         }
@@ -320,10 +324,11 @@
         // A limit that cannot be decoded is logged once.
         let limit = self.context.head_codec.limit(&head.headers).ok().flatten();
         let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
+        let carrier = carrier_name(head.extensions.get().copied());
         let via = head.extensions.get::<Via>();
         let via = via.map_or_else(String::new, |Via(vm)| format!(" via={vm}"));
         log::info!(
-            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} pace={} tries={} version={} digest={:016x} took_ms={took_ms}{resumes}{limit}{via}",
+            "entry: request={} status={} route={} workspace={} units={} endpoint={} build={} reason={} load={} pace={} tries={} connection={carrier} version={} digest={:016x} took_ms={took_ms}{resumes}{limit}{via}",
             admitted.id(),
             head.status.as_u16(),
             admitted.route.name,
--- a/crates/quetzalpick-entry/src/serve/refusal.rs
+++ b/crates/quetzalpick-entry/src/serve/refusal.rs
@@ -6,6 +6,8 @@
 use quetzalpick_core::verdict::Verdict;
 use strum::{Display, IntoStaticStr};
 
+use crate::serve::request::Admitted;
+
 /// Retry delay if VMs that may know the answer did not reply, as the next leader will know it.
 pub(crate) const RETRY_AFTER_UNANSWERED: Duration = Duration::from_millis(500);
 
@@ -114,6 +116,16 @@
         }
     }
 
+    /// Adds how often the request was sent, and how many endpoints may have run it, to the details.
+    pub(crate) fn after(self, admitted: &Admitted) -> Self {
+        let (sends, possible_runs) = (admitted.attempted.len(), admitted.possible_runs);
+        let detail = format!(
+            "{} sends={sends} possible_runs={possible_runs}",
+            self.detail
+        );
+        Self { detail, ..self }
+    }
+
     /// Sets the retry delay.
     pub(crate) fn with_retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after = Some(retry_after);
--- a/crates/quetzalpick-gate/src/serve/attempts.rs
+++ b/crates/quetzalpick-gate/src/serve/attempts.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Body as _;
 use quetzalpick_client::errors::Error;
-use quetzalpick_client::http::{Body, Response, Timeouts};
+use quetzalpick_client::http::{Body, Carrier, Response, Timeouts};
 use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::retry::{self, FailedAttempt, Step};
@@ -156,6 +156,7 @@
         context.meters.attempt();
         let sent = context.pool.send(&target.address, request, timeouts).await;
         let response = sent.map_err(|error| transport_failure(&error))?;
+        log_refusal(call, &target, &response);
         let response = check_request_id(response, &call.id)?;
         let (head, body) = check_not_run(response).await?.into_parts();
         Ok(OpenAnswer {
@@ -317,6 +318,21 @@
     Failure::new(error.verdict(), Cause::Broken)
 }
 
+/// Logs an answer that says that its request did not run, with the connection that carried it.
+fn log_refusal(call: &Call, target: &Target, response: &Response) {
+    let Some(reason) = response.headers().get(NOT_RUN) else {
+        return;
+    };
+    let carrier = response.extensions().get::<Carrier>();
+    let carrier = carrier.map_or_else(|| "-".to_owned(), Carrier::to_string);
+    log::info!(
+        "route: request={} endpoint={} answered status={} not_run={reason:?} connection={carrier}",
+        call.id,
+        target.endpoint,
+        response.status().as_u16(),
+    );
+}
+
 /// Checks that an answer carries this request's id; the connection is closed otherwise.
 fn check_request_id(response: Response, id: &str) -> Result<Response, Failure> {
     let echoed = response.headers().get(REQUEST_ID);
--- a/crates/quetzalpick-node/src/peer/forwarded.rs
+++ b/crates/quetzalpick-node/src/peer/forwarded.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
-use quetzalpick_client::http::{Framing, Fresh, Response};
+use quetzalpick_client::http::{Carrier, Framing, Response};
 use quetzalpick_core::verdict::Verdict;
 use strum::{Display, EnumString};
 
@@ -18,6 +18,9 @@
 /// Header of an answer that is passed on, with the framing that the endpoint gave it.
 const FRAMING: HeaderName = HeaderName::from_static("x-quetzalpick-peer-framing");
 
+/// Header of an answer that is passed on, with the connection between the peer and the endpoint that carried it.
+const CARRIER: HeaderName = HeaderName::from_static("x-quetzalpick-peer-carrier");
+
 /// Header of an answer that tells why the request was not answered by the endpoint.
 const FAILURE: HeaderName = HeaderName::from_static("x-quetzalpick-peer-failure");
 
@@ -69,13 +72,19 @@
         .for_each(|name| drop(headers.remove(name)));
 }
 
-/// Replaces what concerns the connection on which an answer was received by the name of its framing.
-pub(crate) fn mark_answer(framing: Framing, headers: &mut HeaderMap) {
+/// Replaces what concerns the connection on which an answer was received by the name of its framing and the carrier.
+pub(crate) fn mark_answer(framing: Framing, carrier: Option<Carrier>, headers: &mut HeaderMap) {
     CONNECTION_HEADERS
         .iter()
         .for_each(|name| drop(headers.remove(name)));
-    if let Ok(value) = HeaderValue::from_str(&framing.to_string()) {
-        headers.insert(FRAMING, value);
+    headers.remove(FRAMING);
+    headers.remove(CARRIER);
+    let carrier = carrier.map(|carrier| carrier.to_string());
+    let fields = [(FRAMING, Some(framing.to_string())), (CARRIER, carrier)];
+    for (name, value) in fields {
+        if let Some(Ok(value)) = value.as_deref().map(HeaderValue::from_str) {
+            headers.insert(name, value);
+        }
     }
 }
 
@@ -91,10 +100,15 @@
     };
     let framing = text(&FRAMING, answer.headers()).and_then(|text| text.parse::<Framing>().ok());
     if let Some(framing) = framing {
-        answer.headers_mut().remove(FRAMING);
-        // The connection to the peer may be new, and that to the endpoint another one.
-        answer.extensions_mut().remove::<Fresh>();
-        answer.extensions_mut().insert(framing);
+        // A peer of a former build does not name the carrier; that of the connection to the peer is another one.
+        let carrier = text(&CARRIER, answer.headers()).and_then(|text| text.parse().ok());
+        let headers = answer.headers_mut();
+        headers.remove(FRAMING);
+        headers.remove(CARRIER);
+        let extensions = answer.extensions_mut();
+        extensions.remove::<Carrier>();
+        carrier.map(|carrier: Carrier| extensions.insert(carrier));
+        extensions.insert(framing);
         return Ok(answer);
     }
     let failure = text(&FAILURE, answer.headers()).and_then(|text| text.parse().ok());
--- a/crates/quetzalpick-node/src/peer/http.rs
+++ b/crates/quetzalpick-node/src/peer/http.rs
@@ -194,7 +194,8 @@
             Ok(answer) => {
                 let (mut head, body) = answer.into_parts();
                 let framing = Framing::of(&head);
-                forwarded::mark_answer(framing, &mut head.headers);
+                let carrier = head.extensions.get().copied();
+                forwarded::mark_answer(framing, carrier, &mut head.headers);
                 Response::from_parts(head, Either::Right(body))
             }
             Err(error) => {
