Show that a copy of a refusal is taken for the answer of a later attempt

A booking that had been refused runs twice, or runs and is answered 'not run', once an endpoint writes the refusal once more before its next answer on the connection: at the gate, with a raw stub of an order service, and at the entry where an address is known by two names, as that of an endpoint that was replaced.

--- a/crates/quetzalpick-gate/tests/gate/main.rs
+++ b/crates/quetzalpick-gate/tests/gate/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a running gate, with stand-ins of the platform, the engines and the services in the same process.
 
 mod client;
+mod copies;
 mod deployment;
 mod fuzz;
 mod golden;
