Take a refusal for proof only where no earlier answer with its id can arrive

What callers saw: REFUSED and TWICE, a booking that ran after it had been refused with a promise, or ran twice. An endpoint had written an earlier refusal once more where the next answer was due; it bore the id of the request, which was under way again on the same connection.

Cause: which attempts may share a connection was decided by the names of endpoints, but connections belong to addresses. Where an address is known by two names, as after an endpoint was replaced (421 to the former name), the second attempt went over the connection that had brought the refusal. And an attempt through another VM relied on that VM's taking a new connection, which one of a former build need not do, and nothing confirmed.

Why it works: a request remembers the addresses it was sent to and goes there again on a new connection only. A refusal counts as proof if it is known to be the first answer of its connection, or bears the id and is the answer to the first attempt at that address; otherwise the request may have run. The rule stands in one place, client::http::{Trail, Arrival}, for all that send requests more than once.

Ruled out: closing each connection that brought a refusal, as refusals are frequent where endpoints are full and connections are dear; remembering refused ids on each connection, which needs a bound on their number and must be asked of other VMs as well.

--- a/crates/quetzalpick-client/src/http/mod.rs
+++ b/crates/quetzalpick-client/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod framing;
 mod fresh;
 mod options;
+mod ownership;
 mod pool;
 
 pub use body::Body;
@@ -13,6 +14,7 @@
 pub use framing::Framing;
 pub use fresh::Fresh;
 pub use options::{Options, Timeouts};
+pub use ownership::{Arrival, Attempt, Owner, Trail};
 pub use pool::Pool;
 
 /// `Request` is a request to an external system, with its complete body.
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use quetzalpick_client::errors::{Error, Result as CallResult};
-use quetzalpick_client::http::{Body, Carrier, Fresh, Request as HttpRequest, Timeouts};
+use quetzalpick_client::http::{Attempt, Body, Carrier, Request as HttpRequest, Timeouts};
 use quetzalpick_core::verdict::Verdict;
 use rand::random;
 use tokio::time::timeout;
@@ -163,24 +163,31 @@
     /// Time in which the answer has to arrive, in ms.
     time_limit_ms: u64,
     attempt_id: Option<String>,
+    attempt: Attempt,
 }
 
 impl Call {
-    /// Prepares an attempt, before its endpoint is added to those of earlier attempts; a stream is resumed after the given event.
+    /// Prepares an attempt and adds it to those of the request; a stream is resumed after the given event.
     ///
     /// # Errors
     ///
     /// `Failure` if a header cannot be encoded.
     pub(crate) fn try_new<E: HeadCodec, S>(
         context: &Context<E, S>,
-        admitted: &Admitted,
+        admitted: &mut Admitted,
         pick: &Pick,
         last_event_id: Option<u64>,
     ) -> Result<Self, Failure> {
+        admitted.attempted.push(pick.endpoint.clone());
         let left_ms = admitted.left_ms(context.clock.now_ms());
         let time_limit_ms = left_ms.unwrap_or(DEFAULT_TIMEOUT_MS) + LATE_MS;
+        let mut request = request(context, admitted, pick, left_ms, last_event_id)?;
+        let attempt = admitted
+            .trail
+            .begin(&pick.address.to_string(), &mut request);
         Ok(Self {
-            request: request(context, admitted, pick, left_ms, last_event_id)?,
+            request,
+            attempt,
             timeouts: timeouts(time_limit_ms),
             time_limit_ms,
             attempt_id: admitted.metadata.attempt.clone(),
@@ -211,11 +218,11 @@
         })?;
         let attempt_id = self.attempt_id.as_deref();
         let carrier = answer.extensions().get::<Carrier>().copied();
-        let is_first = carrier.is_some_and(Carrier::is_first);
+        let arrival = self.attempt.arrival(answer.extensions());
         let proof =
             context
                 .head_codec
-                .proof(answer.status(), answer.headers(), attempt_id, is_first);
+                .proof(answer.status(), answer.headers(), attempt_id, arrival);
         let (fleet, codec) = (&context.fleet, &context.head_codec);
         fleet.observe_pause(context.clock.now_ms(), codec, &pick.endpoint, &answer);
         if proof != Proof::Mismatched {
@@ -328,10 +335,6 @@
     *request.method_mut() = admitted.head.method.clone();
     *request.uri_mut() = admitted.head.uri.clone();
     *request.headers_mut() = headers;
-    if admitted.attempted.contains(&pick.endpoint) {
-        // An earlier refusal of this attempt, written again, would look like the answer.
-        request.extensions_mut().insert(Fresh);
-    }
     Ok(request)
 }
 
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -215,7 +215,6 @@
         let context = Arc::clone(&self.context);
         let call = Call::try_new(&context, admitted, &pick, admitted.metadata.last_event_id);
         let delivery = Delivery::of(admitted);
-        admitted.attempted.push(pick.endpoint.clone());
         async move {
             let answer = match call {
                 Ok(call) => delivery.fetch(&context, call, &pick).await,
--- a/crates/quetzalpick-entry/src/serve/handler.rs
+++ b/crates/quetzalpick-entry/src/serve/handler.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use quetzalpick_client::http::Trail;
 use quetzalpick_core::retry::Deadline;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::http::body::{self, collect, discard};
@@ -222,6 +223,7 @@
             route: route.clone(),
             config_version: config.version(),
             attempted: Vec::new(),
+            trail: Trail::default(),
             possible_runs: 0,
             head,
             body: Bytes::new(),
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::Version;
 use http::request::Parts;
+use quetzalpick_client::http::Trail;
 use quetzalpick_core::id::{Artifact, Endpoint, Service, Workspace};
 use quetzalpick_core::quarantine::Feature;
 use quetzalpick_core::retry::Deadline;
@@ -41,6 +42,8 @@
     pub(crate) config_version: u64,
     /// Endpoints of all attempts.
     pub(crate) attempted: Vec<Endpoint>,
+    /// Addresses of all attempts.
+    pub(crate) trail: Trail,
     /// Number of these endpoints that may have run it.
     pub(crate) possible_runs: u32,
 }
--- a/crates/quetzalpick-entry/src/serve/resume.rs
+++ b/crates/quetzalpick-entry/src/serve/resume.rs
@@ -117,9 +117,7 @@
 
     /// Prepares an attempt to resume the stream at a picked endpoint.
     fn prepare(&mut self, pick: &Pick, after: Option<u64>) -> Result<Call, Failure> {
-        let call = Call::try_new(&self.context, &self.admitted, pick, after);
-        self.admitted.attempted.push(pick.endpoint.clone());
-        call
+        Call::try_new(&self.context, &mut self.admitted, pick, after)
     }
 
     /// Returns how long an endpoint that was asked to resume an interrupted stream has for the head of its answer.
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -9,6 +9,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use http::{HeaderMap, StatusCode, request};
+use quetzalpick_client::http::Arrival;
 use quetzalpick_core::id::{Domain, Endpoint, Workspace};
 use quetzalpick_core::limit::Rate;
 use quetzalpick_core::room::Tolerance;
@@ -64,14 +65,13 @@
     fn forward_headers(&self, headers: &HeaderMap, forwarding: Forwarding<'_>)
     -> Result<HeaderMap>;
 
-    /// Classifies the head of an endpoint's answer to the request with the given attempt id; `is_first` tells whether it is the
-    /// first answer on its connection, so that it cannot belong to an earlier request.
+    /// Classifies the head of an endpoint's answer to the request with the given attempt id.
     fn proof(
         &self,
         status: StatusCode,
         headers: &HeaderMap,
         attempt_id: Option<&str>,
-        is_first: bool,
+        arrival: Arrival,
     ) -> Proof;
 
     /// Decodes the limit that an endpoint names in the head of an answer: the requests a second that it takes from all VMs
