--- a/crates/quetzalpick-gate/src/serve/attempts.rs
+++ b/crates/quetzalpick-gate/src/serve/attempts.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use hyper::body::Body as _;
 use quetzalpick_client::errors::Error;
-use quetzalpick_client::http::{Body, Carrier, Response, Timeouts};
+use quetzalpick_client::http::{Attempt, Body, Carrier, Owner, Response, Timeouts, Trail};
 use quetzalpick_client::traits::Log;
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::retry::{self, FailedAttempt, Step};
@@ -64,6 +64,8 @@
     context: Arc<Context<L>>,
     /// Endpoints that were chosen so far.
     attempted: Vec<Endpoint>,
+    /// Addresses to which the call was sent.
+    trail: Trail,
     retries: u32,
     /// The worst verdict of all attempts.
     verdict: Verdict,
@@ -76,6 +78,7 @@
         Self {
             context: Arc::clone(context),
             attempted: Vec::new(),
+            trail: Trail::default(),
             retries: 0,
             verdict: Verdict::NotRun,
         }
@@ -141,23 +144,24 @@
     }
 
     /// Sends the call and validates the head of the answer.
-    async fn send_once(&self, call: &Call, target: Target) -> Result<OpenAnswer, Failure> {
-        let context = &self.context;
+    async fn send_once(&mut self, call: &Call, target: Target) -> Result<OpenAnswer, Failure> {
+        let context = Arc::clone(&self.context);
         let remaining_ms = call.deadline.left_ms(context.clock.now_ms());
         let timeouts = Timeouts {
             connect: context.options.connect_timeout,
             head: Duration::from_millis(remaining_ms),
             body_idle: context.options.silence_timeout,
         };
-        let request = call
+        let mut request = call
             .to_request()
             .ok_or(Failure::new(Verdict::NotRun, Cause::Error))?;
+        let attempt = self.trail.begin(&target.address, &mut request);
         let in_flight = InFlight::new(&context.fleet, &target.endpoint);
         context.meters.attempt();
         let sent = context.pool.send(&target.address, request, timeouts).await;
         let response = sent.map_err(|error| transport_failure(&error))?;
         log_refusal(call, &target, &response);
-        let response = check_request_id(response, &call.id)?;
+        let response = check_owner(response, attempt, &call.id)?;
         let (head, body) = check_not_run(response).await?.into_parts();
         Ok(OpenAnswer {
             status: head.status,
@@ -333,13 +337,18 @@
     );
 }
 
-/// Checks that an answer carries this request's id; the connection is closed otherwise.
-fn check_request_id(response: Response, id: &str) -> Result<Response, Failure> {
-    let echoed = response.headers().get(REQUEST_ID);
-    if echoed.is_some_and(|echoed| echoed.as_bytes() == id.as_bytes()) {
+/// Checks that an answer carries this request's id and is not that of an earlier attempt; the connection is closed otherwise.
+fn check_owner(response: Response, attempt: Attempt, id: &str) -> Result<Response, Failure> {
+    let borne = response
+        .headers()
+        .get(REQUEST_ID)
+        .map(HeaderValue::as_bytes);
+    let arrival = attempt.arrival(response.extensions());
+    let owner = arrival.owner(borne, Some(id.as_bytes()));
+    if borne.is_some() && owner == Owner::Present {
         return Ok(response);
     }
-    log::warn!("route: request={id} received an answer that does not carry its id");
+    log::warn!("route: request={id} received an answer of owner={owner}");
     response.into_body().discard();
     Err(Failure::new(Verdict::MayHaveRun, Cause::Mismatched))
 }
