--- a/crates/quetzalpick-entry/src/serve/delivery.rs
+++ b/crates/quetzalpick-entry/src/serve/delivery.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http::response::Parts;
-use quetzalpick_client::http::Body as Answer;
+use quetzalpick_client::http::{Body as Answer, Carrier};
 use tokio::time::Instant;
 
 use crate::fleet::Pick;
@@ -53,7 +53,9 @@
             return Ok(EndpointAnswer::Streamed(head, body, length));
         }
         let left = limit.saturating_sub(started.elapsed());
-        let bytes = collect(body, BUFFERED_MAX_BYTES as usize, left).await?;
+        let collected = collect(body, BUFFERED_MAX_BYTES as usize, left).await;
+        let carrier = head.extensions.get().copied();
+        let bytes = collected.map_err(|failure| failure.with_carrier(carrier))?;
         Ok(EndpointAnswer::Buffered(head, bytes))
     }
 }
@@ -69,8 +71,17 @@
 impl EndpointAnswer {
     /// Returns the status.
     pub(super) fn status(&self) -> StatusCode {
+        self.head().status
+    }
+
+    /// Returns the connection that carried it, if that is known.
+    pub(super) fn carrier(&self) -> Option<Carrier> {
+        self.head().extensions.get().copied()
+    }
+
+    fn head(&self) -> &Parts {
         match self {
-            Self::Buffered(head, _) | Self::Streamed(head, ..) => head.status,
+            Self::Buffered(head, _) | Self::Streamed(head, ..) => head,
         }
     }
 }
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -75,11 +75,13 @@
             let (failure, answer) = match result {
                 Ok(answer) if promises_no_run(answer.status()) => {
                     let reason = format!("status {} without a proof", answer.status());
-                    (Failure::may_have_run(reason), None)
+                    let failure = Failure::may_have_run(reason);
+                    (failure.with_carrier(answer.carrier()), None)
                 }
                 Ok(answer) if is_replaceable(&admitted, hedge.len(), &answer) => {
                     let reason = format!("the endpoint failed with status {}", answer.status());
-                    (Failure::may_have_run(reason), Some(answer))
+                    let failure = Failure::may_have_run(reason);
+                    (failure.with_carrier(answer.carrier()), Some(answer))
                 }
                 Ok(answer) => {
                     for index in 0..hedge.len() {
