Compare addresses as connections do, and let a connection that brought a refusal wait

And an endpoint that moved to another address is still one endpoint for a VM that passes requests on.

A connection that brought a refusal is used again after all other idle ones: the copy of a refusal comes soon after it more often than not, and closes the connection while it is idle, where it costs no caller anything.

--- a/crates/quetzalpick-client/src/http/body.rs
+++ b/crates/quetzalpick-client/src/http/body.rs
@@ -13,7 +13,7 @@
 
 use super::Timeouts;
 use super::connection::Connection;
-use super::pool::PoolHandle;
+use super::pool::{PoolHandle, Reuse};
 use crate::errors::{Error, Result, malformed, unanswered};
 
 /// `Body` streams the body of an answer and owns the connection that carries it.
@@ -28,6 +28,8 @@
     timeouts: Timeouts,
     idle_timer: Pin<Box<Sleep>>,
     ended: bool,
+    /// Whether the connection is to be used again after all others.
+    reuse: Reuse,
 }
 
 impl Body {
@@ -45,6 +47,7 @@
             timeouts,
             idle_timer: Box::pin(tokio::time::sleep(timeouts.body_idle)),
             ended: false,
+            reuse: Reuse::First,
         }
     }
 
@@ -53,6 +56,12 @@
         self.connection = None;
     }
 
+    /// Lets the connection be used again after all other idle ones: what else it brings, as a copy of this answer, closes it while it is
+    /// idle.
+    pub fn reuse_last(&mut self) {
+        self.reuse = Reuse::Last;
+    }
+
     /// Reads the body to its end, up to `max_bytes` bytes; the caller then drops or discards it.
     ///
     /// # Errors
@@ -167,7 +176,7 @@
         if let Some(connection) = self.connection.take()
             && self.ended
         {
-            self.pool.put_back(connection);
+            self.pool.put_back(connection, self.reuse);
         }
     }
 }
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -55,11 +55,20 @@
     }
 
     /// Returns a connection to the pool after its last answer was read to its end.
-    pub(crate) fn put_back(&self, connection: Connection) {
-        self.pool.put_back(self.address, connection);
+    pub(crate) fn put_back(&self, connection: Connection, reuse: Reuse) {
+        self.pool.put_back(self.address, connection, reuse);
     }
 }
 
+/// `Reuse` determines when an idle connection is used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// Before the others.
+    First,
+    /// After the others.
+    Last,
+}
+
 /// `SendOutcome` is the result of sending a request over one connection.
 enum SendOutcome {
     /// The head of the answer arrived.
@@ -138,7 +147,7 @@
         let connection = self.try_connect(address, limit).await;
         let is_connected = connection.is_ok();
         if let Ok(connection) = connection {
-            self.put_back(address, connection);
+            self.put_back(address, connection, Reuse::First);
         }
         is_connected
     }
@@ -195,7 +204,7 @@
         }
     }
 
-    /// Takes the most recently used idle connection that is neither expired nor known to be closed.
+    /// Takes the idle connection to be used first that is neither expired nor known to be closed.
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = lock(&self.shared.idle);
         let connections = idle.get_mut(&address)?;
@@ -209,19 +218,22 @@
     }
 
     /// Adds an idle connection, and drops the oldest ones above the limit.
-    fn put_back(&self, address: SocketAddr, connection: Connection) {
+    fn put_back(&self, address: SocketAddr, connection: Connection, reuse: Reuse) {
         let options = &self.shared.options;
         let mut idle = lock(&self.shared.idle);
         let since = Instant::now();
         let connections = idle.get_or_insert_with(address, Vec::new);
-        connections.push(IdleConnection { connection, since });
+        let index = match reuse {
+            Reuse::First => connections.len(),
+            Reuse::Last => 0,
+        };
+        connections.insert(index, IdleConnection { connection, since });
         let surplus = connections.len().saturating_sub(options.idle_per_address);
         connections.drain(..surplus);
         // Removes addresses whose connections have all expired.
         idle.retain(|_, connections| {
-            connections
-                .last()
-                .is_some_and(|newest| newest.since.elapsed() < options.idle_timeout)
+            let mut times = connections.iter().map(|idle| idle.since.elapsed());
+            times.any(|idle| idle < options.idle_timeout)
         });
     }
 }
--- a/crates/quetzalpick-entry/src/serve/attempt.rs
+++ b/crates/quetzalpick-entry/src/serve/attempt.rs
@@ -182,9 +182,8 @@
         let left_ms = admitted.left_ms(context.clock.now_ms());
         let time_limit_ms = left_ms.unwrap_or(DEFAULT_TIMEOUT_MS) + LATE_MS;
         let mut request = request(context, admitted, pick, left_ms, last_event_id)?;
-        let attempt = admitted
-            .trail
-            .begin(&pick.address.to_string(), &mut request);
+        let address = pick.address.to_string();
+        let attempt = admitted.trail.begin(&pick.endpoint, &address, &mut request);
         Ok(Self {
             request,
             attempt,
@@ -378,6 +377,7 @@
     const BODY_TIMEOUT: Duration = Duration::from_millis(50);
     let status = answer.status();
     let mut body = answer.into_body();
+    body.reuse_last();
     // The body is read only so that the connection can be reused.
     let collected = timeout(BODY_TIMEOUT, body.collect_up_to(BODY_MAX_BYTES)).await;
     if !matches!(collected, Ok(Ok(_))) {
--- a/crates/quetzalpick-gate/src/serve/attempts.rs
+++ b/crates/quetzalpick-gate/src/serve/attempts.rs
@@ -155,7 +155,8 @@
         let mut request = call
             .to_request()
             .ok_or(Failure::new(Verdict::NotRun, Cause::Error))?;
-        let attempt = self.trail.begin(&target.address, &mut request);
+        let (endpoint, address) = (&target.endpoint, &target.address);
+        let attempt = self.trail.begin(endpoint, address, &mut request);
         let in_flight = InFlight::new(&context.fleet, &target.endpoint);
         context.meters.attempt();
         let sent = context.pool.send(&target.address, request, timeouts).await;
@@ -366,6 +367,7 @@
         .map(Duration::from_secs);
     // Reading the body lets the connection be reused; if that fails, the connection is closed, which does no harm.
     let mut body = response.into_body();
+    body.reuse_last();
     let _ = tokio::time::timeout(REFUSAL_TIMEOUT, body.collect_up_to(REFUSAL_MAX_BYTES)).await;
     Err(Failure {
         retry_after,
