Check at a VM that passes requests on whose answer it holds

What callers saw: behind a VM that reaches the endpoints for another one, a copy of a refusal cost more than the booking that it was taken for. The ids differ, so no promise was false.

Cause: only the VM that had the caller asked whose answer it was. Both ask now, with the same rule; the passing VM answers that the request may have run, and closes the connection.

--- a/crates/quetzalpick-entry/src/exchange/service.rs
+++ b/crates/quetzalpick-entry/src/exchange/service.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use quetzalpick_client::errors::{Error, Result as CallResult, unanswered};
-use quetzalpick_client::http::{Pool, Request, Response, Timeouts};
+use quetzalpick_client::http::{Attempt, Pool, Request, Response, Timeouts};
 use quetzalpick_core::id::Endpoint;
 use quetzalpick_core::verdict::Verdict;
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
@@ -21,7 +21,7 @@
 use crate::origin::Origins;
 use crate::place::EngineControl;
 use crate::rate::Rates;
-use crate::wire::HeadCodec;
+use crate::wire::{HeadCodec, Proof};
 
 /// Time after which a VM that reaches no endpoints, or stops, may be asked again.
 const UNUSABLE_PAUSE: Duration = Duration::from_secs(1);
@@ -95,6 +95,9 @@
             return Err(not_run("it leaves or wants no requests"));
         }
         let started_ms = self.fleet.started_ms(&name);
+        let codec = &self.head_codec;
+        let attempt_id = codec.attempt_id(request.headers()).map(str::to_owned);
+        let attempt = Attempt::of(&request);
         let answer = self
             .pool
             .send(&address.to_string(), request, TIMEOUTS)
@@ -102,9 +105,16 @@
         match &answer {
             Ok(answer) => {
                 self.link.record_heard();
-                let codec = &self.head_codec;
                 self.fleet
                     .observe_pause(self.clock.now_ms(), codec, &name, answer);
+                let (status, headers) = (answer.status(), answer.headers());
+                let arrival = attempt.arrival(answer.extensions());
+                let proof = codec.proof(status, headers, attempt_id.as_deref(), arrival);
+                if proof == Proof::Mismatched {
+                    // Passed on, it would leave a connection whose next answer is that to this request.
+                    let reason = format!("status {status} is no answer to this request");
+                    return Err(unanswered(endpoint, Verdict::MayHaveRun, reason));
+                }
                 // A misdirected request may have reached another endpoint that has the address now.
                 if answer.status() != StatusCode::MISDIRECTED_REQUEST {
                     self.fleet
--- a/crates/quetzalpick-entry/src/wire.rs
+++ b/crates/quetzalpick-entry/src/wire.rs
@@ -57,6 +57,9 @@
     /// `Error::Malformed` if a field cannot be decoded.
     fn metadata(&self, head: &request::Parts) -> Result<Metadata>;
 
+    /// Decodes the id of an attempt of a caller; endpoints repeat it in their answers.
+    fn attempt_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
     /// Derives the headers sent to an endpoint from the caller's headers, without the caller's key.
     ///
     /// # Errors
