Ask a second endpoint only for requests that may run there too

By reading (the review): an attempt that takes longer than the longest patience, an hour, had a second endpoint asked also for a request that may run once.

--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -66,7 +66,9 @@
             let Some(outcome) = outcome else {
                 if is_doubled(&admitted, hedge.len()) {
                     self.give_up_oldest(&mut admitted, &mut hedge, true);
-                } else if let Some(pick) = pick_backup(&self.context, &admitted) {
+                } else if may_follow(&admitted, hedge.len())
+                    && let Some(pick) = pick_backup(&self.context, &admitted)
+                {
                     start(&mut admitted, &mut hedge, pick);
                 }
                 continue;
