Give back only bytes that were taken from the memory of a process

What callers saw: 240 callers who ask for a stream of comments and read nothing took the account of a VM of 64 MB below zero.

Cause: `Memory::buffer` built its guard with `then_some(Buffered { .. })`, which is evaluated, and dropped, also when nothing was taken, so that each refusal gave back bytes that nobody had.

Why the fix works: core hands out `Taken`, which only an account makes, which is not cloned, and which giving back consumes. The guard is built from it, so that none exists where nothing was taken. Holdings consist of it too: the sum changes in two places only. `shrink` by a number, cut off at what was held, is now `shrink_to`, which can't be asked for more than is there.

After each crowd a body of the longest legal size is to be answered and quetzalpick_memory_held_bytes to return to 0.

Looked for the same pattern (a guard built eagerly by then_some, ok_or, unwrap_or, and, or): every type of the repository that implements Drop, and the semaphores of server and fragments. No other one.

--- a/crates/quetzalpick-core/src/memory/budget.rs
+++ b/crates/quetzalpick-core/src/memory/budget.rs
@@ -1,5 +1,6 @@
 //! A limit for the bytes that a process holds for its callers.
 
+use crate::memory::account::{Account, Taken};
 use crate::memory::holding::Holding;
 use crate::table::Table;
 
@@ -45,12 +46,14 @@
 ///
 /// What is held goes before what is asked for, so that a complete transfer is never broken off. When bytes are short, stalled
 /// transfers lose theirs, the longest stalled first, and a part is left to small holdings.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Budget {
     limit_bytes: u64,
     next: u64,
     holdings: Table<Holder, Holding>,
-    usage: Usage,
+    account: Account,
+    refused: u64,
+    evicted: u64,
 }
 
 impl Budget {
@@ -60,13 +63,20 @@
             limit_bytes,
             next: 0,
             holdings: Table::default(),
-            usage: Usage::default(),
+            account: Account::default(),
+            refused: 0,
+            evicted: 0,
         }
     }
 
     /// Returns what is held, and what was refused.
     pub fn usage(&self) -> Usage {
-        self.usage
+        Usage {
+            held_bytes: self.account.held_bytes(),
+            peak_bytes: self.account.peak_bytes(),
+            refused: self.refused,
+            evicted: self.evicted,
+        }
     }
 
     /// Gives bytes to a new holder, whose transfer begins; `None` if they are short.
@@ -74,8 +84,8 @@
         let holder = Holder(self.next);
         let evicted = self.make_room(now_ms, holder, bytes)?;
         self.next += 1;
-        self.holdings.insert(holder, Holding::new(now_ms, bytes));
-        self.add(bytes);
+        let taken = self.account.take(bytes);
+        self.holdings.insert(holder, Holding::new(now_ms, taken));
         Some(Grant { holder, evicted })
     }
 
@@ -83,17 +93,15 @@
     pub fn grow(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Grant> {
         self.holdings.get(&holder)?;
         let evicted = self.make_room(now_ms, holder, bytes)?;
-        self.holdings.get_mut(&holder)?.bytes += bytes;
-        self.add(bytes);
+        let holding = self.holdings.get_mut(&holder)?;
+        holding.taken.merge(self.account.take(bytes));
         Some(Grant { holder, evicted })
     }
 
-    /// Takes back some of the bytes of a holder.
-    pub fn shrink(&mut self, holder: Holder, bytes: u64) {
+    /// Takes back what a holder has above a number of bytes.
+    pub fn shrink_to(&mut self, holder: Holder, bytes: u64) {
         if let Some(holding) = self.holdings.get_mut(&holder) {
-            let bytes = bytes.min(holding.bytes);
-            holding.bytes -= bytes;
-            self.usage.held_bytes -= bytes;
+            self.account.give_back(holding.taken.split_above(bytes));
         }
     }
 
@@ -115,37 +123,33 @@
     /// Takes back all bytes of a holder, if it has not lost them.
     pub fn close(&mut self, holder: Holder) {
         if let Some(holding) = self.holdings.remove(&holder) {
-            self.usage.held_bytes -= holding.bytes;
+            self.account.give_back(holding.taken);
         }
     }
 
-    /// Takes bytes for an answer that is not read yet; returns whether half of the limit suffices for them beside all that is held.
-    pub fn buffer(&mut self, bytes: u64) -> bool {
-        let fits = self.usage.held_bytes + bytes <= self.limit_bytes / BUFFER_DIVISOR;
-        if fits {
-            self.add(bytes);
-        }
-        fits
+    /// Takes bytes for an answer that is not read yet; `None` if half of the limit does not suffice for them beside all that is held.
+    pub fn buffer(&mut self, bytes: u64) -> Option<Taken> {
+        let needed = self.account.held_bytes().checked_add(bytes)?;
+        (needed <= self.limit_bytes / BUFFER_DIVISOR).then(|| self.account.take(bytes))
     }
 
     /// Takes back bytes of an answer.
-    pub fn unbuffer(&mut self, bytes: u64) {
-        self.usage.held_bytes -= bytes;
-    }
-
-    fn add(&mut self, bytes: u64) {
-        self.usage.held_bytes += bytes;
-        self.usage.peak_bytes = self.usage.peak_bytes.max(self.usage.held_bytes);
+    pub fn unbuffer(&mut self, taken: Taken) {
+        self.account.give_back(taken);
     }
 
     /// Makes room for more bytes of a holder and returns the holders that lost theirs; changes nothing if there is none.
     fn make_room(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Vec<Holder>> {
-        let own = self.holdings.get(&holder).map_or(0, |own| own.bytes);
+        let own = self
+            .holdings
+            .get(&holder)
+            .map_or(0, |own| own.taken.bytes());
         let limit = self.limit(own.saturating_add(bytes));
-        let needed = self.usage.held_bytes.saturating_add(bytes);
+        let held = self.account.held_bytes();
+        let needed = held.saturating_add(bytes);
         let mut excess = needed.saturating_sub(limit);
         // A body alone is not held to the part that others leave.
-        let is_sole = self.usage.held_bytes == own;
+        let is_sole = held == own;
         if excess == 0 || (is_sole && needed <= self.limit_bytes.saturating_mul(SOLE_FACTOR)) {
             return Some(Vec::new());
         }
@@ -154,7 +158,8 @@
             .iter()
             .filter(|(other, _)| **other != holder)
             .filter_map(|(other, holding)| {
-                Some((holding.stalled_since_ms(now_ms)?, *other, holding.bytes))
+                let since_ms = holding.stalled_since_ms(now_ms)?;
+                Some((since_ms, *other, holding.taken.bytes()))
             })
             .collect();
         stalled.sort_unstable();
@@ -167,11 +172,11 @@
             evicted.push(other);
         }
         if excess > 0 {
-            self.usage.refused += 1;
+            self.refused += 1;
             return None;
         }
         evicted.iter().for_each(|other| self.close(*other));
-        self.usage.evicted += evicted.len() as u64;
+        self.evicted += evicted.len() as u64;
         Some(evicted)
     }
 
--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -1,5 +1,7 @@
 //! What one holder has of a budget, and whether it may lose it.
 
+use crate::memory::account::Taken;
+
 /// Bytes that must arrive until a transfer counts as going on.
 const PROGRESS_BYTES: u64 = 4 * 1024;
 
@@ -7,9 +9,9 @@
 const STALL_MS: u64 = 1_000;
 
 /// `Holding` describes the bytes of one holder.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) struct Holding {
-    pub(super) bytes: u64,
+    pub(super) taken: Taken,
     /// Bytes that arrived since the last progress; `None` once the transfer is complete.
     pending: Option<u64>,
     /// Time of the last progress, in ms.
@@ -18,9 +20,9 @@
 
 impl Holding {
     /// Creates the holding of a transfer that begins.
-    pub(super) fn new(now_ms: u64, bytes: u64) -> Self {
+    pub(super) fn new(now_ms: u64, taken: Taken) -> Self {
         Self {
-            bytes,
+            taken,
             pending: Some(0),
             progress_ms: now_ms,
         }
--- a/crates/quetzalpick-node/src/http/buffer.rs
+++ b/crates/quetzalpick-node/src/http/buffer.rs
@@ -86,7 +86,6 @@
             self.bytes.reserve(capacity - self.bytes.len());
             return Some(());
         }
-        let former = self.bytes.capacity();
         match &self.reservation {
             // Both buffers exist while one is copied.
             Some(reservation) => reservation.grow(capacity as u64).then_some(())?,
@@ -95,10 +94,8 @@
         let mut enlarged = BytesMut::with_capacity(capacity);
         enlarged.extend_from_slice(&self.bytes);
         self.bytes = enlarged;
-        if former > FREE_BYTES
-            && let Some(reservation) = &self.reservation
-        {
-            reservation.shrink(former as u64);
+        if let Some(reservation) = &self.reservation {
+            reservation.shrink_to(capacity as u64);
         }
         Some(())
     }
--- a/crates/quetzalpick-node/src/http/memory.rs
+++ b/crates/quetzalpick-node/src/http/memory.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
-use quetzalpick_core::memory::{Budget, Grant, Holder, Usage};
+use quetzalpick_core::memory::{Budget, Grant, Holder, Taken, Usage};
 use quetzalpick_core::table::Table;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -43,12 +43,13 @@
 #[derive(Debug)]
 pub struct Buffered {
     memory: Memory,
-    bytes: u64,
+    taken: Taken,
 }
 
 impl Drop for Buffered {
     fn drop(&mut self) {
-        self.memory.lock().budget.unbuffer(self.bytes);
+        let taken = std::mem::take(&mut self.taken);
+        self.memory.lock().budget.unbuffer(taken);
     }
 }
 
@@ -91,9 +92,9 @@
 
     /// Takes bytes for an answer that is not read yet, if enough is left for bodies.
     pub fn buffer(&self, bytes: u64) -> Option<Buffered> {
-        let taken = self.lock().budget.buffer(bytes);
+        let taken = self.lock().budget.buffer(bytes)?;
         let memory = self.clone();
-        taken.then_some(Buffered { memory, bytes })
+        Some(Buffered { memory, taken })
     }
 
     /// Returns what is held, and what was refused.
@@ -167,9 +168,9 @@
         grant.is_some()
     }
 
-    /// Returns some of the bytes.
-    pub fn shrink(&self, bytes: u64) {
-        self.memory.lock().budget.shrink(self.holder, bytes);
+    /// Returns what is reserved above a number of bytes.
+    pub fn shrink_to(&self, bytes: u64) {
+        self.memory.lock().budget.shrink_to(self.holder, bytes);
     }
 
     /// Records bytes that arrived.
@@ -185,6 +186,11 @@
         self.memory.lock().budget.complete(self.holder)
     }
 
+    /// Returns whether the bytes are lost to others.
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_cancelled()
+    }
+
     /// Waits until the bytes are lost to others.
     pub async fn lost(&self) {
         self.lost.cancelled().await;
