Move the memory of a process to the clients, beside the answers that are to use it

`Memory`, `Reservation`, `Buffered` and the buffer of a body go to quetzalpick-client, so that answers can be read under the same budget. quetzalpick-node hands `http::memory` on, so that listeners compile unchanged.

--- a/crates/quetzalpick-node/src/http/buffer.rs
+++ b/crates/quetzalpick-client/src/http/buffer.rs
@@ -5,19 +5,19 @@
 use crate::http::memory::{Memory, Reservation};
 
 /// Bytes of each body that need no reservation; the limit of connections covers them.
-pub(super) const FREE_BYTES: usize = 16 * 1024;
+const FREE_BYTES: usize = 16 * 1024;
 
 /// Bytes that are recorded at once, so that tiny chunks cost little.
 const RECORDED_BYTES: usize = 4 * 1024;
 
 /// `Buffer` collects a body; its capacity is never more than the reserved bytes, except for a short one.
 #[derive(Debug)]
-pub(super) struct Buffer<'a> {
+pub struct Buffer<'a> {
     memory: &'a Memory,
     bytes: BytesMut,
     /// Most bytes that the body can have.
     max_bytes: usize,
-    pub(super) reservation: Option<Reservation>,
+    reservation: Option<Reservation>,
     /// Bytes that arrived and are not recorded in the reservation yet.
     unrecorded: usize,
 }
@@ -36,11 +36,7 @@
 
 impl<'a> Buffer<'a> {
     /// Creates a buffer for a body of an announced length, if one was; `None` if memory is short.
-    pub(super) fn try_new(
-        memory: &'a Memory,
-        announced: Option<usize>,
-        max_bytes: usize,
-    ) -> Option<Self> {
+    pub fn try_new(memory: &'a Memory, announced: Option<usize>, max_bytes: usize) -> Option<Self> {
         let mut buffer = Self {
             memory,
             bytes: BytesMut::new(),
@@ -58,12 +54,25 @@
     }
 
     /// Returns the number of bytes collected.
-    pub(super) fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.bytes.len()
     }
 
+    /// Returns whether it holds no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Waits until its memory is given to others.
+    pub async fn lost(&self) {
+        match &self.reservation {
+            Some(reservation) => reservation.lost().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Adds bytes; `None` if memory is short.
-    pub(super) fn extend(&mut self, data: &[u8]) -> Option<()> {
+    pub fn extend(&mut self, data: &[u8]) -> Option<()> {
         let needed = self.bytes.len() + data.len();
         if needed > self.bytes.capacity() {
             self.enlarge(needed)?;
@@ -101,7 +110,7 @@
     }
 
     /// Returns the complete body; `None` if its memory was given to others.
-    pub(super) fn finish(self) -> Option<Bytes> {
+    pub fn finish(self) -> Option<Bytes> {
         let Some(reservation) = self.reservation else {
             return Some(self.bytes.freeze());
         };
--- a/crates/quetzalpick-client/src/http/mod.rs
+++ b/crates/quetzalpick-client/src/http/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP calls to external systems; each failure states exactly whether the call may have run.
 
 mod body;
+pub mod buffer;
 mod carrier;
 mod connection;
 mod framing;
 mod fresh;
+pub mod memory;
 mod options;
 mod ownership;
 mod pool;
--- a/crates/quetzalpick-node/tests/memory.rs
+++ b/crates/quetzalpick-client/tests/memory.rs
@@ -1,6 +1,6 @@
 //! What a process holds for its callers is what its guards hold.
 
-use quetzalpick_node::http::memory::{Buffered, Memory, Reservation};
+use quetzalpick_client::http::memory::{Buffered, Memory, Reservation};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Duration, advance};
--- a/crates/quetzalpick-node/src/http/body.rs
+++ b/crates/quetzalpick-node/src/http/body.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
+use quetzalpick_client::http::buffer::Buffer;
 use snafu::Snafu;
 
-use crate::http::buffer::Buffer;
-use crate::http::memory::{Memory, Reservation};
+use crate::http::memory::Memory;
 
 /// Multiple of the limit up to which a refused body is read and dropped.
 const DISCARD_FACTOR: usize = 2;
@@ -118,7 +118,7 @@
     };
     let buffer = Buffer::try_new(memory, announced, max_bytes);
     let mut buffer = buffer.ok_or(Error::MemoryShort)?;
-    while let Some(frame) = next_frame(body, buffer.reservation.as_ref()).await? {
+    while let Some(frame) = next_frame(body, &buffer).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -133,15 +133,12 @@
 /// Waits for the next frame, unless the memory of the body is given to others before.
 async fn next_frame(
     body: &mut Incoming,
-    reservation: Option<&Reservation>,
+    buffer: &Buffer<'_>,
 ) -> Result<Option<Frame<Bytes>>, Error> {
-    let frame = match reservation {
-        None => body.frame().await,
-        Some(reservation) => tokio::select! {
-            biased;
-            () = reservation.lost() => return Err(Error::MemoryShort),
-            frame = body.frame() => frame,
-        },
+    let frame = tokio::select! {
+        biased;
+        () = buffer.lost() => return Err(Error::MemoryShort),
+        frame = body.frame() => frame,
     };
     frame.transpose().map_err(|error| Error::Broken {
         reason: error.to_string(),
--- a/crates/quetzalpick-node/src/http/mod.rs
+++ b/crates/quetzalpick-node/src/http/mod.rs
@@ -3,6 +3,6 @@
 mod activity;
 pub mod admin;
 pub mod body;
-mod buffer;
-pub mod memory;
 pub mod server;
+
+pub use quetzalpick_client::http::memory;
