Send each order over a connection of its own

What callers saw: an adapter was served where it was not loaded, and from then on the engine got no order any more. Answers to orders and reports bear no id and shared the connections of one pool, and an endpoint may write an answer once more where the next one is due.

Now an order goes over a new connection, which is closed after the answer. So its answer is the first on the connection and no copy, and no copy of it finds a next call. Connections that are kept have carried reports only, so that nothing else can be taken for a report. A connection is closed after a report that failed, so that its refusal does not ask for a second pause.

An id in reports is not looked for: requests go over another pool, so that no answer to one can come where a report is due.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::errors::{Result, busy, malformed, refused, unanswered};
-use crate::http::{Pool, Request, Timeouts};
+use crate::http::{Fresh, Pool, Request, Timeouts};
 
 /// Header with the time after which to retry, in ms.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
@@ -24,6 +24,18 @@
 /// Most characters of an error answer's body that are quoted in an error message.
 const MESSAGE_MAX_CHARS: usize = 200;
 
+/// `Reuse` determines which connections a call shares with others whose answers bear no id either: an answer that is written once more
+/// is taken for the next one on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// The connection may be a kept one, and is kept.
+    Always,
+    /// The connection may be a kept one, and is kept after a success.
+    AfterSuccess,
+    /// The connection is a new one, and is closed after the answer.
+    Never,
+}
+
 /// `Answer` holds a complete answer, with its body read into memory.
 #[derive(Debug)]
 pub struct Answer {
@@ -70,11 +82,38 @@
     timeouts: Timeouts,
     max_bytes: usize,
 ) -> Result<Answer> {
+    send_over(pool, target, request, timeouts, max_bytes, Reuse::Always).await
+}
+
+/// Sends a request as `send` does, over a connection that is shared as `reuse` says.
+///
+/// # Errors
+///
+/// As for `send`.
+pub async fn send_over(
+    pool: &Pool,
+    target: &str,
+    mut request: Request,
+    timeouts: Timeouts,
+    max_bytes: usize,
+    reuse: Reuse,
+) -> Result<Answer> {
+    if reuse == Reuse::Never {
+        request.extensions_mut().insert(Fresh);
+    }
     let response = pool.send(target, request, timeouts).await?;
-    let (head, mut body) = response.into_parts();
-    let body = body
+    let (head, mut incoming) = response.into_parts();
+    let body = incoming
         .collect_at(ANSWER_MIN_BYTES_PER_S, timeouts.body_idle, max_bytes)
         .await?;
+    let is_kept = match reuse {
+        Reuse::Always => true,
+        Reuse::AfterSuccess => head.status.is_success(),
+        Reuse::Never => false,
+    };
+    if !is_kept {
+        incoming.discard();
+    }
     Ok(Answer {
         target: target.to_owned(),
         status: head.status,
