Believe no report that may be the copy of an earlier one

What callers saw: nothing that is known. Reports bear no id and share connections, so a report may be the copy of one that was requested up to 10 s before, as long as an idle connection is kept. Placement asked only whether it counts fewer orders than were accepted:

- The copy counts as many orders, but is from before the end of a load: the model that has been held since was forgotten, VMs were told so and stopped using it, and reports with the same count did not bring it back; a new order to load it did ("already done").
- The count is not known, as after a report of an engine that carries out an order that is not ours: a copy from before that order was believed, with the copies from then.

Within one count of accepted orders, what a report says only moves on: loads end, unloads end. So a report harms only if it takes away what is held. Such a report now counts only if it is the first on its connection; otherwise another one is requested over a new connection, which cannot be a copy. The first report of an engine, or of a new start of it, is requested so too. The highest count in reports is kept, so that no report with a lower one is believed while the number of orders is not known.

Cost by count: a report that takes something away costs one more report and one connection; the first report of an engine takes a new connection, which it mostly did; all others share connections as before. A new connection for each report was the alternative: some ten a second at the leader.

The start of the endpoint (`born`) is not read from reports: a connection does not outlive the process behind it, so no copy is from another start, and a new start that the entries tell resets what is known. That a restarted engine's reports are passed over until its entry is read is as before.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::errors::{Result, busy, malformed, refused, unanswered};
-use crate::http::{Fresh, Pool, Request, Timeouts};
+use crate::http::{Carrier, Fresh, Pool, Request, Timeouts};
 
 /// Header with the time after which to retry, in ms.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
@@ -47,6 +47,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Whether no other answer came on its connection before, so that it is no copy of one.
+    pub is_first: bool,
 }
 
 /// Builds a request; only an invalid path makes it fail.
@@ -114,9 +116,11 @@
     if !is_kept {
         incoming.discard();
     }
+    let carrier = head.extensions.get::<Carrier>();
     Ok(Answer {
         target: target.to_owned(),
         status: head.status,
+        is_first: carrier.is_some_and(|carrier| carrier.is_first()),
         headers: head.headers,
         body,
     })
--- a/crates/quetzalpick-entry/examples/rounds.rs
+++ b/crates/quetzalpick-entry/examples/rounds.rs
@@ -112,6 +112,7 @@
                 busy: false,
                 copies: spec.copies.clone(),
                 loading_adapters: Vec::new(),
+                is_first: true,
             };
             planner.apply_report(0, 0, name, &report);
         }
--- a/crates/quetzalpick-entry/src/lead/executor.rs
+++ b/crates/quetzalpick-entry/src/lead/executor.rs
@@ -124,13 +124,14 @@
         let lead = Arc::clone(&self.lead);
         let (fleet, link) = (Arc::clone(&self.fleet), Arc::clone(&self.link));
         let clock = self.clock;
-        lead.with_leader_state(|state, now_ms| {
+        let is_doubted = lead.with_leader_state(|state, now_ms| {
             state.planner.record_report_request(now_ms, &endpoint)
         });
+        let is_doubted = is_doubted.unwrap_or(true);
         let requested_ms = self.clock.now_ms();
         lead.charge_permit(&endpoint);
         tokio::spawn(async move {
-            match lead.engines.report(address, &endpoint).await {
+            match lead.engines.report(address, &endpoint, is_doubted).await {
                 Ok(report) => {
                     fleet.mark_reachable(&endpoint);
                     lead.with_leader_state(|state, now_ms| {
--- a/crates/quetzalpick-entry/src/place/engine_state.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state.rs
@@ -39,6 +39,10 @@
     pub(crate) reserved_for: Option<Artifact>,
     /// Whether its state is uncertain, so that no order is sent before its next report.
     pub(crate) needs_report: bool,
+    /// Highest number of accepted orders in its reports; `None` before the first one.
+    pub(crate) reported_orders: Option<u64>,
+    /// Whether a report counts only if it is the first on its connection, because it may be the copy of an earlier one otherwise.
+    pub(crate) doubts_reports: bool,
     /// No report is requested before this time, in ms.
     pub(crate) next_report_ms: u64,
     /// Whether it has an entry.
@@ -70,6 +74,8 @@
             store_load_end_ms: None,
             reserved_for: None,
             needs_report: true,
+            reported_orders: None,
+            doubts_reports: true,
             next_report_ms: 0,
             has_entry: true,
             unreachable: false,
--- a/crates/quetzalpick-entry/src/place/engine_state/reports.rs
+++ b/crates/quetzalpick-entry/src/place/engine_state/reports.rs
@@ -41,13 +41,14 @@
     pub(crate) fn apply_report(&mut self, requested_ms: u64, now_ms: u64, report: &Report) {
         self.unreachable = false;
         self.down = false;
-        // Reports lag, so this one may be older than an accepted order.
-        if self
-            .accepted_orders
-            .is_some_and(|expected| report.accepted_orders < expected)
-        {
+        self.doubts_reports &= !report.is_first;
+        // Reports lag, so this one may be older than an accepted order or, written again, than an earlier report.
+        let newest = self.accepted_orders.max(self.reported_orders);
+        let is_outdated = newest.is_some_and(|newest| report.accepted_orders < newest);
+        if is_outdated || self.doubts_reports {
             return;
         }
+        self.reported_orders = Some(report.accepted_orders);
         // The report doesn't name the model that a busy engine is loading.
         let count_differs = self.accepted_orders != Some(report.accepted_orders);
         if count_differs && report.busy {
@@ -86,10 +87,18 @@
         let is_loading_adapter = |copy: &Copy| report.loading_adapters.contains(&copy.artifact);
         // A report may still lack a copy whose phase changed shortly before the request.
         let is_old = |copy: &Copy| requested_ms >= copy.since_ms + REPORT_LAG_MS;
-        self.copies.retain(|copy| {
+        let is_gone = |copy: &Copy| {
             let loading = matches!(copy.phase, Phase::Loading { .. });
-            loading || is_listed(copy) || is_loading_adapter(copy) || !is_old(copy)
-        });
+            !loading && !is_listed(copy) && !is_loading_adapter(copy) && is_old(copy)
+        };
+        let is_lost = |copy: &Copy| is_gone(copy) && copy.phase != Phase::Unloading;
+        // A copy of a report from before the end of a load lacks what has been loaded since.
+        if !report.is_first && self.copies.iter().any(is_lost) {
+            self.doubts_reports = true;
+            self.needs_report = true;
+            return;
+        }
+        self.copies.retain(|copy| !is_gone(copy));
         for copy in &mut self.copies {
             let loading = matches!(copy.phase, Phase::Loading { .. });
             if loading && is_listed(copy) {
--- a/crates/quetzalpick-entry/src/place/order.rs
+++ b/crates/quetzalpick-entry/src/place/order.rs
@@ -68,11 +68,13 @@
     pub copies: Vec<Artifact>,
     /// Adapters that are being loaded.
     pub loading_adapters: Vec<Artifact>,
+    /// Whether no other report came on its connection before, so that it is not the copy of one that was requested before.
+    pub is_first: bool,
 }
 
 /// `EngineControl` calls the administration interface of model engines.
 pub trait EngineControl: Clone + Debug + Send + Sync + 'static {
-    /// Sends an order to the engine at `address`; another engine or another incarnation of it there must reject the order.
+    /// Sends an order to the engine at `address`, over a connection that no other call uses; another engine or another incarnation of it there must reject the order.
     /// `holder` identifies the sending VM and its incarnation.
     ///
     /// # Errors
@@ -88,7 +90,7 @@
         order: &Order,
     ) -> impl Future<Output = Result<OrderResult>> + Send;
 
-    /// Requests an engine's report.
+    /// Requests an engine's report; it is the first on its connection if earlier ones are doubted.
     ///
     /// # Errors
     ///
@@ -97,5 +99,6 @@
         &self,
         address: SocketAddr,
         endpoint: &Endpoint,
+        is_doubted: bool,
     ) -> impl Future<Output = Result<Report>> + Send;
 }
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -299,11 +299,13 @@
         self.engines.values().any(loads)
     }
 
-    /// Records that an engine's report was requested.
-    pub fn record_report_request(&mut self, now_ms: u64, endpoint: &Endpoint) {
-        if let Some(engine) = self.engines.get_mut(endpoint) {
+    /// Records that an engine's report was requested; returns whether only the first report on a connection counts.
+    pub fn record_report_request(&mut self, now_ms: u64, endpoint: &Endpoint) -> bool {
+        let engine = self.engines.get_mut(endpoint);
+        engine.is_none_or(|engine| {
             engine.record_report_request(now_ms);
-        }
+            engine.doubts_reports
+        })
     }
 
     /// Replaces the limits that engines name, sorted by engine.
--- a/crates/quetzalpick-entry/tests/place/engine.rs
+++ b/crates/quetzalpick-entry/tests/place/engine.rs
@@ -117,6 +117,7 @@
                 .iter()
                 .map(|(_, name)| name.clone())
                 .collect(),
+            is_first: true,
         };
         self.reports.push_back((now_ms, report));
         while self.reports.len() > 1 && self.reports[1].0 + REPORT_LAG_MS <= now_ms {
--- a/crates/quetzalpick-entry/tests/place/main.rs
+++ b/crates/quetzalpick-entry/tests/place/main.rs
@@ -7,5 +7,6 @@
 mod limited;
 mod limits;
 mod moves;
+mod repeated;
 mod replay;
 mod simulation;
