Send the keeper's orders over connections of their own as well

What callers saw: nothing that is known; found by looking for the same cause elsewhere. The client of engines sent orders, reports and cache events over the connections of one pool, and no answer bears an id. The copy of a 409 was taken for the answer to the next order: the keeper took that order for refused for good, didn't send it again and settled it as refused unless a report showed that it loads. The copy of a 202 only says "sent", and reports decide.

Cost by count: one connection for each order that is sent, also for one that is sent again.

Left as it is: reports and cache events share connections. The copy of a report would count as requested now, so that it could settle an order from before. The keeper's engines speak the product's own protocol, in which nothing says that an answer may be written twice.

--- a/crates/quetzalpick-client/src/engine.rs
+++ b/crates/quetzalpick-client/src/engine.rs
@@ -3,7 +3,7 @@
 use hyper::{Method, StatusCode};
 use quetzalpick_core::verdict::Verdict;
 
-use crate::call::{Answer, request, send};
+use crate::call::{Answer, Reuse, request, send_over};
 use crate::errors::{Error, Result, unanswered};
 use crate::http::{Pool, Timeouts};
 use crate::wire::engine::{Events, Fenced, Order, Report};
@@ -15,6 +15,8 @@
 const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 /// `Client` fetches reports and cache events from engines and sends them orders, over HTTP.
+///
+/// Their answers bear no id, so the answer to an order is the only one on its connection.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
     pool: Pool,
@@ -27,21 +29,23 @@
         Self { pool, timeouts }
     }
 
-    /// Sends a request and reads the complete answer.
+    /// Sends a request over a connection that is shared as `reuse` says, and reads the complete answer.
     async fn send(
         &self,
         address: &str,
         method: Method,
         path: &str,
         body: Vec<u8>,
+        reuse: Reuse,
     ) -> Result<Answer> {
         let request = request(address, method, path, JSON, body)?;
-        send(
+        send_over(
             &self.pool,
             address,
             request,
             self.timeouts,
             ANSWER_MAX_BYTES,
+            reuse,
         )
         .await
     }
@@ -49,14 +53,20 @@
 
 impl crate::traits::Engine for Client {
     async fn report(&self, address: &str) -> Result<Report> {
-        let answer = self.send(address, Method::GET, "/engine/report", Vec::new());
+        let answer = self.send(
+            address,
+            Method::GET,
+            "/engine/report",
+            Vec::new(),
+            Reuse::Always,
+        );
         answer.await?.success()?.json()
     }
 
     async fn order(&self, address: &str, order: &Order) -> Result<()> {
         let body =
             serde_json::to_vec(order).map_err(|e| unanswered(address, Verdict::NotRun, e))?;
-        let answer = self.send(address, Method::POST, "/engine/orders", body);
+        let answer = self.send(address, Method::POST, "/engine/orders", body, Reuse::Never);
         let answer = answer.await?;
         if answer.status == StatusCode::CONFLICT {
             let Fenced { newest } = answer.json()?;
@@ -68,7 +78,7 @@
 
     async fn events(&self, address: &str, from: u64) -> Result<Events> {
         let path = format!("/engine/events?from={from}");
-        let answer = self.send(address, Method::GET, &path, Vec::new());
+        let answer = self.send(address, Method::GET, &path, Vec::new(), Reuse::Always);
         answer.await?.success()?.json()
     }
 }
