Find the route that shadows another in one place

The check for an entry that no request can match compared hosts and prefixes twice, for a route and for the services that it leads to. Both now ask one function.

--- a/crates/quetzalpick-entry/src/config/check/matching.rs
+++ b/crates/quetzalpick-entry/src/config/check/matching.rs
@@ -19,9 +19,7 @@
 
 fn check_route(draft: &Draft, index: usize, route: &Route, findings: &mut Vec<Finding>) {
     let part = Part::Route(index);
-    let later = &draft.routes[index + 1..];
-    let shadows = |other: &&Route| (&other.host, &other.prefix) == (&route.host, &route.prefix);
-    if let Some(shadow) = later.iter().rfind(shadows) {
+    if let Some(shadow) = shadow(draft, index, route) {
         let detail = format!(
             "never matches: route {:?} has the same host and path",
             shadow.name
@@ -48,6 +46,12 @@
     }
 }
 
+/// Returns the last of the later routes that match all that a route, given by its index, does.
+fn shadow<'a>(draft: &'a Draft, index: usize, route: &Route) -> Option<&'a Route> {
+    let shadows = |other: &&Route| (&other.host, &other.prefix) == (&route.host, &route.prefix);
+    draft.routes[index + 1..].iter().rfind(shadows)
+}
+
 fn check_service(draft: &Draft, index: usize, service: &Service, findings: &mut Vec<Finding>) {
     let part = Part::Service(index);
     let is_same = |other: &Service| other.name == service.name;
@@ -84,14 +88,11 @@
 /// Returns whether a route that can match leads to a service.
 fn is_reached(draft: &Draft, service: &id::Service) -> bool {
     let leads = |(index, route): (usize, &Route)| {
-        let later = &draft.routes[index + 1..];
-        let is_shadowed =
-            |other: &Route| (&other.host, &other.prefix) == (&route.host, &route.prefix);
         let targets = || {
             let mut targets = route.targets.iter();
             targets.any(|target| target.weight > 0 && target.service == *service)
         };
-        targets() && route.prefix.starts_with('/') && !later.iter().any(is_shadowed)
+        targets() && route.prefix.starts_with('/') && shadow(draft, index, route).is_none()
     };
     draft.routes.iter().enumerate().any(leads)
 }
