Count the VMs heard only where their number is not known

The leader counted the statuses, under their lock, for each reply to a VM, and read the number of members twice. The count is needed only while the list of members has not been read. No behaviour changes; the tests of this crate pass.

--- a/crates/quetzalpick-entry/src/lead/replies.rs
+++ b/crates/quetzalpick-entry/src/lead/replies.rs
@@ -50,8 +50,9 @@
             0
         };
         let quarantine = self.investigate(&status);
+        let listed_members = self.member_count();
         // At least these share what is divided; VMs of former versions take the number for that of all.
-        let heard = self.with_statuses(|statuses, _| statuses.count());
+        let heard = || self.with_statuses(|statuses, _| statuses.count());
         let (loads, prompts) =
             self.with_statuses(|statuses, now_ms| statuses.loads_of_others(now_ms, &status.vm));
         let reply = StatusReply {
@@ -63,8 +64,8 @@
             copies,
             view: self.relay_view(now_ms, &status),
             endpoints: self.fleet.relay(now_ms, known_endpoints),
-            members: self.member_count().unwrap_or(heard) as u64,
-            members_unread: self.member_count().is_none(),
+            members: listed_members.unwrap_or_else(heard) as u64,
+            members_unread: listed_members.is_none(),
             peers: self
                 .with_statuses(|statuses, _| statuses.sample_addresses(&status.vm, PEER_SAMPLE)),
             listed: self.is_listed(&status.vm),
