Compute an engine's free memory in one place

`demands.rs` had its own `memory_mb` and `free_mb` beside those of `capacity.rs`. They differed in open orders, which count in `capacity.rs` only. Both are right: demands ask for idle engines, which have no open order, so that both return the same for them. Now one function counts, and demands only look models up in their own sorted list, as before.

--- a/crates/quetzalpick-entry/src/place/planner/demands.rs
+++ b/crates/quetzalpick-entry/src/place/planner/demands.rs
@@ -6,6 +6,7 @@
 use crate::config;
 use crate::config::EngineSpec;
 use crate::place::balance::Balance;
+use crate::place::capacity::{size_mb, unused_mb};
 use crate::place::copy::{is_adapter, model_of};
 use crate::place::engine_state::{EngineState, USUAL_PACE};
 use crate::place::limited;
@@ -84,7 +85,9 @@
         let sites = sites.map(|(index, (endpoint, engine))| Site {
             endpoint,
             engine,
-            free_mb: free_mb(service.spec, engine, &models),
+            free_mb: unused_mb(service.spec, engine, |artifact| {
+                memory_mb(service.spec, &models, artifact)
+            }),
             place: Place {
                 work: balance.work[index],
                 pace: pace(engine),
@@ -227,23 +230,12 @@
     held.collect()
 }
 
-/// Returns the memory that a model or adapter takes, in MB; an unconfigured model counts as the engine's whole memory.
+/// Returns the memory that a model or adapter takes, in MB, as `capacity::memory_mb` does, from a list that is sorted by model.
 fn memory_mb(spec: &EngineSpec, models: &[ModelDemand<'_>], artifact: &Artifact) -> u64 {
-    if !is_adapter(artifact) {
-        let model = find(models, artifact);
-        return model.map_or(spec.memory_mb, |index| models[index].model.memory_mb);
-    }
-    let model = find(models, &model_of(artifact));
-    model.map_or(spec.memory_mb, |index| {
-        models[index].model.adapter_memory_mb
-    })
-}
-
-/// Returns the memory of an engine without an open order that no copy uses, in MB.
-fn free_mb(spec: &EngineSpec, engine: &EngineState, models: &[ModelDemand<'_>]) -> u64 {
-    let copies = engine.copies.iter();
-    let used: u64 = copies
-        .map(|copy| memory_mb(spec, models, &copy.artifact))
-        .sum();
-    spec.memory_mb.saturating_sub(used)
+    let found = if is_adapter(artifact) {
+        find(models, &model_of(artifact))
+    } else {
+        find(models, artifact)
+    };
+    size_mb(spec, found.map(|index| models[index].model), artifact)
 }
