Name the end of the grace in a row after what it holds

`Row::evacuated_ms` held the time until which an endpoint in an evacuated failure domain may get the requests that no other can take. Only the name changes. That each row repeats what the fleet's table says of its failure domain stays: a row is asked at each selection.

--- a/crates/quetzalpick-entry/src/fleet/evacuation.rs
+++ b/crates/quetzalpick-entry/src/fleet/evacuation.rs
@@ -18,13 +18,13 @@
 impl Row {
     /// Returns whether its failure domain is not evacuated.
     pub(crate) fn is_in_use(&self) -> bool {
-        self.evacuated_ms.is_none()
+        self.grace_end_ms.is_none()
     }
 
     /// Returns whether it must get no requests any more: its failure domain is evacuated, and the time for requests that no other
     /// endpoint can take is over.
     pub(crate) fn is_evacuated(&self, now_ms: u64) -> bool {
-        self.evacuated_ms.is_some_and(|until_ms| now_ms >= until_ms)
+        self.grace_end_ms.is_some_and(|until_ms| now_ms >= until_ms)
     }
 }
 
@@ -34,7 +34,7 @@
     pub fn set_evacuated(&self, domains: Table<Domain, u64>) {
         let mut rows = self.rows();
         for (_, row) in rows.iter_mut() {
-            row.evacuated_ms = domains.get(&row.spec.domain).copied();
+            row.grace_end_ms = domains.get(&row.spec.domain).copied();
         }
         *self.evacuated() = domains;
     }
--- a/crates/quetzalpick-entry/src/fleet/row.rs
+++ b/crates/quetzalpick-entry/src/fleet/row.rs
@@ -38,7 +38,7 @@
     /// Whether it said in an answer or in an entry that it leaves.
     pub(crate) leaving: bool,
     /// Set if its failure domain is evacuated: until this time, in ms, it may get requests that no other endpoint can take.
-    pub(crate) evacuated_ms: Option<u64>,
+    pub(crate) grace_end_ms: Option<u64>,
     /// It wants no requests of this VM before this time, in ms.
     pub(crate) paused_until_ms: u64,
     /// What it says of the requests that it takes, and this VM's permits.
@@ -76,7 +76,7 @@
             copy_missing_ms: None,
             expired_ms: None,
             leaving: false,
-            evacuated_ms: None,
+            grace_end_ms: None,
             paused_until_ms: 0,
             limited: Limited::default(),
             draws: Draws::default(),
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -122,13 +122,13 @@
         let of_service = rows.values().filter(|row| row.spec.service == spec.service);
         let tolerances = of_service.filter_map(|row| row.limited.tolerance());
         let tolerance = is_new.then(|| tolerances.min()).flatten();
-        let evacuated_ms = self.evacuated().get(&spec.domain).copied();
+        let grace_end_ms = self.evacuated().get(&spec.domain).copied();
         match rows.get_mut(&endpoint) {
             Some(row) => {
                 let notable = row.spec.state != spec.state || !row.spec.is_same_incarnation(&spec);
                 let changes = !row.spec.is_same_but_cold(&spec) || row.expired_ms.is_some();
                 row.update(leader_is_current, spec);
-                row.evacuated_ms = evacuated_ms;
+                row.grace_end_ms = grace_end_ms;
                 row.limited.assume_tolerance(now_ms, tolerance);
                 if self.apply_cold_entry(now_ms, &endpoint, row, is_new) || changes {
                     row.version = self.next_version();
@@ -137,7 +137,7 @@
             }
             None => {
                 let mut row = Row::new(spec);
-                row.evacuated_ms = evacuated_ms;
+                row.grace_end_ms = grace_end_ms;
                 row.limited.assume_tolerance(now_ms, tolerance);
                 self.apply_cold_entry(now_ms, &endpoint, &mut row, true);
                 row.version = self.next_version();
