Look models up by name in one place

The planner, its load limits and the capacity of engines each searched the configured models themselves.

--- a/crates/quetzalpick-entry/src/config/service.rs
+++ b/crates/quetzalpick-entry/src/config/service.rs
@@ -39,6 +39,13 @@
     pub loads_per_1000_s: u64,
 }
 
+impl EngineSpec {
+    /// Returns a model that the engines can load.
+    pub(crate) fn model(&self, name: &id::Artifact) -> Option<&Model> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+}
+
 /// `Service` describes a set of interchangeable endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
--- a/crates/quetzalpick-entry/src/place/capacity.rs
+++ b/crates/quetzalpick-entry/src/place/capacity.rs
@@ -8,9 +8,7 @@
 
 /// Returns the memory that a model or adapter takes, in MB; an unconfigured model counts as the engine's whole memory.
 pub(crate) fn memory_mb(spec: &EngineSpec, artifact: &Artifact) -> u64 {
-    let name = model_of(artifact);
-    let model = spec.models.iter().find(|model| model.name == name);
-    size_mb(spec, model, artifact)
+    size_mb(spec, spec.model(&model_of(artifact)), artifact)
 }
 
 /// Returns the memory that a model, or an adapter of it, takes, in MB; an unconfigured model counts as the engine's whole memory.
--- a/crates/quetzalpick-entry/src/place/planner.rs
+++ b/crates/quetzalpick-entry/src/place/planner.rs
@@ -276,7 +276,7 @@
         let engine = self.engines.get_mut(endpoint)?;
         let order = engine.open_order.as_ref()?.order.clone();
         let spec = engine_spec(config, &engine.spec.service);
-        let model = spec.and_then(|e| e.models.iter().find(|m| m.name == order.model));
+        let model = spec.and_then(|spec| spec.model(&order.model));
         let duration_ms = model.map_or(MS_PER_S, |model| load_ms(engine, model).0);
         engine.apply_result(now_ms, result, duration_ms);
         if let Some(adapter) = order.adapter.as_ref().filter(|a| engine.will_hold(a)) {
--- a/crates/quetzalpick-entry/src/place/planner/weights.rs
+++ b/crates/quetzalpick-entry/src/place/planner/weights.rs
@@ -74,7 +74,7 @@
         engine: &EngineState,
         model: &Artifact,
     ) -> bool {
-        let model = spec.models.iter().find(|m| m.name == *model);
+        let model = spec.model(model);
         model.is_none_or(|model| may_read_store(now_ms, engine, model))
     }
 
@@ -122,7 +122,7 @@
         endpoint: &Endpoint,
         order: &Order,
     ) {
-        let model = spec.models.iter().find(|m| m.name == order.model);
+        let model = spec.model(&order.model);
         let (Some(model), Some(engine)) = (model, self.engines.get_mut(endpoint)) else {
             return;
         };
