Read answers that are read whole under the budget of a process

A pool can have the memory of its process. An answer that is read whole then reserves what it has above 16 KB as it arrives, records its progress, and keeps its bytes until the last reference to them is dropped, as bodies of requests do, with the same buffer. When bytes are short, or others got them, the connection is closed and the call fails with `Error::MemoryShort`, which may have run. What an answer announces is not reserved, since who announces much need not send it; it only sets the size of the allocation, so that an announced answer is not copied while it grows. One that is announced as too long is refused before it is read.

A complete body or answer is never taken. Answers of the store and of other VMs (`Kind::Control`) may use the quarter that long bodies leave, so that a crowd does not keep a VM from its view. An endpoint's answer alone gets no more than the others.

--- a/crates/quetzalpick-client/src/errors.rs
+++ b/crates/quetzalpick-client/src/errors.rs
@@ -69,6 +69,14 @@
         /// Message of the system.
         message: String,
     },
+    /// The process had no memory for the answer, or gave it to others; the call may have taken effect.
+    #[snafu(display("no memory for the answer from {target} after {received} bytes"))]
+    MemoryShort {
+        /// Address called.
+        target: String,
+        /// Bytes of the answer that had arrived.
+        received: usize,
+    },
     /// The answer could not be decoded; the call may have taken effect.
     #[snafu(display("malformed answer from {target}: {reason}"))]
     Malformed {
@@ -84,7 +92,9 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Unanswered { verdict, .. } => *verdict,
-            Self::Malformed { .. } | Self::Restored { .. } => Verdict::MayHaveRun,
+            Self::Malformed { .. } | Self::MemoryShort { .. } | Self::Restored { .. } => {
+                Verdict::MayHaveRun
+            }
             Self::Busy { .. }
             | Self::Trimmed { .. }
             | Self::Fenced { .. }
@@ -122,6 +132,14 @@
     }
 }
 
+/// Builds the error of an answer for which there is no memory.
+pub fn memory_short(target: impl ToString, received: usize) -> Error {
+    Error::MemoryShort {
+        target: target.to_string(),
+        received,
+    }
+}
+
 /// Builds the error of a system that asks the caller to retry later.
 pub fn busy(target: impl ToString, retry_after: Duration) -> Error {
     Error::Busy {
--- a/crates/quetzalpick-client/src/http/body.rs
+++ b/crates/quetzalpick-client/src/http/body.rs
@@ -5,16 +5,17 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use quetzalpick_core::verdict::Verdict;
 use tokio::time::{Instant, Sleep, timeout_at};
 
 use super::Timeouts;
+use super::buffer::Buffer;
 use super::connection::Connection;
 use super::pool::PoolHandle;
-use crate::errors::{Error, Result, malformed, unanswered};
+use crate::errors::{Error, Result, malformed, memory_short, unanswered};
 
 /// `Body` streams the body of an answer and owns the connection that carries it.
 ///
@@ -53,15 +54,16 @@
         self.connection = None;
     }
 
-    /// Reads the body to its end, up to `max_bytes` bytes; the caller then drops or discards it.
+    /// Reads the body to its end, up to `max_bytes` bytes; the caller then drops or discards it. What is longer than a few KB needs memory
+    /// of the pool, if it has one, and keeps it until the last reference to the bytes is dropped.
     ///
     /// # Errors
     ///
-    /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short.
+    /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short, and `Error::MemoryShort`.
     pub async fn collect_up_to(&mut self, max_bytes: usize) -> Result<Bytes> {
-        let mut bytes = BytesMut::new();
-        while self.collect_frame(&mut bytes, max_bytes).await? {}
-        Ok(bytes.freeze())
+        let mut buffer = self.buffer(max_bytes)?;
+        while self.collect_frame(&mut buffer, max_bytes).await? {}
+        self.finish(buffer)
     }
 
     /// Reads the body to its end, up to `max_bytes` bytes, within `limit` and the time that what has arrived takes at
@@ -69,7 +71,7 @@
     ///
     /// # Errors
     ///
-    /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short or takes longer.
+    /// `Error::Malformed` if the body is longer, `Error::Unanswered` if it is cut short or takes longer, and `Error::MemoryShort`.
     pub async fn collect_at(
         &mut self,
         min_bytes_per_s: u32,
@@ -77,17 +79,17 @@
         max_bytes: usize,
     ) -> Result<Bytes> {
         let started = Instant::now();
-        let mut bytes = BytesMut::new();
+        let mut buffer = self.buffer(max_bytes)?;
         loop {
-            let allowed = bytes.len() as f64 / f64::from(min_bytes_per_s);
+            let allowed = buffer.len() as f64 / f64::from(min_bytes_per_s);
             let deadline = started + limit + Duration::from_secs_f64(allowed);
-            let collected = timeout_at(deadline, self.collect_frame(&mut bytes, max_bytes)).await;
+            let collected = timeout_at(deadline, self.collect_frame(&mut buffer, max_bytes)).await;
             match collected {
                 Ok(Ok(true)) => {}
-                Ok(Ok(false)) => return Ok(bytes.freeze()),
+                Ok(Ok(false)) => return self.finish(buffer),
                 Ok(Err(error)) => return Err(error),
                 Err(_) => {
-                    let (received, took_ms) = (bytes.len(), started.elapsed().as_millis());
+                    let (received, took_ms) = (buffer.len(), started.elapsed().as_millis());
                     let reason =
                         format!("{received} bytes of the answer arrived within {took_ms} ms");
                     return Err(self.abort(reason));
@@ -96,21 +98,56 @@
         }
     }
 
+    /// Creates the buffer for the body, unless it is announced as longer.
+    fn buffer(&mut self, max_bytes: usize) -> Result<Buffer> {
+        let announced = self.incoming.size_hint().exact();
+        let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if announced.is_some_and(|announced| announced > max_bytes) {
+            return Err(self.too_long(max_bytes));
+        }
+        let memory = self.pool.memory().cloned();
+        Ok(Buffer::new(memory, announced, max_bytes))
+    }
+
     /// Adds the data of the next frame; returns false at the end of the body.
-    async fn collect_frame(&mut self, bytes: &mut BytesMut, max_bytes: usize) -> Result<bool> {
-        let Some(frame) = self.frame().await else {
+    async fn collect_frame(&mut self, buffer: &mut Buffer, max_bytes: usize) -> Result<bool> {
+        let frame = tokio::select! {
+            biased;
+            () = buffer.lost() => return Err(self.give_up(buffer.len())),
+            frame = self.frame() => frame,
+        };
+        let Some(frame) = frame else {
             return Ok(false);
         };
         let Ok(data) = frame?.into_data() else {
             return Ok(true);
         };
-        if bytes.len() + data.len() > max_bytes {
-            self.connection = None;
-            let reason = format!("the answer is longer than {max_bytes} bytes");
-            return Err(malformed(self.pool.address(), reason));
+        if buffer.len() + data.len() > max_bytes {
+            return Err(self.too_long(max_bytes));
         }
-        bytes.extend_from_slice(&data);
-        Ok(true)
+        match buffer.extend(&data) {
+            Some(()) => Ok(true),
+            None => Err(self.give_up(buffer.len())),
+        }
+    }
+
+    /// Returns the complete body, unless its memory was given to others.
+    fn finish(&mut self, buffer: Buffer) -> Result<Bytes> {
+        let received = buffer.len();
+        buffer.finish().ok_or_else(|| self.give_up(received))
+    }
+
+    /// Closes the connection and builds the error of an answer that is too long.
+    fn too_long(&mut self, max_bytes: usize) -> Error {
+        self.connection = None;
+        let reason = format!("the answer is longer than {max_bytes} bytes");
+        malformed(self.pool.address(), reason)
+    }
+
+    /// Closes the connection and builds the error of an answer for which there is no memory.
+    fn give_up(&mut self, received: usize) -> Error {
+        self.connection = None;
+        memory_short(self.pool.address(), received)
     }
 
     /// Closes the connection and builds the error of an answer that was cut short.
--- a/crates/quetzalpick-client/src/http/memory.rs
+++ b/crates/quetzalpick-client/src/http/memory.rs
@@ -1,10 +1,10 @@
-//! The memory that a process has for what it holds for its callers.
+//! The memory that a process has for what it holds of bodies and answers.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
-use quetzalpick_core::memory::{Budget, Grant, Holder, Taken, Usage};
+use quetzalpick_core::memory::{Budget, Grant, Holder, Kind, Taken, Usage};
 use quetzalpick_core::table::Table;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone)]
 pub struct Memory {
     shared: Arc<Shared>,
+    /// What its reservations are for.
+    kind: Kind,
 }
 
 #[derive(Debug)]
@@ -71,6 +73,16 @@
                 start: Instant::now(),
                 state: Mutex::new(state),
             }),
+            kind: Kind::Body,
+        }
+    }
+
+    /// Returns the same memory for reservations of a kind.
+    #[must_use]
+    pub fn of_kind(&self, kind: Kind) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            kind,
         }
     }
 
@@ -78,7 +90,7 @@
     pub fn reserve(&self, bytes: u64) -> Option<Reservation> {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        let grant = state.budget.open(now_ms, bytes)?;
+        let grant = state.budget.open_as(now_ms, self.kind, bytes)?;
         let lost = CancellationToken::new();
         state.losses.insert(grant.holder, lost.clone());
         state.notify(&grant);
@@ -114,7 +126,7 @@
         };
         gauge(
             "quetzalpick_memory_held_bytes",
-            "Bytes reserved for bodies above 16 KB and for unread answers.",
+            "Bytes reserved for bodies and answers above 16 KB and for unread answers.",
             |usage| usage.held_bytes,
         );
         gauge(
--- a/crates/quetzalpick-client/src/http/pool.rs
+++ b/crates/quetzalpick-client/src/http/pool.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::connection::Connection;
+use super::memory::Memory;
 use super::{Body, Fresh, Options, Request, Response, Timeouts};
 use crate::errors::{Error, Result, unanswered};
 
@@ -32,6 +33,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     options: Options,
+    /// Memory for answers that are read whole; `None` if only their own limits bound them.
+    memory: Option<Memory>,
     idle: Mutex<Table<SocketAddr, Vec<IdleConnection>>>,
     /// Source address of new connections; `None` leaves it to the system.
     source: Mutex<Option<IpAddr>>,
@@ -54,6 +57,11 @@
         self.address
     }
 
+    /// Returns the memory for answers that are read whole.
+    pub(crate) fn memory(&self) -> Option<&Memory> {
+        self.pool.shared.memory.as_ref()
+    }
+
     /// Returns a connection to the pool after its last answer was read to its end.
     pub(crate) fn put_back(&self, connection: Connection) {
         self.pool.put_back(self.address, connection);
@@ -82,6 +90,18 @@
         }
     }
 
+    /// Creates a pool without connections, whose answers that are read whole share a memory with all else that uses it.
+    pub fn with_memory(options: Options, memory: Memory) -> Self {
+        let shared = Shared {
+            options,
+            memory: Some(memory),
+            ..Shared::default()
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
     /// Sets the source address of new connections, on hosts with several; `None` leaves it to the system.
     pub fn set_source(&self, source: Option<IpAddr>) {
         *lock(&self.shared.source) = source;
--- a/crates/quetzalpick-core/src/memory/budget.rs
+++ b/crates/quetzalpick-core/src/memory/budget.rs
@@ -1,7 +1,9 @@
 //! A limit for the bytes that a process holds for its callers.
 
+use std::cmp::Reverse;
+
 use crate::memory::account::{Account, Taken};
-use crate::memory::holding::Holding;
+use crate::memory::holding::{Holding, Kind};
 use crate::table::Table;
 
 /// Largest holding that may use the whole limit, in bytes.
@@ -42,10 +44,20 @@
     pub evicted: u64,
 }
 
+/// `Turn` orders the holdings that give way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// It makes no progress since this time, in ms.
+    Stalled(u64),
+    /// It still arrives, and has this many bytes.
+    Arriving(Reverse<u64>),
+}
+
 /// `Budget` divides a number of bytes among holders.
 ///
 /// What is held goes before what is asked for, so that a complete transfer is never broken off. When bytes are short, stalled
-/// transfers lose theirs, the longest stalled first, and a part is left to small holdings.
+/// transfers lose theirs, the longest stalled first, then long answers of endpoints that still arrive, the longest first. A part is left to
+/// small holdings and to what the VM itself needs.
 #[derive(Debug)]
 pub struct Budget {
     limit_bytes: u64,
@@ -79,20 +91,26 @@
         }
     }
 
-    /// Gives bytes to a new holder, whose transfer begins; `None` if they are short.
+    /// Gives bytes to a new holder for the body of a caller, whose transfer begins; `None` if they are short.
     pub fn open(&mut self, now_ms: u64, bytes: u64) -> Option<Grant> {
+        self.open_as(now_ms, Kind::Body, bytes)
+    }
+
+    /// Gives bytes to a new holder of a kind, whose transfer begins; `None` if they are short.
+    pub fn open_as(&mut self, now_ms: u64, kind: Kind, bytes: u64) -> Option<Grant> {
         let holder = Holder(self.next);
-        let evicted = self.make_room(now_ms, holder, bytes)?;
+        let evicted = self.make_room(now_ms, holder, kind, bytes)?;
         self.next += 1;
         let taken = self.account.take(bytes);
-        self.holdings.insert(holder, Holding::new(now_ms, taken));
+        self.holdings
+            .insert(holder, Holding::new(now_ms, kind, taken));
         Some(Grant { holder, evicted })
     }
 
     /// Gives more bytes to a holder; `None` if they are short or it has lost what it held.
     pub fn grow(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Grant> {
-        self.holdings.get(&holder)?;
-        let evicted = self.make_room(now_ms, holder, bytes)?;
+        let kind = self.holdings.get(&holder)?.kind();
+        let evicted = self.make_room(now_ms, holder, kind, bytes)?;
         let holding = self.holdings.get_mut(&holder)?;
         holding.taken.merge(self.account.take(bytes));
         Some(Grant { holder, evicted })
@@ -139,32 +157,26 @@
     }
 
     /// Makes room for more bytes of a holder and returns the holders that lost theirs; changes nothing if there is none.
-    fn make_room(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Vec<Holder>> {
-        let own = self
-            .holdings
-            .get(&holder)
-            .map_or(0, |own| own.taken.bytes());
-        let limit = self.limit(own.saturating_add(bytes));
+    fn make_room(
+        &mut self,
+        now_ms: u64,
+        holder: Holder,
+        kind: Kind,
+        bytes: u64,
+    ) -> Option<Vec<Holder>> {
+        let own = self.holdings.get(&holder);
+        let own = own.map_or(0, |own| own.taken.bytes());
+        let limit = self.limit(kind, own.saturating_add(bytes));
         let held = self.account.held_bytes();
         let needed = held.saturating_add(bytes);
         let mut excess = needed.saturating_sub(limit);
-        // A body alone is not held to the part that others leave.
-        let is_sole = held == own;
+        // A body alone is not held to the part that others leave; what an endpoint sends is.
+        let is_sole = held == own && kind != Kind::Answer;
         if excess == 0 || (is_sole && needed <= self.limit_bytes.saturating_mul(SOLE_FACTOR)) {
             return Some(Vec::new());
         }
-        let mut stalled: Vec<(u64, Holder, u64)> = self
-            .holdings
-            .iter()
-            .filter(|(other, _)| **other != holder)
-            .filter_map(|(other, holding)| {
-                let since_ms = holding.stalled_since_ms(now_ms)?;
-                Some((since_ms, *other, holding.taken.bytes()))
-            })
-            .collect();
-        stalled.sort_unstable();
         let mut evicted = Vec::new();
-        for (_, other, held) in stalled {
+        for (_, other, held) in self.yielding(now_ms, holder, kind) {
             if excess == 0 {
                 break;
             }
@@ -180,9 +192,28 @@
         Some(evicted)
     }
 
-    /// Returns the limit for all holdings that applies to a holding of a size.
-    fn limit(&self, bytes: u64) -> u64 {
-        if bytes <= SMALL_BYTES {
+    /// Returns the holders that give way to a holder of a kind, with their order and bytes, the first one first.
+    fn yielding(&self, now_ms: u64, holder: Holder, kind: Kind) -> Vec<(Turn, Holder, u64)> {
+        let turn = |holding: &Holding| {
+            let bytes = holding.taken.bytes();
+            let stalled = holding.stalled_since_ms(now_ms).map(Turn::Stalled);
+            let is_long_answer = holding.kind() == Kind::Answer && bytes > SMALL_BYTES;
+            let yields = is_long_answer && holding.is_arriving() && kind != Kind::Answer;
+            stalled.or_else(|| yields.then_some(Turn::Arriving(Reverse(bytes))))
+        };
+        let mut yielding: Vec<_> = self
+            .holdings
+            .iter()
+            .filter(|(other, _)| **other != holder)
+            .filter_map(|(other, holding)| Some((turn(holding)?, *other, holding.taken.bytes())))
+            .collect();
+        yielding.sort_unstable();
+        yielding
+    }
+
+    /// Returns the limit for all holdings that applies to a holding of a kind and size.
+    fn limit(&self, kind: Kind, bytes: u64) -> u64 {
+        if bytes <= SMALL_BYTES || kind == Kind::Control {
             self.limit_bytes
         } else {
             self.limit_bytes - self.limit_bytes / SMALL_DIVISOR
--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -8,9 +8,21 @@
 /// Time without progress after which a transfer counts as stalled, in ms.
 const STALL_MS: u64 = 1_000;
 
+/// `Kind` states whose bytes a holding is for, which decides who gives way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The body of a caller's request.
+    Body,
+    /// An answer of an endpoint. While it arrives it gives way to the other kinds if it is long.
+    Answer,
+    /// An answer of the store or of another VM, without which the VM serves nobody. A part that long bodies and answers leave is for it.
+    Control,
+}
+
 /// `Holding` describes the bytes of one holder.
 #[derive(Debug)]
 pub(super) struct Holding {
+    kind: Kind,
     pub(super) taken: Taken,
     /// Bytes that arrived since the last progress; `None` once the transfer is complete.
     pending: Option<u64>,
@@ -20,8 +32,9 @@
 
 impl Holding {
     /// Creates the holding of a transfer that begins.
-    pub(super) fn new(now_ms: u64, taken: Taken) -> Self {
+    pub(super) fn new(now_ms: u64, kind: Kind, taken: Taken) -> Self {
         Self {
+            kind,
             taken,
             pending: Some(0),
             progress_ms: now_ms,
@@ -45,6 +58,16 @@
         self.pending = None;
     }
 
+    /// Returns whose bytes it is for.
+    pub(super) fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    /// Returns whether its transfer is not complete.
+    pub(super) fn is_arriving(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Returns the time since which it is stalled, in ms, if it is.
     pub(super) fn stalled_since_ms(&self, now_ms: u64) -> Option<u64> {
         self.pending?;
--- a/crates/quetzalpick-core/src/memory/mod.rs
+++ b/crates/quetzalpick-core/src/memory/mod.rs
@@ -6,3 +6,4 @@
 
 pub use account::Taken;
 pub use budget::{Budget, Grant, Holder, Usage};
+pub use holding::Kind;
--- a/crates/quetzalpick-core/tests/account.rs
+++ b/crates/quetzalpick-core/tests/account.rs
@@ -1,6 +1,6 @@
 //! What a budget holds is the sum of what lives, whatever is refused, lost or given back.
 
-use quetzalpick_core::memory::{Budget, Grant, Holder, Taken};
+use quetzalpick_core::memory::{Budget, Grant, Holder, Kind, Taken};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -43,8 +43,9 @@
         let any = (!model.holdings.is_empty()).then(|| some % model.holdings.len());
         let before = (model.lost.len(), budget.usage());
         let mut was_refused = false;
+        let kind = [Kind::Body, Kind::Answer, Kind::Control][some % 3];
         match (random.random_range(0..9), any) {
-            (0 | 1, _) => match budget.open(now_ms, bytes) {
+            (0 | 1, _) => match budget.open_as(now_ms, kind, bytes) {
                 Some(grant) => {
                     model.evict(&grant);
                     model.holdings.push((grant.holder, bytes));
--- a/crates/quetzalpick-core/tests/memory.rs
+++ b/crates/quetzalpick-core/tests/memory.rs
@@ -1,6 +1,6 @@
 //! A crowd that stalls gets no more than the budget, and callers that go on are served beside it.
 
-use quetzalpick_core::memory::{Budget, Holder};
+use quetzalpick_core::memory::{Budget, Holder, Kind};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -133,3 +133,31 @@
     budget.close(sole.holder);
     assert_eq!(budget.open(0, 3 * LIMIT_BYTES), None);
 }
+
+#[test]
+fn a_long_answer_that_arrives_gives_way_to_a_body_and_no_other_holding_does() {
+    let mut budget = Budget::new(LIMIT_BYTES);
+    let open = |budget: &mut Budget, kind, bytes| budget.open_as(0, kind, bytes);
+    let [body, long, complete] = [Kind::Body, Kind::Answer, Kind::Answer].map(|kind| {
+        let grant = open(&mut budget, kind, LARGE_BYTES);
+        grant.unwrap().holder
+    });
+    let short = open(&mut budget, Kind::Answer, SMALL_BYTES).unwrap().holder;
+    assert!(budget.complete(complete));
+    // Answers make none of them give way.
+    assert_eq!(open(&mut budget, Kind::Answer, LARGE_BYTES), None);
+    let grant = open(&mut budget, Kind::Body, LARGE_BYTES - SMALL_BYTES);
+    assert_eq!(grant.unwrap().evicted, [long]);
+    assert_eq!(open(&mut budget, Kind::Body, LARGE_BYTES), None);
+    assert!([body, complete, short].map(|holder| budget.complete(holder)) == [true; 3]);
+}
+
+#[test]
+fn what_the_vm_itself_needs_finds_the_part_that_long_bodies_leave() {
+    let mut budget = Budget::new(LIMIT_BYTES);
+    while budget.open(0, LARGE_BYTES).is_some() {}
+    assert_eq!(budget.open_as(0, Kind::Answer, LARGE_BYTES), None);
+    let grant = budget.open_as(0, Kind::Control, LARGE_BYTES).unwrap();
+    assert_eq!(grant.evicted, []);
+    assert_eq!(budget.open_as(0, Kind::Control, LARGE_BYTES), None);
+}
--- a/crates/quetzalpick-node/src/http/body.rs
+++ b/crates/quetzalpick-node/src/http/body.rs
@@ -131,10 +131,7 @@
 }
 
 /// Waits for the next frame, unless the memory of the body is given to others before.
-async fn next_frame(
-    body: &mut Incoming,
-    buffer: &Buffer<'_>,
-) -> Result<Option<Frame<Bytes>>, Error> {
+async fn next_frame(body: &mut Incoming, buffer: &Buffer) -> Result<Option<Frame<Bytes>>, Error> {
     let frame = tokio::select! {
         biased;
         () = buffer.lost() => return Err(Error::MemoryShort),
