Let the gate's stand-ins write a refusal twice

What was missing: the services and engines that the gate's tests and fuzz use could refuse a call, but never wrote the refusal a second time, so that only the raw stub of the copies tests showed what a gate makes of one.

`Fault::RefuseTwice` refuses as `Refuse` does, and writes the refusal once more before the next answer on its connection. hyper writes one answer for each request, so the socket records the bytes of the refusal and writes them first when the next answer is sent.

--- a/crates/quetzalpick-gate/tests/gate/fuzz.rs
+++ b/crates/quetzalpick-gate/tests/gate/fuzz.rs
@@ -67,14 +67,15 @@
 
     /// Chooses a fault at random.
     fn random_fault(&mut self) -> Fault {
-        match self.random.random_range(0..8) {
+        match self.random.random_range(0..9) {
             0 => Fault::Crossed,
             1 => Fault::AnswerLost,
             2 => Fault::OrderLost,
             3 => Fault::Refuse,
             4 => Fault::Outage,
             5 => Fault::Slow { ms: 20 },
-            6 => Fault::StreamCrash {
+            6 => Fault::RefuseTwice,
+            7 => Fault::StreamCrash {
                 tokens: self.random.random_range(0..TOKENS),
             },
             _ => Fault::CloseAt {
--- a/crates/quetzalpick-gate/tests/gate/verdict.rs
+++ b/crates/quetzalpick-gate/tests/gate/verdict.rs
@@ -95,3 +95,21 @@
     assert_eq!(refused.verdict(), "not-run");
     assert_eq!(deployment.executions("leaving"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn verdicts_are_correct_beside_copies_of_refusals() {
+    let deployment = Deployment::start().await;
+    let mut options = quick_gate();
+    options.retry.burst = 10_000;
+    options.route.health.failures = u32::MAX;
+    let gate = deployment.gate_with("vm-1", options).await;
+    let mut answered = 0;
+    for number in 0..20 {
+        let order = format!("copy-{number}");
+        deployment.service.faults().set(Fault::RefuseTwice, Some(1));
+        let answer = gate.client.book(LAGOS, &order, &order).await.unwrap();
+        check(&answer, deployment.executions(&order), &order).unwrap();
+        answered += u32::from(answer.status == 201);
+    }
+    assert!(answered > 0);
+}
--- a/crates/quetzalpick-standin/src/command/arguments.rs
+++ b/crates/quetzalpick-standin/src/command/arguments.rs
@@ -16,7 +16,7 @@
 
 Faults are switched while it runs:
   POST /admin/fault   {\"fault\": KIND, ...}; `count` limits it to so many calls, `path` to paths that begin so.
-                      KIND is outage, refuse, slow (ms), answer-lost, order-lost, order-delayed (ms),
+                      KIND is outage, refuse, refuse-twice, slow (ms), answer-lost, order-lost, order-delayed (ms),
                       order-doubled (ms), stream-crash (tokens), close-at (bytes) or crossed.
   POST /admin/clear   {} turns all faults off.
   GET  /admin/record  what was recorded: executions, orders, headers, queries, overcommitted memory.
--- a/crates/quetzalpick-standin/src/fault.rs
+++ b/crates/quetzalpick-standin/src/fault.rs
@@ -15,6 +15,8 @@
     Outage,
     /// Calls have no effect and are refused with status 429 and `x-not-run: overloaded`.
     Refuse,
+    /// Calls are refused as by `Refuse`, and the refusal is written once more before the next answer on its connection.
+    RefuseTwice,
     /// Calls are delayed before they are handled.
     Slow {
         /// Delay in ms.
@@ -51,10 +53,10 @@
 impl Fault {
     /// Returns true if every kind of stand-in supports the fault.
     pub(crate) fn is_common(self) -> bool {
-        use Fault::{AnswerLost, CloseAt, Outage, Refuse, Slow};
+        use Fault::{AnswerLost, CloseAt, Outage, Refuse, RefuseTwice, Slow};
         matches!(
             self,
-            Outage | Refuse | Slow { .. } | AnswerLost | CloseAt { .. }
+            Outage | Refuse | RefuseTwice | Slow { .. } | AnswerLost | CloseAt { .. }
         )
     }
 }
--- a/crates/quetzalpick-standin/src/server/application.rs
+++ b/crates/quetzalpick-standin/src/server/application.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Duration, sleep};
 
 use super::reply::{Reply, confirm, error, invalid};
-use super::socket::WriteLimit;
+use super::socket::Outlet;
 use crate::fault::{Fault, Faults, Switch};
 use crate::recorded::Recorder;
 
@@ -93,7 +93,7 @@
 }
 
 /// Records and handles a call, applying the enabled faults.
-pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, limit: WriteLimit) -> Reply {
+pub(crate) async fn answer<A: Application>(app: Arc<A>, call: Call, outlet: Outlet) -> Reply {
     let id = call.header(REQUEST_ID).map(str::to_owned);
     let id = id.as_deref();
     let path = call.path().to_owned();
@@ -113,7 +113,11 @@
     if faults.take_exact(&path, Fault::Outage) {
         return error(StatusCode::SERVICE_UNAVAILABLE, "outage", "out of service");
     }
-    if faults.take_exact(&path, Fault::Refuse) {
+    let is_repeated = faults.take_exact(&path, Fault::RefuseTwice);
+    if is_repeated {
+        outlet.repeat_answer();
+    }
+    if is_repeated || faults.take_exact(&path, Fault::Refuse) {
         let reply = error(StatusCode::TOO_MANY_REQUESTS, "overloaded", "come back");
         let reply = reply.with_header("x-not-run", "overloaded");
         return echo_request_id(reply.with_header("retry-after", "1"), id);
@@ -128,7 +132,7 @@
         return Reply::Close;
     }
     if let Some(bytes) = close_at {
-        limit.set(bytes);
+        outlet.limit(bytes);
     }
     echo_request_id(reply, id)
 }
--- a/crates/quetzalpick-standin/src/server/listener.rs
+++ b/crates/quetzalpick-standin/src/server/listener.rs
@@ -20,7 +20,7 @@
 
 use super::application::{Application, Call, answer};
 use super::reply::{Body, BodyAborted, Reply, error};
-use super::socket::{Socket, WriteLimit};
+use super::socket::{Outlet, Socket};
 use crate::errors::{ListenSnafu, Result};
 
 /// Maximum size of a request body, in bytes.
@@ -123,9 +123,9 @@
 async fn serve<A: Application>(stream: TcpStream, app: Arc<A>) {
     // A failure only makes answers slower.
     let _ = stream.set_nodelay(true);
-    let limit = WriteLimit::default();
-    let socket = Socket::new(stream, limit.clone());
-    let service = service_fn(|request| respond(Arc::clone(&app), request, limit.clone()));
+    let outlet = Outlet::default();
+    let socket = Socket::new(stream, outlet.clone());
+    let service = service_fn(|request| respond(Arc::clone(&app), request, outlet.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
@@ -139,11 +139,12 @@
 async fn respond<A: Application>(
     app: Arc<A>,
     request: Request<Incoming>,
-    limit: WriteLimit,
+    outlet: Outlet,
 ) -> std::result::Result<Response<Body>, BodyAborted> {
+    outlet.begin_answer();
     let (head, body) = request.into_parts();
     let reply = match read_body(body).await {
-        Ok(body) => answer(app, Call { head, body }, limit).await,
+        Ok(body) => answer(app, Call { head, body }, outlet).await,
         Err(reply) => reply,
     };
     match reply {
--- a/crates/quetzalpick-standin/src/server/socket.rs
+++ b/crates/quetzalpick-standin/src/server/socket.rs
@@ -1,45 +1,63 @@
-//! TCP stream that fails after a number of written bytes.
+//! TCP stream that fails after a number of written bytes, or writes an answer once more.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Value that disables the limit.
-const UNLIMITED: u64 = u64::MAX;
+/// `Outlet` controls what a connection sends; clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Outlet(Arc<Mutex<State>>);
 
-/// `WriteLimit` holds the number of bytes that a connection may still send; clones share it.
-#[derive(Debug, Clone)]
-pub(crate) struct WriteLimit(Arc<AtomicU64>);
-
-impl Default for WriteLimit {
-    fn default() -> Self {
-        Self(Arc::new(AtomicU64::new(UNLIMITED)))
-    }
+#[derive(Debug, Default)]
+struct State {
+    /// Number of bytes that may still be sent; `None` if there is no limit.
+    remaining: Option<u64>,
+    /// The present answer so far, if it is to be written once more.
+    recorded: Option<Vec<u8>>,
+    /// What is written before the next bytes.
+    copy: Vec<u8>,
 }
 
-impl WriteLimit {
+impl Outlet {
     /// Allows `bytes` more bytes.
-    pub(crate) fn set(&self, bytes: u64) {
-        self.0.store(bytes, Ordering::SeqCst);
+    pub(crate) fn limit(&self, bytes: u64) {
+        self.lock().remaining = Some(bytes);
+    }
+
+    /// Begins an answer. If the one before is to be written once more, it is written first.
+    pub(super) fn begin_answer(&self) {
+        let mut state = self.lock();
+        if let Some(recorded) = state.recorded.take() {
+            state.copy = recorded;
+        }
+    }
+
+    /// Lets the present answer be written once more before the next one.
+    pub(super) fn repeat_answer(&self) {
+        self.lock().recorded = Some(Vec::new());
+    }
+
+    /// Locks the state; a poisoned lock is usable because each change leaves it consistent.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// `Socket` wraps a TCP stream and fails its writes once the limit is used up.
+/// `Socket` wraps a TCP stream and lets an outlet control its writes.
 #[derive(Debug)]
 pub(crate) struct Socket {
     stream: TcpStream,
-    limit: WriteLimit,
+    outlet: Outlet,
 }
 
 impl Socket {
-    /// Creates a socket with a shared limit.
-    pub(crate) fn new(stream: TcpStream, limit: WriteLimit) -> Self {
-        Self { stream, limit }
+    /// Creates a socket with a shared outlet.
+    pub(crate) fn new(stream: TcpStream, outlet: Outlet) -> Self {
+        Self { stream, outlet }
     }
 }
 
@@ -55,25 +73,29 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let remaining = self.limit.0.load(Ordering::SeqCst);
-        if remaining == UNLIMITED {
-            return Pin::new(&mut self.stream).poll_write(cx, buf);
+        let Self { stream, outlet } = self.get_mut();
+        let mut state = outlet.lock();
+        while !state.copy.is_empty() {
+            let count = ready!(Pin::new(&mut *stream).poll_write(cx, &state.copy))?;
+            state.copy.drain(..count);
         }
+        let remaining = state.remaining.unwrap_or(u64::MAX);
         if remaining == 0 {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         let allowed = buf
             .len()
             .min(usize::try_from(remaining).unwrap_or(usize::MAX));
-        let written = Pin::new(&mut self.stream).poll_write(cx, &buf[..allowed]);
-        if let Poll::Ready(Ok(count)) = written {
-            self.limit.set(remaining - count as u64);
+        let count = ready!(Pin::new(stream).poll_write(cx, &buf[..allowed]))?;
+        state.remaining = state.remaining.map(|remaining| remaining - count as u64);
+        if let Some(recorded) = &mut state.recorded {
+            recorded.extend_from_slice(&buf[..count]);
         }
-        written
+        Poll::Ready(Ok(count))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/quetzalpick-standin/tests/service.rs
+++ b/crates/quetzalpick-standin/tests/service.rs
@@ -5,6 +5,8 @@
 use caller::Caller;
 use quetzalpick_standin::fault::Fault;
 use quetzalpick_standin::service::{Options, Server};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn service_session() {
@@ -75,3 +77,28 @@
     assert!(!caller.session.contains("not-run"));
     assert!(caller.session.contains("may-have-run"));
 }
+
+#[tokio::test]
+async fn a_refusal_is_written_twice_on_its_connection() {
+    let server = Server::try_start(Options::default()).await.unwrap();
+    server.faults().set(Fault::RefuseTwice, Some(1));
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let mut text = String::new();
+    for (id, answers) in [("r1", 1), ("r2", 3)] {
+        let request = format!(
+            "POST /bookings HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\ncontent-length: 11\r\n\r\n{{\"order\":1}}"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        while text.matches("\r\n\r\n").count() < answers {
+            let mut bytes = [0; 1_024];
+            let length = stream.read(&mut bytes).await.unwrap();
+            assert!(length > 0, "closed after: {text}");
+            text.push_str(std::str::from_utf8(&bytes[..length]).unwrap());
+        }
+    }
+    let answers = text.split("HTTP/1.1 ").skip(1);
+    let answers = answers.map(|answer| (&answer[..3], answer.contains("x-request-id: r1")));
+    let answers: Vec<(&str, bool)> = answers.collect();
+    assert_eq!(answers, [("429", true), ("429", true), ("201", false)]);
+    assert_eq!(server.record().executions_of("1"), 1);
+}
