--- a/crates/quetzalpick-client/src/http/body.rs
+++ b/crates/quetzalpick-client/src/http/body.rs
@@ -57,6 +57,12 @@
         self.connection = None;
     }
 
+    /// Lets the connection be used again after all other idle ones: what else it brings, as a copy of this answer, closes it while it is
+    /// idle.
+    pub fn reuse_last(&mut self) {
+        self.reuse = Reuse::Last;
+    }
+
     /// Reads the body to its end, up to `max_bytes` bytes; the caller then drops or discards it. What is longer than a few KB needs memory
     /// of the pool, if it has one, and keeps it until the last reference to the bytes is dropped.
     ///
