Resolve a line only after what was accepted before it

Any line that fills in current values was refused so if its keeper had not yet applied a change that another keeper had accepted before; a sound line at the other keeper with the same id was refused too, as the first outcome counts for the id.

Cause: such a change is conditional on the revision of the keeper's own state, which lags behind the log. The operator has named no revision, and was told before that the other change is accepted.

Now a keeper reads where the log ends when a line arrives, and applies the entries up to there before it resolves the line; the log's reads are linearizable, so what was answered before is among them. If that takes longer than a second, or the log can't be read, the line is resolved with the state as it is, as before, and logged; the condition keeps it safe.

Evidence: the new test accepts a change at one keeper while the other one is cut off from the log, reconnects it, and sends a line there.

Cost: one read of the log for each line that changes something.

--- a/crates/quetzalpick-keeper/src/operator/executor.rs
+++ b/crates/quetzalpick-keeper/src/operator/executor.rs
@@ -68,6 +68,10 @@
         if let Some((offset, outcome)) = self.replica.command_outcome(command) {
             return outcome_reply(command, offset, &outcome);
         }
+        // What another keeper has accepted before counts as well. Without it, a change that uses current values may be refused.
+        if !self.replica.reach_head().await {
+            log::warn!("operator: command {command} is resolved with a state that may be outdated");
+        }
         let resolution = match self.replica.read(|state| resolve(change, state)) {
             Ok(resolution) => resolution,
             // The command may have been applied in the meantime and then conflicts with its own effect.
--- a/crates/quetzalpick-keeper/tests/keeper/session.rs
+++ b/crates/quetzalpick-keeper/tests/keeper/session.rs
@@ -156,6 +156,28 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_not_refused_because_its_keeper_lags_behind_an_accepted_one() {
+    let log = memory::Log::new();
+    let keepers = [
+        Keeper::start(&log, "vm-1").await,
+        Keeper::start(&log, "vm-2").await,
+    ];
+    let create = "create model menu version 1 memory 400".to_owned();
+    keepers[0].send_accepted(&[create]).await;
+    let lagging = log.handle("vm-2");
+    for round in 1..=10 {
+        lagging.set_disconnected(true);
+        keepers[0]
+            .send_accepted(&[format!("place menu copies 1..{round}")])
+            .await;
+        lagging.set_disconnected(false);
+        keepers[1]
+            .send_accepted(&[format!("create workspace lagos-{round} rate 1 burst 1")])
+            .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn repeated_command_is_applied_once() {
     let log = memory::Log::new();
--- a/crates/quetzalpick-node/src/replica/handle.rs
+++ b/crates/quetzalpick-node/src/replica/handle.rs
@@ -116,6 +116,11 @@
         self.shared.folded().loaded
     }
 
+    /// Waits until all entries are applied that the log holds when this is called; returns whether they are. It takes up to a second.
+    pub async fn reach_head(&self) -> bool {
+        self.shared.reach_head().await
+    }
+
     /// Appends a record with this member as author and returns the result.
     pub async fn submit(&self, record: Record, expect: Option<Revision>) -> Answer {
         self.shared.submit(record, expect).await
--- a/crates/quetzalpick-node/src/replica/submit.rs
+++ b/crates/quetzalpick-node/src/replica/submit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use quetzalpick_client::traits::Log;
+use quetzalpick_client::traits::{Log, Stream};
 use quetzalpick_core::id::{Command, Revision};
 use quetzalpick_core::record::{Author, Entry, Record};
 use tokio::time::timeout;
@@ -18,6 +18,9 @@
 /// Extra wait beyond a write's deadline before it is answered `Unknown`, for example when the replica was stopped.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Time limit for reading the log up to where it ended.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time limit of a write's wait for a read of the log.
 const QUICK_READ_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -70,6 +73,26 @@
 }
 
 impl<L: Log, T: Transport> Shared<L, T> {
+    /// Waits until all entries are applied that the log holds when this is called; returns whether they are.
+    pub(crate) async fn reach_head(&self) -> bool {
+        let reached = timeout(HEAD_TIMEOUT, async {
+            let next = self.next_offset();
+            let read = self.log.read(Stream::Control, next, Duration::ZERO);
+            let head = read.await.inspect_err(|error| {
+                log::debug!("state: the head of the control stream is not known: {error}");
+            });
+            let Ok(head) = head.map(|batch| batch.head) else {
+                return false;
+            };
+            let mut changed = self.changed.subscribe();
+            if *changed.borrow() < head {
+                self.read_now.notify_one();
+            }
+            changed.wait_for(|next| *next >= head).await.is_ok()
+        });
+        reached.await.unwrap_or(false)
+    }
+
     /// Returns whether the log is available; if no read has ended for too long, it first waits briefly for one.
     async fn check_log(&self) -> bool {
         // A process that stood still has neither read the log nor seen a read fail.
