Try bytes without end at the gate, and through a VM that has lost its links

The former trial of another VM did not work: a VM takes the addresses of endpoints from the leader, so that a store of its own does not cut it off. It now runs in the test's process and connects from an address that the host does not have, as in the tests of lost links; the memory that is measured is that of the program through which bytes pass.

--- a/tests/system/harness/caller.rs
+++ b/tests/system/harness/caller.rs
@@ -39,6 +39,10 @@
         }
     }
 
+    pub(crate) fn key(&self) -> &str {
+        &self.key
+    }
+
     /// Returns a caller with the same key and no open connections.
     pub(crate) fn without_connections(&self) -> Self {
         Self::new(&self.key)
--- a/tests/system/harness/process.rs
+++ b/tests/system/harness/process.rs
@@ -39,6 +39,16 @@
         self.child.try_wait().unwrap()
     }
 
+    /// Returns the peak of the resident memory, in kB; the process must be running.
+    pub(crate) fn peak_kb(&mut self) -> u64 {
+        assert!(self.exit_status().is_none(), "{} has ended", self.name);
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let peak = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let peak_kb = peak.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        peak_kb.unwrap()
+    }
+
     /// Sends a signal to the process, which must be running: the id of a process that was waited for may be reused.
     pub(crate) fn signal(&mut self, signal: Signal) {
         assert!(self.exit_status().is_none(), "{} has ended", self.name);
--- a/tests/system/harness/system.rs
+++ b/tests/system/harness/system.rs
@@ -10,6 +10,8 @@
 use tokio::sync::{Mutex, MutexGuard};
 
 use super::caller::Caller;
+use crate::valve::Valve;
+
 use super::process::{Process, binary, free_address};
 
 /// Number of VMs in the system.
@@ -39,6 +41,8 @@
     pub(crate) work_ms: u32,
     /// Duration of the leases of gates and keepers, in milliseconds.
     pub(crate) lease_ms: u32,
+    /// Further settings of gates for their callers.
+    pub(crate) callers: &'static str,
 }
 
 impl Default for Settings {
@@ -47,6 +51,7 @@
             token_us: 2_000,
             work_ms: 5,
             lease_ms: 5_000,
+            callers: "",
         }
     }
 }
@@ -61,6 +66,7 @@
     /// Caller with a key of the workspace `lagos`.
     pub(crate) lagos: Caller,
     lease_ms: u32,
+    callers: &'static str,
     dir: PathBuf,
     _lock: MutexGuard<'static, ()>,
 }
@@ -77,6 +83,11 @@
 impl System {
     /// Starts a system that serves the model `menu` and the service `bookings` to the workspace `lagos`.
     pub(crate) async fn start(settings: Settings) -> Self {
+        Self::start_behind(settings, None).await
+    }
+
+    /// Starts a system whose engines and service are behind a valve.
+    pub(crate) async fn start_behind(settings: Settings, valve: Option<&Valve>) -> Self {
         let lock = SYSTEM_LOCK.lock().await;
         let number = SYSTEMS_STARTED.fetch_add(1, Ordering::Relaxed);
         let name = format!("system-{}-{number}", std::process::id());
@@ -93,6 +104,10 @@
             };
             wait_until(name, START_TIMEOUT, async || address().is_some()).await;
             process.address = address().unwrap();
+            if let Some(valve) = valve.filter(|_| name != "platform") {
+                let address = process.address.parse().unwrap();
+                process.address = valve.start(address).await.to_string();
+            }
             process
         };
         let load_limits = "--loads-per-second 20 --loads-at-full-speed 8";
@@ -115,6 +130,7 @@
             keepers: Vec::new(),
             lagos: Caller::new(""),
             lease_ms: settings.lease_ms,
+            callers: settings.callers,
             dir,
             _lock: lock,
         };
@@ -166,7 +182,10 @@
              [metrics]\nlisten = \"{metrics}\"\n"
         );
         let section = match role {
-            "gate" => format!("[callers]\nlisten = \"{listen}\"\ngrace_ms = 200\n"),
+            "gate" => format!(
+                "[callers]\nlisten = \"{listen}\"\ngrace_ms = 200\n{}\n",
+                self.callers
+            ),
             _ => format!(
                 "[operator]\nlisten = \"{listen}\"\ngrace_ms = 200\ntokens = {{ tester = \"{OPERATOR_TOKEN}\" }}\n\
                  [place]\nloads_per_s = 20\nloads_in_flight = 8\n"
