Keep incomplete events of streams under the budget of memory

Cause: `EventSplitter` kept up to 256 KB of an event that is not complete for each stream, in a buffer that may hold twice that, and the budget did not know. The same bytes then waited for a slow caller, uncounted, and each piece of 8 KB on its way kept the whole of them.

Why the fix works: `serve::pending` keeps 16 KB free a stream. Above that its allocation is never larger than what is reserved, both allocations are counted while one is copied, and what arrives is recorded as progress. A long event that is passed on stays reserved until its last piece is copied into the caller's buffer, which counts for itself. Without bytes, or if a stalled event loses them, the event is dropped: the events before it are delivered, the stream ends as the endpoint's failure, goes on elsewhere where it may, and one line and a metric tell the cause.

Who gives way: `Budget` knows parts of answers. They take bytes only while half of the limit covers all that is held, no body gives way to them, and of what stalls they go before any body. Small events take no lock; only the rest of a read above 16 KB does.

The process tests of the crowd were not run.

--- a/crates/quetzalpick-core/src/memory/budget.rs
+++ b/crates/quetzalpick-core/src/memory/budget.rs
@@ -1,7 +1,7 @@
 //! A limit for the bytes that a process holds for its callers.
 
 use crate::memory::account::{Account, Taken};
-use crate::memory::holding::Holding;
+use crate::memory::holding::{Class, Holding};
 use crate::table::Table;
 
 /// Largest holding that may use the whole limit, in bytes.
@@ -10,8 +10,8 @@
 /// Part of the limit that is kept for small holdings, as a divisor.
 const SMALL_DIVISOR: u64 = 4;
 
-/// Part of the limit up to which unread answers take bytes, as a divisor.
-const BUFFER_DIVISOR: u64 = 2;
+/// Part of the limit up to which answers take bytes, as a divisor.
+const ANSWER_DIVISOR: u64 = 2;
 
 /// Multiple of the limit that one holding alone may use.
 const SOLE_FACTOR: u64 = 2;
@@ -45,7 +45,8 @@
 /// `Budget` divides a number of bytes among holders.
 ///
 /// What is held goes before what is asked for, so that a complete transfer is never broken off. When bytes are short, stalled
-/// transfers lose theirs, the longest stalled first, and a part is left to small holdings.
+/// transfers lose theirs, answers before bodies and the longest stalled first, and a part is left to small holdings. Answers take
+/// bytes only while a part of the limit suffices for all that is held, and no body gives way to them.
 #[derive(Debug)]
 pub struct Budget {
     limit_bytes: u64,
@@ -79,20 +80,30 @@
         }
     }
 
-    /// Gives bytes to a new holder, whose transfer begins; `None` if they are short.
+    /// Gives bytes to a new holder, whose body begins; `None` if they are short.
     pub fn open(&mut self, now_ms: u64, bytes: u64) -> Option<Grant> {
+        self.open_as(now_ms, Class::Body, bytes)
+    }
+
+    /// Gives bytes to a new holder, an answer of which a part is kept; `None` if they are short.
+    pub fn open_answer(&mut self, now_ms: u64, bytes: u64) -> Option<Grant> {
+        self.open_as(now_ms, Class::Answer, bytes)
+    }
+
+    fn open_as(&mut self, now_ms: u64, class: Class, bytes: u64) -> Option<Grant> {
         let holder = Holder(self.next);
-        let evicted = self.make_room(now_ms, holder, bytes)?;
+        let evicted = self.make_room(now_ms, holder, class, bytes)?;
         self.next += 1;
         let taken = self.account.take(bytes);
-        self.holdings.insert(holder, Holding::new(now_ms, taken));
+        self.holdings
+            .insert(holder, Holding::new(now_ms, class, taken));
         Some(Grant { holder, evicted })
     }
 
     /// Gives more bytes to a holder; `None` if they are short or it has lost what it held.
     pub fn grow(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Grant> {
-        self.holdings.get(&holder)?;
-        let evicted = self.make_room(now_ms, holder, bytes)?;
+        let class = self.holdings.get(&holder)?.class;
+        let evicted = self.make_room(now_ms, holder, class, bytes)?;
         let holding = self.holdings.get_mut(&holder)?;
         holding.taken.merge(self.account.take(bytes));
         Some(Grant { holder, evicted })
@@ -130,7 +141,7 @@
     /// Takes bytes for an answer that is not read yet; `None` if half of the limit does not suffice for them beside all that is held.
     pub fn buffer(&mut self, bytes: u64) -> Option<Taken> {
         let needed = self.account.held_bytes().checked_add(bytes)?;
-        (needed <= self.limit_bytes / BUFFER_DIVISOR).then(|| self.account.take(bytes))
+        (needed <= self.limit_bytes / ANSWER_DIVISOR).then(|| self.account.take(bytes))
     }
 
     /// Takes back bytes of an answer.
@@ -139,32 +150,38 @@
     }
 
     /// Makes room for more bytes of a holder and returns the holders that lost theirs; changes nothing if there is none.
-    fn make_room(&mut self, now_ms: u64, holder: Holder, bytes: u64) -> Option<Vec<Holder>> {
+    fn make_room(
+        &mut self,
+        now_ms: u64,
+        holder: Holder,
+        class: Class,
+        bytes: u64,
+    ) -> Option<Vec<Holder>> {
         let own = self
             .holdings
             .get(&holder)
             .map_or(0, |own| own.taken.bytes());
-        let limit = self.limit(own.saturating_add(bytes));
+        let limit = self.limit(class, own.saturating_add(bytes));
         let held = self.account.held_bytes();
         let needed = held.saturating_add(bytes);
         let mut excess = needed.saturating_sub(limit);
         // A body alone is not held to the part that others leave.
-        let is_sole = held == own;
+        let is_sole = class == Class::Body && held == own;
         if excess == 0 || (is_sole && needed <= self.limit_bytes.saturating_mul(SOLE_FACTOR)) {
             return Some(Vec::new());
         }
-        let mut stalled: Vec<(u64, Holder, u64)> = self
+        let mut stalled: Vec<(Class, u64, Holder, u64)> = self
             .holdings
             .iter()
-            .filter(|(other, _)| **other != holder)
+            .filter(|(other, holding)| **other != holder && holding.class <= class)
             .filter_map(|(other, holding)| {
                 let since_ms = holding.stalled_since_ms(now_ms)?;
-                Some((since_ms, *other, holding.taken.bytes()))
+                Some((holding.class, since_ms, *other, holding.taken.bytes()))
             })
             .collect();
         stalled.sort_unstable();
         let mut evicted = Vec::new();
-        for (_, other, held) in stalled {
+        for (.., other, held) in stalled {
             if excess == 0 {
                 break;
             }
@@ -181,8 +198,10 @@
     }
 
     /// Returns the limit for all holdings that applies to a holding of a size.
-    fn limit(&self, bytes: u64) -> u64 {
-        if bytes <= SMALL_BYTES {
+    fn limit(&self, class: Class, bytes: u64) -> u64 {
+        if class == Class::Answer {
+            self.limit_bytes / ANSWER_DIVISOR
+        } else if bytes <= SMALL_BYTES {
             self.limit_bytes
         } else {
             self.limit_bytes - self.limit_bytes / SMALL_DIVISOR
--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -8,9 +8,19 @@
 /// Time without progress after which a transfer counts as stalled, in ms.
 const STALL_MS: u64 = 1_000;
 
+/// `Class` tells what a holding is for; the lower one gives way first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Class {
+    /// A part of an answer, which may be no answer at all.
+    Answer,
+    /// The body of a request.
+    Body,
+}
+
 /// `Holding` describes the bytes of one holder.
 #[derive(Debug)]
 pub(super) struct Holding {
+    pub(super) class: Class,
     pub(super) taken: Taken,
     /// Bytes that arrived since the last progress; `None` once the transfer is complete.
     pending: Option<u64>,
@@ -20,8 +30,9 @@
 
 impl Holding {
     /// Creates the holding of a transfer that begins.
-    pub(super) fn new(now_ms: u64, taken: Taken) -> Self {
+    pub(super) fn new(now_ms: u64, class: Class, taken: Taken) -> Self {
         Self {
+            class,
             taken,
             pending: Some(0),
             progress_ms: now_ms,
--- a/crates/quetzalpick-entry/src/meters.rs
+++ b/crates/quetzalpick-entry/src/meters.rs
@@ -8,7 +8,7 @@
 use quetzalpick_core::route::Reason;
 
 use crate::place::{Action, OrderResult};
-use crate::serve::Cause;
+use crate::serve::{Cause, Loss};
 
 /// `Meters` records what happens to requests, orders to model engines and evacuations as metrics.
 #[derive(Debug, Clone)]
@@ -21,6 +21,7 @@
     permits: Counter<u64>,
     orders: Counter<u64>,
     streams: Counter<u64>,
+    dropped: Counter<u64>,
     evacuated: Gauge<u64>,
     evacuated_in_flight: Gauge<u64>,
     answer_ms: Histogram<f64>,
@@ -69,6 +70,10 @@
                 "quetzalpick_entry_streams",
                 "Relayed answers, by their end and by the framing of the endpoint's answer.",
             ),
+            dropped: counter(
+                "quetzalpick_entry_events_dropped",
+                "Incomplete events of streams that were dropped for lack of memory, by cause.",
+            ),
             evacuated: gauge(
                 "quetzalpick_entry_evacuated",
                 "Whether a failure domain is evacuated, by domain.",
@@ -146,6 +151,12 @@
         self.orders.add(1, &attributes);
     }
 
+    /// Counts an incomplete event that was dropped for lack of memory.
+    pub(crate) fn dropped(&self, loss: Loss) {
+        let cause: &'static str = loss.into();
+        self.dropped.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a relayed answer and records its duration.
     pub(crate) fn relayed(&self, end: &'static str, framing: Framing, took_ms: u64) {
         let framing: &'static str = framing.into();
--- a/crates/quetzalpick-entry/src/serve/dispatch.rs
+++ b/crates/quetzalpick-entry/src/serve/dispatch.rs
@@ -298,6 +298,7 @@
                         admitted.route.kind,
                         &head,
                         admitted.metadata.last_event_id,
+                        &self.context.memory,
                     ),
                     is_server_error: head.status.is_server_error(),
                     unread_until_ms: 0,
--- a/crates/quetzalpick-entry/src/serve/fragments.rs
+++ b/crates/quetzalpick-entry/src/serve/fragments.rs
@@ -92,24 +92,29 @@
     /// # Errors
     ///
     /// `CallerGone` if the caller has disconnected.
-    pub(crate) async fn send(&self, mut bytes: Bytes) -> Result<(), CallerGone> {
-        while bytes.len() > PIECE_BYTES {
-            self.send_piece(bytes.split_to(PIECE_BYTES)).await?;
+    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+        if bytes.len() <= PIECE_BYTES {
+            let room = self.take(size(&bytes)).await?;
+            return self.push(Ok(bytes), Some(room));
         }
-        self.send_piece(bytes).await
+        for piece in bytes.chunks(PIECE_BYTES) {
+            let room = self.take(size(piece)).await?;
+            // A copy, as a part of the long fragment would keep all of it until the caller reads.
+            self.push(Ok(Bytes::copy_from_slice(piece)), Some(room))?;
+        }
+        Ok(())
     }
 
-    async fn send_piece(&self, bytes: Bytes) -> Result<(), CallerGone> {
-        let length = size(&bytes);
-        let room = match self.try_take(length) {
-            Some(room) => room,
-            None => tokio::select! {
-                biased;
-                () = self.closed() => return Err(CallerGone),
-                room = self.wait_for_room(length) => room?,
-            },
-        };
-        self.push(Ok(bytes), Some(room))
+    /// Takes room once there is some.
+    async fn take(&self, bytes: u32) -> Result<Room, CallerGone> {
+        if let Some(room) = self.try_take(bytes) {
+            return Ok(room);
+        }
+        tokio::select! {
+            biased;
+            () = self.closed() => Err(CallerGone),
+            room = self.wait_for_room(bytes) => room,
+        }
     }
 
     /// Ends the answer with an error, after what was sent.
@@ -160,7 +165,7 @@
 }
 
 /// Returns the room that a fragment takes, in bytes.
-fn size(bytes: &Bytes) -> u32 {
+fn size(bytes: &[u8]) -> u32 {
     let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
     length.saturating_add(FRAGMENT_BYTES)
 }
--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -1,13 +1,15 @@
 //! How much of an answer has arrived, and whether its end is really its end.
 
 use std::fmt::{self, Display, Formatter};
+use std::future::pending;
 
 use bytes::Bytes;
 use http::response::Parts;
 use quetzalpick_client::http::Framing;
+use quetzalpick_node::http::memory::Memory;
 
 use crate::config::Kind;
-use crate::serve::sse::EventSplitter;
+use crate::serve::sse::{EventSplitter, Loss, Violation};
 
 /// `Progress` tracks an answer that is relayed while it arrives.
 #[derive(Debug)]
@@ -18,18 +20,30 @@
 }
 
 impl Progress {
-    /// Starts at the head of an answer on a route of a kind; a stream continues after the given event.
-    pub(crate) fn new(kind: Kind, head: &Parts, last_event_id: Option<u64>) -> Self {
+    /// Starts at the head of an answer on a route of a kind; a stream continues after the given event, and what is kept of a long
+    /// event has bytes of `memory`.
+    pub(crate) fn new(
+        kind: Kind,
+        head: &Parts,
+        last_event_id: Option<u64>,
+        memory: &Memory,
+    ) -> Self {
         let is_event_stream = kind.is_stream() && head.status.is_success();
         Self {
             framing: Framing::of(head),
-            events: is_event_stream.then(|| EventSplitter::resume_after(last_event_id)),
+            events: is_event_stream
+                .then(|| EventSplitter::resume_after(last_event_id, memory.clone())),
         }
     }
 
     /// Starts at the head of an answer that must go on after the given event of a stream.
-    pub(crate) fn resumed(kind: Kind, head: &Parts, last_event_id: Option<u64>) -> Self {
-        let mut progress = Self::new(kind, head, last_event_id);
+    pub(crate) fn resumed(
+        kind: Kind,
+        head: &Parts,
+        last_event_id: Option<u64>,
+        memory: &Memory,
+    ) -> Self {
+        let mut progress = Self::new(kind, head, last_event_id, memory);
         if let Some(events) = progress.events.as_mut().filter(|_| last_event_id.is_some()) {
             events.require_continuation();
         }
@@ -37,10 +51,28 @@
     }
 
     /// Returns the reason why no further bytes belong to the stream, if there is one; they are not forwarded.
-    pub(crate) fn violation(&self) -> Option<&'static str> {
+    pub(crate) fn violation(&self) -> Option<Violation> {
         self.events.as_ref()?.violation()
     }
 
+    /// Waits until the memory of an incomplete event is given to others.
+    pub(crate) async fn lost(&self) {
+        match &self.events {
+            Some(events) => events.lost().await,
+            None => pending().await,
+        }
+    }
+
+    /// Drops an incomplete event for lack of memory.
+    pub(crate) fn lose(&mut self, loss: Loss) {
+        self.events.iter_mut().for_each(|events| events.lose(loss));
+    }
+
+    /// Drops an incomplete event, which its endpoint does not complete.
+    pub(crate) fn drop_event(&mut self) {
+        self.events.iter_mut().for_each(EventSplitter::drop_event);
+    }
+
     /// Returns whether the answer is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
         self.events.is_some()
--- a/crates/quetzalpick-entry/src/serve/relay.rs
+++ b/crates/quetzalpick-entry/src/serve/relay.rs
@@ -1,5 +1,6 @@
 //! Relays an endpoint's answer to the caller as it arrives, and resumes interrupted streams.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::serve::pacing::Pacing;
 use crate::serve::progress::Progress;
 use crate::serve::request::Admitted;
+use crate::serve::sse::{Loss, Violation};
 use crate::serve::{Context, PeerClient, crash, take_up};
 use crate::wire::HeadCodec;
 
@@ -180,7 +182,16 @@
         // What has arrived is also delivered late.
         let limit_ms = self.end_ms(from_ms).saturating_sub(from_ms);
         let limit = Duration::from_millis(limit_ms.max(TAKE_LIMIT_MS));
-        let sent = timeout(limit, self.caller.send(fragment)).await;
+        let mut sending = pin!(timeout(limit, self.caller.send(fragment)));
+        let sent = tokio::select! {
+            biased;
+            sent = &mut sending => sent,
+            () = self.progress.lost() => {
+                self.progress.lose(Loss::Stalled);
+                // The events before the dropped one are delivered.
+                sending.await
+            }
+        };
         let now_ms = self.context.clock.now_ms();
         self.pacing.record_delivery(now_ms.saturating_sub(from_ms));
         if now_ms.saturating_sub(from_ms) >= UNREAD_MS {
@@ -199,10 +210,20 @@
     ///
     /// How the answer ended, if no more are to be expected.
     pub(super) async fn next_bytes(&mut self) -> Result<Bytes, End> {
-        if let Some(reason) = self.progress.violation() {
-            return Err(End::Interrupted(reason.to_owned()));
+        let bytes = self.read().await;
+        if matches!(bytes, Err(End::Interrupted(_))) {
+            // No other endpoint completes it.
+            self.progress.drop_event();
         }
+        bytes
+    }
+
+    /// Reads the next bytes of the answer.
+    async fn read(&mut self) -> Result<Bytes, End> {
         loop {
+            if let Some(violation) = self.progress.violation() {
+                return Err(self.break_off(violation));
+            }
             let now_ms = self.context.clock.now_ms();
             let end_ms = self.end_ms(now_ms);
             let pause_end_ms = self.pause_end_ms().unwrap_or(u64::MAX);
@@ -213,6 +234,10 @@
             let frame = tokio::select! {
                 biased;
                 () = self.caller.closed() => return Err(End::CallerGone),
+                () = self.progress.lost() => {
+                    self.progress.lose(Loss::Stalled);
+                    continue;
+                }
                 frame = timeout(limit, answer.frame()) => frame,
             };
             let waited_ms = self.context.clock.now_ms().saturating_sub(now_ms);
@@ -238,6 +263,19 @@
         }
     }
 
+    /// Ends an answer whose further bytes do not belong to the stream.
+    fn break_off(&self, violation: Violation) -> End {
+        if let Violation::Memory(loss) = violation {
+            self.context.meters.dropped(loss);
+            let (request, endpoint) = (self.admitted.id(), &self.pick.endpoint);
+            log::warn!(
+                "entry: request={request} event dropped endpoint={endpoint} cause={loss} {}",
+                self.progress
+            );
+        }
+        End::Interrupted(violation.to_string())
+    }
+
     /// Returns the time up to which bytes may arrive and be taken by the caller, in ms.
     fn end_ms(&self, now_ms: u64) -> u64 {
         let left_ms = self.admitted.left_ms(now_ms);
--- a/crates/quetzalpick-entry/src/serve/resume.rs
+++ b/crates/quetzalpick-entry/src/serve/resume.rs
@@ -231,7 +231,8 @@
         }
         self.pick = pick;
         self.pacing.stop();
-        self.progress = Progress::resumed(self.admitted.route.kind, &head, after);
+        self.progress =
+            Progress::resumed(self.admitted.route.kind, &head, after, &self.context.memory);
         self.pause_from_ms = self.context.clock.now_ms();
         // The former endpoint stops as its connection is closed.
         self.answer = Some(answer);
--- a/crates/quetzalpick-entry/src/serve/sse.rs
+++ b/crates/quetzalpick-entry/src/serve/sse.rs
@@ -1,8 +1,11 @@
 //! Splits streams at the ends of events, so that only complete events are forwarded and a stream can be resumed.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use quetzalpick_node::http::memory::Memory;
+use strum::{Display, IntoStaticStr};
 
 use crate::serve::event_scanner::EventScanner;
+use crate::serve::pending::Pending;
 
 /// Field with the id of an event.
 const ID_FIELD: &[u8] = b"id:";
@@ -13,10 +16,34 @@
 /// Longest event that is buffered in full, in bytes; a longer one is forwarded in fragments.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
 
+/// `Violation` tells why the bytes of an answer from some point on do not belong to the stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Violation {
+    /// The head of another answer stands in the stream.
+    #[strum(to_string = "the head of another answer stands in the stream")]
+    Head,
+    /// The answer does not go on after the last event.
+    #[strum(to_string = "the answer does not go on after the last event")]
+    Gap,
+    /// An incomplete event was dropped for lack of memory.
+    #[strum(to_string = "no memory for an incomplete event: {0}")]
+    Memory(Loss),
+}
+
+/// `Loss` tells why there is no memory for an incomplete event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Loss {
+    /// None was left.
+    Short,
+    /// The event stalled, and others needed what it had.
+    Stalled,
+}
+
 /// `EventSplitter` buffers a byte stream up to the ends of its events and tracks the last event id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventSplitter {
-    buffer: BytesMut,
+    pending: Pending,
     scanner: EventScanner,
     /// Id of the last complete event.
     last_id: Option<u64>,
@@ -29,15 +56,21 @@
     /// Number of complete events.
     events: u64,
     /// Why the bytes from here on do not belong to the stream, if they do not.
-    violation: Option<&'static str>,
+    violation: Option<Violation>,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after an event.
-    pub(crate) fn resume_after(last_id: Option<u64>) -> Self {
+    pub(crate) fn resume_after(last_id: Option<u64>, memory: Memory) -> Self {
         Self {
+            pending: Pending::new(memory),
+            scanner: EventScanner::default(),
             last_id,
-            ..Self::default()
+            fragment_id: None,
+            forwarded_fragment: false,
+            requires_continuation: false,
+            events: 0,
+            violation: None,
         }
     }
 
@@ -52,7 +85,7 @@
     }
 
     /// Returns why the bytes from here on do not belong to the stream, if they do not.
-    pub(crate) fn violation(&self) -> Option<&'static str> {
+    pub(crate) fn violation(&self) -> Option<Violation> {
         self.violation
     }
 
@@ -71,14 +104,66 @@
         !self.forwarded_fragment
     }
 
+    /// Waits until the memory of an incomplete event is given to others.
+    pub(crate) async fn lost(&self) {
+        self.pending.lost().await;
+    }
+
+    /// Drops an incomplete event.
+    pub(crate) fn drop_event(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Drops an incomplete event for lack of memory; no further bytes belong to the stream.
+    pub(crate) fn lose(&mut self, loss: Loss) {
+        self.drop_event();
+        self.violation = Some(Violation::Memory(loss));
+    }
+
     /// Adds bytes and returns what can be forwarded, if anything.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         if self.violation.is_some() {
             return None;
         }
-        let mut scanned = self.buffer.len();
-        self.buffer.extend_from_slice(bytes);
+        let former = self.pending.bytes().len();
+        if self.pending.extend(bytes).is_err() {
+            self.lose(Loss::Short);
+            return None;
+        }
+        let complete = self.scan(former, bytes);
+        let fragment = if complete > 0 {
+            self.forwarded_fragment = false;
+            Some(self.pending.take(complete))
+        } else {
+            self.take_long()
+        };
+        if self.violation.is_some() {
+            self.drop_event();
+        } else if self.pending.keep().is_err() {
+            self.lose(Loss::Short);
+        }
+        fragment
+    }
+
+    /// Takes what is buffered of an event that is too long to be buffered in full.
+    fn take_long(&mut self) -> Option<Bytes> {
+        let bytes = self.pending.bytes();
+        if self.violation.is_some() || bytes.len() <= EVENT_MAX_BYTES {
+            return None;
+        }
+        self.fragment_id = last_id(bytes).or(self.fragment_id);
+        self.violation = self.violation_of(bytes, self.fragment_id);
+        if self.violation.is_some() {
+            return None;
+        }
+        self.forwarded_fragment = true;
+        Some(self.pending.take(bytes.len()))
+    }
+
+    /// Scans the bytes that were added to `former` ones, and returns the number of bytes that end with an accepted event or comment.
+    fn scan(&mut self, former: usize, bytes: &[u8]) -> usize {
         let mut complete = 0;
+        let mut scanned = former;
         let mut rest = bytes;
         while let Some(end) = self.scanner.scan(rest) {
             rest = &rest[end..];
@@ -88,30 +173,17 @@
             }
             complete = scanned;
         }
-        if complete > 0 {
-            self.forwarded_fragment = false;
-            return Some(self.buffer.split_to(complete).freeze());
-        }
-        if self.violation.is_some() || self.buffer.len() <= EVENT_MAX_BYTES {
-            return None;
-        }
-        self.fragment_id = last_id(&self.buffer).or(self.fragment_id);
-        self.violation = self.violation_of(&self.buffer, self.fragment_id);
-        if self.violation.is_some() {
-            return None;
-        }
-        self.forwarded_fragment = true;
-        Some(self.buffer.split().freeze())
+        complete
     }
 
-    /// Accepts the bytes of the buffer from `start` to `end`, an event or a comment, as part of the stream; returns false if they are
+    /// Accepts the pending bytes from `start` to `end`, an event or a comment, as part of the stream; returns false if they are
     /// not.
     fn accept(&mut self, start: usize, end: usize) -> bool {
         let is_event = self.scanner.events() > self.events;
         if !is_event {
             return true;
         }
-        let event = &self.buffer[start..end];
+        let event = &self.pending.bytes()[start..end];
         let id = last_id(event).or(self.fragment_id.take());
         self.violation = self.violation_of(event, id);
         if self.violation.is_some() {
@@ -124,13 +196,12 @@
     }
 
     /// Returns why an event, complete or not, does not belong to the stream, if it does not.
-    fn violation_of(&self, event: &[u8], id: Option<u64>) -> Option<&'static str> {
+    fn violation_of(&self, event: &[u8], id: Option<u64>) -> Option<Violation> {
         if event.starts_with(HEAD_START) {
-            return Some("the head of another answer stands in the stream");
+            return Some(Violation::Head);
         }
         let goes_on = id.is_some() && id > self.last_id;
-        (self.requires_continuation && !goes_on)
-            .then_some("the answer does not go on after the last event")
+        (self.requires_continuation && !goes_on).then_some(Violation::Gap)
     }
 }
 
--- a/crates/quetzalpick-node/src/http/memory.rs
+++ b/crates/quetzalpick-node/src/http/memory.rs
@@ -74,11 +74,23 @@
         }
     }
 
-    /// Reserves bytes for a transfer that begins; `None` if they are short.
+    /// Reserves bytes for a body that begins; `None` if they are short.
     pub fn reserve(&self, bytes: u64) -> Option<Reservation> {
+        self.reserve_by(|budget, now_ms| budget.open(now_ms, bytes))
+    }
+
+    /// Reserves bytes for a part of an answer that is kept, which gives way to bodies; `None` if they are short.
+    pub fn reserve_answer(&self, bytes: u64) -> Option<Reservation> {
+        self.reserve_by(|budget, now_ms| budget.open_answer(now_ms, bytes))
+    }
+
+    fn reserve_by(
+        &self,
+        open: impl FnOnce(&mut Budget, u64) -> Option<Grant>,
+    ) -> Option<Reservation> {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        let grant = state.budget.open(now_ms, bytes)?;
+        let grant = open(&mut state.budget, now_ms)?;
         let lost = CancellationToken::new();
         state.losses.insert(grant.holder, lost.clone());
         state.notify(&grant);
@@ -114,7 +126,7 @@
         };
         gauge(
             "quetzalpick_memory_held_bytes",
-            "Bytes reserved for bodies above 16 KB and for unread answers.",
+            "Bytes reserved for bodies and parts of answers above 16 KB, and for unread answers.",
             |usage| usage.held_bytes,
         );
         gauge(
