--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -8,13 +8,13 @@
 /// Time without progress after which a transfer counts as stalled, in ms.
 const STALL_MS: u64 = 1_000;
 
-/// `Kind` states whose bytes a holding is for, which decides who gives way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// `Kind` states what a holding is for; the lower one gives way first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
+    /// An answer of an endpoint, or a part of one, which may be no answer at all. While it arrives it gives way to the others if it is long.
+    Answer,
     /// The body of a caller's request.
     Body,
-    /// An answer of an endpoint. While it arrives it gives way to the other kinds if it is long.
-    Answer,
     /// An answer of the store or of another VM, without which the VM serves nobody. A part that long bodies and answers leave is for it.
     Control,
 }
