Count the bytes of an unread answer until its connection has written them

Cause: a fragment gave up its room when the connection took it, which holds up to 32 KB of them (its limit for writing) for as long as the caller does not read. These bytes were in no account: the room was given out again meanwhile.

Why the fix works: the room goes with the bytes and is given back when their last reference is dropped, which is once they are written.

--- a/crates/quetzalpick-entry/src/serve/fragments.rs
+++ b/crates/quetzalpick-entry/src/serve/fragments.rs
@@ -28,7 +28,19 @@
 #[derive(Debug)]
 pub(crate) struct Fragment {
     data: Result<Bytes, Interrupted>,
-    _room: Option<Room>,
+    room: Option<Room>,
+}
+
+/// `Unsent` owns bytes that are on their way to a caller, and their room until the connection has written them.
+struct Unsent {
+    bytes: Bytes,
+    _room: Room,
+}
+
+impl AsRef<[u8]> for Unsent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// `Room` holds the room of one fragment until it is dropped.
@@ -52,9 +64,13 @@
 }
 
 impl Fragment {
-    /// Returns the bytes, and gives up the room.
+    /// Returns the bytes, which keep the room until their last reference is dropped.
     pub(crate) fn into_data(self) -> Result<Bytes, Interrupted> {
-        self.data
+        let bytes = self.data?;
+        Ok(match self.room {
+            Some(_room) => Bytes::from_owner(Unsent { bytes, _room }),
+            None => bytes,
+        })
     }
 }
 
@@ -127,7 +143,7 @@
     }
 
     fn push(&self, data: Result<Bytes, Interrupted>, room: Option<Room>) -> Result<(), CallerGone> {
-        let fragment = Fragment { data, _room: room };
+        let fragment = Fragment { data, room };
         self.fragments.send(fragment).map_err(|_| CallerGone)
     }
 
