Signal a further build only where a service ran another one

`Fleet::update` signalled the first build of a service as well, for which no stream can have begun at another one; the signal has streams reported anew. It is signalled now if this VM has seen the service run another build, also one that is gone. The tests of this crate and the 170 of platform's serve pass.

--- a/crates/quetzalpick-entry/src/fleet/builds.rs
+++ b/crates/quetzalpick-entry/src/fleet/builds.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Returns whether this VM has seen a service run another build.
+    pub(crate) fn has_other(&self, service: &Service, build: &Build) -> bool {
+        let mut sightings = self.of(service).iter();
+        sightings.any(|seen| seen.build != *build)
+    }
+
     fn of(&self, service: &Service) -> &[Sighting] {
         self.sightings.get(service).map_or(&[], Vec::as_slice)
     }
--- a/crates/quetzalpick-entry/src/fleet/table.rs
+++ b/crates/quetzalpick-entry/src/fleet/table.rs
@@ -113,7 +113,7 @@
             let mut others = rows.iter();
             let was_present = others.any(|(_, row)| row.spec.runs(&spec.service, &spec.build));
             builds.record(now_ms, &spec.service, &spec.build, was_present);
-            if !was_present {
+            if !was_present && builds.has_other(&spec.service, &spec.build) {
                 self.build_added.notify_one();
             }
         }
