--- a/crates/quetzalpick-client/src/http/memory.rs
+++ b/crates/quetzalpick-client/src/http/memory.rs
@@ -102,11 +102,6 @@
         })
     }
 
-    /// Reserves bytes for a part of an answer that is kept, which gives way to bodies; `None` if they are short.
-    pub fn reserve_answer(&self, bytes: u64) -> Option<Reservation> {
-        self.of_kind(Kind::Answer).reserve(bytes)
-    }
-
     /// Takes bytes for an answer that is not read yet, if enough is left for bodies.
     pub fn buffer(&self, bytes: u64) -> Option<Buffered> {
         let taken = self.lock().budget.buffer(bytes)?;
--- a/crates/quetzalpick-core/src/memory/budget.rs
+++ b/crates/quetzalpick-core/src/memory/budget.rs
@@ -12,8 +12,8 @@
 /// Part of the limit that is kept for small holdings, as a divisor.
 const SMALL_DIVISOR: u64 = 4;
 
-/// Part of the limit up to which answers of endpoints take bytes, as a divisor.
-const ANSWER_DIVISOR: u64 = 2;
+/// Part of the limit up to which unread answers and events take bytes, as a divisor.
+const BUFFER_DIVISOR: u64 = 2;
 
 /// Multiple of the limit that one holding alone may use.
 const SOLE_FACTOR: u64 = 2;
@@ -47,8 +47,8 @@
 /// `Turn` orders the holdings that give way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
-    /// It is of a kind, and makes no progress since this time, in ms.
-    Stalled(Kind, u64),
+    /// It makes no progress since this time, in ms; what an endpoint sends goes first.
+    Stalled { is_body: bool, since_ms: u64 },
     /// It still arrives, and has this many bytes.
     Arriving(Reverse<u64>),
 }
@@ -56,9 +56,8 @@
 /// `Budget` divides a number of bytes among holders.
 ///
 /// What is held goes before what is asked for, so that a complete transfer is never broken off. When bytes are short, stalled
-/// transfers lose theirs, answers before bodies and the longest stalled first, then long answers that still arrive, the longest first. A
-/// part is left to small holdings and to what the VM itself needs. Answers take bytes only while a part of the limit suffices for all that
-/// is held, and no body gives way to them.
+/// transfers lose theirs, those of endpoints and then the longest stalled first, then long answers of endpoints that still arrive, the
+/// longest first. A part is left to small holdings and to what the VM itself needs.
 #[derive(Debug)]
 pub struct Budget {
     limit_bytes: u64,
@@ -149,7 +148,7 @@
     /// Takes bytes for an answer that is not read yet; `None` if half of the limit does not suffice for them beside all that is held.
     pub fn buffer(&mut self, bytes: u64) -> Option<Taken> {
         let needed = self.account.held_bytes().checked_add(bytes)?;
-        (needed <= self.limit_bytes / ANSWER_DIVISOR).then(|| self.account.take(bytes))
+        (needed <= self.limit_bytes / BUFFER_DIVISOR).then(|| self.account.take(bytes))
     }
 
     /// Takes back bytes of an answer.
@@ -172,7 +171,7 @@
         let needed = held.saturating_add(bytes);
         let mut excess = needed.saturating_sub(limit);
         // A body alone is not held to the part that others leave; what an endpoint sends is.
-        let is_sole = held == own && kind != Kind::Answer;
+        let is_sole = held == own && !kind.is_of_endpoint();
         if excess == 0 || (is_sole && needed <= self.limit_bytes.saturating_mul(SOLE_FACTOR)) {
             return Some(Vec::new());
         }
@@ -196,17 +195,18 @@
     /// Returns the holders that give way to a holder of a kind, with their order and bytes, the first one first.
     fn yielding(&self, now_ms: u64, holder: Holder, kind: Kind) -> Vec<(Turn, Holder, u64)> {
         let turn = |holding: &Holding| {
-            let bytes = holding.taken.bytes();
+            let (bytes, is_body) = (holding.taken.bytes(), !holding.kind().is_of_endpoint());
             let stalled = holding.stalled_since_ms(now_ms);
-            let stalled = stalled.map(|since_ms| Turn::Stalled(holding.kind(), since_ms));
-            let is_long_answer = holding.kind() == Kind::Answer && bytes > SMALL_BYTES;
-            let yields = is_long_answer && holding.is_arriving() && kind != Kind::Answer;
+            let stalled = stalled.filter(|_| kind != Kind::Event || !is_body);
+            let stalled = stalled.map(|since_ms| Turn::Stalled { is_body, since_ms });
+            let is_long_answer = !is_body && bytes > SMALL_BYTES;
+            let yields = is_long_answer && holding.is_arriving() && !kind.is_of_endpoint();
             stalled.or_else(|| yields.then_some(Turn::Arriving(Reverse(bytes))))
         };
         let mut yielding: Vec<_> = self
             .holdings
             .iter()
-            .filter(|(other, holding)| **other != holder && holding.kind() <= kind)
+            .filter(|(other, _)| **other != holder)
             .filter_map(|(other, holding)| Some((turn(holding)?, *other, holding.taken.bytes())))
             .collect();
         yielding.sort_unstable();
@@ -215,12 +215,12 @@
 
     /// Returns the limit for all holdings that applies to a holding of a kind and size.
     fn limit(&self, kind: Kind, bytes: u64) -> u64 {
-        match kind {
-            Kind::Answer => self.limit_bytes / ANSWER_DIVISOR,
-            Kind::Body if bytes > SMALL_BYTES => {
-                self.limit_bytes - self.limit_bytes / SMALL_DIVISOR
-            }
-            Kind::Body | Kind::Control => self.limit_bytes,
+        if kind == Kind::Event {
+            self.limit_bytes / BUFFER_DIVISOR
+        } else if bytes <= SMALL_BYTES || kind == Kind::Control {
+            self.limit_bytes
+        } else {
+            self.limit_bytes - self.limit_bytes / SMALL_DIVISOR
         }
     }
 }
--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -8,17 +8,27 @@
 /// Time without progress after which a transfer counts as stalled, in ms.
 const STALL_MS: u64 = 1_000;
 
-/// `Kind` states what a holding is for; the lower one gives way first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// `Kind` states whose bytes a holding is for, which decides who gives way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// An answer of an endpoint, or a part of one, which may be no answer at all. While it arrives it gives way to the others if it is long.
-    Answer,
     /// The body of a caller's request.
     Body,
+    /// An answer of an endpoint. While it arrives it gives way to the other kinds if it is long.
+    Answer,
+    /// An event of an endpoint's stream, kept until it is complete and its caller takes it. Gives way as an answer does. Since callers may
+    /// leave it unread, it takes bytes only while a part of the limit covers all that is held, and no body gives way to it.
+    Event,
     /// An answer of the store or of another VM, without which the VM serves nobody. A part that long bodies and answers leave is for it.
     Control,
 }
 
+impl Kind {
+    /// Returns whether an endpoint sends the bytes.
+    pub(super) fn is_of_endpoint(self) -> bool {
+        matches!(self, Self::Answer | Self::Event)
+    }
+}
+
 /// `Holding` describes the bytes of one holder.
 #[derive(Debug)]
 pub(super) struct Holding {
--- a/crates/quetzalpick-entry/src/serve/pending.rs
+++ b/crates/quetzalpick-entry/src/serve/pending.rs
@@ -3,6 +3,7 @@
 use std::future::pending;
 
 use bytes::{Bytes, BytesMut};
+use quetzalpick_core::memory::Kind;
 use quetzalpick_node::http::memory::{Memory, Reservation};
 
 /// Bytes of each stream that need no reservation; the limit of connections covers them.
@@ -47,9 +48,9 @@
 
 impl Pending {
     /// Creates an empty one.
-    pub(crate) fn new(memory: Memory) -> Self {
+    pub(crate) fn new(memory: &Memory) -> Self {
         Self {
-            memory,
+            memory: memory.of_kind(Kind::Event),
             bytes: BytesMut::new(),
             allocated: 0,
             reservation: None,
@@ -125,7 +126,7 @@
 
     /// Drops the bytes, and gives back their memory.
     pub(crate) fn clear(&mut self) {
-        *self = Self::new(self.memory.clone());
+        *self = Self::new(&self.memory);
     }
 
     /// Waits until the memory of a long event is given to others.
@@ -140,7 +141,7 @@
     fn reserve(&mut self, needed: usize) -> Result<(), MemoryShort> {
         let allocated = needed.next_power_of_two().min(AHEAD_MAX_BYTES).max(needed);
         let Some(reservation) = &self.reservation else {
-            let reservation = self.memory.reserve_answer(allocated as u64);
+            let reservation = self.memory.reserve(allocated as u64);
             self.reservation = Some(reservation.ok_or(MemoryShort)?);
             self.allocate(allocated);
             return Ok(());
--- a/crates/quetzalpick-entry/src/serve/progress.rs
+++ b/crates/quetzalpick-entry/src/serve/progress.rs
@@ -31,8 +31,7 @@
         let is_event_stream = kind.is_stream() && head.status.is_success();
         Self {
             framing: Framing::of(head),
-            events: is_event_stream
-                .then(|| EventSplitter::resume_after(last_event_id, memory.clone())),
+            events: is_event_stream.then(|| EventSplitter::resume_after(last_event_id, memory)),
         }
     }
 
--- a/crates/quetzalpick-entry/src/serve/sse.rs
+++ b/crates/quetzalpick-entry/src/serve/sse.rs
@@ -61,7 +61,7 @@
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after an event.
-    pub(crate) fn resume_after(last_id: Option<u64>, memory: Memory) -> Self {
+    pub(crate) fn resume_after(last_id: Option<u64>, memory: &Memory) -> Self {
         Self {
             pending: Pending::new(memory),
             scanner: EventScanner::default(),
