Quote error answers without a copy of the whole body

An error answer of the store or an endpoint, up to 8 MB, was copied whole to quote 200 characters of it. What is quoted is cut first now. Found by reading; no caller is known to have seen it, and no test fails without it.

--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -24,6 +24,9 @@
 /// Most characters of an error answer's body that are quoted in an error message.
 const MESSAGE_MAX_CHARS: usize = 200;
 
+/// Most bytes of a character in UTF-8.
+const CHAR_MAX_BYTES: usize = 4;
+
 /// `Answer` holds a complete answer, with its body read into memory.
 #[derive(Debug)]
 pub struct Answer {
@@ -134,7 +137,8 @@
 
     /// Returns the start of the body as text, for error messages.
     fn message(&self) -> String {
-        let text = String::from_utf8_lossy(&self.body);
+        let quoted = self.body.len().min(MESSAGE_MAX_CHARS * CHAR_MAX_BYTES);
+        let text = String::from_utf8_lossy(&self.body[..quoted]);
         text.chars().take(MESSAGE_MAX_CHARS).collect()
     }
 }
