Give all clients of a process the one budget for answers

What callers saw: none reported it; answers of the store (8 MB), reports and orders (1 MB each, of up to 1,100 endpoints at once) and answers of peers (64 MB) had limits of their own only, beside the budget, on VMs of 64 to 160 MB.

An entry's memory is made from its settings before its clients, and the pools for the store, endpoints, reports and orders and peers share it with the bodies and unread answers of callers; the gate's and the keeper's clients share theirs likewise. At the gate an answer to a caller is not broken off for another body. A peer's refusal is quoted with 4 KB at most, without a copy of the rest.

--- a/crates/quetzalpick-client/src/http/memory.rs
+++ b/crates/quetzalpick-client/src/http/memory.rs
@@ -109,6 +109,11 @@
         Some(Buffered { memory, taken })
     }
 
+    /// Returns the number of bytes that it gives out.
+    pub fn limit_bytes(&self) -> u64 {
+        self.lock().budget.limit_bytes()
+    }
+
     /// Returns what is held, and what was refused.
     pub fn usage(&self) -> Usage {
         self.lock().budget.usage()
--- a/crates/quetzalpick-core/src/memory/budget.rs
+++ b/crates/quetzalpick-core/src/memory/budget.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the number of bytes that it divides.
+    pub fn limit_bytes(&self) -> u64 {
+        self.limit_bytes
+    }
+
     /// Returns what is held, and what was refused.
     pub fn usage(&self) -> Usage {
         Usage {
--- a/crates/quetzalpick-core/src/memory/holding.rs
+++ b/crates/quetzalpick-core/src/memory/holding.rs
@@ -11,7 +11,7 @@
 /// `Kind` states whose bytes a holding is for, which decides who gives way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// The body of a caller's request.
+    /// The body of a caller's request, or a long answer to one.
     Body,
     /// An answer of an endpoint. While it arrives it gives way to the other kinds if it is long.
     Answer,
--- a/crates/quetzalpick-entry/src/entry.rs
+++ b/crates/quetzalpick-entry/src/entry.rs
@@ -57,6 +57,8 @@
     pub transport: P,
     /// Connection pool for endpoints.
     pub pool: Pool,
+    /// Memory for what the process holds of bodies and answers; the pools share it.
+    pub memory: Memory,
     /// Clock for leases, ages and rates.
     pub clock: Clock,
 }
@@ -130,7 +132,8 @@
         listeners: Listeners,
         options: Options,
     ) -> Result<Self> {
-        let (connections, buffer_bytes) = (listeners.limits.connections, options.buffer_bytes);
+        let (connections, buffer_bytes) =
+            (listeners.limits.connections, platform.memory.limit_bytes());
         log::info!("entry: limits connections={connections} buffer_bytes={buffer_bytes}");
         let metrics = Metrics::try_new()?;
         let callers = Server::try_bind(&listeners.callers, listeners.limits).await?;
@@ -188,7 +191,7 @@
             lifecycle: Lifecycle::default(),
             stop: Stop::default(),
             meters: Meters::new(&metrics.meter("quetzalpick-entry")),
-            memory: Memory::new(options.buffer_bytes),
+            memory: platform.memory.clone(),
             options: RwLock::new(Arc::new(options)),
         });
         let meter = metrics.meter("quetzalpick-node");
--- a/crates/quetzalpick-entry/src/options.rs
+++ b/crates/quetzalpick-entry/src/options.rs
@@ -41,8 +41,6 @@
     pub route: route::Options,
     /// Retry budget that all VMs share.
     pub retry: Retries,
-    /// Bytes that the process holds for its callers at most.
-    pub buffer_bytes: u64,
 }
 
 /// `Retries` limits the requests that all VMs together send again.
@@ -94,7 +92,6 @@
                 slack: 50,
                 window: Duration::from_secs(10),
             },
-            buffer_bytes: 128 << 20,
         }
     }
 
--- a/crates/quetzalpick-entry/src/settings.rs
+++ b/crates/quetzalpick-entry/src/settings.rs
@@ -6,6 +6,7 @@
 use quetzalpick_core::election;
 use quetzalpick_core::rate::Overdraft;
 use quetzalpick_core::route;
+use quetzalpick_node::http::memory::Memory;
 use quetzalpick_node::http::server;
 use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{Log, Metrics, SECRET_MIN_CHARS, Vm, address, secret};
@@ -298,6 +299,11 @@
         }
     }
 
+    /// Creates the memory for what the process holds of bodies and answers.
+    pub fn memory(&self) -> Memory {
+        Memory::new(self.size.buffer_bytes(self.connections_max()))
+    }
+
     /// Returns the entry options for these settings.
     pub fn options(&self) -> Options {
         let election = if self.size.cores < LEADER_CORES_MIN {
@@ -321,7 +327,6 @@
             },
             evacuation: self.bounds.evacuation,
             stop_timeout: self.bounds.stop.saturating_sub(STOP_MARGIN),
-            buffer_bytes: self.size.buffer_bytes(self.connections_max()),
             route: route::Options {
                 policy: self.routing.policy,
                 ..defaults.route
--- a/crates/quetzalpick-gate/src/gate.rs
+++ b/crates/quetzalpick-gate/src/gate.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use quetzalpick_client::http::Pool;
+use quetzalpick_client::http::{self, Pool};
 use quetzalpick_client::traits::{Engine, Log, Vms};
+use quetzalpick_core::memory::Kind;
 use quetzalpick_core::retry::Budget;
 use quetzalpick_core::route::PrefixCache;
 use quetzalpick_node::http::admin::{Admin, Readiness};
 use quetzalpick_node::http::memory::Memory;
 use quetzalpick_node::http::server::{self, Server};
 use quetzalpick_node::lifecycle::{Lifecycle, Phase};
+use quetzalpick_node::peer::Http;
 use quetzalpick_node::replica::{self, Replica};
 use quetzalpick_node::telemetry::metrics::Metrics;
 use tokio::sync::watch;
@@ -40,6 +42,8 @@
     pub engine: E,
     /// Client of the VM list.
     pub vms: V,
+    /// Memory for what the process holds of bodies and answers; the clients' pools share it.
+    pub memory: Memory,
 }
 
 /// `Listeners` holds the addresses that a gate listens on, and the limits of connections.
@@ -111,14 +115,21 @@
             options.quota.clone(),
         ));
         let peer_handler = PeerHandler::new(Arc::clone(&shares));
-        let replica = Replica::try_start(platform.log, replica, peer_handler.clone()).await?;
+        let control = platform.memory.of_kind(Kind::Control);
+        let transport = Http::new(&replica.secret)
+            .with_pool(Pool::with_memory(http::Options::default(), control));
+        let (replica, driver) =
+            Replica::try_new(platform.log, transport, replica, peer_handler.clone()).await?;
+        tokio::spawn(driver);
         peer_handler.set_replica(replica.clone());
         replica.register_metrics(&metrics.meter("quetzalpick-node"));
         let (status_sender, config_status) = watch::channel(ConfigStatus::default());
         let age_ms = options.prefix_age.as_millis() as u64;
         let prefix_cache = PrefixCache::new(options.prefix_capacity, age_ms);
+        // An answer to a caller is not broken off for the body of another one.
+        let answers = platform.memory.of_kind(Kind::Body);
         let context = Arc::new(Context {
-            pool: Pool::default(),
+            pool: Pool::with_memory(http::Options::default(), answers),
             clock,
             shares,
             fleet: Arc::new(Fleet::new(
@@ -133,7 +144,7 @@
             budget: Mutex::new(Budget::new(clock.now_ms(), options.retry.clone())),
             config_status,
             meters: Meters::new(&metrics.meter("quetzalpick-gate")),
-            memory: Memory::new(options.buffer_bytes),
+            memory: platform.memory,
             tasks: TaskTracker::new(),
             replica,
             options,
--- a/crates/quetzalpick-gate/src/options.rs
+++ b/crates/quetzalpick-gate/src/options.rs
@@ -9,8 +9,6 @@
 pub struct Options {
     /// Maximum size of a request's body, in bytes.
     pub body_max_bytes: usize,
-    /// Bytes of bodies that the process holds at most.
-    pub buffer_bytes: u64,
     /// Maximum time in which a caller must send a request's body.
     pub body_timeout: Duration,
     /// Maximum size of a complete answer accepted from an endpoint, in bytes.
@@ -69,7 +67,6 @@
     fn default() -> Self {
         Self {
             body_max_bytes: 4 << 20,
-            buffer_bytes: 128 << 20,
             body_timeout: Duration::from_secs(10),
             answer_max_bytes: 16 << 20,
             request_timeout: Duration::from_secs(60),
--- a/crates/quetzalpick-gate/src/run.rs
+++ b/crates/quetzalpick-gate/src/run.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::http::{self, Pool, Timeouts};
 use quetzalpick_client::{engine, log as log_service, vms};
+use quetzalpick_core::memory::Kind;
 use quetzalpick_core::record::Role;
 use quetzalpick_node::lifecycle::stop_signal;
 use snafu::{ResultExt, ensure};
@@ -22,16 +23,22 @@
 /// `Error::Node` if a listener or the replica cannot be started, `Error::Signal` if the signal handlers cannot be
 /// registered, `Error::Unfinished` if a request or a claim was not finished within the stop's timeouts.
 pub async fn run(settings: Settings) -> Result<()> {
-    let pool = Pool::default();
+    let memory = settings.memory();
+    let pool = |kind| Pool::with_memory(http::Options::default(), memory.of_kind(kind));
     let log = log_service::Client::new(
-        pool.clone(),
+        pool(Kind::Control),
         settings.platform.log.clone(),
         log_service::Options::default(),
     );
     let platform = Platform {
         log,
-        engine: engine::Client::new(pool.clone(), Timeouts::default()),
-        vms: vms::Client::new(pool, settings.platform.vms.clone(), Timeouts::default()),
+        engine: engine::Client::new(pool(Kind::Answer), Timeouts::default()),
+        vms: vms::Client::new(
+            pool(Kind::Control),
+            settings.platform.vms.clone(),
+            Timeouts::default(),
+        ),
+        memory: memory.clone(),
     };
     let listeners = Listeners {
         callers: settings.callers.listen.clone(),
--- a/crates/quetzalpick-gate/src/settings.rs
+++ b/crates/quetzalpick-gate/src/settings.rs
@@ -4,6 +4,7 @@
 
 use quetzalpick_core::retry;
 use quetzalpick_core::route::Policy;
+use quetzalpick_node::http::memory::Memory;
 use quetzalpick_node::http::server;
 use quetzalpick_node::process;
 use quetzalpick_node::settings::sections::{Log, Metrics, Peers, Platform, Vm, address};
@@ -134,11 +135,15 @@
 }
 
 impl Settings {
+    /// Creates the memory for what the process holds of bodies and answers.
+    pub fn memory(&self) -> Memory {
+        Memory::new(self.callers.buffer_mb << 20)
+    }
+
     /// Returns the options of a gate with these settings.
     pub fn options(&self) -> Options {
         let mut options = Options {
             body_max_bytes: self.callers.body_max_bytes,
-            buffer_bytes: self.callers.buffer_mb << 20,
             body_timeout: self.callers.body_timeout,
             grace: self.callers.grace,
             request_timeout: self.requests.timeout,
--- a/crates/quetzalpick-gate/tests/gate/deployment.rs
+++ b/crates/quetzalpick-gate/tests/gate/deployment.rs
@@ -20,6 +20,7 @@
     Report, Role, Route, ServiceSpec, WorkspaceSpec,
 };
 use quetzalpick_gate::{Gate, Listeners, Options, Platform};
+use quetzalpick_node::http::memory::Memory;
 use quetzalpick_node::http::server;
 use quetzalpick_node::replica;
 use quetzalpick_standin::{engine as engines, service as services};
@@ -395,6 +396,7 @@
             log: log.clone(),
             engine: engine::Client::default(),
             vms: self.vms.clone(),
+            memory: Memory::default(),
         };
         let listeners = Listeners {
             callers: "127.0.0.1:0".to_owned(),
--- a/crates/quetzalpick-keeper/src/operator/api.rs
+++ b/crates/quetzalpick-keeper/src/operator/api.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Sets the memory for the bodies of requests.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Memory) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Returns the name of the operator whose token is in the request's authorization header.
     fn authenticate(&self, request: &Request<Incoming>) -> Option<&str> {
         let header = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
--- a/crates/quetzalpick-keeper/src/run.rs
+++ b/crates/quetzalpick-keeper/src/run.rs
@@ -4,14 +4,16 @@
 use snafu::ResultExt;
 use tokio_util::sync::CancellationToken;
 
-use quetzalpick_client::http::{Pool, Timeouts};
+use quetzalpick_client::http::{self, Pool, Timeouts};
 use quetzalpick_client::{engine, log as log_service, vms};
 use quetzalpick_core::id::Member;
+use quetzalpick_core::memory::Kind;
 use quetzalpick_core::record::{Record, Role};
 use quetzalpick_node::http::admin::{Admin, Readiness};
+use quetzalpick_node::http::memory::Memory;
 use quetzalpick_node::http::server::{Options, Server};
 use quetzalpick_node::lifecycle::{Lifecycle, Phase, stop_signal};
-use quetzalpick_node::peer::Application;
+use quetzalpick_node::peer::{Application, Http};
 use quetzalpick_node::replica::Replica;
 use quetzalpick_node::telemetry::metrics::Metrics;
 
@@ -55,19 +57,23 @@
 ///
 /// `Error::Node` if a listener or the replica cannot be started, `Error::Signal` if signals cannot be awaited.
 pub async fn run(settings: Settings) -> Result<()> {
-    let pool = Pool::default();
+    let memory = Memory::default();
+    let pool = |kind| Pool::with_memory(http::Options::default(), memory.of_kind(kind));
     let log = log_service::Client::new(
-        pool.clone(),
+        pool(Kind::Control),
         settings.platform.log.clone(),
         log_service::Options::default(),
     );
     let options = settings
         .peers
         .options(&settings.vm, &settings.platform, Role::Keeper);
-    let replica = Replica::try_start(log, options, NoCalls).await?;
+    let transport = Http::new(&options.secret).with_pool(pool(Kind::Control));
+    let (replica, driver) = Replica::try_new(log, transport, options, NoCalls).await?;
+    tokio::spawn(driver);
     let lifecycle = Lifecycle::default();
     let metrics = Metrics::try_new()?;
     replica.register_metrics(&metrics.meter("replica"));
+    memory.register_metrics(&metrics.meter("quetzalpick-node"));
 
     // The admin listener starts first and stops last, so that probes are always answered.
     let admin = Server::try_bind(&settings.metrics.listen, Options::default()).await?;
@@ -81,12 +87,17 @@
 
     let operator = Server::try_bind(&settings.operator.listen, Options::default()).await?;
     log::info!("keeper: operator API on {}", operator.address());
-    let api = Api::new(Executor::new(replica.clone()), &settings.operator.tokens);
+    let api = Api::new(Executor::new(replica.clone()), &settings.operator.tokens)
+        .with_memory(memory.clone());
     let operator_stop = CancellationToken::new();
     let operator_task = tokio::spawn(operator.run(api, operator_stop.clone()));
 
-    let engines = engine::Client::new(pool.clone(), Timeouts::default());
-    let vms = vms::Client::new(pool, settings.platform.vms.clone(), Timeouts::default());
+    let engines = engine::Client::new(pool(Kind::Answer), Timeouts::default());
+    let vms = vms::Client::new(
+        pool(Kind::Control),
+        settings.platform.vms.clone(),
+        Timeouts::default(),
+    );
     let leader = Leader::new(
         replica.clone(),
         engines,
--- a/crates/quetzalpick-node/src/peer/http.rs
+++ b/crates/quetzalpick-node/src/peer/http.rs
@@ -37,6 +37,9 @@
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Most bytes of a peer's refusal that are quoted, so that no copy of a long answer is held beside it.
+const MESSAGE_MAX_BYTES: usize = 4_096;
+
 /// Time limit for calls in progress to finish at shutdown.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
 
@@ -62,6 +65,13 @@
         }
     }
 
+    /// Sets the connection pool for calls to peers, with the memory for their answers.
+    #[must_use]
+    pub fn with_pool(mut self, pool: Pool) -> Self {
+        self.pool = pool;
+        self
+    }
+
     /// Sets the memory for the bodies of calls, apart from that for callers.
     #[must_use]
     pub fn with_memory(mut self, memory: Memory) -> Self {
@@ -87,7 +97,7 @@
         if status == StatusCode::OK {
             return Ok(bytes);
         }
-        let message = String::from_utf8_lossy(&bytes);
+        let message = String::from_utf8_lossy(&bytes[..bytes.len().min(MESSAGE_MAX_BYTES)]);
         Err(refused(address, status.as_u16(), message))
     }
 
