--- a/crates/quetzalpick-client/src/call.rs
+++ b/crates/quetzalpick-client/src/call.rs
@@ -24,6 +24,9 @@
 /// Most characters of an error answer's body that are quoted in an error message.
 const MESSAGE_MAX_CHARS: usize = 200;
 
+/// Most bytes of a character in UTF-8.
+const CHAR_MAX_BYTES: usize = 4;
+
 /// `Reuse` determines which connections a call shares with others whose answers bear no id either: an answer that is written once more
 /// is taken for the next one on its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -177,7 +180,8 @@
 
     /// Returns the start of the body as text, for error messages.
     fn message(&self) -> String {
-        let text = String::from_utf8_lossy(&self.body);
+        let quoted = self.body.len().min(MESSAGE_MAX_CHARS * CHAR_MAX_BYTES);
+        let text = String::from_utf8_lossy(&self.body[..quoted]);
         text.chars().take(MESSAGE_MAX_CHARS).collect()
     }
 }
