--- a/crates/quetzalpick-entry/src/place/order.rs
+++ b/crates/quetzalpick-entry/src/place/order.rs
@@ -74,8 +74,8 @@
 
 /// `EngineControl` calls the administration interface of model engines.
 pub trait EngineControl: Clone + Debug + Send + Sync + 'static {
-    /// Sends an order to the engine at `address`, over a connection that no other call uses; another engine or another incarnation of it there must reject the order.
-    /// `holder` identifies the sending VM and its incarnation.
+    /// Sends an order to the engine at `address`, over a connection that no other call uses; another engine or another incarnation of it
+    /// there must reject the order. `holder` identifies the sending VM and its incarnation.
     ///
     /// # Errors
     ///
--- a/crates/quetzalpick-entry/src/serve/request.rs
+++ b/crates/quetzalpick-entry/src/serve/request.rs
@@ -42,7 +42,7 @@
     pub(crate) config_version: u64,
     /// Endpoints of all attempts.
     pub(crate) attempted: Vec<Endpoint>,
-    /// Addresses of all attempts.
+    /// Endpoints and addresses of all attempts, which decide whether an answer proves anything.
     pub(crate) trail: Trail,
     /// Number of these endpoints that may have run it.
     pub(crate) possible_runs: u32,
--- a/crates/quetzalpick-gate/src/serve/attempts.rs
+++ b/crates/quetzalpick-gate/src/serve/attempts.rs
@@ -64,7 +64,7 @@
     context: Arc<Context<L>>,
     /// Endpoints that were chosen so far.
     attempted: Vec<Endpoint>,
-    /// Addresses to which the call was sent.
+    /// Endpoints and addresses to which the call was sent.
     trail: Trail,
     retries: u32,
     /// The worst verdict of all attempts.
