--- a/crates/quetzalpick-client/src/http/buffer.rs
+++ b/crates/quetzalpick-client/src/http/buffer.rs
@@ -25,18 +25,6 @@
     unrecorded: usize,
 }
 
-/// `Owner` owns a complete body, and its reserved bytes until the last reference to it is dropped.
-struct Owner {
-    bytes: BytesMut,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for Owner {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Buffer {
     /// Creates a buffer for a body of an announced length, if one was; `None` if memory is short.
     pub fn try_new(memory: &Memory, announced: Option<usize>, max_bytes: usize) -> Option<Self> {
@@ -133,11 +121,8 @@
         let Some(reservation) = self.reservation else {
             return Some(self.bytes.freeze());
         };
-        reservation.complete().then(|| {
-            Bytes::from_owner(Owner {
-                bytes: self.bytes,
-                _reservation: reservation,
-            })
-        })
+        reservation
+            .complete()
+            .then(|| reservation.attach(self.bytes))
     }
 }
--- a/crates/quetzalpick-client/src/http/memory.rs
+++ b/crates/quetzalpick-client/src/http/memory.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::{Bytes, BytesMut};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Meter;
 use quetzalpick_core::memory::{Budget, Grant, Holder, Kind, Taken, Usage};
@@ -41,6 +42,18 @@
     lost: CancellationToken,
 }
 
+/// `Owner` owns bytes, and what is reserved for them until the last reference to them is dropped.
+struct Owner {
+    bytes: BytesMut,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Owner {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// `Buffered` holds bytes of an answer until it is dropped.
 #[derive(Debug)]
 pub struct Buffered {
@@ -203,6 +216,14 @@
         self.memory.lock().budget.complete(self.holder)
     }
 
+    /// Returns bytes that keep the reservation until their last reference is dropped.
+    pub fn attach(self, bytes: BytesMut) -> Bytes {
+        Bytes::from_owner(Owner {
+            bytes,
+            _reservation: self,
+        })
+    }
+
     /// Returns whether the bytes are lost to others.
     pub fn is_lost(&self) -> bool {
         self.lost.is_cancelled()
--- a/crates/quetzalpick-entry/src/serve/pending.rs
+++ b/crates/quetzalpick-entry/src/serve/pending.rs
@@ -34,18 +34,6 @@
     unrecorded: usize,
 }
 
-/// `Owner` owns the bytes of a long event, and their reserved memory until the last reference to them is dropped.
-struct Owner {
-    bytes: BytesMut,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for Owner {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Pending {
     /// Creates an empty one.
     pub(crate) fn new(memory: &Memory) -> Self {
@@ -92,11 +80,7 @@
         bytes.truncate(length);
         // What was lost in this moment is passed on nevertheless: it is on its way out.
         let _ = reservation.complete();
-        let owner = Owner {
-            bytes,
-            _reservation: reservation,
-        };
-        Bytes::from_owner(owner)
+        reservation.attach(bytes)
     }
 
     /// Splits off the first bytes; a few of a large allocation are copied, so that they do not keep all of it.
