--- a/review/stand-ins-2/flood.rs
+++ b/review/stand-ins-2/flood.rs
@@ -53,7 +53,10 @@
         // The parts of a prompt, ID:TOKENS.
         let parts = (0..fill / 4).map(|n| format!("{:x}:{},", n % 16, 1 + n % 9));
         let parts: String = parts.collect();
-        head += &format!("x-quetzalpick-prompt-prefix: {}\r\n", parts.trim_end_matches(','));
+        head += &format!(
+            "x-quetzalpick-prompt-prefix: {}\r\n",
+            parts.trim_end_matches(',')
+        );
     }
     head += "\r\n";
     let mut bytes = head.into_bytes();
@@ -76,7 +79,11 @@
     for n in 1..=4 {
         let name = format!("i-{n}");
         let (runner, address) = Runner::start(&name, Duration::from_millis(15))?;
-        store.put("keyed.servers", &name, &runner::entry("order-desk", address, 6, n));
+        store.put(
+            "keyed.servers",
+            &name,
+            &runner::entry("order-desk", address, 6, n),
+        );
         runners.push(runner);
     }
     let mut program = Program::start(folder, &flood.machine, store_address)?;
@@ -84,7 +91,10 @@
     wait_until_served(callers)?;
     record.line(&format!("the machine serves callers={callers}"));
     let began = Instant::now();
-    let (flood_at, end) = (began + Duration::from_secs(4), began + Duration::from_secs(20));
+    let (flood_at, end) = (
+        began + Duration::from_secs(4),
+        began + Duration::from_secs(20),
+    );
     let watch = Watch::default();
     thread::scope(|scope| {
         watch.start(scope, record, (callers, ready), end);
@@ -95,7 +105,10 @@
                 for n in 0..flood.clients {
                     open.extend(join(flood, callers, n));
                     if n + 1 == flood.clients || (n + 1) % 500 == 0 {
-                        record.line(&format!("flood: {} clients have sent and stay open", open.len()));
+                        record.line(&format!(
+                            "flood: {} clients have sent and stay open",
+                            open.len()
+                        ));
                     }
                 }
                 thread::sleep(end.saturating_duration_since(Instant::now()));
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -32,7 +32,9 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let mut matching = headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    let mut matching = headers
+        .iter()
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name));
     matching.next().map(|(_, value)| value.as_str())
 }
 
@@ -54,8 +56,13 @@
 }
 
 fn parse_headers(head: &str) -> Vec<(String, String)> {
-    let fields = head.split("\r\n").skip(1).filter_map(|line| line.split_once(':'));
-    fields.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect()
+    let fields = head
+        .split("\r\n")
+        .skip(1)
+        .filter_map(|line| line.split_once(':'));
+    fields
+        .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
+        .collect()
 }
 
 fn read_exact(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> io::Result<Vec<u8>> {
@@ -91,7 +98,9 @@
     until_end: bool,
 ) -> io::Result<Vec<u8>> {
     if let Some(length) = find(headers, "content-length") {
-        let length = length.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let length = length
+            .parse()
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
         return read_exact(stream, buffer, length);
     }
     if find(headers, "transfer-encoding").is_some() {
@@ -123,14 +132,18 @@
     let headers = parse_headers(&head);
     let mut words = head.split("\r\n").next().unwrap_or("").split(' ');
     let target = words.nth(1).unwrap_or("").to_owned();
-    let has_body = find(&headers, "content-length").is_some()
-        || find(&headers, "transfer-encoding").is_some();
+    let has_body =
+        find(&headers, "content-length").is_some() || find(&headers, "transfer-encoding").is_some();
     let body = if has_body {
         read_body(stream, buffer, &headers, false)?
     } else {
         Vec::new()
     };
-    Ok(Some(Request { target, headers, body }))
+    Ok(Some(Request {
+        target,
+        headers,
+        body,
+    }))
 }
 
 /// An answer that was received whole.
@@ -160,7 +173,12 @@
 }
 
 /// Formats a request with a body of known length.
-pub fn format_request(method: &str, target: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+pub fn format_request(
+    method: &str,
+    target: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Vec<u8> {
     let mut text = format!("{method} {target} HTTP/1.1\r\n");
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
--- a/review/stand-ins-2/interim.rs
+++ b/review/stand-ins-2/interim.rs
@@ -41,15 +41,15 @@
 }
 
 /// Starts a runner of streams; in trouble, it sends bytes that are no answer until its caller closes.
-fn start_runner(
-    in_trouble: Arc<AtomicBool>,
-    flooding: Arc<AtomicUsize>,
-) -> io::Result<SocketAddr> {
+fn start_runner(in_trouble: Arc<AtomicBool>, flooding: Arc<AtomicUsize>) -> io::Result<SocketAddr> {
     let bytes = INTERIM.repeat(2_000);
     let serve = move |stream: &mut TcpStream| -> io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(stream, &mut buffer)? {
-            let id = request.header("x-quetzalpick-attempt-id").unwrap_or("").to_owned();
+            let id = request
+                .header("x-quetzalpick-attempt-id")
+                .unwrap_or("")
+                .to_owned();
             if in_trouble.load(Ordering::SeqCst) {
                 flooding.fetch_add(1, Ordering::SeqCst);
                 while in_trouble.load(Ordering::SeqCst) {
@@ -83,20 +83,31 @@
     for n in 1..=4 {
         let name = format!("i-{n}");
         let (_, address) = Runner::start(&name, Duration::from_millis(15))?;
-        store.put("keyed.servers", &name, &runner::entry("order-desk", address, 6, n));
+        store.put(
+            "keyed.servers",
+            &name,
+            &runner::entry("order-desk", address, 6, n),
+        );
     }
     let in_trouble = Arc::new(AtomicBool::new(false));
     let flooding = Arc::new(AtomicUsize::new(0));
     for n in 5..=13 {
         let address = start_runner(Arc::clone(&in_trouble), Arc::clone(&flooding))?;
-        store.put("keyed.servers", &format!("i-{n}"), &runner::entry("menu-models", address, 64, n));
+        store.put(
+            "keyed.servers",
+            &format!("i-{n}"),
+            &runner::entry("menu-models", address, 64, n),
+        );
     }
     let mut program = Program::start(folder, machine, store_address)?;
     let (callers, ready) = (program.callers, program.ready);
     wait_until_served(callers)?;
     record.line(&format!("the machine serves callers={callers}"));
     let began = Instant::now();
-    let (trouble_at, end) = (began + Duration::from_secs(4), began + Duration::from_secs(14));
+    let (trouble_at, end) = (
+        began + Duration::from_secs(4),
+        began + Duration::from_secs(14),
+    );
     let watch = Watch::default();
     thread::scope(|scope| {
         watch.start(scope, record, (callers, ready), end);
@@ -106,7 +117,9 @@
             in_trouble.store(has_trouble, Ordering::SeqCst);
             thread::sleep(Duration::from_secs(5));
             let requests = flooding.load(Ordering::SeqCst);
-            record.line(&format!("runners in trouble have got {requests} requests, and send heads to each"));
+            record.line(&format!(
+                "runners in trouble have got {requests} requests, and send heads to each"
+            ));
             thread::sleep(end.saturating_duration_since(Instant::now()));
             in_trouble.store(false, Ordering::SeqCst);
         });
@@ -128,7 +141,9 @@
                 let answer = send(callers, &request, Duration::from_millis(DEADLINE_MS + 500));
                 let status = answer.ok().map(|answer| answer.status);
                 let took_ms = began.elapsed().as_millis();
-                record.line(&format!("stream id={id} status={status:?} took_ms={took_ms}"));
+                record.line(&format!(
+                    "stream id={id} status={status:?} took_ms={took_ms}"
+                ));
             });
         }
         Watch::follow(record, &mut program, end);
--- a/review/stand-ins-2/length.rs
+++ b/review/stand-ins-2/length.rs
@@ -48,12 +48,25 @@
             if self.is_crashed.load(Ordering::SeqCst) {
                 return Ok(());
             }
-            let id = request.header("x-quetzalpick-attempt-id").unwrap_or("").to_owned();
-            let after = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
+            let id = request
+                .header("x-quetzalpick-attempt-id")
+                .unwrap_or("")
+                .to_owned();
+            let after = request
+                .header("last-event-id")
+                .and_then(|text| text.parse::<u64>().ok());
             let first = after.unwrap_or(0) + 1;
-            record.line(&format!("runner={} begins id={id} after={after:?} events={}", self.name, self.events));
-            self.ends.lock().unwrap().insert(id.clone(), (self.name.clone(), self.events));
-            let length: usize = (first..=self.events).map(|n| event(n, &self.name).len()).sum();
+            record.line(&format!(
+                "runner={} begins id={id} after={after:?} events={}",
+                self.name, self.events
+            ));
+            self.ends
+                .lock()
+                .unwrap()
+                .insert(id.clone(), (self.name.clone(), self.events));
+            let length: usize = (first..=self.events)
+                .map(|n| event(n, &self.name).len())
+                .sum();
             let head = format!(
                 "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\
                  x-quetzalpick-attempt-id: {id}\r\nx-quetzalpick-response-seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n"
@@ -63,11 +76,17 @@
                 stream.write_all(event(n, &self.name).as_bytes())?;
                 thread::sleep(PAUSE);
                 if self.is_crashed.load(Ordering::SeqCst) {
-                    record.line(&format!("runner={} crashes id={id} after event {n}", self.name));
+                    record.line(&format!(
+                        "runner={} crashes id={id} after event {n}",
+                        self.name
+                    ));
                     return Ok(());
                 }
             }
-            record.line(&format!("runner={} ends id={id} with event {}", self.name, self.events));
+            record.line(&format!(
+                "runner={} ends id={id} with event {}",
+                self.name, self.events
+            ));
         }
         Ok(())
     }
@@ -90,7 +109,12 @@
     ];
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(15)))?;
-    stream.write_all(&format_request("POST", "/draft/2f", &headers, b"a menu, please"))?;
+    stream.write_all(&format_request(
+        "POST",
+        "/draft/2f",
+        &headers,
+        b"a menu, please",
+    ))?;
     let (mut bytes, mut chunk) = (Vec::new(), [0; 4096]);
     loop {
         if let Some((is_complete, body)) = parse(&bytes) {
@@ -101,7 +125,10 @@
         match stream.read(&mut chunk) {
             Ok(0) | Err(_) => {
                 let body = parse(&bytes).map_or_else(String::new, |(_, body)| body);
-                return Ok(Got { is_complete: false, body });
+                return Ok(Got {
+                    is_complete: false,
+                    body,
+                });
             }
             Ok(read) => bytes.extend_from_slice(&chunk[..read]),
         }
@@ -113,9 +140,14 @@
     let text = String::from_utf8_lossy(bytes);
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let head = head.to_lowercase();
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
     if let Some(length) = length.and_then(|length| length.trim().parse::<usize>().ok()) {
-        return Some((rest.len() >= length, rest[..rest.len().min(length)].to_owned()));
+        return Some((
+            rest.len() >= length,
+            rest[..rest.len().min(length)].to_owned(),
+        ));
     }
     let (mut body, mut rest) = (String::new(), rest);
     while let Some((size, after)) = rest.split_once("\r\n") {
@@ -143,7 +175,12 @@
 }
 
 /// Returns whether the rule was kept: no stream ends as complete before the last piece of the run that goes on with it.
-pub fn run(record: &Record, folder: &Path, machine: &Machine, has_trouble: bool) -> io::Result<bool> {
+pub fn run(
+    record: &Record,
+    folder: &Path,
+    machine: &Machine,
+    has_trouble: bool,
+) -> io::Result<bool> {
     let store = Store::default();
     let store_address = store.start()?;
     store.put("keyed.op", "config", &config());
@@ -159,7 +196,11 @@
         });
         let (server, log) = (Arc::clone(&runner), Arc::clone(&record));
         let address = listen(move |mut stream| drop(server.serve(&mut stream, &log)))?;
-        store.put("keyed.servers", &runner.name, &runner::entry("menu-models", address, 64, n));
+        store.put(
+            "keyed.servers",
+            &runner.name,
+            &runner::entry("menu-models", address, 64, n),
+        );
         runners.push(runner);
     }
     let mut program = Program::start(folder, machine, store_address)?;
@@ -194,7 +235,10 @@
     let mut results = results.into_inner().unwrap();
     results.sort_by(|a, b| a.0.cmp(&b.0));
     for (id, Got { is_complete, body }) in &results {
-        let ids: Vec<u64> = body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
+        let ids: Vec<u64> = body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect();
         let last = ids.last().copied().unwrap_or(0);
         let ends_at_event = body.ends_with("\n\n");
         let end = ends.get(id);
@@ -203,7 +247,11 @@
         broken_off += u32::from(!is_complete);
         record.line(&format!(
             "consumer id={id} complete={is_complete} last_event={last} last_run={end:?}{}",
-            if lacks { " LOOKS COMPLETE AND IS NOT" } else { "" }
+            if lacks {
+                " LOOKS COMPLETE AND IS NOT"
+            } else {
+                ""
+            }
         ));
     }
     let summary = format!(
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -58,10 +58,16 @@
     let number = |n: usize| rest.get(n).and_then(|text| text.parse().ok());
     match case {
         "flood" => {
-            let [Some(clients), Some(head_bytes), Some(chunk_bytes), Some(body_bytes)] =
-                [0, 1, 2, 3].map(number)
+            let [
+                Some(clients),
+                Some(head_bytes),
+                Some(chunk_bytes),
+                Some(body_bytes),
+            ] = [0, 1, 2, 3].map(number)
             else {
-                return Err(std::io::Error::other("flood CLIENTS HEAD_BYTES CHUNK_BYTES BODY_BYTES"));
+                return Err(std::io::Error::other(
+                    "flood CLIENTS HEAD_BYTES CHUNK_BYTES BODY_BYTES",
+                ));
             };
             let flood = flood::Flood {
                 clients,
@@ -72,9 +78,21 @@
             };
             flood::run(record, folder, &flood, has_trouble)
         }
-        "interim" => interim::run(record, folder, &machine, number(0).unwrap_or(300), has_trouble),
+        "interim" => interim::run(
+            record,
+            folder,
+            &machine,
+            number(0).unwrap_or(300),
+            has_trouble,
+        ),
         "length" => length::run(record, folder, &machine, has_trouble),
-        "parts" => parts::run(record, folder, &machine, number(0).unwrap_or(200) as u64, has_trouble),
+        "parts" => parts::run(
+            record,
+            folder,
+            &machine,
+            number(0).unwrap_or(200) as u64,
+            has_trouble,
+        ),
         _ => Err(std::io::Error::other(format!("no case {case}"))),
     }
 }
--- a/review/stand-ins-2/parts.rs
+++ b/review/stand-ins-2/parts.rs
@@ -91,7 +91,10 @@
                 return;
             }
             boot.down_until = Some(Instant::now() + BACK_AFTER);
-            self.record.line(&format!("runner={} crashes on id={id}", self.name(boot.number)));
+            self.record.line(&format!(
+                "runner={} crashes on id={id}",
+                self.name(boot.number)
+            ));
         }
         self.seen.lock().unwrap().crashes.push(Instant::now());
         let runner = Arc::clone(self);
@@ -116,18 +119,28 @@
             if self.boot() != Some(boot) {
                 return Ok(());
             }
-            let id = request.header("x-quetzalpick-attempt-id").unwrap_or("").to_owned();
+            let id = request
+                .header("x-quetzalpick-attempt-id")
+                .unwrap_or("")
+                .to_owned();
             if request.header("x-quetzalpick-expect-instance") != Some(&self.name(boot)) {
-                let headers = [("x-quetzalpick-not-executed", "1"), ("x-quetzalpick-attempt-id", &id)];
+                let headers = [
+                    ("x-quetzalpick-not-executed", "1"),
+                    ("x-quetzalpick-attempt-id", &id),
+                ];
                 stream.write_all(&format_answer(421, &headers, b""))?;
                 continue;
             }
             let prompt = request.header("x-quetzalpick-prompt-prefix").unwrap_or("");
-            let mut parts: Vec<&str> = prompt.split(',').filter_map(|part| part.split(':').next()).collect();
+            let mut parts: Vec<&str> = prompt
+                .split(',')
+                .filter_map(|part| part.split(':').next())
+                .collect();
             parts.pop();
             let is_deadly = parts.contains(&format!("{DEADLY:x}").as_str());
             if is_deadly {
-                self.record.line(&format!("runner={} gets id={id}", self.name(boot)));
+                self.record
+                    .line(&format!("runner={} gets id={id}", self.name(boot)));
                 self.seen.lock().unwrap().arrivals.push(Instant::now());
             }
             let began = Instant::now();
@@ -140,7 +153,9 @@
             if is_deadly {
                 self.crash(&id);
                 // Connections of a process that ends are closed in no order that the requests know of.
-                thread::sleep(Duration::from_micros(began.elapsed().as_nanos() as u64 % 5_000));
+                thread::sleep(Duration::from_micros(
+                    began.elapsed().as_nanos() as u64 % 5_000,
+                ));
                 return Ok(());
             }
             let headers = [
@@ -174,7 +189,11 @@
         state ^= state << 13;
         state ^= state >> 7;
         state ^= state << 17;
-        let part = if is_deadly && n == parts / 2 { DEADLY } else { 0x10_0000 + state % POOL };
+        let part = if is_deadly && n == parts / 2 {
+            DEADLY
+        } else {
+            0x10_0000 + state % POOL
+        };
         prompt += &format!(",{part:x}:8");
     }
     prompt += &format!(",{:x}:40", 0x20_0000 + seed);
@@ -191,7 +210,13 @@
 }
 
 /// Returns whether the rule was kept.
-pub fn run(record: &Record, folder: &Path, machine: &Machine, parts: u64, has_trouble: bool) -> io::Result<bool> {
+pub fn run(
+    record: &Record,
+    folder: &Path,
+    machine: &Machine,
+    parts: u64,
+    has_trouble: bool,
+) -> io::Result<bool> {
     let store = Store::default();
     let store_address = store.start()?;
     store.put("keyed.op", "config", &config());
@@ -200,7 +225,10 @@
         let runner = Arc::new(PartRunner {
             n,
             store: store.clone(),
-            boot: Mutex::new(Boot { number: 0, down_until: None }),
+            boot: Mutex::new(Boot {
+                number: 0,
+                down_until: None,
+            }),
             address: Mutex::new(None),
             seen: Arc::clone(&seen),
             record: record.clone(),
@@ -214,7 +242,9 @@
     let callers = program.callers;
     let limit = Duration::from_secs(12);
     let until = Instant::now() + Duration::from_secs(20);
-    while !send(callers, &request("warm", 7, parts, false), limit).is_ok_and(|answer| answer.status == 200) {
+    while !send(callers, &request("warm", 7, parts, false), limit)
+        .is_ok_and(|answer| answer.status == 200)
+    {
         if Instant::now() >= until {
             return Err(io::Error::other("the machine does not serve"));
         }
@@ -246,7 +276,9 @@
         let mut n = 0;
         while at < SPAN {
             // Threads are started a second ahead.
-            thread::sleep((began + at).saturating_duration_since(Instant::now() + Duration::from_secs(1)));
+            thread::sleep(
+                (began + at).saturating_duration_since(Instant::now() + Duration::from_secs(1)),
+            );
             ask(at, format!("draft{n:011}"), n, false);
             if has_trouble && at >= next_deadly {
                 ask(at, format!("deadly{n:010}"), 1_000_000 + n, true);
@@ -258,10 +290,17 @@
     });
     let seen = seen.lock().unwrap();
     let from = seen.crashes.get(4).map(|fifth| *fifth + STABLE);
-    let late = seen.arrivals.iter().filter(|at| from.is_some_and(|from| **at > from)).count();
+    let late = seen
+        .arrivals
+        .iter()
+        .filter(|at| from.is_some_and(|from| **at > from))
+        .count();
     let (asked, answered) = *served.lock().unwrap();
     let log = program.log();
-    for line in log.lines().filter(|line| line.contains("quarantine: feature")) {
+    for line in log
+        .lines()
+        .filter(|line| line.contains("quarantine: feature"))
+    {
         record.line(&format!("log of the system: {line}"));
     }
     let summary = format!(
--- a/review/stand-ins-2/program.rs
+++ b/review/stand-ins-2/program.rs
@@ -28,7 +28,12 @@
 impl Program {
     /// Starts the program with the template of the settings filled in, and waits until it listens.
     pub fn start(folder: &Path, machine: &Machine, store: SocketAddr) -> io::Result<Self> {
-        let Machine { name, zone, cpu_share, memory_mb } = machine;
+        let Machine {
+            name,
+            zone,
+            cpu_share,
+            memory_mb,
+        } = machine;
         let template = fs::read_to_string("deploy/settings.toml")?;
         let any = "127.0.0.1:0".to_owned();
         let values: [(&str, String); 15] = [
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -15,7 +15,10 @@
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { began: Instant::now(), file })
+        Ok(Self {
+            began: Instant::now(),
+            file,
+        })
     }
 
     /// Returns the time since the start of the run, in ms.
--- a/review/stand-ins-2/runner.rs
+++ b/review/stand-ins-2/runner.rs
@@ -49,9 +49,16 @@
         }
         if request.path() == "/api/report" {
             let body = "{\"stage\":\"both\",\"models\":[],\"busy\":false,\"seq\":0,\"waiting\":0,\"running\":0}";
-            return format_answer(200, &[("content-type", "application/json")], body.as_bytes());
+            return format_answer(
+                200,
+                &[("content-type", "application/json")],
+                body.as_bytes(),
+            );
         }
-        let id = request.header("x-quetzalpick-attempt-id").unwrap_or("").to_owned();
+        let id = request
+            .header("x-quetzalpick-attempt-id")
+            .unwrap_or("")
+            .to_owned();
         self.runs.lock().unwrap().push(id.clone());
         thread::sleep(self.work);
         let body = format!("done by {}", self.name);
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -90,12 +90,19 @@
         let end = log.len();
         drop(logs);
         self.shared.appended.notify_all();
-        self.format(200, format!("{{\"offset\":{first},\"end\":{end}}}").as_bytes())
+        self.format(
+            200,
+            format!("{{\"offset\":{first},\"end\":{end}}}").as_bytes(),
+        )
     }
 
     fn read(&self, request: &Request) -> Vec<u8> {
         let topic = request.query("topic").unwrap_or("").to_owned();
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let from = number("from").unwrap_or(0) as usize;
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
         let end = |logs: &Logs| logs.topics.get(&topic).map_or(0, Vec::len);
@@ -153,7 +160,11 @@
         }
         for index in 0..4 {
             let letter = LETTERS[(number >> (18 - 6 * index)) as usize & 63];
-            text.push(if index <= group.len() { letter as char } else { '=' });
+            text.push(if index <= group.len() {
+                letter as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/stand-ins-2/watch.rs
+++ b/review/stand-ins-2/watch.rs
@@ -94,8 +94,15 @@
                     let ended = Instant::now();
                     let status = answer.as_ref().ok().map(|answer| answer.status);
                     let took_ms = (ended - began).as_millis();
-                    record.line(&format!("consumer={consumer} id={id} status={status:?} took_ms={took_ms}"));
-                    let one = Try { consumer, began, ended, status };
+                    record.line(&format!(
+                        "consumer={consumer} id={id} status={status:?} took_ms={took_ms}"
+                    ));
+                    let one = Try {
+                        consumer,
+                        began,
+                        ended,
+                        status,
+                    };
                     self.tries.lock().unwrap().push(one);
                     thread::sleep(Duration::from_millis(250).saturating_sub(ended - began));
                 }
@@ -105,7 +112,9 @@
             while Instant::now() < end {
                 let request = format_request("GET", "/readyz", &[("host", "x")], b"");
                 let asked = Instant::now();
-                let status = send(ready, &request, UNREAD).ok().map(|answer| answer.status);
+                let status = send(ready, &request, UNREAD)
+                    .ok()
+                    .map(|answer| answer.status);
                 record.line(&format!("ready={status:?}"));
                 self.ready.lock().unwrap().push((asked, status));
                 thread::sleep(Duration::from_secs(1).saturating_sub(asked.elapsed()));
@@ -146,8 +155,12 @@
             if gap < Duration::from_secs(1) || (0..CONSUMERS).filter(tried).count() < 7 {
                 continue;
             }
-            let mut asked = ready.iter().filter(|(at, _)| *at >= from && *at <= to).peekable();
-            let says_ready = asked.peek().is_some() && asked.all(|(_, status)| *status == Some(200));
+            let mut asked = ready
+                .iter()
+                .filter(|(at, _)| *at >= from && *at <= to)
+                .peekable();
+            let says_ready =
+                asked.peek().is_some() && asked.all(|(_, status)| *status == Some(200));
             record.line(&format!(
                 "no try was answered from {} to {} ms, says_ready={says_ready}",
                 record.ms(from),
